--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Workloads, their measures and the report writer."""
--- /dev/null
+++ b/src/sardinehill/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Formats of outside systems, one module each."""
--- /dev/null
+++ b/src/sardinehill/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, one module a noun."""
--- /dev/null
+++ b/src/sardinehill/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output; the clock is handed in."""
--- /dev/null
+++ b/src/sardinehill/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, timers and the loop round the core."""
--- /dev/null
+++ b/src/sardinehill/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Schemas of the messages between daemons, and their codec."""
--- /dev/null
+++ b/src/sardinehill/wire/kinds.py
@@ -0,0 +1,22 @@
+"""Numbers of the messages between daemons."""
+
+import enum
+
+
+class Kind(enum.IntEnum):
+    """What an envelope's payload is; each number names one schema."""
+
+    HELLO = 1
+    HEARTBEAT = 2
+    MEMBERS = 3
+    FORWARD = 10
+    FORWARD_CHUNK = 11
+    CANCEL = 12
+    LEND_TOKENS = 20
+    DUPLICATE_LOOKUP = 21
+    VOUCH = 30
+    SEAL = 31
+    GATEWAY_GRANT = 32
+    GATEWAY_RELEASE = 33
+    NEWS_DIGEST = 40
+    NEWS_BODY = 41
--- /dev/null
+++ b/tests/common/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: common."""
--- /dev/null
+++ b/tests/cover/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: cover."""
--- /dev/null
+++ b/tests/quality/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: quality."""
