--- /dev/null
+++ b/src/sardinehill/core/lease.py
@@ -0,0 +1,204 @@
+"""A lease kept in the store, judged by each candidate's own clock.
+
+The holder renews by conditional update and counts its time from the moment
+it sent the write. A candidate counts from the moment it first saw a version,
+which is later than that write, so the candidate's count always ends after the
+holder's as long as both clocks run at nearly the same rate. Clocks are never
+compared, and the store's clock is not used at all.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseTiming:
+    """How long a lease lasts and how often it is touched.
+
+    Attributes:
+      ttl_s: seconds that one renewal lasts.
+      renew_s: seconds between renewals.
+      poll_s: seconds between a first candidate's looks at the lease.
+      poll_limit_s: the longest time between a last candidate's looks.
+      drift_ratio: by how much two clocks' rates may differ.
+    """
+
+    ttl_s: float = 1.2
+    renew_s: float = 0.4
+    poll_s: float = 0.15
+    poll_limit_s: float = 30.0
+    drift_ratio: float = 0.02
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseRecord:
+    """The lease as the store keeps it.
+
+    Attributes:
+      version: the store's version, 0 for a lease that does not exist.
+      term: grows by one whenever the lease goes to another process.
+      holder: the name of the daemon that holds it.
+      nonce: unique for each write, also among those of one holder.
+    """
+
+    version: int
+    term: int
+    holder: str
+    nonce: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadLease:
+    """The daemon shall read the lease."""
+
+
+@dataclasses.dataclass(frozen=True)
+class WriteLease:
+    """The daemon shall write the lease if its version is still `expected`."""
+
+    expected: int
+    record: LeaseRecord
+
+
+LeaseCommand = ReadLease | WriteLease
+
+ABSENT = LeaseRecord(version=0, term=0, holder="", nonce="")
+
+
+@dataclasses.dataclass
+class Lease:
+    """What one process knows about one lease.
+
+    Attributes:
+      me: the name of the daemon.
+      timing: durations.
+      seen: the newest record read or written, None before the first.
+      seen_s: own clock when `seen` was first known.
+      sent_s: when each of this process's writes was sent, by its nonce.
+      term: the term under which this process holds the lease, 0 if it does
+        not. The holder's name is not asked: a restarted daemon has the same
+        name, knows nothing of its predecessor's orders and needs a new term.
+      store_until_s: until when the store's word lasts for `term`.
+      busy: whether a read or write is on its way.
+      unsure: whether a write's reply was lost since the last read.
+      next_s: when the next command is due.
+    """
+
+    me: str
+    timing: LeaseTiming
+    seen: LeaseRecord | None = None
+    seen_s: float = 0.0
+    sent_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    term: int = 0
+    store_until_s: float = float("-inf")
+    busy: bool = False
+    unsure: bool = False
+    next_s: float = float("-inf")
+
+
+def poll_interval_s(timing: LeaseTiming, rank: int) -> float:
+    """Returns how often the candidate of this rank looks at the lease.
+
+    The interval grows with the rank, so that the reads of all candidates
+    together grow with the logarithm of the fleet and not with the fleet.
+    """
+    return min(timing.poll_limit_s, timing.poll_s * max(1, rank))
+
+
+def has_lapsed(lease: Lease, now_s: float, rank: int) -> bool:
+    """Tells whether the holder seen last can no longer rely on the lease."""
+    if lease.seen is None:
+        return False
+    if lease.seen.version == 0:
+        return True
+    wait_s = lease.timing.ttl_s * (1.0 + lease.timing.drift_ratio)
+    # Lower ranks go first, so that most takeovers cost the store one write
+    # and not one conflict for each candidate.
+    wait_s += lease.timing.poll_s * min(rank, 3)
+    return now_s - lease.seen_s > wait_s
+
+
+def tick(
+    lease: Lease, now_s: float, rank: int, nonce: str
+) -> LeaseCommand | None:
+    """Returns what to ask of the store now, if anything.
+
+    Args:
+      lease: the state, changed in place.
+      now_s: own clock, just read.
+      rank: this daemon's place among the candidates, 0 for the first.
+      nonce: a text that was never used before.
+
+    Returns:
+      A command; its outcome must come back through one of the functions
+      below before another command is given.
+    """
+    if lease.busy or now_s < lease.next_s:
+        return None
+    lease.busy = True
+    if lease.unsure or lease.seen is None:
+        return ReadLease()
+    if lease.term:
+        lease.next_s = now_s + lease.timing.renew_s
+        return _write(lease, lease.term, now_s, nonce)
+    if has_lapsed(lease, now_s, rank):
+        return _write(lease, lease.seen.term + 1, now_s, nonce)
+    lease.next_s = now_s + poll_interval_s(lease.timing, rank)
+    return ReadLease()
+
+
+def _write(lease: Lease, term: int, now_s: float, nonce: str) -> WriteLease:
+    assert lease.seen is not None
+    lease.sent_s[nonce] = now_s
+    record = LeaseRecord(lease.seen.version, term, lease.me, nonce)
+    return WriteLease(lease.seen.version, record)
+
+
+def on_read(lease: Lease, record: LeaseRecord, now_s: float) -> None:
+    """Takes in what a read returned; `ABSENT` when there is no lease."""
+    lease.busy = False
+    lease.unsure = False
+    _see(lease, record, now_s)
+
+
+def on_written(lease: Lease, record: LeaseRecord, now_s: float) -> None:
+    """Takes in an acknowledged write, with the version it was given."""
+    lease.busy = False
+    _see(lease, record, now_s)
+
+
+def on_conflict(lease: Lease, now_s: float) -> None:
+    """Takes in that a write found another version; it is read next."""
+    lease.busy = False
+    lease.unsure = True
+    lease.next_s = now_s
+
+
+def on_lost(lease: Lease, now_s: float) -> None:
+    """Takes in that a reply was lost, so the write may have taken effect.
+
+    The write is neither counted nor written off: the next read settles it by
+    its nonce, and the licence then counts from when the write was sent.
+    """
+    lease.busy = False
+    lease.unsure = True
+    lease.next_s = now_s + lease.timing.poll_s
+
+
+def _see(lease: Lease, record: LeaseRecord, now_s: float) -> None:
+    # Replies may overtake each other; an older version tells nothing new.
+    if lease.seen is not None and record.version < lease.seen.version:
+        return
+    if lease.seen is None or record.version > lease.seen.version:
+        lease.seen = record
+        lease.seen_s = now_s
+    sent_s = lease.sent_s.get(record.nonce)
+    if sent_s is None:
+        lease.term = 0
+        return
+    lease.term = record.term
+    lease.store_until_s = sent_s + lease.timing.ttl_s
+    # Writes sent before this one can no longer take effect: they expected
+    # a version that has gone. Later ones may still be on their way.
+    lease.sent_s = {
+        nonce: at_s for nonce, at_s in lease.sent_s.items() if at_s >= sent_s
+    }
--- /dev/null
+++ b/src/sardinehill/core/licence.py
@@ -0,0 +1,234 @@
+"""The licence of a controller to send grants, also while the store is down.
+
+A controller may send while its lease was renewed in the store within the
+ttl, or while a majority of the service's electorate vouched for its term.
+A controller that took the lease over collects seals from a majority of the
+same list before it changes any assignment. Two majorities share a member,
+and a member that sealed a term vouches for no lower one; so from then on only
+the new controller can be licensed. Nothing is replicated and no log is kept:
+members remember one number, and the store alone says what is assigned.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class LicenceTiming:
+    """How long a vouch lasts.
+
+    Attributes:
+      vouch_ttl_s: seconds that a vouch licenses, from when it was asked for.
+      ask_s: seconds between two rounds of questions.
+      drift_ratio: by how much two clocks' rates may differ.
+    """
+
+    vouch_ttl_s: float = 1.2
+    ask_s: float = 0.3
+    drift_ratio: float = 0.02
+
+
+@dataclasses.dataclass(frozen=True)
+class Electorate:
+    """The daemons whose majority counts for one service.
+
+    It is kept in the service's assignment, since it must change in step with
+    what a predecessor relied on; the fleet's member list changes on its own
+    and two of its versions that are far apart need not share a majority.
+
+    Attributes:
+      names: the daemons that count.
+      before: those that counted before, until the change is known to be over;
+        while there are any, a majority of both is needed.
+    """
+
+    names: frozenset[str]
+    before: frozenset[str] = frozenset()
+
+    def agrees(self, chosen: set[str]) -> bool:
+        """Tells whether these daemons are a majority."""
+        return _is_majority(chosen, self.names) and (
+            not self.before or _is_majority(chosen, self.before)
+        )
+
+    @property
+    def everyone(self) -> frozenset[str]:
+        """All daemons that may be asked."""
+        return self.names | self.before
+
+
+def _is_majority(chosen: set[str], names: frozenset[str]) -> bool:
+    return len(chosen & names) > len(names) // 2
+
+
+@dataclasses.dataclass(frozen=True)
+class VouchQuery:
+    """Asks a member to vouch for a term, or to seal it.
+
+    Attributes:
+      service: the service whose controller asks.
+      term: the asking controller's term.
+      seal: whether lower terms shall be refused from now on.
+    """
+
+    service: str
+    term: int
+    seal: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class VouchAnswer:
+    """A member's answer.
+
+    Attributes:
+      granted: whether the member vouches, or has sealed.
+      highest_term: the highest term that it knows.
+      vouched_ago_s: seconds since it may last have vouched for a lower
+        term; counts in a seal's answer only.
+    """
+
+    granted: bool
+    highest_term: int
+    vouched_ago_s: float = 0.0
+
+
+@dataclasses.dataclass
+class Member:
+    """What one daemon remembers, for one service, as a member.
+
+    Attributes:
+      started_s: own clock at the start of the process.
+      highest_term: the highest term sealed or read from the store.
+      primed: whether it has learnt, since its start, a term at least as high
+        as any it may have sealed before.
+      vouched_s: own clock when it last vouched. A process that has just
+        started may have vouched an instant before, so it begins with its
+        start and not with "never".
+      reports: terms told by primed members while this one is not.
+    """
+
+    started_s: float
+    highest_term: int = 0
+    primed: bool = False
+    vouched_s: float = 0.0
+    reports: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.vouched_s = self.started_s
+
+
+def on_store_term(member: Member, term: int) -> None:
+    """Takes in the lease's term as just read from the store.
+
+    Every seal follows the lease's write in the store, so the term found by a
+    read after the start is at least as high as any that was sealed before.
+    """
+    member.highest_term = max(member.highest_term, term)
+    member.primed = True
+
+
+def on_report(
+    member: Member, name: str, electorate: Electorate, term: int
+) -> None:
+    """Takes in the highest term known to another, primed member.
+
+    A majority of primed members includes one of each majority that sealed.
+    """
+    member.reports[name] = term
+    member.highest_term = max(member.highest_term, term)
+    if electorate.agrees(set(member.reports)):
+        member.primed = True
+
+
+def answer(member: Member, query: VouchQuery, now_s: float) -> VouchAnswer:
+    """Answers a controller that asks for a vouch or a seal."""
+    ago_s = max(0.0, now_s - member.vouched_s)
+    if query.term < member.highest_term:
+        return VouchAnswer(False, member.highest_term)
+    if query.seal:
+        # A seal raises the number, so it is safe without having been primed.
+        member.highest_term = query.term
+        return VouchAnswer(True, query.term, ago_s)
+    if not member.primed:
+        return VouchAnswer(False, member.highest_term)
+    member.highest_term = query.term
+    member.vouched_s = now_s
+    return VouchAnswer(True, query.term)
+
+
+@dataclasses.dataclass
+class Licence:
+    """What a controller has collected for its present term.
+
+    Attributes:
+      term: the term, 0 while it is no controller.
+      vouched_s: own clock when each member's vouch was asked for.
+      sealed: members that sealed this term.
+      sealed_s: own clock when the seals reached a majority, else None.
+      old_until_s: until when the predecessor may have been vouched for.
+    """
+
+    term: int = 0
+    vouched_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    sealed: set[str] = dataclasses.field(default_factory=set)
+    sealed_s: float | None = None
+    old_until_s: float = float("-inf")
+
+
+def begin(licence: Licence, term: int) -> None:
+    """Starts a term; nothing collected for another counts."""
+    if licence.term == term:
+        return
+    licence.term = term
+    licence.vouched_s = {}
+    licence.sealed = set()
+    licence.sealed_s = None
+    licence.old_until_s = float("-inf")
+
+
+def on_vouched(
+    licence: Licence, name: str, query: VouchQuery, asked_s: float
+) -> None:
+    """Takes in a vouch, counted from when it was asked for."""
+    if query.term == licence.term:
+        known_s = licence.vouched_s.get(name, asked_s)
+        licence.vouched_s[name] = max(known_s, asked_s)
+
+
+def on_sealed(
+    licence: Licence,
+    name: str,
+    electorate: Electorate,
+    query: VouchQuery,
+    reply: VouchAnswer,
+    now_s: float,
+    timing: LicenceTiming,
+) -> None:
+    """Takes in a seal; the first majority of them opens the way to moves."""
+    if query.term != licence.term:
+        return
+    licence.sealed.add(name)
+    left_s = max(0.0, timing.vouch_ttl_s - reply.vouched_ago_s)
+    until_s = now_s + left_s * (1.0 + 2.0 * timing.drift_ratio)
+    licence.old_until_s = max(licence.old_until_s, until_s)
+    if licence.sealed_s is None and electorate.agrees(licence.sealed):
+        licence.sealed_s = now_s
+
+
+def vouched_until_s(
+    licence: Licence, electorate: Electorate, timing: LicenceTiming
+) -> float:
+    """Returns until when a majority's vouches license the controller."""
+    for asked_s in sorted(set(licence.vouched_s.values()), reverse=True):
+        chosen = {
+            name for name, at_s in licence.vouched_s.items() if at_s >= asked_s
+        }
+        if electorate.agrees(chosen):
+            return asked_s + timing.vouch_ttl_s
+    return float("-inf")
+
+
+def settled_s(licence: Licence) -> float:
+    """Returns from when no other controller can be licensed, or infinity."""
+    if licence.sealed_s is None:
+        return float("inf")
+    return max(licence.sealed_s, licence.old_until_s)
--- a/src/sardinehill/core/placement.py
+++ b/src/sardinehill/core/placement.py
@@ -19,6 +19,13 @@
       hot_owners: owners of keys that were split out of their shard.
       writer_id: the daemon that wrote this version.
       nonce: tells this write from every other when a reply was lost.
+      moving_shards: for each shard on its way to its owner, who may still
+        hold it. Kept here so that a new controller knows what the old one
+        had not yet been told.
+      moving_keys: the same for keys that were split out of their shard.
+      moving_gateways: for each upstream whose gateway changes, the old one.
+      electorate: the daemons whose majority vouches for the controller.
+      electorate_before: those before, while a majority of both is needed.
     """
 
     service: str
@@ -30,6 +37,11 @@
     hot_owners: dict[str, str]
     writer_id: str
     nonce: str
+    moving_shards: dict[int, str] = dataclasses.field(default_factory=dict)
+    moving_keys: dict[str, str] = dataclasses.field(default_factory=dict)
+    moving_gateways: dict[str, str] = dataclasses.field(default_factory=dict)
+    electorate: tuple[str, ...] = ()
+    electorate_before: tuple[str, ...] = ()
 
 
 def shard_of(key: str, shard_count: int) -> int:
