--- a/src/sardinehill/core/balancing.py
+++ b/src/sardinehill/core/balancing.py
@@ -109,13 +109,13 @@
             deficit <= slack * problem.weights[low]
         ):
             return
-        shard = _best_shard(held[high], problem.loads, surplus, deficit)
-        if shard is None:
+        best = _best_shard(held[high], problem.loads, surplus, deficit)
+        if best is None:
             return
-        held[high].remove(shard)
-        moves[shard] = low
-        bearing[high] -= problem.loads[shard]
-        bearing[low] += problem.loads[shard]
+        held[high].remove(best)
+        moves[best] = low
+        bearing[high] -= problem.loads[best]
+        bearing[low] += problem.loads[best]
 
 
 def _best_shard(
--- /dev/null
+++ b/src/sardinehill/core/controlling.py
@@ -0,0 +1,272 @@
+"""One daemon's part in controlling one service: lease, licence, ownership.
+
+The daemon calls `step` often, each time with the clock read since its last
+wait, and carries out what it returns without waiting in between. Each answer
+comes back through one of the other functions.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+from sardinehill.core import grants
+from sardinehill.core import lease
+from sardinehill.core import licence
+from sardinehill.core import ownership
+from sardinehill.core import placement
+
+
+@dataclasses.dataclass(frozen=True)
+class Timing:
+    """All durations of control."""
+
+    of_lease: lease.LeaseTiming = lease.LeaseTiming()
+    of_vouches: licence.LicenceTiming = licence.LicenceTiming()
+    of_grants: ownership.OwnershipTiming = ownership.OwnershipTiming()
+
+
+@dataclasses.dataclass(frozen=True)
+class Ask:
+    """The daemon shall put a question to a member, or to itself."""
+
+    member: str
+    query: licence.VouchQuery
+    asked_s: float
+
+
+Command = lease.LeaseCommand | ownership.Command | Ask
+
+
+@dataclasses.dataclass
+class Duty:
+    """All state of one daemon for one service.
+
+    Attributes:
+      me: the daemon's name.
+      timing: durations.
+      new_nonce: returns a text that was never used before.
+      lease: the controller's lease.
+      member: this daemon's own memory as one that vouches.
+      licence: what it collected as a controller.
+      controller: the ownership it controls.
+      known: the newest assignment known from anywhere.
+      asked_s: own clock of the last round of questions.
+    """
+
+    me: str
+    timing: Timing
+    new_nonce: Callable[[], str]
+    lease: lease.Lease
+    member: licence.Member
+    licence: licence.Licence
+    controller: ownership.Controller
+    known: placement.Assignment | None = None
+    asked_s: float = float("-inf")
+
+
+def new_duty(
+    service: str,
+    me: str,
+    timing: Timing,
+    new_nonce: Callable[[], str],
+    now_s: float,
+) -> Duty:
+    """Returns the duty of a daemon that has just started."""
+    return Duty(
+        me=me,
+        timing=timing,
+        new_nonce=new_nonce,
+        lease=lease.Lease(me, timing.of_lease),
+        member=licence.Member(started_s=now_s),
+        licence=licence.Licence(),
+        controller=ownership.Controller(service, me, timing.of_grants),
+    )
+
+
+def by_store(duty: Duty, now_s: float) -> bool:
+    """Tells whether the lease is held by the store's own word."""
+    return duty.lease.term > 0 and now_s < duty.lease.store_until_s
+
+
+def is_licensed(duty: Duty, now_s: float) -> bool:
+    """Tells whether this daemon may act as the controller now."""
+    if duty.lease.term == 0:
+        return False
+    return by_store(duty, now_s) or now_s < licence.vouched_until_s(
+        duty.licence, _electorate(duty), duty.timing.of_vouches
+    )
+
+
+def step(
+    duty: Duty, view: ownership.View, now_s: float, rank: int
+) -> list[Command]:
+    """Returns what to do now.
+
+    Args:
+      duty: the state, changed in place.
+      view: the world as it looks now.
+      now_s: own clock, read since the last wait.
+      rank: this daemon's place among the lease's candidates.
+    """
+    commands: list[Command] = []
+    duty.lease.floor_term = max(
+        duty.lease.floor_term, duty.controller.newest_term
+    )
+    lease_command = lease.tick(duty.lease, now_s, rank, duty.new_nonce())
+    if lease_command is not None:
+        commands.append(lease_command)
+    ownership.begin_term(duty.controller, duty.lease.term)
+    licence.begin(duty.licence, duty.lease.term)
+    commands.extend(_questions(duty, now_s))
+    if not is_licensed(duty, now_s):
+        return commands
+    _settle(duty, now_s)
+    commands.extend(
+        ownership.tick(
+            duty.controller,
+            view,
+            now_s,
+            by_store(duty, now_s),
+            duty.new_nonce(),
+        )
+    )
+    return commands
+
+
+def _electorate(duty: Duty) -> licence.Electorate:
+    return ownership.electorate_of(duty.controller.committed)
+
+
+def _settle(duty: Duty, now_s: float) -> None:
+    if duty.controller.committed is None:
+        return
+    nobody = not _electorate(duty).everyone
+    if nobody or now_s >= licence.settled_s(duty.licence):
+        ownership.on_settled(duty.controller, now_s)
+
+
+def _questions(duty: Duty, now_s: float) -> list[Ask]:
+    """Returns the questions of one round, if a round is due and needed."""
+    if now_s - duty.asked_s < duty.timing.of_vouches.ask_s:
+        return []
+    if duty.lease.term == 0:
+        return _priming_questions(duty, now_s)
+    if duty.controller.committed is None:
+        return []
+    # While the store answers, its word is enough and peers are not asked.
+    # The first question goes out as soon as one renewal is late.
+    left_s = duty.lease.store_until_s - now_s
+    in_doubt = (
+        left_s < duty.timing.of_lease.ttl_s - 2 * duty.timing.of_lease.renew_s
+    )
+    seal = not duty.controller.settled
+    if not seal and not in_doubt:
+        return []
+    duty.asked_s = now_s
+    queries = [seal] if not (seal and in_doubt) else [True, False]
+    return [
+        Ask(
+            name,
+            licence.VouchQuery(duty.controller.service, duty.lease.term, one),
+            now_s,
+        )
+        for one in queries
+        for name in sorted(_electorate(duty).everyone)
+    ]
+
+
+def _priming_questions(duty: Duty, now_s: float) -> list[Ask]:
+    if duty.member.primed or duty.known is None:
+        return []
+    duty.asked_s = now_s
+    query = licence.VouchQuery(duty.controller.service, 0, False)
+    everyone = ownership.electorate_of(duty.known).everyone
+    return [
+        Ask(name, query, now_s) for name in sorted(everyone) if name != duty.me
+    ]
+
+
+# Answers.
+
+
+def on_known(duty: Duty, assignment: placement.Assignment) -> None:
+    """Takes in an assignment that came as news."""
+    if duty.known is None or assignment.version > duty.known.version:
+        duty.known = assignment
+
+
+def on_question(
+    duty: Duty, query: licence.VouchQuery, now_s: float
+) -> licence.VouchAnswer:
+    """Answers another daemon's question, or this daemon's own."""
+    return licence.answer(duty.member, query, now_s)
+
+
+def on_answer(
+    duty: Duty, ask: Ask, answer: licence.VouchAnswer, now_s: float
+) -> None:
+    """Takes in the answer to a question."""
+    controller = duty.controller
+    controller.newest_term = max(controller.newest_term, answer.highest_term)
+    if ask.query.term == 0:
+        if answer.primed and duty.known is not None:
+            electorate = ownership.electorate_of(duty.known)
+            licence.on_report(
+                duty.member, ask.member, electorate, answer.highest_term
+            )
+        return
+    if not answer.granted:
+        return
+    if ask.query.seal:
+        licence.on_sealed(
+            duty.licence,
+            ask.member,
+            _electorate(duty),
+            ask.query,
+            answer,
+            now_s,
+            duty.timing.of_vouches,
+        )
+    else:
+        licence.on_vouched(duty.licence, ask.member, ask.query, ask.asked_s)
+
+
+def on_lease_read(duty: Duty, record: lease.LeaseRecord, now_s: float) -> None:
+    """Takes in the lease as read; `lease.ABSENT` when there is none."""
+    lease.on_read(duty.lease, record, now_s)
+    licence.on_store_term(duty.member, record.term)
+
+
+def on_lease_written(
+    duty: Duty, record: lease.LeaseRecord, now_s: float
+) -> None:
+    """Takes in an acknowledged write of the lease, with its new version."""
+    lease.on_written(duty.lease, record, now_s)
+    licence.on_store_term(duty.member, record.term)
+
+
+def on_assignment_read(
+    duty: Duty, assignment: placement.Assignment, term: int, now_s: float
+) -> None:
+    """Takes in the assignment as read under the given term."""
+    ownership.on_assignment_read(
+        duty.controller, assignment, by_store(duty, now_s), term
+    )
+
+
+def on_assignment_written(
+    duty: Duty, assignment: placement.Assignment, now_s: float
+) -> None:
+    """Takes in an acknowledged write, with its new version."""
+    ownership.on_assignment_written(
+        duty.controller, assignment, by_store(duty, now_s)
+    )
+
+
+def on_grant_answer(
+    duty: Duty,
+    grant: grants.Grant,
+    answer: grants.GrantAnswer,
+    now_s: float,
+) -> None:
+    """Takes in a holder's answer to a grant."""
+    ownership.on_grant_answer(duty.controller, grant, answer, now_s)
--- a/src/sardinehill/core/grants.py
+++ b/src/sardinehill/core/grants.py
@@ -103,7 +103,8 @@
       sent_s: own clock when that call was sent.
       answered_s: own clock at the newest answer, None before the first.
       lost: calls without an answer since then.
-      accepted: the newest grant known to be in force.
+      accepted: the newest grant that it accepted.
+      refused: whether it refused the newest.
     """
 
     target: Target
@@ -118,6 +119,7 @@
     answered_s: float | None = None
     lost: int = 0
     accepted: Grant | None = None
+    refused: bool = False
 
 
 def may_hold(
@@ -129,6 +131,13 @@
     return any(covers(grant, unit, shard_count) for grant in holder.sent)
 
 
+def may_hold_any(holder: Holder, now_s: float) -> bool:
+    """Tells whether anything at all must still be taken as held."""
+    if now_s > holder.lapse_s + holder.gap_s:
+        return False
+    return any(grant.units for grant in holder.sent)
+
+
 def on_sent(
     holder: Holder, grant: Grant, now_s: float, drift_ratio: float
 ) -> None:
@@ -166,6 +175,7 @@
     holder.incarnation = answer.incarnation
     holder.stamp_ms = answer.clock_ms
     holder.stamp_s = now_s
+    holder.refused = not answer.accepted
     if answer.accepted:
         holder.accepted = grant
         if answer.running_outside == 0:
--- a/src/sardinehill/core/lease.py
+++ b/src/sardinehill/core/lease.py
@@ -81,6 +81,9 @@
       busy: whether a read or write is on its way.
       unsure: whether a write's reply was lost since the last read.
       next_s: when the next command is due.
+      floor_term: the highest term met elsewhere. It is above the lease's own
+        when the store lost the lease or was set back; a new holder then
+        begins above it, or nobody would take its orders.
     """
 
     me: str
@@ -93,6 +96,7 @@
     busy: bool = False
     unsure: bool = False
     next_s: float = float("-inf")
+    floor_term: int = 0
 
 
 def poll_interval_s(timing: LeaseTiming, rank: int) -> float:
@@ -139,9 +143,12 @@
         return ReadLease()
     if lease.term:
         lease.next_s = now_s + lease.timing.renew_s
-        return _write(lease, lease.term, now_s, nonce)
+        above = lease.floor_term > lease.term
+        term = lease.floor_term + 1 if above else lease.term
+        return _write(lease, term, now_s, nonce)
     if has_lapsed(lease, now_s, rank):
-        return _write(lease, lease.seen.term + 1, now_s, nonce)
+        term = max(lease.seen.term, lease.floor_term) + 1
+        return _write(lease, term, now_s, nonce)
     lease.next_s = now_s + poll_interval_s(lease.timing, rank)
     return ReadLease()
 
--- a/src/sardinehill/core/licence.py
+++ b/src/sardinehill/core/licence.py
@@ -45,7 +45,12 @@
     before: frozenset[str] = frozenset()
 
     def agrees(self, chosen: set[str]) -> bool:
-        """Tells whether these daemons are a majority."""
+        """Tells whether these daemons are a majority.
+
+        Under an empty electorate nobody can ever have vouched.
+        """
+        if not self.everyone:
+            return True
         return _is_majority(chosen, self.names) and (
             not self.before or _is_majority(chosen, self.before)
         )
@@ -82,12 +87,14 @@
     Attributes:
       granted: whether the member vouches, or has sealed.
       highest_term: the highest term that it knows.
+      primed: whether that term is as high as any it ever sealed.
       vouched_ago_s: seconds since it may last have vouched for a lower
         term; counts in a seal's answer only.
     """
 
     granted: bool
     highest_term: int
+    primed: bool = False
     vouched_ago_s: float = 0.0
 
 
@@ -131,6 +138,7 @@
 ) -> None:
     """Takes in the highest term known to another, primed member.
 
+    It is for a daemon that was restarted while the store is down.
     A majority of primed members includes one of each majority that sealed.
     """
     member.reports[name] = term
@@ -141,18 +149,19 @@
 
 def answer(member: Member, query: VouchQuery, now_s: float) -> VouchAnswer:
     """Answers a controller that asks for a vouch or a seal."""
-    ago_s = max(0.0, now_s - member.vouched_s)
-    if query.term < member.highest_term:
-        return VouchAnswer(False, member.highest_term)
+    known = member.highest_term
+    if query.term < known:
+        return VouchAnswer(False, known, member.primed)
     if query.seal:
         # A seal raises the number, so it is safe without having been primed.
         member.highest_term = query.term
-        return VouchAnswer(True, query.term, ago_s)
-    if not member.primed:
-        return VouchAnswer(False, member.highest_term)
+        ago_s = max(0.0, now_s - member.vouched_s)
+        return VouchAnswer(True, query.term, member.primed, ago_s)
+    if not member.primed or query.term == 0:
+        return VouchAnswer(False, known, member.primed)
     member.highest_term = query.term
     member.vouched_s = now_s
-    return VouchAnswer(True, query.term)
+    return VouchAnswer(True, query.term, True)
 
 
 @dataclasses.dataclass
--- /dev/null
+++ b/tests/common/ownership_world.py
@@ -0,0 +1,565 @@
+"""A simulated fleet for the ownership rules: clocks, network, store, faults.
+
+Everything runs on one simulated time. Each process has a clock of its own
+that drifts; a frozen process takes in nothing, and whatever reached it waits
+until it goes on. Messages may be lost, doubled, late and reordered, and a
+write may take effect though its reply is lost.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import heapq
+import itertools
+import random
+
+from sardinehill.core import controlling
+from sardinehill.core import grants
+from sardinehill.core import lease
+from sardinehill.core import licence
+from sardinehill.core import ownership
+from sardinehill.core import placement
+
+SHARD_COUNT = 6
+HOT_KEYS = ("wedding", "holiday")
+STEP_S = 0.04
+STORE_TIMEOUT_S = 0.4
+GRANT_TIMEOUT_S = 0.25
+ASK_TIMEOUT_S = 0.25
+TICK_JITTER_S = 0.01
+LONGEST_DELAY_S = 4.0
+
+
+@dataclasses.dataclass
+class Rules:
+    """Rules that a test may break on purpose.
+
+    Attributes:
+      reuse_term: a takeover keeps the term it found.
+      stale_clock: the licence is judged by a clock that is read only when a
+        reply of the store comes in.
+      trust_lost_reply: a write without a reply is taken as done.
+      ttl_from_receipt: holders count a grant's ttl from its receipt.
+      no_seal: a new controller does not wait for seals.
+      grant_before_commit: changes count before the store accepted them.
+    """
+
+    reuse_term: bool = False
+    stale_clock: bool = False
+    trust_lost_reply: bool = False
+    ttl_from_receipt: bool = False
+    no_seal: bool = False
+    grant_before_commit: bool = False
+
+
+class Process:
+    """One process: a clock, and deliveries that wait while it is frozen."""
+
+    def __init__(self, world: "World", name: str, rate: float):
+        self.world = world
+        self.name = name
+        self.rate = rate
+        self.offset_s = world.random.uniform(0.0, 100.0)
+        self.incarnation = 0
+        self.frozen = False
+        self.dead = False
+        self.waiting: list[Callable[[], None]] = []
+
+    def clock_s(self) -> float:
+        """Returns this process's clock, which also runs while frozen."""
+        return self.offset_s + self.world.now_s * self.rate
+
+    def deliver(self, incarnation: int, act: Callable[[], None]) -> None:
+        """Runs an act in this process, or keeps it while it is frozen."""
+        if self.dead or incarnation != self.incarnation:
+            return
+        if self.frozen:
+            self.waiting.append(act)
+        else:
+            act()
+
+    def thaw(self) -> None:
+        """Goes on as if nothing had happened."""
+        self.frozen = False
+        waiting, self.waiting = self.waiting, []
+        self.world.random.shuffle(waiting)
+        for act in waiting:
+            act()
+
+    def start_anew(self) -> None:
+        """Loses all memory, and everything on its way to this process."""
+        self.incarnation += 1
+        self.frozen = False
+        self.dead = False
+        self.waiting = []
+
+
+class Upstream(Process):
+    """An upstream that checks its grants."""
+
+    def __init__(self, world: "World", name: str, rate: float):
+        super().__init__(world, name, rate)
+        self.held = grants.Held("")
+        self.start_anew()
+
+    def start_anew(self) -> None:
+        """Forgets every grant."""
+        super().start_anew()
+        self.held = grants.Held(f"{self.name}/{self.incarnation}")
+
+
+class Daemon(Process):
+    """A daemon: candidate, member and gateway."""
+
+    def __init__(self, world: "World", name: str, rate: float):
+        super().__init__(world, name, rate)
+        self.rank = 0
+        self.seen_clock_s = 0.0
+        self.held: dict[str, grants.Held] = {}
+        self.duty: controlling.Duty
+        self.start_anew()
+
+    def start_anew(self) -> None:
+        """Forgets everything, and learns the assignment from peers."""
+        super().start_anew()
+        self.held = {}
+        self.duty = controlling.new_duty(
+            "s",
+            self.name,
+            controlling.Timing(),
+            self.world.new_nonce,
+            self.clock_s(),
+        )
+        self.seen_clock_s = self.clock_s()
+        for daemon in self.world.daemons.values():
+            if daemon is not self and daemon.duty.controller.committed:
+                controlling.on_known(
+                    self.duty, daemon.duty.controller.committed
+                )
+
+    def gateway(self, upstream: str) -> grants.Held:
+        """Returns what this daemon holds as an upstream's gateway."""
+        name = f"{self.name}/{self.incarnation}"
+        return self.held.setdefault(upstream, grants.Held(name))
+
+
+class World:
+    """All processes, the store, the network and the time."""
+
+    def __init__(
+        self,
+        seed: int,
+        daemons: int = 3,
+        upstreams: int = 3,
+        fencing: bool = True,
+        rules: Rules | None = None,
+    ):
+        self.random = random.Random(seed)
+        self.rules = rules or Rules()
+        self.fencing = fencing
+        self.now_s = 0.0
+        self.nonces = itertools.count(1)
+        self.order = itertools.count()
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.store_up = True
+        self.revision = 0
+        self.lease = lease.ABSENT
+        self.assignment: placement.Assignment | None = None
+        self.cut: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.doubling = 0.0
+        self.slow_s = 0.0
+        self.upstreams: dict[str, Upstream] = {}
+        self.daemons: dict[str, Daemon] = {}
+        for index in range(upstreams):
+            name = f"u{index}"
+            self.upstreams[name] = Upstream(self, name, self._rate())
+        for index in range(daemons):
+            name = f"d{index}"
+            self.daemons[name] = Daemon(self, name, self._rate())
+            self.daemons[name].rank = index
+        self.out: set[str] = set()
+        self.hot: set[str] = set()
+        self.electorate = tuple(self.daemons)
+        self.steps = 0
+        for daemon in self.daemons.values():
+            self._schedule_tick(daemon)
+
+    def _rate(self) -> float:
+        return self.random.uniform(0.992, 1.008)
+
+    def new_nonce(self) -> str:
+        """Returns a text that was never used before."""
+        return str(next(self.nonces))
+
+    # Time.
+
+    def after(self, delay_s: float, act: Callable[[], None]) -> None:
+        """Runs an act later in simulated time."""
+        entry = (self.now_s + delay_s, next(self.order), act)
+        heapq.heappush(self.events, entry)
+
+    def advance(self, seconds: float) -> None:
+        """Lets time pass, with a check after everything that happens."""
+        until_s = self.now_s + seconds
+        while self.events and self.events[0][0] <= until_s:
+            at_s, _, act = heapq.heappop(self.events)
+            self.now_s = at_s
+            act()
+            self.check()
+        self.now_s = until_s
+
+    def _schedule_tick(self, daemon: Daemon) -> None:
+        def act() -> None:
+            self._schedule_tick(daemon)
+            if not daemon.frozen and not daemon.dead:
+                self._step(daemon)
+
+        self.after(STEP_S + self.random.uniform(0, TICK_JITTER_S), act)
+
+    # The network.
+
+    def _delay_s(self) -> float:
+        if self.slow_s and self.random.random() < 0.5:
+            return self.random.uniform(0.0, self.slow_s)
+        return self.random.uniform(0.001, 0.008)
+
+    def _is_cut(self, source: str, target: str) -> bool:
+        return (source, target) in self.cut
+
+    def send(
+        self,
+        source: str,
+        target: str,
+        act: Callable[[], None],
+    ) -> None:
+        """Carries an act over, or loses, doubles or delays it."""
+        if self._is_cut(source, target) or self.random.random() < self.loss:
+            return
+        self.after(self._delay_s(), act)
+        if self.random.random() < self.doubling:
+            self.after(self._delay_s() + self._delay_s(), act)
+
+    def call(
+        self,
+        daemon: Daemon,
+        target: str,
+        serve: Callable[[Callable[[Callable[[], None]], None]], None],
+        on_lost: Callable[[], None],
+        timeout_s: float,
+    ) -> None:
+        """Makes a call of which exactly one outcome reaches the daemon."""
+        done: list[bool] = []
+        incarnation = daemon.incarnation
+
+        def settle(outcome: Callable[[], None]) -> None:
+            def act() -> None:
+                if not done:
+                    done.append(True)
+                    outcome()
+
+            daemon.deliver(incarnation, act)
+
+        def reply(outcome: Callable[[], None]) -> None:
+            def act() -> None:
+                if target == "store" and not daemon.frozen:
+                    daemon.seen_clock_s = daemon.clock_s()
+                settle(outcome)
+
+            self.send(target, daemon.name, act)
+
+        self.send(daemon.name, target, lambda: serve(reply))
+        self.after(timeout_s, lambda: settle(on_lost))
+
+    # A daemon's step.
+
+    def view(self) -> ownership.View:
+        """Returns the world as every daemon sees it."""
+        return ownership.View(
+            shard_count=SHARD_COUNT,
+            checks_fencing=self.fencing,
+            upstreams={
+                name: ownership.UpstreamView("z", name in self.out)
+                for name in self.upstreams
+            },
+            daemons={
+                name: ownership.DaemonView("z", name in self.out)
+                for name in self.daemons
+            },
+            electorate=self.electorate,
+            hot_keys=dict.fromkeys(self.hot, 1.0),
+        )
+
+    def _clock_s(self, daemon: Daemon) -> float:
+        if self.rules.stale_clock and daemon.duty.lease.term:
+            return daemon.seen_clock_s
+        return daemon.clock_s()
+
+    def _step(self, daemon: Daemon) -> None:
+        self.steps += 1
+        now_s = self._clock_s(daemon)
+        if self.rules.no_seal and daemon.duty.controller.committed:
+            ownership.on_settled(daemon.duty.controller, now_s)
+        commands = controlling.step(
+            daemon.duty, self.view(), now_s, daemon.rank
+        )
+        for command in commands:
+            self._carry_out(daemon, command)
+
+    def _carry_out(self, daemon: Daemon, command: controlling.Command) -> None:
+        match command:
+            case lease.ReadLease():
+                self._read_lease(daemon)
+            case lease.WriteLease():
+                self._write_lease(daemon, command)
+            case ownership.ReadAssignment():
+                self._read_assignment(daemon)
+            case ownership.WriteAssignment():
+                self._write_assignment(daemon, command)
+            case ownership.SendGrant():
+                self._send_grant(daemon, command.grant)
+            case controlling.Ask():
+                self._ask(daemon, command)
+
+    # The store.
+
+    def _read_lease(self, daemon: Daemon) -> None:
+        duty = daemon.duty
+
+        def serve(reply: Callable[[Callable[[], None]], None]) -> None:
+            if self.store_up:
+                record = self.lease
+                reply(
+                    lambda: controlling.on_lease_read(
+                        duty, record, daemon.clock_s()
+                    )
+                )
+
+        self.call(
+            daemon,
+            "store",
+            serve,
+            lambda: lease.on_lost(duty.lease, daemon.clock_s()),
+            STORE_TIMEOUT_S,
+        )
+
+    def _write_lease(self, daemon: Daemon, command: lease.WriteLease) -> None:
+        duty = daemon.duty
+        record = command.record
+        if self.rules.reuse_term and duty.lease.seen is not None:
+            term = max(1, duty.lease.seen.term)
+            record = dataclasses.replace(record, term=term)
+
+        def serve(reply: Callable[[Callable[[], None]], None]) -> None:
+            if not self.store_up:
+                return
+            if self.lease.version != command.expected:
+                reply(lambda: lease.on_conflict(duty.lease, daemon.clock_s()))
+                return
+            self.revision += 1
+            written = dataclasses.replace(record, version=self.revision)
+            self.lease = written
+            reply(
+                lambda: controlling.on_lease_written(
+                    duty, written, daemon.clock_s()
+                )
+            )
+
+        def on_lost() -> None:
+            if self.rules.trust_lost_reply:
+                guessed = dataclasses.replace(
+                    record, version=command.expected + 1
+                )
+                controlling.on_lease_written(duty, guessed, daemon.clock_s())
+            else:
+                lease.on_lost(duty.lease, daemon.clock_s())
+
+        self.call(daemon, "store", serve, on_lost, STORE_TIMEOUT_S)
+
+    def _read_assignment(self, daemon: Daemon) -> None:
+        duty = daemon.duty
+        term = duty.controller.term
+
+        def serve(reply: Callable[[Callable[[], None]], None]) -> None:
+            if self.store_up:
+                found = self.assignment or ownership.empty_assignment(
+                    "s", self.view()
+                )
+                reply(
+                    lambda: controlling.on_assignment_read(
+                        duty, found, term, daemon.clock_s()
+                    )
+                )
+
+        self.call(
+            daemon,
+            "store",
+            serve,
+            lambda: ownership.on_assignment_unknown(duty.controller),
+            STORE_TIMEOUT_S,
+        )
+
+    def _write_assignment(
+        self, daemon: Daemon, command: ownership.WriteAssignment
+    ) -> None:
+        duty = daemon.duty
+
+        def serve(reply: Callable[[Callable[[], None]], None]) -> None:
+            if not self.store_up:
+                return
+            current = self.assignment.version if self.assignment else 0
+            if current != command.expected:
+                reply(lambda: ownership.on_assignment_unknown(duty.controller))
+                return
+            self.revision += 1
+            written = dataclasses.replace(
+                command.assignment, version=self.revision
+            )
+            self.assignment = written
+            reply(
+                lambda: controlling.on_assignment_written(
+                    duty, written, daemon.clock_s()
+                )
+            )
+
+        def on_lost() -> None:
+            if self.rules.trust_lost_reply:
+                controlling.on_assignment_written(
+                    duty, command.assignment, daemon.clock_s()
+                )
+            else:
+                ownership.on_assignment_unknown(duty.controller)
+
+        if self.rules.grant_before_commit:
+            controlling.on_assignment_written(
+                duty, command.assignment, daemon.clock_s()
+            )
+        self.call(daemon, "store", serve, on_lost, STORE_TIMEOUT_S)
+
+    # Holders and members.
+
+    def _send_grant(self, daemon: Daemon, grant: grants.Grant) -> None:
+        duty = daemon.duty
+        name = grant.target.daemon or grant.target.upstream
+
+        def serve(reply: Callable[[Callable[[], None]], None]) -> None:
+            holder = self.daemons.get(name) or self.upstreams[name]
+
+            def act() -> None:
+                answer = self._offer(holder, grant)
+                reply(
+                    lambda: controlling.on_grant_answer(
+                        duty, grant, answer, daemon.clock_s()
+                    )
+                )
+
+            holder.deliver(holder.incarnation, act)
+
+        self.call(
+            daemon,
+            name,
+            serve,
+            lambda: ownership.on_grant_lost(duty.controller, grant),
+            GRANT_TIMEOUT_S,
+        )
+
+    def _offer(
+        self, holder: Process, grant: grants.Grant
+    ) -> grants.GrantAnswer:
+        clock_ms = int(holder.clock_s() * 1000)
+        if self.rules.ttl_from_receipt and grant.incarnation:
+            grant = dataclasses.replace(grant, stamp_ms=clock_ms)
+        if isinstance(holder, Daemon):
+            held = holder.gateway(grant.target.upstream)
+        else:
+            assert isinstance(holder, Upstream)
+            held = holder.held
+        running = 1 if self.random.random() < 0.1 else 0
+        return grants.offer(held, grant, clock_ms, running)
+
+    def _ask(self, daemon: Daemon, ask: controlling.Ask) -> None:
+        duty = daemon.duty
+
+        def serve(reply: Callable[[Callable[[], None]], None]) -> None:
+            member = self.daemons[ask.member]
+
+            def act() -> None:
+                answer: licence.VouchAnswer = controlling.on_question(
+                    member.duty, ask.query, member.clock_s()
+                )
+                reply(
+                    lambda: controlling.on_answer(
+                        duty, ask, answer, daemon.clock_s()
+                    )
+                )
+
+            member.deliver(member.incarnation, act)
+
+        self.call(daemon, ask.member, serve, lambda: None, ASK_TIMEOUT_S)
+
+    # Claims.
+
+    def owners(self, unit: grants.Unit) -> list[str]:
+        """Returns the upstreams on which a unit may run now."""
+        return [name for name in self.upstreams if self._runs(name, unit)]
+
+    def _runs(self, name: str, unit: grants.Unit) -> bool:
+        upstream = self.upstreams[name]
+        if upstream.dead:
+            return False
+        if self.fencing:
+            clock_ms = int(upstream.clock_s() * 1000)
+            return grants.holds(upstream.held, unit, SHARD_COUNT, clock_ms)
+        return any(
+            daemon.name in self.gateways_of(name)
+            and grants.holds(
+                daemon.held[name],
+                unit,
+                SHARD_COUNT,
+                int(daemon.clock_s() * 1000),
+            )
+            for daemon in self.daemons.values()
+        )
+
+    def gateways_of(self, upstream: str) -> list[str]:
+        """Returns the daemons that may act as an upstream's gateway now."""
+        return [
+            daemon.name
+            for daemon in self.daemons.values()
+            if not daemon.dead
+            and upstream in daemon.held
+            and grants.holds(
+                daemon.held[upstream],
+                grants.GATEWAY_ROLE,
+                SHARD_COUNT,
+                int(daemon.clock_s() * 1000),
+            )
+        ]
+
+    def check(self) -> None:
+        """Fails when a unit has two owners, or an upstream two gateways."""
+        for unit in (*range(SHARD_COUNT), *HOT_KEYS):
+            owners = self.owners(unit)
+            assert len(owners) <= 1, f"{unit!r} has the owners {owners}"
+        for name in self.upstreams:
+            gateways = self.gateways_of(name)
+            assert len(gateways) <= 1, f"{name} has the gateways {gateways}"
+
+    def heal(self) -> None:
+        """Ends all faults; what is dead starts anew."""
+        self.store_up = True
+        self.cut.clear()
+        self.loss = self.doubling = self.slow_s = 0.0
+        for process in (*self.daemons.values(), *self.upstreams.values()):
+            if process.dead:
+                process.start_anew()
+            if process.frozen:
+                process.thaw()
+
+    def unowned(self) -> list[grants.Unit]:
+        """Returns the shards that no upstream serves through a gateway."""
+        missing: list[grants.Unit] = []
+        for shard in range(SHARD_COUNT):
+            owners = self.owners(shard)
+            if not owners or not self.gateways_of(owners[0]):
+                missing.append(shard)
+        return missing
