Judge holders that were never heard of, and settle once

Cause: a controller that never reached an upstream superseded its own probe every 20 ms and so never counted one as lost; the upstream's shards stayed unserved. And repeated seals counted vouches of the new term, so settling could be put off for ever.

Change: each unanswered call counts, probes are repeated at the renewal interval, and a member's seal counts once.

Conclusion: found by following why the search did not find the broken rules 'no seal' and 'term reuse'.

--- a/src/sardinehill/core/controlling.py
+++ b/src/sardinehill/core/controlling.py
@@ -158,7 +158,7 @@
     in_doubt = (
         left_s < duty.timing.of_lease.ttl_s - 2 * duty.timing.of_lease.renew_s
     )
-    seal = not duty.controller.settled
+    seal = not duty.controller.settled and duty.licence.sealed_s is None
     if not seal and not in_doubt:
         return []
     duty.asked_s = now_s
--- a/src/sardinehill/core/grants.py
+++ b/src/sardinehill/core/grants.py
@@ -7,6 +7,7 @@
 its life long after everybody else had written it off.
 """
 
+from collections.abc import Iterable
 import dataclasses
 
 from sardinehill.core import placement
@@ -17,6 +18,19 @@
 # The unit of being an upstream's gateway, apart from any shard.
 GATEWAY_ROLE = -1
 
+SHARDS_LIMIT = 1 << 20
+
+
+def ranges(shards: Iterable[int]) -> list[tuple[int, int]]:
+    """Returns shards as inclusive ranges, in ascending order."""
+    found: list[tuple[int, int]] = []
+    for shard in sorted(shards):
+        if found and found[-1][1] == shard - 1:
+            found[-1] = (found[-1][0], shard)
+        else:
+            found.append((shard, shard))
+    return found
+
 
 @dataclasses.dataclass(frozen=True, order=True)
 class Target:
@@ -101,6 +115,7 @@
       stamp_s: own clock when that answer came.
       awaiting: sequence of the only call whose answer counts, or 0.
       sent_s: own clock when that call was sent.
+      answered_sequence: sequence of the newest call that was answered.
       answered_s: own clock at the newest answer, None before the first.
       lost: calls without an answer since then.
       accepted: the newest grant that it accepted.
@@ -116,6 +131,7 @@
     stamp_s: float = float("-inf")
     awaiting: int = 0
     sent_s: float = float("-inf")
+    answered_sequence: int = 0
     answered_s: float | None = None
     lost: int = 0
     accepted: Grant | None = None
@@ -165,6 +181,7 @@
     if holder.awaiting != grant.sequence:
         return False
     holder.awaiting = 0
+    holder.answered_sequence = grant.sequence
     holder.lost = 0
     holder.answered_s = now_s
     if holder.incarnation not in ("", answer.incarnation):
@@ -195,6 +212,7 @@
     """Takes in that a call had no answer in time; none will count later."""
     if holder.awaiting == grant.sequence:
         holder.awaiting = 0
+    if grant.sequence > holder.answered_sequence:
         holder.lost += 1
 
 
--- a/src/sardinehill/core/licence.py
+++ b/src/sardinehill/core/licence.py
@@ -213,7 +213,10 @@
     timing: LicenceTiming,
 ) -> None:
     """Takes in a seal; the first majority of them opens the way to moves."""
-    if query.term != licence.term:
+    # Asked again, a member would count vouches for the new term as well, and
+    # the wait would never end; each counts once, and only until a majority.
+    done = licence.sealed_s is not None or name in licence.sealed
+    if query.term != licence.term or done:
         return
     licence.sealed.add(name)
     left_s = max(0.0, timing.vouch_ttl_s - reply.vouched_ago_s)
--- a/src/sardinehill/core/ownership.py
+++ b/src/sardinehill/core/ownership.py
@@ -23,6 +23,10 @@
 
 # The share of keys that a new upstream begins with, and grows by.
 WARM_STEP = 0.1
+EMPTY: tuple[frozenset[grants.Unit], frozenset[str]] = (
+    frozenset(),
+    frozenset(),
+)
 # Shards moved in one change for balance alone, and off hosts taken out.
 LEVEL_BUDGET_SHARDS = 16
 DRAIN_BUDGET_SHARDS = 64
@@ -964,6 +968,9 @@
     now_s: float,
 ) -> grants.Grant | None:
     holder = controller.holders[target]
+    if not holder.incarnation:
+        # Nothing can be granted before a first answer; only ask.
+        units = frozenset()
     except_keys = _except_keys(controller, view, units)
     content = (units, except_keys)
     waited_s = now_s - holder.sent_s
@@ -982,7 +989,8 @@
     if holder.awaiting:
         # A newer grant makes the answer on its way worthless, so one is sent
         # only to say something else.
-        changed = last is None or (last.units, last.except_keys) != content
+        asked = (last.units, last.except_keys) if last else EMPTY
+        changed = asked != content
         return timing.poll_s if changed else timing.renew_s
     if holder.lost:
         return timing.retry_s * min(4, holder.lost)
@@ -1019,8 +1027,8 @@
         target=holder.target,
         term=controller.term,
         sequence=controller.sequence,
-        units=units if holder.incarnation else frozenset(),
-        except_keys=except_keys if holder.incarnation else frozenset(),
+        units=units,
+        except_keys=except_keys,
         ttl_s=controller.timing.grant_ttl_s,
         incarnation=holder.incarnation,
         stamp_ms=holder.stamp_ms,
--- /dev/null
+++ b/src/sardinehill/wire/ownership.py
@@ -0,0 +1,156 @@
+"""The codec of messages between a controller, members and gateways."""
+
+from collections.abc import Iterable
+from typing import Any
+
+import capnp
+
+from sardinehill import errors
+from sardinehill.core import grants
+from sardinehill.core import licence
+from sardinehill.wire import schemas
+
+_SCHEMA = schemas.load("ownership")
+
+
+def encode_query(query: licence.VouchQuery) -> bytes:
+    """Returns the message of a question to a member."""
+    message = _SCHEMA.VouchQuery.new_message(
+        service=query.service, term=query.term, seal=query.seal
+    )
+    return bytes(message.to_bytes())
+
+
+def decode_query(data: bytes) -> licence.VouchQuery:
+    """Returns a question to a member.
+
+    Raises:
+      PeerFrameError: the bytes are not such a message.
+    """
+    try:
+        message = schemas.read(_SCHEMA.VouchQuery, data)
+        return licence.VouchQuery(message.service, message.term, message.seal)
+    except (capnp.KjException, ValueError) as error:
+        raise errors.PeerFrameError(f"not a question: {error}") from error
+
+
+def encode_vouch(answer: licence.VouchAnswer) -> bytes:
+    """Returns the message of a member's answer.
+
+    The age is rounded down: a vouch that looks younger than it is only makes
+    the controller wait longer.
+    """
+    message = _SCHEMA.VouchAnswer.new_message(
+        granted=answer.granted,
+        highestTerm=answer.highest_term,
+        primed=answer.primed,
+        vouchedAgoMs=int(answer.vouched_ago_s * 1000),
+    )
+    return bytes(message.to_bytes())
+
+
+def decode_vouch(data: bytes) -> licence.VouchAnswer:
+    """Returns a member's answer.
+
+    Raises:
+      PeerFrameError: the bytes are not such a message.
+    """
+    try:
+        message = schemas.read(_SCHEMA.VouchAnswer, data)
+        return licence.VouchAnswer(
+            message.granted,
+            message.highestTerm,
+            message.primed,
+            message.vouchedAgoMs / 1000,
+        )
+    except (capnp.KjException, ValueError) as error:
+        raise errors.PeerFrameError(f"not a vouch: {error}") from error
+
+
+def encode_grant(service: str, grant: grants.Grant) -> bytes:
+    """Returns the message of a grant to a gateway."""
+    shards = [unit for unit in grant.units if isinstance(unit, int)]
+    message = _SCHEMA.GatewayGrant.new_message(
+        service=service,
+        upstream=grant.target.upstream,
+        daemon=grant.target.daemon,
+        term=grant.term,
+        sequence=grant.sequence,
+        shards=[
+            {"first": first, "last": last}
+            for first, last in grants.ranges(shards)
+        ],
+        hotKeys=sorted(unit for unit in grant.units if isinstance(unit, str)),
+        exceptKeys=sorted(grant.except_keys),
+        ttlMs=int(grant.ttl_s * 1000),
+        incarnation=grant.incarnation,
+        stampMs=grant.stamp_ms,
+    )
+    return bytes(message.to_bytes())
+
+
+def decode_grant(data: bytes) -> tuple[str, grants.Grant]:
+    """Returns the service and the grant of a message.
+
+    Raises:
+      PeerFrameError: the bytes are not such a message.
+    """
+    try:
+        message = schemas.read(_SCHEMA.GatewayGrant, data)
+        units: set[grants.Unit] = set(_shards(message.shards))
+        units.update(message.hotKeys)
+        grant = grants.Grant(
+            target=grants.Target(message.upstream, message.daemon),
+            term=message.term,
+            sequence=message.sequence,
+            units=frozenset(units),
+            except_keys=frozenset(message.exceptKeys),
+            ttl_s=message.ttlMs / 1000,
+            incarnation=message.incarnation,
+            stamp_ms=message.stampMs,
+        )
+        return message.service, grant
+    except (capnp.KjException, ValueError) as error:
+        raise errors.PeerFrameError(f"not a grant: {error}") from error
+
+
+def _shards(shard_ranges: Any) -> Iterable[int]:
+    count = 0
+    for one in shard_ranges:
+        count += max(0, one.last - one.first + 1)
+        if count > grants.SHARDS_LIMIT:
+            raise ValueError(f"more than {grants.SHARDS_LIMIT} shards")
+        yield from range(one.first, one.last + 1)
+
+
+def encode_grant_answer(answer: grants.GrantAnswer) -> bytes:
+    """Returns the message of a gateway's answer."""
+    message = _SCHEMA.GatewayAnswer.new_message(
+        accepted=answer.accepted,
+        term=answer.term,
+        sequence=answer.sequence,
+        incarnation=answer.incarnation,
+        clockMs=answer.clock_ms,
+        runningOutside=answer.running_outside,
+    )
+    return bytes(message.to_bytes())
+
+
+def decode_grant_answer(data: bytes) -> grants.GrantAnswer:
+    """Returns a gateway's answer.
+
+    Raises:
+      PeerFrameError: the bytes are not such a message.
+    """
+    try:
+        message = schemas.read(_SCHEMA.GatewayAnswer, data)
+        return grants.GrantAnswer(
+            message.accepted,
+            message.term,
+            message.sequence,
+            message.incarnation,
+            message.clockMs,
+            message.runningOutside,
+        )
+    except (capnp.KjException, ValueError) as error:
+        raise errors.PeerFrameError(f"not an answer: {error}") from error
--- a/tests/common/ownership_world.py
+++ b/tests/common/ownership_world.py
@@ -84,6 +84,7 @@
         self.world.random.shuffle(waiting)
         for act in waiting:
             act()
+            self.world.check()
 
     def start_anew(self) -> None:
         """Loses all memory, and everything on its way to this process."""
@@ -289,19 +290,18 @@
             hot_keys=dict.fromkeys(self.hot, 1.0),
         )
 
-    def _clock_s(self, daemon: Daemon) -> float:
-        if self.rules.stale_clock and daemon.duty.lease.term:
-            return daemon.seen_clock_s
-        return daemon.clock_s()
-
     def _step(self, daemon: Daemon) -> None:
         self.steps += 1
-        now_s = self._clock_s(daemon)
+        now_s = daemon.clock_s()
         if self.rules.no_seal and daemon.duty.controller.committed:
             ownership.on_settled(daemon.duty.controller, now_s)
+        true_until_s = daemon.duty.lease.store_until_s
+        if self.rules.stale_clock and daemon.seen_clock_s < true_until_s:
+            daemon.duty.lease.store_until_s = max(true_until_s, now_s + 1.0)
         commands = controlling.step(
             daemon.duty, self.view(), now_s, daemon.rank
         )
+        daemon.duty.lease.store_until_s = true_until_s
         for command in commands:
             self._carry_out(daemon, command)
 
--- a/tests/slow/test_ownership_machine.py
+++ b/tests/slow/test_ownership_machine.py
@@ -107,6 +107,18 @@
         for other in others:
             self.world.cut.update([(name, other), (other, name)])
 
+    @stateful.rule(
+        names=st.sets(PROCESSES, min_size=1, max_size=4),
+        seconds=st.sampled_from([0.0, 1.0, 3.0]),
+    )
+    def partition(self, names: set[str], seconds: float) -> None:
+        """Cuts some processes off from all others and from the store."""
+        everyone = {"store", *self.world.daemons, *self.world.upstreams}
+        for name in names:
+            for other in everyone - names:
+                self.world.cut.update([(name, other), (other, name)])
+        self.world.advance(seconds)
+
     @stateful.rule()
     def mend_network(self) -> None:
         """Ends all cuts."""
