--- /dev/null
+++ b/standins/grants.py
@@ -0,0 +1,65 @@
+"""What an upstream stand-in remembers of the grants it was given."""
+
+import dataclasses
+import time
+
+
+def boot_time_s() -> float:
+    """Returns a clock that also runs while the process is frozen."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@dataclasses.dataclass(frozen=True)
+class Grant:
+    """One grant as it was received.
+
+    Attributes:
+      rank: its term and sequence; a higher rank replaces a lower one.
+      shards: first and last shard of each range.
+      hot_keys: keys granted apart from their shard.
+      lapses_s: the boot time at which it ends.
+    """
+
+    rank: tuple[int, int]
+    shards: tuple[tuple[int, int], ...]
+    hot_keys: frozenset[str]
+    lapses_s: float
+
+
+class GrantBook:
+    """The grant that is held now and the rank below which all are refused."""
+
+    def __init__(self) -> None:
+        self.grant: Grant | None = None
+        self.highest_rank = (0, 0)
+        self.released_rank = (0, 0)
+
+    def offer(self, grant: Grant) -> bool:
+        """Takes a grant unless it is older than what was seen.
+
+        A grant of the very rank that was released is refused as well: it can
+        only be a copy that was overtaken by the release.
+        """
+        if grant.rank < self.highest_rank or grant.rank <= self.released_rank:
+            return False
+        self.highest_rank = grant.rank
+        self.grant = grant
+        return True
+
+    def release(self, rank: tuple[int, int]) -> bool:
+        """Gives the grant back; False when a newer one is held."""
+        if rank < self.highest_rank:
+            return False
+        self.highest_rank = rank
+        self.released_rank = rank
+        self.grant = None
+        return True
+
+    def covers(self, shard: int, key: str) -> bool:
+        """Returns whether a grant that has not lapsed covers a key."""
+        grant = self.grant
+        if grant is None or grant.lapses_s <= boot_time_s():
+            return False
+        if key in grant.hot_keys:
+            return True
+        return any(first <= shard <= last for first, last in grant.shards)
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,346 @@
+"""The platform's object API, kept in the memory of one process.
+
+Started as `python -m standins.store --port 0 --journal FILE`. Faults are
+set by `POST /-/control`; see `Faults` for the fields.
+"""
+
+import argparse
+import asyncio
+import collections
+import dataclasses
+import json
+import time
+from typing import Any
+
+from aiohttp import web
+
+from standins import journal as journal_module
+from standins import serving
+
+VALUE_LIMIT_BYTES = 1_000_000
+BODY_LIMIT_BYTES = 4 * VALUE_LIMIT_BYTES
+WATCH_LIMIT_MS = 60_000
+
+
+@dataclasses.dataclass
+class StoredObject:
+    """One object and the revision at which it was written."""
+
+    version: int
+    value: Any
+
+
+@dataclasses.dataclass
+class Faults:
+    """What the stand-in does wrong on command.
+
+    Attributes:
+      outage: "reset" drops each connection, "hang" never answers, "error"
+        answers 503; empty for none.
+      delay_ms: added to each call.
+      lag_s: the list of hosts shows the state of that many seconds ago.
+      stale_list: the list of hosts stays as it was when this was set.
+      lose_replies: that many of the next writes take effect unanswered.
+      garbage_replies: that many of the next calls get a reply of nonsense.
+    """
+
+    outage: str = ""
+    delay_ms: float = 0.0
+    lag_s: float = 0.0
+    stale_list: bool = False
+    lose_replies: int = 0
+    garbage_replies: int = 0
+
+
+class Store:
+    """Objects, hosts, faults and the count of calls."""
+
+    def __init__(self, journal: journal_module.Journal):
+        self.journal = journal
+        self.revision = 0
+        self.objects: dict[str, dict[str, StoredObject]] = {}
+        self.deletions: dict[str, dict[str, int]] = {}
+        self.faults = Faults()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.started_s = time.monotonic()
+        self.hosts: dict[str, dict[str, str]] = {}
+        self.host_history: list[tuple[float, list[dict[str, str]]]] = []
+        self.stale_hosts: list[dict[str, str]] = []
+        self.changed = asyncio.Event()
+
+    def current_version(self, kind: str, name: str) -> int:
+        """Returns the version of an object, 0 when it is absent."""
+        stored = self.objects.get(kind, {}).get(name)
+        return stored.version if stored else 0
+
+    def put(self, kind: str, name: str, value: Any) -> int:
+        """Writes an object and returns its new version."""
+        self.revision += 1
+        self.objects.setdefault(kind, {})[name] = StoredObject(
+            self.revision, value
+        )
+        self.deletions.get(kind, {}).pop(name, None)
+        self._accepted("put", kind, name, value)
+        return self.revision
+
+    def delete(self, kind: str, name: str) -> None:
+        """Deletes an object that exists."""
+        self.revision += 1
+        del self.objects[kind][name]
+        self.deletions.setdefault(kind, {})[name] = self.revision
+        self._accepted("delete", kind, name, None)
+
+    def _accepted(self, event: str, kind: str, name: str, value: Any) -> None:
+        self.journal.write(
+            event, kind=kind, name=name, version=self.revision, value=value
+        )
+        self.wake_watches()
+
+    def wake_watches(self) -> None:
+        """Lets every waiting watch look again."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def set_host(self, name: str, host: dict[str, str] | None) -> None:
+        """Adds, changes or (with None) removes a host of the list."""
+        if host is None:
+            self.hosts.pop(name, None)
+        else:
+            self.hosts[name] = host
+        self.host_history.append((time.monotonic(), list(self.hosts.values())))
+        self.journal.write("host", name=name, host=host)
+
+    def shown_hosts(self) -> list[dict[str, str]]:
+        """Returns the list of hosts as a caller sees it now."""
+        if self.faults.stale_list:
+            return self.stale_hosts
+        shown_until_s = time.monotonic() - self.faults.lag_s
+        for since_s, hosts in reversed(self.host_history):
+            if since_s <= shown_until_s:
+                return hosts
+        return []
+
+
+STORE = web.AppKey("store", Store)
+
+
+def _value_json(stored: StoredObject, name: str) -> dict[str, Any]:
+    return {"name": name, "version": stored.version, "value": stored.value}
+
+
+def _expected_version(request: web.Request) -> int:
+    try:
+        return int(request.headers["If-Match"].strip('"'))
+    except (KeyError, ValueError):
+        raise web.HTTPBadRequest(text="If-Match must be a version") from None
+
+
+async def get_object(request: web.Request) -> web.Response:
+    """Answers `GET /v1/objects/{kind}/{name}`."""
+    kind, name = request.match_info["kind"], request.match_info["name"]
+    stored = request.app[STORE].objects.get(kind, {}).get(name)
+    if stored is None:
+        raise web.HTTPNotFound
+    return web.json_response(_value_json(stored, name))
+
+
+async def list_objects(request: web.Request) -> web.Response:
+    """Answers `GET /v1/objects/{kind}`."""
+    store = request.app[STORE]
+    stored = store.objects.get(request.match_info["kind"], {})
+    objects = [_value_json(one, name) for name, one in stored.items()]
+    return web.json_response({"revision": store.revision, "objects": objects})
+
+
+async def put_object(request: web.Request) -> web.Response:
+    """Answers `PUT /v1/objects/{kind}/{name}`."""
+    store = request.app[STORE]
+    kind, name = request.match_info["kind"], request.match_info["name"]
+    expected_version = _expected_version(request)
+    body = await request.read()
+    if len(body) > VALUE_LIMIT_BYTES:
+        raise web.HTTPRequestEntityTooLarge(VALUE_LIMIT_BYTES, len(body))
+    try:
+        value = json.loads(body)["value"]
+    except (ValueError, KeyError, TypeError):
+        raise web.HTTPBadRequest(text='the body is {"value": ...}') from None
+    version = store.current_version(kind, name)
+    if version != expected_version:
+        return web.json_response({"version": version}, status=409)
+    return _answer_write(request, {"version": store.put(kind, name, value)})
+
+
+async def delete_object(request: web.Request) -> web.Response:
+    """Answers `DELETE /v1/objects/{kind}/{name}`."""
+    store = request.app[STORE]
+    kind, name = request.match_info["kind"], request.match_info["name"]
+    expected_version = _expected_version(request)
+    version = store.current_version(kind, name)
+    if version == 0:
+        raise web.HTTPNotFound
+    if version != expected_version:
+        return web.json_response({"version": version}, status=409)
+    store.delete(kind, name)
+    return _answer_write(request, {"version": store.revision})
+
+
+def _answer_write(request: web.Request, reply: dict[str, Any]) -> web.Response:
+    store = request.app[STORE]
+    if store.faults.lose_replies > 0:
+        store.faults.lose_replies -= 1
+        _drop(request)
+    return web.json_response(reply)
+
+
+def _drop(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
+
+
+async def watch(request: web.Request) -> web.Response:
+    """Answers `GET /v1/watch/{kind}` when something changed, or late."""
+    store = request.app[STORE]
+    kind = request.match_info["kind"]
+    try:
+        since = int(request.query.get("since", "0"))
+        timeout_ms = int(request.query.get("timeout_ms", "0"))
+    except ValueError:
+        raise web.HTTPBadRequest(text="since and timeout_ms: int") from None
+    end_s = time.monotonic() + min(timeout_ms, WATCH_LIMIT_MS) / 1000
+    while True:
+        reply = _changes(store, kind, since)
+        left_s = end_s - time.monotonic()
+        if reply["objects"] or reply["deleted"] or left_s <= 0:
+            return web.json_response(reply)
+        changed = store.changed
+        try:
+            await asyncio.wait_for(changed.wait(), left_s)
+        except TimeoutError:
+            continue
+        if store.faults.outage:
+            await _outage(request, store)
+
+
+def _changes(store: Store, kind: str, since: int) -> dict[str, Any]:
+    objects = [
+        _value_json(stored, name)
+        for name, stored in store.objects.get(kind, {}).items()
+        if stored.version > since
+    ]
+    deleted = [
+        name
+        for name, revision in store.deletions.get(kind, {}).items()
+        if revision > since
+    ]
+    return {
+        "revision": store.revision,
+        "objects": objects,
+        "deleted": deleted,
+    }
+
+
+async def list_hosts(request: web.Request) -> web.Response:
+    """Answers `GET /v1/hosts`."""
+    return web.json_response({"hosts": request.app[STORE].shown_hosts()})
+
+
+async def control(request: web.Request) -> web.Response:
+    """Sets faults and hosts: `POST /-/control`.
+
+    Fields are those of `Faults`, `put_host` with a host of the list, and
+    `delete_host` with a name.
+    """
+    store = request.app[STORE]
+    command = await request.json()
+    if "put_host" in command:
+        host = command.pop("put_host")
+        store.set_host(host["name"], host)
+    if "delete_host" in command:
+        store.set_host(command.pop("delete_host"), None)
+    if command.get("stale_list"):
+        store.stale_hosts = store.shown_hosts()
+    known = {field.name for field in dataclasses.fields(Faults)}
+    if not known.issuperset(command):
+        raise web.HTTPBadRequest(text=f"known fields: {sorted(known)}")
+    store.faults = dataclasses.replace(store.faults, **command)
+    if command:
+        store.journal.write("fault", **command)
+        store.wake_watches()
+    return web.json_response({"accepted": True})
+
+
+async def stats(request: web.Request) -> web.Response:
+    """Answers `GET /-/stats`: calls counted since the start."""
+    store = request.app[STORE]
+    return web.json_response(
+        {
+            "calls": dict(store.calls),
+            "since_s": time.monotonic() - store.started_s,
+            "revision": store.revision,
+        }
+    )
+
+
+async def _outage(request: web.Request, store: Store) -> None:
+    if store.faults.outage == "error":
+        raise web.HTTPServiceUnavailable
+    while store.faults.outage == "hang":
+        await store.changed.wait()
+    _drop(request)
+    raise web.HTTPServiceUnavailable
+
+
+def _operation(request: web.Request) -> str:
+    parts = request.path.split("/")
+    area = parts[2] if len(parts) > 2 else ""
+    kind = parts[3] if len(parts) > 3 else ""
+    verb = {"PUT": "write", "DELETE": "write"}.get(request.method, "read")
+    return f"{verb} {area} {kind}".strip()
+
+
+@web.middleware
+async def _faulty(request: web.Request, handler: Any) -> web.StreamResponse:
+    store = request.app[STORE]
+    if request.path.startswith("/-/"):
+        return await handler(request)  # type: ignore[no-any-return]
+    store.calls[_operation(request)] += 1
+    if store.faults.delay_ms > 0:
+        await asyncio.sleep(store.faults.delay_ms / 1000)
+    if store.faults.outage:
+        await _outage(request, store)
+    if store.faults.garbage_replies > 0:
+        store.faults.garbage_replies -= 1
+        return web.Response(text='{"nonsense": [', status=200)
+    return await handler(request)  # type: ignore[no-any-return]
+
+
+def make_application(store: Store) -> web.Application:
+    """Returns the application that serves a store."""
+    application = web.Application(
+        middlewares=[_faulty], client_max_size=BODY_LIMIT_BYTES
+    )
+    application[STORE] = store
+    application.router.add_get("/v1/objects/{kind}", list_objects)
+    application.router.add_get("/v1/objects/{kind}/{name}", get_object)
+    application.router.add_put("/v1/objects/{kind}/{name}", put_object)
+    application.router.add_delete("/v1/objects/{kind}/{name}", delete_object)
+    application.router.add_get("/v1/watch/{kind}", watch)
+    application.router.add_get("/v1/hosts", list_hosts)
+    application.router.add_post("/-/control", control)
+    application.router.add_get("/-/stats", stats)
+    return application
+
+
+def main() -> None:
+    """Reads the command line and serves."""
+    parser = argparse.ArgumentParser(prog="standins.store")
+    parser.add_argument("--ip", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--journal", required=True)
+    options = parser.parse_args()
+    store = Store(journal_module.Journal(options.journal, "store"))
+    serving.run(make_application(store), options.ip, options.port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/upstream.py
@@ -0,0 +1,737 @@
+"""One upstream: slots, a cold start, fenced grants, and faults on command.
+
+Started as `python -m standins.upstream --name N --service S
+--availability-zone Z --port 0 --slots 3 --connections 50 --journal FILE`.
+Faults are set by `POST /-/control`; see `Faults` for the fields.
+"""
+
+import argparse
+import asyncio
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import hashlib
+import json
+import time
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from standins import grants
+from standins import journal as journal_module
+from standins import serving
+
+CONNECT_S = 0.001
+PROBE_S = 0.005
+BODY_LIMIT_BYTES = 64 * 1024 * 1024
+REMEMBERED_REQUESTS = 10_000
+WORK_TO_WARM_REQUESTS = 20
+COLD_SLOWDOWN = 3.0
+SHED_RETRY_AFTER_S = 1
+DEFAULT_DEADLINE_MS = 60_000.0
+
+
+@dataclasses.dataclass
+class Faults:
+    """What the stand-in does on command.
+
+    Attributes:
+      slowdown: each request takes that many times its service time.
+      health_lies: health always says ready.
+      load_lies: load always says idle.
+      report_lag_ms: health and load show the state of that long ago.
+      shed: that many of the next requests are shed.
+      late_answers: that many of the next answers are held back `late_ms`.
+      late_ms: how long a late answer is held back.
+      foreign_answers: that many of the next answers are those of the
+        request before, as after a mix-up on the upstream's side.
+      cut_answers: that many of the next answers end in the middle.
+      lost_answers: that many of the next answers are never sent, and the
+        connection is dropped after the run.
+      malformed_answers: that many of the next answers are not HTTP.
+    """
+
+    slowdown: float = 1.0
+    health_lies: bool = False
+    load_lies: bool = False
+    report_lag_ms: float = 0.0
+    shed: int = 0
+    late_answers: int = 0
+    late_ms: float = 0.0
+    foreign_answers: int = 0
+    cut_answers: int = 0
+    lost_answers: int = 0
+    malformed_answers: int = 0
+
+
+@dataclasses.dataclass
+class Run:
+    """One caller's request inside the upstream.
+
+    Attributes:
+      state: "waiting", "running", "done" or "not-run".
+      cancelled: set when a cancel has been asked for.
+      ended: set once the request has run or will not run any more.
+    """
+
+    request_id: str
+    account: str
+    key: str
+    shard: int
+    rank: tuple[int, int]
+    deadline_s: float
+    state: str = "waiting"
+    cancelled: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+
+@dataclasses.dataclass
+class Options:
+    """The command line.
+
+    Attributes:
+      slots: requests worked on at once.
+      connections: connections taken at once.
+      queue_requests: requests that wait for a slot before any is shed.
+      service_time_ms: time of one request on a warm upstream.
+      cold_start_requests: requests at once that it bears when cold.
+      collapse_ms: how long it answers nothing after too much work when cold.
+    """
+
+    name: str
+    service: str
+    availability_zone: str
+    ip: str
+    port: int
+    slots: int
+    connections: int
+    queue_requests: int
+    service_time_ms: float
+    cold_start_requests: int
+    collapse_ms: float
+    fencing: bool
+    cold: bool
+    store: str
+    journal: str
+
+
+class NotRunError(Exception):
+    """Raised when a request is turned away before it ran."""
+
+    def __init__(self, why: str, status: int = 503):
+        super().__init__(why)
+        self.why = why
+        self.status = status
+
+
+class Upstream:
+    """The state of one upstream process."""
+
+    def __init__(self, options: Options):
+        self.options = options
+        self.journal = journal_module.Journal(options.journal, options.name)
+        self.incarnation = time.time_ns()
+        self.book = grants.GrantBook()
+        self.fencing = options.fencing
+        self.faults = Faults()
+        self.runs: collections.OrderedDict[str, Run] = collections.OrderedDict()
+        self.early_cancels: set[str] = set()
+        self.in_flight = 0
+        self.waiting = 0
+        self.slots = asyncio.Semaphore(options.slots)
+        self.work_done = 0 if options.cold else WORK_TO_WARM_REQUESTS
+        self.draining = False
+        self.collapsed_until_s = 0.0
+        self.frozen_until_s = 0.0
+        self.cold_enforced_s = 0.0
+        self.reports: collections.deque[tuple[float, dict[str, Any]]] = (
+            collections.deque(maxlen=10_000)
+        )
+        self.last_answer: tuple[str, bytes] | None = None
+        self.known_connections: set[int] = set()
+        self.runner: web.AppRunner | None = None
+
+    def is_cold(self) -> bool:
+        """Returns whether the upstream still warms up."""
+        return self.work_done < WORK_TO_WARM_REQUESTS
+
+    def bears(self) -> int:
+        """Returns how many requests at once the upstream bears now."""
+        cold = self.options.cold_start_requests
+        if not self.is_cold():
+            return self.options.slots + self.options.queue_requests
+        warmth = self.work_done / WORK_TO_WARM_REQUESTS
+        return cold + int(warmth * max(0, self.options.slots - cold))
+
+    def is_new_connection(self, protocol: object) -> bool:
+        """Returns True the first time that a connection is seen."""
+        if id(protocol) in self.known_connections:
+            return False
+        server = self.runner.server if self.runner else None
+        # Connections that closed are forgotten here, so that the set stays
+        # as small as the limit on connections.
+        still_open = (
+            {id(one) for one in server.connections} if server else set()
+        )
+        self.known_connections &= still_open
+        self.known_connections.add(id(protocol))
+        return True
+
+    def open_connections(self) -> int:
+        """Returns how many connections are open."""
+        server = self.runner.server if self.runner else None
+        return len(server.connections) if server else 0
+
+    def state(self) -> str:
+        """Returns the state that health reports."""
+        if self.draining:
+            return "draining"
+        return "cold" if self.is_cold() else "ready"
+
+    def report(self) -> dict[str, Any]:
+        """Returns the truth about health and load."""
+        return {
+            "state": self.state(),
+            "in_flight": self.in_flight + self.waiting,
+            "slots": self.options.slots,
+            "connections": self.open_connections(),
+            "incarnation": str(self.incarnation),
+        }
+
+    def shown_report(self) -> dict[str, Any]:
+        """Returns the report as it was `report_lag_ms` ago."""
+        now_s = time.monotonic()
+        report = self.report()
+        self.reports.append((now_s, report))
+        shown_until_s = now_s - self.faults.report_lag_ms / 1000
+        for since_s, old in reversed(self.reports):
+            if since_s <= shown_until_s:
+                return dict(old)
+        return dict(self.reports[0][1])
+
+    def remember(self, run: Run) -> None:
+        """Keeps a request so that a cancel finds it."""
+        self.runs[run.request_id] = run
+        while len(self.runs) > REMEMBERED_REQUESTS:
+            self.runs.popitem(last=False)
+
+    def note(self, event: str, run: Run, **fields: Any) -> None:
+        """Writes one event of a request into the journal."""
+        self.journal.write(
+            event,
+            service=self.options.service,
+            availability_zone=self.options.availability_zone,
+            incarnation=str(self.incarnation),
+            request_id=run.request_id,
+            account=run.account,
+            key=run.key,
+            shard=run.shard,
+            term=run.rank[0],
+            sequence=run.rank[1],
+            in_flight=self.in_flight,
+            cold=self.is_cold(),
+            **fields,
+        )
+
+    async def idle(self) -> None:
+        """Waits until no request is worked on or waits for a slot."""
+        for run in list(self.runs.values()):
+            await run.ended.wait()
+
+    async def pause_if_frozen(self) -> None:
+        """Waits while the upstream answers nothing."""
+        while True:
+            until_s = max(self.frozen_until_s, self.collapsed_until_s)
+            left_s = until_s - time.monotonic()
+            if left_s <= 0:
+                return
+            await asyncio.sleep(left_s)
+
+    def fall_cold(self, grace_ms: float) -> None:
+        """Falls back into a cold start without telling anyone.
+
+        Too much work makes it collapse only after the grace, during which it
+        is slow: a caller that watches latency can see the fall coming.
+        """
+        self.work_done = 0
+        self.cold_enforced_s = time.monotonic() + grace_ms / 1000
+        self.journal.write(
+            "fell-cold",
+            service=self.options.service,
+            incarnation=str(self.incarnation),
+            grace_ms=grace_ms,
+        )
+
+    def collapse(self, run: Run) -> None:
+        """Stops answering after more work than a cold upstream bears."""
+        self.note("collapsed", run, bears=self.bears())
+        self.work_done = 0
+        self.collapsed_until_s = (
+            time.monotonic() + self.options.collapse_ms / 1000
+        )
+
+
+UPSTREAM = web.AppKey("upstream", Upstream)
+
+
+def _integer(text: str | None, default: int) -> int:
+    try:
+        return int(text) if text is not None else default
+    except ValueError:
+        return default
+
+
+def _read_run(request: web.Request) -> Run:
+    headers = request.headers
+    deadline_ms = float(
+        headers.get("Sardinehill-Deadline-Ms", DEFAULT_DEADLINE_MS)
+    )
+    return Run(
+        request_id=headers.get("Sardinehill-Request-Id", ""),
+        account=headers.get("Sardinehill-Account", ""),
+        key=headers.get("Sardinehill-Key", ""),
+        shard=_integer(headers.get("Sardinehill-Shard"), -1),
+        rank=(
+            _integer(headers.get("Sardinehill-Term"), 0),
+            _integer(headers.get("Sardinehill-Sequence"), 0),
+        ),
+        deadline_s=time.monotonic() + deadline_ms / 1000,
+    )
+
+
+def _secrets_seen(request: web.Request) -> list[str]:
+    names = ("Authorization", "Proxy-Authorization", "Cookie")
+    return [name for name in names if name in request.headers]
+
+
+def _check_fenced(upstream: Upstream, run: Run) -> None:
+    if not upstream.fencing or not (run.key or run.shard >= 0):
+        return
+    if not upstream.book.covers(run.shard, run.key):
+        raise NotRunError("fenced", status=409)
+
+
+def _check_admission(upstream: Upstream, run: Run) -> None:
+    if run.request_id in upstream.early_cancels:
+        raise NotRunError("cancelled")
+    if upstream.draining:
+        raise NotRunError("draining")
+    _check_fenced(upstream, run)
+    if upstream.faults.shed > 0:
+        upstream.faults.shed -= 1
+        raise NotRunError("shed")
+    held = upstream.in_flight + upstream.waiting
+    if held < upstream.bears():
+        return
+    if not upstream.is_cold():
+        raise NotRunError("shed")
+    if time.monotonic() >= upstream.cold_enforced_s:
+        upstream.collapse(run)
+
+
+async def _wait_for_slot(upstream: Upstream, run: Run) -> None:
+    upstream.waiting += 1
+    acquire = asyncio.ensure_future(upstream.slots.acquire())
+    cancelled = asyncio.ensure_future(run.cancelled.wait())
+    try:
+        left_s = max(0.0, run.deadline_s - time.monotonic())
+        await asyncio.wait(
+            {acquire, cancelled},
+            timeout=left_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if run.cancelled.is_set():
+            raise NotRunError("cancelled")
+        if not acquire.done():
+            raise NotRunError("deadline")
+    except BaseException:
+        if acquire.done() and not acquire.cancelled():
+            upstream.slots.release()
+        acquire.cancel()
+        raise
+    finally:
+        cancelled.cancel()
+        upstream.waiting -= 1
+
+
+def _service_time_s(upstream: Upstream, request: web.Request) -> float:
+    time_ms = float(
+        request.query.get("service_time_ms", upstream.options.service_time_ms)
+    )
+    cold = COLD_SLOWDOWN if upstream.is_cold() else 1.0
+    return time_ms / 1000 * upstream.faults.slowdown * cold
+
+
+async def _work(upstream: Upstream, request: web.Request, run: Run) -> None:
+    """Does the request's work; its effect takes place at the very end.
+
+    The grant is looked at again before the effect: a process that was
+    frozen in the middle has no other way to learn that it lapsed.
+    """
+    _check_fenced(upstream, run)
+    upstream.in_flight += 1
+    run.state = "running"
+    upstream.note(
+        "started",
+        run,
+        method=request.method,
+        path=request.path,
+        secrets_seen=_secrets_seen(request),
+        bears=upstream.bears(),
+    )
+    collapsed_before_s = upstream.collapsed_until_s
+    try:
+        service_time_s = _service_time_s(upstream, request)
+        try:
+            await asyncio.wait_for(run.cancelled.wait(), service_time_s)
+        except TimeoutError:
+            pass
+        else:
+            raise NotRunError("cancelled")
+        await upstream.pause_if_frozen()
+        if upstream.collapsed_until_s > collapsed_before_s:
+            upstream.note("lost-in-collapse", run)
+            raise ConnectionResetError
+        try:
+            _check_fenced(upstream, run)
+        except NotRunError:
+            upstream.note("fenced-late", run)
+            raise
+        run.state = "done"
+        upstream.work_done += 1
+        upstream.note("finished", run)
+    finally:
+        upstream.in_flight -= 1
+
+
+def _answer_body(
+    upstream: Upstream, request: web.Request, run: Run, body: bytes
+) -> bytes:
+    answer = {
+        "upstream": upstream.options.name,
+        "request_id": run.request_id,
+        "account": run.account,
+        "key": run.key,
+        "path": request.path_qs,
+        "body_sha256": hashlib.sha256(body).hexdigest(),
+        "padding": "x" * _integer(request.query.get("size"), 0),
+    }
+    return json.dumps(answer).encode()
+
+
+def _headers(upstream: Upstream, request_id: str) -> dict[str, str]:
+    return {
+        "Upstream-Request-Id": request_id,
+        "Upstream-Incarnation": str(upstream.incarnation),
+    }
+
+
+def _turn_away(upstream: Upstream, run: Run, why: NotRunError) -> web.Response:
+    run.state = "not-run"
+    run.ended.set()
+    upstream.note("not-run", run, why=why.why)
+    headers = _headers(upstream, run.request_id)
+    headers["Upstream-Not-Run"] = why.why
+    if why.why == "shed":
+        headers["Retry-After"] = str(SHED_RETRY_AFTER_S)
+    return web.Response(status=why.status, headers=headers, text=why.why)
+
+
+def _drop(request: web.Request) -> web.Response:
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=500)
+
+
+def _spend(upstream: Upstream, fault: str) -> bool:
+    left = getattr(upstream.faults, fault)
+    if left <= 0:
+        return False
+    setattr(upstream.faults, fault, left - 1)
+    return True
+
+
+async def _send_answer(
+    upstream: Upstream, request: web.Request, run: Run, body: bytes
+) -> web.StreamResponse:
+    answered_id = run.request_id
+    previous = upstream.last_answer
+    upstream.last_answer = (run.request_id, body)
+    if _spend(upstream, "late_answers"):
+        await asyncio.sleep(upstream.faults.late_ms / 1000)
+    if _spend(upstream, "lost_answers"):
+        return _drop(request)
+    if _spend(upstream, "malformed_answers") and request.transport:
+        request.transport.write(b"NOT HTTP AT ALL\r\n\r\n")
+        return _drop(request)
+    if previous is not None and _spend(upstream, "foreign_answers"):
+        answered_id, body = previous
+    headers = _headers(upstream, answered_id)
+    if _spend(upstream, "cut_answers"):
+        headers["Content-Length"] = str(len(body))
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        await response.write(body[: len(body) // 2])
+        return _drop(request)
+    return web.Response(
+        body=body, headers=headers, content_type="application/json"
+    )
+
+
+async def serve_caller(request: web.Request) -> web.StreamResponse:
+    """Runs a caller's request, or says why not."""
+    upstream = request.app[UPSTREAM]
+    run = _read_run(request)
+    upstream.remember(run)
+    body = await request.read()
+    await upstream.pause_if_frozen()
+    try:
+        _check_admission(upstream, run)
+        await upstream.pause_if_frozen()
+        await _wait_for_slot(upstream, run)
+        try:
+            await _work(upstream, request, run)
+        finally:
+            upstream.slots.release()
+    except NotRunError as why:
+        return _turn_away(upstream, run, why)
+    except ConnectionResetError:
+        return _drop(request)
+    finally:
+        run.ended.set()
+    answer = _answer_body(upstream, request, run, body)
+    return await _send_answer(upstream, request, run, answer)
+
+
+async def take_grant(request: web.Request) -> web.Response:
+    """Answers `PUT /-/grant`."""
+    upstream = request.app[UPSTREAM]
+    order = await request.json()
+    await upstream.pause_if_frozen()
+    grant = grants.Grant(
+        rank=(order["term"], order["sequence"]),
+        shards=tuple((first, last) for first, last in order["shards"]),
+        hot_keys=frozenset(order.get("hot_keys", ())),
+        lapses_s=grants.boot_time_s() + order["ttl_ms"] / 1000,
+    )
+    accepted = upstream.book.offer(grant)
+    upstream.journal.write(
+        "grant",
+        accepted=accepted,
+        incarnation=str(upstream.incarnation),
+        lapses_monotonic_s=time.monotonic() + order["ttl_ms"] / 1000,
+        fencing=upstream.fencing,
+        **order,
+    )
+    return _grant_reply(upstream, {"accepted": accepted})
+
+
+def _grant_reply(upstream: Upstream, reply: dict[str, Any]) -> web.Response:
+    term, sequence = upstream.book.highest_rank
+    return web.json_response(
+        {
+            **reply,
+            "term": term,
+            "sequence": sequence,
+            "incarnation": str(upstream.incarnation),
+        }
+    )
+
+
+async def release_grant(request: web.Request) -> web.Response:
+    """Answers `POST /-/release` once nothing is in flight."""
+    upstream = request.app[UPSTREAM]
+    order = await request.json()
+    await upstream.pause_if_frozen()
+    released = upstream.book.release((order["term"], order["sequence"]))
+    if released:
+        await upstream.idle()
+    upstream.journal.write(
+        "release",
+        released=released,
+        incarnation=str(upstream.incarnation),
+        **order,
+    )
+    in_flight = upstream.in_flight + upstream.waiting
+    return _grant_reply(
+        upstream, {"released": released, "in_flight": in_flight}
+    )
+
+
+async def health(request: web.Request) -> web.Response:
+    """Answers `GET /-/health`."""
+    upstream = request.app[UPSTREAM]
+    await upstream.pause_if_frozen()
+    await asyncio.sleep(PROBE_S)
+    report = upstream.shown_report()
+    state = "ready" if upstream.faults.health_lies else report["state"]
+    return web.json_response(
+        {"state": state, "incarnation": report["incarnation"]}
+    )
+
+
+async def load(request: web.Request) -> web.Response:
+    """Answers `GET /-/load`."""
+    upstream = request.app[UPSTREAM]
+    await upstream.pause_if_frozen()
+    await asyncio.sleep(PROBE_S)
+    report = upstream.shown_report()
+    del report["state"]
+    if upstream.faults.load_lies:
+        report["in_flight"] = 0
+    return web.json_response(report)
+
+
+async def cancel(request: web.Request) -> web.Response:
+    """Answers `POST /-/cancel`.
+
+    A cancel that overtakes its request is remembered, so that the request
+    does not start after it; the answer is still "unknown", no proof.
+    """
+    upstream = request.app[UPSTREAM]
+    order = await request.json()
+    await upstream.pause_if_frozen()
+    run = upstream.runs.get(order["request_id"])
+    if run is None:
+        upstream.early_cancels.add(order["request_id"])
+        return web.json_response({"state": "unknown"})
+    if run.state == "waiting":
+        run.cancelled.set()
+        return web.json_response({"state": "not-started"})
+    if run.state == "running":
+        run.cancelled.set()
+        await run.ended.wait()
+        # Work that ended in the same moment cannot be taken back.
+        state = "cancelled" if run.state == "not-run" else "running"
+        return web.json_response({"state": state})
+    state = "not-started" if run.state == "not-run" else "running"
+    return web.json_response({"state": state})
+
+
+async def control(request: web.Request) -> web.Response:
+    """Sets faults: `POST /-/control`.
+
+    Fields are those of `Faults`, and `fencing`, `drain`, `leave`,
+    `freeze_ms`, `fall_cold_grace_ms`.
+    """
+    upstream = request.app[UPSTREAM]
+    command = await request.json()
+    upstream.journal.write("fault", **command)
+    if "fencing" in command:
+        upstream.fencing = command.pop("fencing")
+    if "drain" in command:
+        upstream.draining = command.pop("drain")
+    if "freeze_ms" in command:
+        upstream.frozen_until_s = (
+            time.monotonic() + command.pop("freeze_ms") / 1000
+        )
+    if "fall_cold_grace_ms" in command:
+        upstream.fall_cold(command.pop("fall_cold_grace_ms"))
+    if command.pop("leave", False):
+        await register(upstream, "leaving")
+    known = {field.name for field in dataclasses.fields(Faults)}
+    if not known.issuperset(command):
+        raise web.HTTPBadRequest(text=f"known fields: {sorted(known)}")
+    upstream.faults = dataclasses.replace(upstream.faults, **command)
+    return web.json_response({"accepted": True})
+
+
+async def register(upstream: Upstream, state: str) -> None:
+    """Puts this upstream into the store stand-in's list of hosts."""
+    options = upstream.options
+    if not options.store:
+        return
+    host = {
+        "name": options.name,
+        "address": f"{options.ip}:{options.port}",
+        "availability_zone": options.availability_zone,
+        "service": options.service,
+        "state": state,
+    }
+    async with aiohttp.ClientSession() as session:
+        url = f"{options.store}/-/control"
+        async with session.post(url, json={"put_host": host}) as reply:
+            reply.raise_for_status()
+
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@web.middleware
+async def _meet_connection(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
+    """Takes 1 ms for a new connection and refuses one too many."""
+    upstream = request.app[UPSTREAM]
+    if upstream.is_new_connection(request.protocol):
+        if upstream.open_connections() > upstream.options.connections:
+            upstream.journal.write("connection-refused")
+            return _drop(request)
+        await asyncio.sleep(CONNECT_S)
+    return await handler(request)
+
+
+def make_application(upstream: Upstream) -> web.Application:
+    """Returns the application that serves an upstream."""
+    application = web.Application(
+        middlewares=[_meet_connection], client_max_size=BODY_LIMIT_BYTES
+    )
+    application[UPSTREAM] = upstream
+    application.router.add_put("/-/grant", take_grant)
+    application.router.add_post("/-/release", release_grant)
+    application.router.add_get("/-/health", health)
+    application.router.add_get("/-/load", load)
+    application.router.add_post("/-/cancel", cancel)
+    application.router.add_post("/-/control", control)
+    application.router.add_route("*", "/{path:.*}", serve_caller)
+    return application
+
+
+def _read_options() -> Options:
+    parser = argparse.ArgumentParser(prog="standins.upstream")
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--availability-zone", required=True)
+    parser.add_argument("--ip", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--slots", type=int, default=3)
+    parser.add_argument("--connections", type=int, default=50)
+    parser.add_argument("--queue-requests", type=int, default=8)
+    parser.add_argument("--service-time-ms", type=float, default=5.0)
+    parser.add_argument("--cold-start-requests", type=int, default=1)
+    parser.add_argument("--collapse-ms", type=float, default=1000.0)
+    parser.add_argument("--no-fencing", dest="fencing", action="store_false")
+    parser.add_argument("--warm", dest="cold", action="store_false")
+    parser.add_argument("--store", default="")
+    parser.add_argument("--journal", required=True)
+    return Options(**vars(parser.parse_args()))
+
+
+def main() -> None:
+    """Reads the command line and serves."""
+    upstream = Upstream(_read_options())
+    upstream.runner = serving.make_runner(make_application(upstream))
+
+    async def on_listening(ip: str, port: int) -> None:
+        upstream.options.ip, upstream.options.port = ip, port
+        upstream.journal.write(
+            "up",
+            service=upstream.options.service,
+            availability_zone=upstream.options.availability_zone,
+            incarnation=str(upstream.incarnation),
+            fencing=upstream.fencing,
+        )
+        await register(upstream, "live")
+
+    serving.run_runner(
+        upstream.runner,
+        upstream.options.ip,
+        upstream.options.port,
+        on_listening,
+    )
+
+
+if __name__ == "__main__":
+    main()
