Read the operators' texts and tell every mistake in one run

Cause: daemons and the command line need validated settings, and an operator who mends one mistake a run tries again and again. Change: ini.py takes out each broken line and reads on, settings.py validates by section with pydantic and checks across sections (routes, dependencies and their cycles, accounts); change_problems holds the shard count of a known service fixed.

--- /dev/null
+++ b/src/sardinehill/ini.py
@@ -0,0 +1,132 @@
+"""Reads INI text into sections and collects every mistake of its form.
+
+`configparser` stops at the first doubled section, doubled option or broken
+line. An operator wants to hear of all of them at once, so each offending
+line is noted, taken out and the rest is read again.
+"""
+
+import configparser
+import dataclasses
+
+from sardinehill import errors
+
+# A doubled section is read under this name, and then dropped: taking out
+# only its header would move its options into the section before it.
+_DOUBLED_SECTION = "\x01doubled"
+
+
+@dataclasses.dataclass(frozen=True)
+class IniText:
+    """One INI text after reading.
+
+    Attributes:
+      sections: options by name, by section, in the order of the text.
+      problems: every mistake of form that was found.
+    """
+
+    sections: dict[str, dict[str, str]]
+    problems: list[errors.SettingsProblem]
+
+
+def _make_parser() -> configparser.RawConfigParser:
+    # No section is special here: options that silently hold for all sections
+    # would hide where a value comes from.
+    parser = configparser.RawConfigParser(
+        default_section="\x01default", comment_prefixes=("#", ";")
+    )
+    parser.optionxform = str  # type: ignore[assignment,method-assign]
+    return parser
+
+
+def read(text: str, file_name: str) -> IniText:
+    """Returns the sections of a text and the mistakes of its form."""
+    original = text.splitlines()
+    lines = list(original)
+    problems: list[errors.SettingsProblem] = []
+    while True:
+        parser = _make_parser()
+        try:
+            parser.read_string("\n".join(lines), file_name)
+        except configparser.DuplicateOptionError as error:
+            problems.append(
+                errors.SettingsProblem(
+                    file_name,
+                    error.section,
+                    error.option,
+                    _line(original, error.lineno),
+                    "an option is given once in a section; this one is"
+                    f" doubled on line {error.lineno}",
+                )
+            )
+            _blank(lines, error.lineno)
+        except configparser.DuplicateSectionError as error:
+            problems.append(_doubled_section(file_name, lines, error))
+        except configparser.MissingSectionHeaderError as error:
+            problems.append(_broken_line(file_name, original, error.lineno))
+            _blank(lines, error.lineno)
+        except configparser.ParsingError as error:
+            for line_number, _ in error.errors:
+                problems.append(_broken_line(file_name, original, line_number))
+                _blank(lines, line_number)
+        else:
+            return IniText(_sections(parser), problems)
+
+
+def _sections(
+    parser: configparser.RawConfigParser,
+) -> dict[str, dict[str, str]]:
+    return {
+        name: dict(parser.items(name))
+        for name in parser.sections()
+        if not name.startswith(_DOUBLED_SECTION)
+    }
+
+
+def _doubled_section(
+    file_name: str,
+    lines: list[str],
+    error: configparser.DuplicateSectionError,
+) -> errors.SettingsProblem:
+    line_number = error.lineno or 1
+    lines[line_number - 1] = f"[{_DOUBLED_SECTION} {line_number}]"
+    return errors.SettingsProblem(
+        file_name,
+        error.section,
+        "",
+        f"[{error.section}]",
+        f"a section is given once; this one is doubled on line {line_number}",
+    )
+
+
+def _broken_line(
+    file_name: str, lines: list[str], line_number: int
+) -> errors.SettingsProblem:
+    section = ""
+    for line in lines[: line_number - 1]:
+        if line.startswith("["):
+            section = line.strip().strip("[]")
+    return errors.SettingsProblem(
+        file_name,
+        section,
+        "",
+        _line(lines, line_number),
+        f"line {line_number} is to read `option = value`, under a [section]",
+    )
+
+
+def _line(lines: list[str], line_number: int | None) -> str:
+    # What stands after the equals sign may be a secret, and the text of an
+    # error ends up in logs.
+    line = lines[(line_number or 1) - 1]
+    return line.partition("=")[0].strip()
+
+
+def _blank(lines: list[str], line_number: int | None) -> None:
+    # Continuation lines of the value go with it; else they would be read as
+    # a part of the option before.
+    index = (line_number or 1) - 1
+    lines[index] = ""
+    index += 1
+    while index < len(lines) and lines[index][:1] in (" ", "\t"):
+        lines[index] = ""
+        index += 1
--- /dev/null
+++ b/src/sardinehill/settings.py
@@ -0,0 +1,560 @@
+"""The operators' texts: INI to validated models to plain data.
+
+Two texts exist. The host file belongs to one daemon's host; the fleet file
+is the one text that is kept in force everywhere. Every mistake of a text is
+reported in one `errors.SettingsErrors`, and then nothing of it is used.
+"""
+
+from collections.abc import Sequence
+import difflib
+import ipaddress
+import re
+from typing import Annotated
+from typing import Any
+from typing import TypeVar
+
+import pydantic
+
+from sardinehill import errors
+from sardinehill import ini
+from sardinehill.core import fleet
+
+# The store takes a value of up to a megabyte; quoting the text as JSON adds
+# to its length.
+FLEET_TEXT_LIMIT_BYTES = 900_000
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+_SECRET_LENGTH_MIN = 16
+_SECRET_OPTIONS = frozenset({"account_key_secret", "secrets"})
+_HIDDEN = "(not shown)"
+
+
+def _split(value: object) -> object:
+    if not isinstance(value, str):
+        return value
+    return tuple(part.strip() for part in value.split(",") if part.strip())
+
+
+def _check_name(name: str) -> str:
+    if not _NAME.fullmatch(name):
+        raise ValueError("lower-case letters, digits and hyphens, up to 63")
+    return name
+
+
+def _parse_address(value: object) -> object:
+    if not isinstance(value, str):
+        return value
+    ip, separator, port = value.rpartition(":")
+    if not separator or not port.isdecimal() or int(port) > 65535:
+        raise ValueError("an IP number, a colon and a port")
+    address = ipaddress.ip_address(ip.strip("[]"))
+    return fleet.Address(str(address), int(port))
+
+
+def _check_url(url: str) -> str:
+    if not re.fullmatch(r"https?://[^/\s]+", url):
+        raise ValueError("http://host:port without a path")
+    return url
+
+
+def _check_secret(secret: str) -> str:
+    if len(secret) < _SECRET_LENGTH_MIN:
+        raise ValueError(f"at least {_SECRET_LENGTH_MIN} characters")
+    return secret
+
+
+def _check_prefix(prefix: str) -> str:
+    if not prefix.startswith("/") or prefix.startswith("/-/"):
+        raise ValueError("a path that starts with / and not with /-/")
+    return prefix
+
+
+Name = Annotated[str, pydantic.AfterValidator(_check_name)]
+Names = Annotated[tuple[Name, ...], pydantic.BeforeValidator(_split)]
+Secret = Annotated[str, pydantic.AfterValidator(_check_secret)]
+Secrets = Annotated[tuple[Secret, ...], pydantic.BeforeValidator(_split)]
+IpAddress = Annotated[fleet.Address, pydantic.BeforeValidator(_parse_address)]
+IpAddresses = Annotated[tuple[IpAddress, ...], pydantic.BeforeValidator(_split)]
+Url = Annotated[str, pydantic.AfterValidator(_check_url)]
+PathPrefix = Annotated[str, pydantic.AfterValidator(_check_prefix)]
+
+
+def _expects(text: str, **bounds: Any) -> Any:
+    """Returns a required field; the text is told when a value is wrong."""
+    return pydantic.Field(description=text, **bounds)
+
+
+class _Section(pydantic.BaseModel):
+    """The base of sections: frozen, and an unknown option is a mistake."""
+
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, allow_inf_nan=False
+    )
+
+
+class HostSection(_Section):
+    """`[host]` of the host file."""
+
+    name: Name = _expects("the host's name, unique in the fleet")
+    availability_zone: Name = _expects("the zone that this host runs in")
+    region: str = pydantic.Field(default="", description="a region's name")
+
+
+class AddressesSection(_Section):
+    """`[addresses]` of the host file."""
+
+    callers: IpAddress = _expects("IP:PORT where the balancer sends callers")
+    operators: IpAddress = _expects("IP:PORT of health, status and metrics")
+    peers: IpAddress = _expects("IP:PORT where other daemons reach this one")
+
+
+class PlatformSection(_Section):
+    """`[platform]` of the host file."""
+
+    url: Url = _expects("http://host:port of the object API, without a path")
+    account_key_secret: Secret = _expects(
+        "a secret of at least 16 characters, the same on all hosts"
+    )
+
+
+class PeersSection(_Section):
+    """`[peers]` of the host file."""
+
+    bootstrap: IpAddresses = pydantic.Field(
+        default=(), description="IP:PORT, ... of peers to try in an outage"
+    )
+    secrets: Secrets = _expects(
+        "secrets of at least 16 characters, the newest first", min_length=1
+    )
+
+
+class LimitsSection(_Section):
+    """`[limits]` of the host file."""
+
+    body_limit_bytes: int = pydantic.Field(
+        default=8 * 1024 * 1024,
+        ge=1024,
+        le=1024**3,
+        description="bytes, from 1024 to 1073741824",
+    )
+    header_limit_bytes: int = pydantic.Field(
+        default=16 * 1024,
+        ge=1024,
+        le=1024**2,
+        description="bytes, from 1024 to 1048576",
+    )
+
+
+class FleetSection(_Section):
+    """`[fleet]` of the fleet file."""
+
+    availability_zones: Names = _expects(
+        "zone, ... with each of the deployment's zones once", min_length=1
+    )
+
+
+class ServiceSection(_Section):
+    """`[service NAME]` of the fleet file."""
+
+    divided_by_key: bool = _expects("yes when each key has one upstream")
+    depends_on: Names = pydantic.Field(
+        default=(), description="names of other services"
+    )
+    checks_fencing: bool = pydantic.Field(default=True, description="yes or no")
+    shard_count: int = pydantic.Field(
+        default=1024, ge=1, le=65536, description="from 1 to 65536"
+    )
+    slots: int = pydantic.Field(
+        default=3, ge=1, le=10_000, description="from 1 to 10000"
+    )
+    connections: int = pydantic.Field(
+        default=50, ge=2, le=100_000, description="from 2 to 100000"
+    )
+    cold_start_requests: int = pydantic.Field(
+        default=1, ge=1, description="at least 1, and at most `slots`"
+    )
+    default_deadline_ms: int = pydantic.Field(
+        default=5000, ge=1, le=3_600_000, description="from 1 to 3600000"
+    )
+    queue_requests: int = pydantic.Field(
+        default=64, ge=0, le=100_000, description="from 0 to 100000"
+    )
+    hedge: bool = pydantic.Field(default=False, description="yes or no")
+
+
+class RouteSection(_Section):
+    """`[route NAME]` of the fleet file."""
+
+    path_prefix: PathPrefix = _expects("a path that starts with /, not /-/")
+    service: Name = _expects("the name of a [service NAME] section")
+    open_to_all_callers: bool = pydantic.Field(
+        default=True, description="yes or no"
+    )
+    accounts: Names = pydantic.Field(
+        default=(), description="names of [account NAME] sections"
+    )
+
+
+class AccountSection(_Section):
+    """`[account NAME]` of the fleet file."""
+
+    rate_per_s: float = _expects("requests a second, above 0", gt=0)
+    burst_requests: float = _expects("requests at once, at least 1", ge=1)
+    weight: float = pydantic.Field(
+        default=1.0, gt=0, le=1000, description="above 0, up to 1000"
+    )
+
+
+_SectionT = TypeVar("_SectionT", bound=_Section)
+
+
+class _Reader:
+    """Reads sections of one text and collects its mistakes."""
+
+    def __init__(self, text: str, file_name: str):
+        parsed = ini.read(text, file_name)
+        self.file_name = file_name
+        self.sections = parsed.sections
+        self.problems = parsed.problems
+        self._read: set[str] = set()
+
+    def add(self, section: str, option: str, value: str, expected: str) -> None:
+        """Notes one mistake."""
+        self.problems.append(
+            errors.SettingsProblem(
+                self.file_name, section, option, value, expected
+            )
+        )
+
+    def required(
+        self, section: str, model: type[_SectionT]
+    ) -> _SectionT | None:
+        """Returns a section that must be there."""
+        if section not in self.sections:
+            self.add(section, "", "", "this section is required")
+            return None
+        return self.section(section, model)
+
+    def section(self, section: str, model: type[_SectionT]) -> _SectionT | None:
+        """Returns a validated section, or None after noting its mistakes."""
+        self._read.add(section)
+        options = self.sections.get(section, {})
+        try:
+            return model.model_validate(options)
+        except pydantic.ValidationError as error:
+            self._add_mistakes(section, options, model, error)
+            return None
+
+    def named(self, noun: str, model: type[_SectionT]) -> dict[str, _SectionT]:
+        """Returns the valid `[noun NAME]` sections by name."""
+        found: dict[str, _SectionT] = {}
+        for section in self.sections:
+            first, _, name = section.partition(" ")
+            if first != noun:
+                continue
+            if not _NAME.fullmatch(name):
+                self._read.add(section)
+                self.add(
+                    section,
+                    "",
+                    name,
+                    f"[{noun} NAME], NAME of lower-case letters, digits and"
+                    " hyphens",
+                )
+                continue
+            value = self.section(section, model)
+            if value is not None:
+                found[name] = value
+        return found
+
+    def has(self, section: str) -> bool:
+        """Returns whether a section is there, valid or not."""
+        return section in self.sections
+
+    def finish(self, known: str) -> None:
+        """Notes unknown sections and raises when there are mistakes."""
+        for section in self.sections:
+            if section not in self._read:
+                self.add(section, "", f"[{section}]", f"one of {known}")
+        raise_problems(self.file_name, self.problems)
+
+    def _add_mistakes(
+        self,
+        section: str,
+        options: dict[str, str],
+        model: type[_Section],
+        error: pydantic.ValidationError,
+    ) -> None:
+        seen: set[str] = set()
+        for detail in error.errors(include_url=False, include_input=False):
+            option = str(detail["loc"][0])
+            # A list with three bad parts is one mistake of one option.
+            if option in seen:
+                continue
+            seen.add(option)
+            value = options.get(option, "")
+            if option in _SECRET_OPTIONS:
+                value = _HIDDEN
+            expected = _expected(option, model, detail["type"])
+            self.add(section, option, value, expected)
+
+
+def _expected(option: str, model: type[_Section], kind: str) -> str:
+    if kind == "extra_forbidden":
+        names = sorted(model.model_fields)
+        near = difflib.get_close_matches(option, names, 1)
+        hint = f"; did you mean `{near[0]}`?" if near else ""
+        return f"the options here are {', '.join(names)}{hint}"
+    description = model.model_fields[option].description or ""
+    if kind == "missing":
+        return f"this option is required: {description}"
+    return description
+
+
+def raise_problems(
+    file_name: str, problems: Sequence[errors.SettingsProblem]
+) -> None:
+    """Raises every mistake as one group; does nothing without mistakes.
+
+    Raises:
+      errors.SettingsErrors: when `problems` is not empty.
+    """
+    if problems:
+        raise errors.SettingsErrors(
+            f"{file_name}: nothing was applied",
+            [errors.SettingError(problem) for problem in problems],
+        )
+
+
+def read_host_settings(text: str, file_name: str) -> fleet.HostSettings:
+    """Returns the settings of one daemon's host.
+
+    Args:
+      text: the host file's INI text.
+      file_name: the name that mistakes are reported under.
+
+    Raises:
+      errors.SettingsErrors: with every mistake of the text.
+    """
+    reader = _Reader(text, file_name)
+    host = reader.required("host", HostSection)
+    addresses = reader.required("addresses", AddressesSection)
+    platform = reader.required("platform", PlatformSection)
+    peers = reader.required("peers", PeersSection)
+    limits = reader.section("limits", LimitsSection)
+    reader.finish("[host], [addresses], [platform], [peers], [limits]")
+    # `finish` raised when any of these is missing; the type checker cannot
+    # see that.
+    assert host
+    assert addresses
+    assert platform
+    assert peers
+    assert limits
+    return fleet.HostSettings(
+        name=host.name,
+        availability_zone=host.availability_zone,
+        region=host.region,
+        callers_address=addresses.callers,
+        operators_address=addresses.operators,
+        peers_address=addresses.peers,
+        platform_url=platform.url,
+        bootstrap_peers=peers.bootstrap,
+        peer_secrets=peers.secrets,
+        account_key_secret=platform.account_key_secret,
+        body_limit_bytes=limits.body_limit_bytes,
+        header_limit_bytes=limits.header_limit_bytes,
+    )
+
+
+def read_fleet_config(
+    text: str, file_name: str, version: int
+) -> fleet.FleetConfig:
+    """Returns the operators' one text as plain data.
+
+    Args:
+      text: the fleet file's INI text.
+      file_name: the name that mistakes are reported under.
+      version: the store's version of the text, 0 for one not yet accepted.
+
+    Raises:
+      errors.SettingsErrors: with every mistake of the text.
+    """
+    size_bytes = len(text.encode())
+    if size_bytes > FLEET_TEXT_LIMIT_BYTES:
+        problem = errors.SettingsProblem(
+            file_name,
+            "fleet",
+            "",
+            f"{size_bytes} bytes",
+            f"a text of at most {FLEET_TEXT_LIMIT_BYTES} bytes",
+        )
+        raise_problems(file_name, [problem])
+    reader = _Reader(text, file_name)
+    whole = reader.required("fleet", FleetSection)
+    services = reader.named("service", ServiceSection)
+    routes = reader.named("route", RouteSection)
+    accounts = reader.named("account", AccountSection)
+    if whole is not None:
+        _check_zones(reader, whole)
+    _check_services(reader, services)
+    _check_routes(reader, routes)
+    reader.finish("[fleet], [service NAME], [route NAME], [account NAME]")
+    assert whole
+    return fleet.FleetConfig(
+        version=version,
+        availability_zones=whole.availability_zones,
+        services={
+            name: fleet.Service(name=name, **service.model_dump())
+            for name, service in services.items()
+        },
+        routes={
+            name: fleet.Route(name=name, **route.model_dump())
+            for name, route in routes.items()
+        },
+        accounts={
+            name: fleet.ClientAccount(name=name, **account.model_dump())
+            for name, account in accounts.items()
+        },
+    )
+
+
+def _check_zones(reader: _Reader, whole: FleetSection) -> None:
+    zones = whole.availability_zones
+    for zone in sorted({zone for zone in zones if zones.count(zone) > 1}):
+        reader.add("fleet", "availability_zones", zone, "each zone once")
+
+
+def _check_services(
+    reader: _Reader, services: dict[str, ServiceSection]
+) -> None:
+    for name, service in services.items():
+        section = f"service {name}"
+        for other in service.depends_on:
+            if not reader.has(f"service {other}"):
+                reader.add(
+                    section,
+                    "depends_on",
+                    other,
+                    f"a service of this file; there is no [service {other}]",
+                )
+        if service.cold_start_requests > service.slots:
+            reader.add(
+                section,
+                "cold_start_requests",
+                str(service.cold_start_requests),
+                f"at most its slots, {service.slots}",
+            )
+        if service.hedge and service.divided_by_key:
+            reader.add(
+                section,
+                "hedge",
+                "yes",
+                "no, since each key of a divided service has one upstream",
+            )
+    for cycle in _cycles(services):
+        reader.add(
+            f"service {cycle[0]}",
+            "depends_on",
+            " -> ".join(cycle),
+            "a service that does not depend on itself by any way",
+        )
+
+
+def _cycles(services: dict[str, ServiceSection]) -> list[list[str]]:
+    """Returns one cycle for each service that is the least name on it."""
+    cycles = []
+    for start in sorted(services):
+        way = _way_back(services, start)
+        if way and min(way) == start:
+            cycles.append(way)
+    return cycles
+
+
+def _way_back(
+    services: dict[str, ServiceSection], start: str
+) -> list[str] | None:
+    ways = [[start]]
+    visited: set[str] = set()
+    while ways:
+        way = ways.pop(0)
+        for other in services[way[-1]].depends_on:
+            if other == start:
+                return [*way, start]
+            if other in services and other not in visited:
+                visited.add(other)
+                ways.append([*way, other])
+    return None
+
+
+def _check_routes(reader: _Reader, routes: dict[str, RouteSection]) -> None:
+    first_route: dict[str, str] = {}
+    for name, route in routes.items():
+        section = f"route {name}"
+        if not reader.has(f"service {route.service}"):
+            reader.add(
+                section,
+                "service",
+                route.service,
+                "a service of this file; there is no"
+                f" [service {route.service}]",
+            )
+        other = first_route.setdefault(route.path_prefix, name)
+        if other != name:
+            reader.add(
+                section,
+                "path_prefix",
+                route.path_prefix,
+                f"a prefix of its own; [route {other}] has the same",
+            )
+        _check_route_accounts(reader, section, route)
+
+
+def _check_route_accounts(
+    reader: _Reader, section: str, route: RouteSection
+) -> None:
+    for account in route.accounts:
+        if not reader.has(f"account {account}"):
+            reader.add(
+                section,
+                "accounts",
+                account,
+                f"an account of this file; there is no [account {account}]",
+            )
+    if route.open_to_all_callers and route.accounts:
+        reader.add(
+            section,
+            "accounts",
+            ", ".join(route.accounts),
+            "no accounts, or open_to_all_callers = no",
+        )
+    if not route.open_to_all_callers and not route.accounts:
+        reader.add(
+            section,
+            "accounts",
+            "",
+            "at least one account, since the route is not open to all",
+        )
+
+
+def change_problems(
+    old: fleet.FleetConfig, new: fleet.FleetConfig, file_name: str
+) -> list[errors.SettingsProblem]:
+    """Returns what a valid text may not change about the one in force."""
+    problems = []
+    for name, service in new.services.items():
+        before = old.services.get(name)
+        if before is None or before.shard_count == service.shard_count:
+            continue
+        # Keys would hash to other shards, and so to other upstreams, on
+        # daemons that have read the text than on those that have not.
+        problems.append(
+            errors.SettingsProblem(
+                file_name,
+                f"service {name}",
+                "shard_count",
+                str(service.shard_count),
+                f"{before.shard_count}, as it was: it is fixed once the"
+                " service has keys",
+            )
+        )
+    return problems
