Serve a request along the whole path

Cause: the parts need one working way through real processes to grow on. Change: the platform and upstream adapters, a peer bus over TCP, news from store watches, a simple controller with a lease and grants, gateway, entry and the daemon that puts them together; a process test with store and upstreams. Three faults were met on the way: an error's body was read as JSON, a value was written without its envelope, and uvloop's transports are not asyncio's. Conclusion: each part can now be replaced by its full form on its own.

--- /dev/null
+++ b/src/sardinehill/adapters/platform.py
@@ -0,0 +1,268 @@
+"""The platform's object API, as HTTP with JSON.
+
+The only module that knows this format; the rest of the daemon sees the typed
+calls of `PlatformClient`.
+"""
+
+import asyncio
+import dataclasses
+import json
+from typing import Any
+
+import aiohttp
+
+from sardinehill import errors
+from sardinehill.core import fleet
+
+CALL_TIMEOUT_S = 1.0
+VALUE_LIMIT_BYTES = 1_000_000
+_JSON_STATUSES = frozenset({200, 409})
+
+
+@dataclasses.dataclass(frozen=True)
+class StoredObject:
+    """One object of the store.
+
+    Attributes:
+      kind: the kind, for instance `assignment`.
+      name: the name, unique within its kind.
+      version: the store's version of this object; it only grows.
+      value: the JSON value.
+    """
+
+    kind: str
+    name: str
+    version: int
+    value: dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class Changes:
+    """The state of a kind, or what changed in it.
+
+    Attributes:
+      revision: the store's revision that this reflects.
+      objects: the objects that are there or that changed.
+      deleted: names of objects that were deleted.
+    """
+
+    revision: int
+    objects: tuple[StoredObject, ...]
+    deleted: tuple[str, ...] = ()
+
+
+class PlatformClient:
+    """Typed calls to the object API; one connection pool."""
+
+    def __init__(self, base_url: str, timeout_s: float = CALL_TIMEOUT_S):
+        self._base_url = base_url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        """Returns an object, or None when it is absent.
+
+        Raises:
+          StoreUnavailableError: the store did not answer.
+          StoreReplyError: the answer is not what was asked for.
+        """
+        path = f"/v1/objects/{kind}/{name}"
+        status, body = await self._call("GET", path)
+        if status == 404:
+            return None
+        self._expect(status, path)
+        return _stored_object(kind, body, path)
+
+    async def list_kind(self, kind: str) -> Changes:
+        """Returns all objects of a kind; raises as `get` does."""
+        path = f"/v1/objects/{kind}"
+        status, body = await self._call("GET", path)
+        self._expect(status, path)
+        return _changes(kind, body, path)
+
+    async def put(
+        self, kind: str, name: str, value: dict[str, Any], expected_version: int
+    ) -> int:
+        """Writes an object if its version is the expected one.
+
+        Args:
+          kind: the object's kind.
+          name: the object's name.
+          value: the JSON value, at most `VALUE_LIMIT_BYTES` long.
+          expected_version: the version to replace, 0 for an absent object.
+
+        Returns:
+          The new version.
+
+        Raises:
+          StoreConflictError: another version was found; nothing was written.
+          StoreUnavailableError: the write may have taken effect.
+          StoreReplyError: as above, with an answer that makes no sense.
+        """
+        path = f"/v1/objects/{kind}/{name}"
+        headers = {"If-Match": str(expected_version)}
+        status, body = await self._call("PUT", path, headers, value)
+        if status == 409:
+            found = _integer(body, "version", path)
+            raise errors.StoreConflictError(
+                f"{kind}/{name}: version {expected_version} was expected and "
+                f"{found} was found; nothing was written",
+                found,
+            )
+        self._expect(status, path)
+        return _integer(body, "version", path)
+
+    async def delete(self, kind: str, name: str, expected_version: int) -> None:
+        """Deletes an object if its version is the expected one.
+
+        Raises as `put` does; an object that is absent already is no error.
+        """
+        path = f"/v1/objects/{kind}/{name}"
+        headers = {"If-Match": str(expected_version)}
+        status, body = await self._call("DELETE", path, headers)
+        if status == 404:
+            return
+        if status == 409:
+            found = _integer(body, "version", path)
+            raise errors.StoreConflictError(
+                f"{kind}/{name}: version {expected_version} was expected and "
+                f"{found} was found; nothing was deleted",
+                found,
+            )
+        self._expect(status, path)
+
+    async def watch(
+        self, kind: str, since_revision: int, wait_s: float
+    ) -> Changes:
+        """Waits for changes of a kind after a revision; raises as `get`."""
+        path = f"/v1/watch/{kind}"
+        query = f"?since={since_revision}&timeout_ms={int(wait_s * 1000)}"
+        status, body = await self._call(
+            "GET", path + query, timeout_s=wait_s + self._timeout_s
+        )
+        self._expect(status, path)
+        return _changes(kind, body, path)
+
+    async def hosts(self) -> list[fleet.UpstreamHost]:
+        """Returns the platform's lagging list of upstreams."""
+        path = "/v1/hosts"
+        status, body = await self._call("GET", path)
+        self._expect(status, path)
+        try:
+            return [_upstream_host(host) for host in body["hosts"]]
+        except (KeyError, TypeError, ValueError) as error:
+            raise errors.StoreReplyError(f"{path}: {error!r}") from error
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        value: dict[str, Any] | None = None,
+        timeout_s: float | None = None,
+    ) -> tuple[int, Any]:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        timeout = aiohttp.ClientTimeout(total=timeout_s or self._timeout_s)
+        data = None if value is None else json.dumps({"value": value}).encode()
+        try:
+            async with self._session.request(
+                method,
+                self._base_url + path,
+                headers=headers,
+                data=data,
+                timeout=timeout,
+            ) as response:
+                raw = await response.read()
+                status = response.status
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise errors.StoreUnavailableError(f"{path}: {error!r}") from error
+        if status >= 500:
+            raise errors.StoreUnavailableError(f"{path}: status {status}")
+        if status not in _JSON_STATUSES:
+            # The body of an error is for people and has no format.
+            return status, {}
+        return status, _json(raw, path)
+
+    def _expect(self, status: int, path: str) -> None:
+        if status != 200:
+            raise errors.StoreReplyError(f"{path}: status {status}")
+
+
+async def settle_write(
+    client: PlatformClient,
+    kind: str,
+    name: str,
+    value: dict[str, Any],
+    expected_version: int,
+) -> int:
+    """Writes an object, and settles a lost reply by reading it back.
+
+    The value must hold a `nonce` of this write alone: an object found with
+    that nonce is ours, whatever became of the reply.
+
+    Returns:
+      The new version.
+
+    Raises:
+      StoreConflictError: somebody else wrote; ours took no effect.
+      StoreUnavailableError: the outcome is unknown.
+      StoreReplyError: the store's answer makes no sense.
+    """
+    try:
+        return await client.put(kind, name, value, expected_version)
+    except errors.StoreUnavailableError:
+        await asyncio.sleep(0)
+        found = await client.get(kind, name)
+        if found is not None and found.value.get("nonce") == value["nonce"]:
+            return found.version
+        raise
+
+
+def _json(raw: bytes, path: str) -> Any:
+    if not raw:
+        return {}
+    try:
+        return json.loads(raw)
+    except ValueError as error:
+        raise errors.StoreReplyError(f"{path}: not JSON: {error}") from error
+
+
+def _integer(body: Any, field: str, path: str) -> int:
+    value = body.get(field) if isinstance(body, dict) else None
+    if not isinstance(value, int):
+        raise errors.StoreReplyError(f"{path}: {field} is {value!r}")
+    return value
+
+
+def _stored_object(kind: str, body: Any, path: str) -> StoredObject:
+    try:
+        return StoredObject(
+            kind, str(body["name"]), int(body["version"]), dict(body["value"])
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise errors.StoreReplyError(f"{path}: {error!r}") from error
+
+
+def _changes(kind: str, body: Any, path: str) -> Changes:
+    revision = _integer(body, "revision", path)
+    raw_objects = body.get("objects", [])
+    objects = tuple(_stored_object(kind, each, path) for each in raw_objects)
+    deleted = tuple(str(name) for name in body.get("deleted", []))
+    return Changes(revision, objects, deleted)
+
+
+def _upstream_host(host: dict[str, Any]) -> fleet.UpstreamHost:
+    ip, _, port = str(host["address"]).rpartition(":")
+    return fleet.UpstreamHost(
+        name=str(host["name"]),
+        service=str(host["service"]),
+        address=fleet.Address(ip, int(port)),
+        availability_zone=str(host["availability_zone"]),
+        leaving=host.get("state") != "live",
+    )
--- /dev/null
+++ b/src/sardinehill/adapters/upstream.py
@@ -0,0 +1,258 @@
+"""The upstreams' HTTP format: requests, grants and releases.
+
+The only module that knows this format; the rest of the daemon sees the typed
+calls of `UpstreamClient`.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+from typing import Any
+
+import aiohttp
+import multidict
+
+from sardinehill import errors
+from sardinehill.core import fleet
+from sardinehill.core import messages
+
+CONTROL_TIMEOUT_S = 0.5
+NOT_RUN_HEADER = "Upstream-Not-Run"
+REQUEST_ID_HEADER = "Upstream-Request-Id"
+INCARNATION_HEADER = "Upstream-Incarnation"
+
+_NOT_RUN_STATUSES = frozenset({409, 503})
+_NOT_RUN_REASONS: Mapping[str, errors.Reason] = {
+    "shed": errors.Reason.SHED,
+    "cold": errors.Reason.SHED,
+    "draining": errors.Reason.DRAINING,
+    "fenced": errors.Reason.FENCED,
+    "deadline": errors.Reason.DEADLINE_PASSED,
+    "cancelled": errors.Reason.CANCELLED,
+}
+# These describe one connection and are never passed on.
+_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-encoding",
+        "content-length",
+        "keep-alive",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Grant:
+    """Leave for an upstream to run requests for some shards.
+
+    Attributes:
+      service: the service's name.
+      term: the controller lease's term.
+      sequence: grows with each grant or release of that term.
+      shards: inclusive ranges of shards.
+      hot_keys: keys owned beside those shards.
+      ttl_s: seconds from its receipt until it lapses.
+      sent_by: the daemon that sends it.
+    """
+
+    service: str
+    term: int
+    sequence: int
+    shards: tuple[tuple[int, int], ...]
+    hot_keys: tuple[str, ...]
+    ttl_s: float
+    sent_by: str
+
+
+@dataclasses.dataclass(frozen=True)
+class GrantReply:
+    """An upstream's answer to a grant.
+
+    Attributes:
+      accepted: False when it knows a higher term or sequence.
+      term: the highest term it knows.
+      sequence: the highest sequence of that term.
+      incarnation: changes with each start of the upstream.
+    """
+
+    accepted: bool
+    term: int
+    sequence: int
+    incarnation: str
+
+
+class UpstreamClient:
+    """Typed calls to upstreams; one connection pool."""
+
+    def __init__(self, connections_per_upstream: int) -> None:
+        self._connections_per_upstream = connections_per_upstream
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def run(
+        self,
+        upstream: fleet.UpstreamHost,
+        request: messages.ForwardRequest,
+        fence: Mapping[str, str],
+        timeout_s: float,
+    ) -> messages.ForwardAnswer:
+        """Sends a request once and says what became of it.
+
+        A connection that could not be made proves that nothing ran. Whatever
+        fails later may have run, unless the upstream itself denies it in a
+        whole answer to this request.
+        """
+        headers = multidict.CIMultiDict(request.headers)
+        headers.update(fence)
+        headers["Sardinehill-Account"] = request.account
+        headers["Sardinehill-Key"] = request.key
+        headers["Sardinehill-Request-Id"] = request.request_id
+        headers["Sardinehill-Deadline-Ms"] = str(int(timeout_s * 1000))
+        try:
+            async with self._sessions().request(
+                request.method,
+                _url(upstream, request.path),
+                headers=headers,
+                data=request.body,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+                allow_redirects=False,
+            ) as response:
+                body = await response.read()
+                return _answer(request, response, body)
+        except aiohttp.ClientConnectorError:
+            return messages.refusal(
+                request.request_id,
+                errors.Reason.CONNECT_FAILED,
+                errors.Verdict.NOT_RUN,
+            )
+        except TimeoutError:
+            return messages.refusal(
+                request.request_id,
+                errors.Reason.DEADLINE_PASSED,
+                errors.Verdict.MAY_HAVE_RUN,
+            )
+        except (aiohttp.ClientError, OSError):
+            return messages.refusal(
+                request.request_id,
+                errors.Reason.CONNECTION_LOST,
+                errors.Verdict.MAY_HAVE_RUN,
+            )
+
+    async def grant(
+        self, upstream: fleet.UpstreamHost, grant: Grant
+    ) -> GrantReply | None:
+        """Sends a grant; returns None when no whole answer came."""
+        body = await self._control(
+            "PUT",
+            upstream,
+            "/-/grant",
+            {
+                "service": grant.service,
+                "term": grant.term,
+                "sequence": grant.sequence,
+                "shards": [list(span) for span in grant.shards],
+                "hot_keys": list(grant.hot_keys),
+                "ttl_ms": int(grant.ttl_s * 1000),
+                "sent_by": grant.sent_by,
+            },
+        )
+        try:
+            return GrantReply(
+                bool(body["accepted"]),
+                int(body["term"]),
+                int(body["sequence"]),
+                str(body["incarnation"]),
+            )
+        except (KeyError, TypeError, ValueError):
+            return None
+
+    async def release(
+        self,
+        upstream: fleet.UpstreamHost,
+        service: str,
+        term: int,
+        sequence: int,
+    ) -> bool:
+        """Takes an upstream's grant back; True once it says that it is."""
+        body = await self._control(
+            "POST",
+            upstream,
+            "/-/release",
+            {"service": service, "term": term, "sequence": sequence},
+        )
+        return body.get("released") is True
+
+    async def health(self, upstream: fleet.UpstreamHost) -> dict[str, Any]:
+        """Returns the health report, empty when none came."""
+        return await self._control("GET", upstream, "/-/health", None)
+
+    async def _control(
+        self,
+        method: str,
+        upstream: fleet.UpstreamHost,
+        path: str,
+        value: dict[str, Any] | None,
+    ) -> dict[str, Any]:
+        try:
+            async with self._sessions().request(
+                method,
+                _url(upstream, path),
+                json=value,
+                timeout=aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S),
+            ) as response:
+                body = await response.json(content_type=None)
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+            return {}
+        return body if isinstance(body, dict) else {}
+
+    def _sessions(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            connector = aiohttp.TCPConnector(
+                limit=0, limit_per_host=self._connections_per_upstream
+            )
+            self._session = aiohttp.ClientSession(
+                connector=connector, auto_decompress=False
+            )
+        return self._session
+
+
+def _url(upstream: fleet.UpstreamHost, path: str) -> str:
+    return f"http://{upstream.address}{path}"
+
+
+def _answer(
+    request: messages.ForwardRequest,
+    response: aiohttp.ClientResponse,
+    body: bytes,
+) -> messages.ForwardAnswer:
+    if response.headers.get(REQUEST_ID_HEADER) != request.request_id:
+        return messages.refusal(
+            request.request_id,
+            errors.Reason.CONNECTION_LOST,
+            errors.Verdict.MAY_HAVE_RUN,
+            "the upstream answered another request",
+        )
+    denial = response.headers.get(NOT_RUN_HEADER)
+    if denial is not None and response.status in _NOT_RUN_STATUSES:
+        reason = _NOT_RUN_REASONS.get(denial)
+        if reason is not None:
+            return messages.refusal(
+                request.request_id, reason, errors.Verdict.NOT_RUN
+            )
+    headers = tuple(
+        (name, value)
+        for name, value in response.headers.items()
+        if name.lower() not in _HOP_HEADERS
+    )
+    return messages.ForwardAnswer(
+        request.request_id,
+        errors.Verdict.RAN,
+        status=response.status,
+        headers=headers,
+        body=body,
+    )
--- /dev/null
+++ b/src/sardinehill/daemon/application.py
@@ -0,0 +1,116 @@
+"""Puts the parts of one daemon together, and runs them on one loop."""
+
+import asyncio
+import dataclasses
+import logging
+import signal
+import sys
+import time
+
+import aiomisc
+
+from sardinehill import errors
+from sardinehill.adapters import platform
+from sardinehill.adapters import upstream
+from sardinehill.core import fleet
+from sardinehill.daemon import controller
+from sardinehill.daemon import entry
+from sardinehill.daemon import gateway
+from sardinehill.daemon import news
+from sardinehill.daemon import peers
+from sardinehill.daemon import view
+
+JOIN_RETRY_S = 0.5
+CONNECTIONS_PER_UPSTREAM = 8
+
+_log = logging.getLogger(__name__)
+
+
+class Application:
+    """One daemon: every part of it, started and stopped in order."""
+
+    def __init__(self, settings: fleet.HostSettings) -> None:
+        self.view = view.View(settings)
+        self.platform = platform.PlatformClient(settings.platform_url)
+        self.upstreams = upstream.UpstreamClient(CONNECTIONS_PER_UPSTREAM)
+        self.bus = peers.PeerBus(settings.name, self._locate)
+        self.news = news.News(self.platform, self.view)
+        self.gateway = gateway.Gateway(self.view, self.upstreams, self.bus)
+        self.controller = controller.Controller(
+            self.view, self.platform, self.upstreams
+        )
+        self.entry = entry.Entry(self.view, self.bus)
+
+    async def start(self) -> None:
+        """Binds every address, joins the fleet and begins to serve."""
+        settings = self.view.settings
+        peers_address = await self.bus.listen(settings.peers_address)
+        self.news.start()
+        callers_address = await self.entry.listen(settings.callers_address)
+        self.view.settings = dataclasses.replace(
+            settings,
+            peers_address=peers_address,
+            callers_address=callers_address,
+        )
+        await self._join()
+        self.controller.start()
+        _announce("callers", callers_address)
+
+    async def stop(self) -> None:
+        """Finishes what is in flight, then ends every part."""
+        await self.entry.close()
+        await self.controller.close()
+        await self.news.close()
+        await self.bus.close()
+        await self.upstreams.close()
+        await self.platform.close()
+
+    async def _join(self) -> None:
+        settings = self.view.settings
+        member = fleet.DaemonHost(
+            settings.name,
+            settings.peers_address,
+            settings.availability_zone,
+            settings.region,
+            incarnation=time.time_ns(),
+        )
+        while True:
+            try:
+                return await news.join(self.platform, member)
+            except errors.StoreError as error:
+                _log.warning("cannot join yet: %s", error)
+                await asyncio.sleep(JOIN_RETRY_S)
+
+    def _locate(self, name: str) -> fleet.Address | None:
+        member = self.view.members.get(name)
+        return None if member is None else member.peer_address
+
+
+def run(settings: fleet.HostSettings) -> None:
+    """Runs a daemon until it is told to stop by SIGTERM or SIGINT."""
+    with aiomisc.entrypoint(pool_size=1, log_config=False) as loop:
+        loop.run_until_complete(_run(settings))
+
+
+async def _run(settings: fleet.HostSettings) -> None:
+    application = Application(settings)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    starting = asyncio.ensure_future(application.start())
+    stopping = asyncio.ensure_future(stopped.wait())
+    # While the store is down a start lasts; a stop must not wait for it.
+    await asyncio.wait(
+        (starting, stopping), return_when=asyncio.FIRST_COMPLETED
+    )
+    if starting.done():
+        starting.result()
+        await stopping
+    starting.cancel()
+    await application.stop()
+
+
+def _announce(name: str, address: fleet.Address) -> None:
+    sys.stdout.write(f"listening {name} {address.ip} {address.port}\n")
+    sys.stdout.flush()
--- /dev/null
+++ b/src/sardinehill/daemon/view.py
@@ -0,0 +1,50 @@
+"""What one daemon knows of the fleet at the moment."""
+
+import dataclasses
+from typing import Any
+
+from sardinehill.core import fleet
+from sardinehill.core import placement
+
+
+@dataclasses.dataclass
+class View:
+    """A daemon's knowledge; `daemon.news` is its only writer.
+
+    Attributes:
+      settings: the settings of this daemon's host, ports as bound.
+      config: the fleet's accepted configuration, or None before the first.
+      config_text: the text that `config` was read from.
+      taken_out: availability zones and hosts taken out.
+      assignments: the accepted assignment of each service.
+      upstreams: upstreams by name, from the platform's lagging list.
+      members: daemons by name.
+      account_keys: the store's value of each bucket of account keys.
+    """
+
+    settings: fleet.HostSettings
+    config: fleet.FleetConfig | None = None
+    config_text: str = ""
+    taken_out: fleet.Placement = dataclasses.field(
+        default_factory=fleet.Placement
+    )
+    assignments: dict[str, placement.Assignment] = dataclasses.field(
+        default_factory=dict
+    )
+    upstreams: dict[str, fleet.UpstreamHost] = dataclasses.field(
+        default_factory=dict
+    )
+    members: dict[str, fleet.DaemonHost] = dataclasses.field(
+        default_factory=dict
+    )
+    account_keys: dict[str, dict[str, Any]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def is_out(self, upstream: fleet.UpstreamHost) -> bool:
+        """Whether an upstream may get no new work."""
+        return (
+            upstream.leaving
+            or upstream.name in self.taken_out.hosts_out
+            or upstream.availability_zone in self.taken_out.zones_out
+        )
--- /dev/null
+++ b/src/sardinehill/wire/forwards.py
@@ -0,0 +1,103 @@
+"""The codec of forwarded requests and their answers."""
+
+from typing import Any
+
+import capnp
+
+from sardinehill import errors
+from sardinehill.core import messages
+from sardinehill.wire import schemas
+
+_SCHEMA = schemas.load("forward")
+
+
+def encode_request(request: messages.ForwardRequest) -> bytes:
+    """Returns the message of a request."""
+    message = _SCHEMA.ForwardRequest.new_message(
+        requestId=request.request_id,
+        service=request.service,
+        key=request.key,
+        account=request.account,
+        method=request.method,
+        path=request.path,
+        headers=_headers(request.headers),
+        body=request.body,
+        deadlineMs=request.deadline_ms,
+        upstream=request.upstream,
+        assignmentVersion=request.assignment_version,
+        idempotencyKey=request.idempotency_key,
+    )
+    return bytes(message.to_bytes())
+
+
+def decode_request(data: bytes) -> messages.ForwardRequest:
+    """Returns the request of a message.
+
+    Raises:
+      PeerFrameError: the bytes are not such a message.
+    """
+    try:
+        message = schemas.read(_SCHEMA.ForwardRequest, data)
+        return messages.ForwardRequest(
+            request_id=message.requestId,
+            service=message.service,
+            key=message.key,
+            account=message.account,
+            method=message.method,
+            path=message.path,
+            headers=_pairs(message.headers),
+            body=bytes(message.body),
+            deadline_ms=message.deadlineMs,
+            upstream=message.upstream,
+            assignment_version=message.assignmentVersion,
+            idempotency_key=message.idempotencyKey,
+        )
+    except (capnp.KjException, ValueError) as error:
+        raise errors.PeerFrameError(f"not a request: {error}") from error
+
+
+def encode_answer(answer: messages.ForwardAnswer) -> bytes:
+    """Returns the message of an answer."""
+    reason = "" if answer.reason is None else answer.reason.value
+    message = _SCHEMA.ForwardAnswer.new_message(
+        requestId=answer.request_id,
+        verdict=answer.verdict.value,
+        reason=reason,
+        status=answer.status,
+        headers=_headers(answer.headers),
+        body=answer.body,
+        retryAfterMs=answer.retry_after_ms,
+        detail=answer.detail,
+    )
+    return bytes(message.to_bytes())
+
+
+def decode_answer(data: bytes) -> messages.ForwardAnswer:
+    """Returns the answer of a message.
+
+    Raises:
+      PeerFrameError: the bytes are not such a message.
+    """
+    try:
+        message = schemas.read(_SCHEMA.ForwardAnswer, data)
+        reason = errors.Reason(message.reason) if message.reason else None
+        return messages.ForwardAnswer(
+            request_id=message.requestId,
+            verdict=errors.Verdict(message.verdict),
+            reason=reason,
+            status=message.status,
+            headers=_pairs(message.headers),
+            body=bytes(message.body),
+            retry_after_ms=message.retryAfterMs,
+            detail=message.detail,
+        )
+    except (capnp.KjException, ValueError) as error:
+        raise errors.PeerFrameError(f"not an answer: {error}") from error
+
+
+def _headers(headers: messages.Headers) -> list[dict[str, str]]:
+    return [{"name": name, "value": value} for name, value in headers]
+
+
+def _pairs(headers: Any) -> messages.Headers:
+    return tuple((header.name, header.value) for header in headers)
