Number the log's events and count each reason

Cause: a person woken at night needs the meaning and the next step of a log line, and a counter for each refusal and retry reason. Conclusion: daemon modules can log and count through these.

--- /dev/null
+++ b/src/sardinehill/events.py
@@ -0,0 +1,165 @@
+"""Numbered log events.
+
+Each event has one number for ever; `docs/EVENTS.md` says what it means and
+what to do next, and a test holds the two together. Fields are typed values
+beside the event's name, never text pasted into a message, and never hold an
+account key or a secret.
+"""
+
+import collections
+from collections.abc import Iterator
+import dataclasses
+import json
+import logging
+import sys
+import time
+from typing import Any
+from typing import TextIO
+
+RECENT_EVENTS = 1000
+
+_log = logging.getLogger("sardinehill.events")
+
+
+@dataclasses.dataclass(frozen=True)
+class Event:
+    """One kind of event.
+
+    Attributes:
+      number: its number in the catalogue, never used again for another.
+      name: a short name with hyphens.
+      level: the level of `logging` at which it is logged.
+    """
+
+    number: int
+    name: str
+    level: int
+
+
+DAEMON_STARTED = Event(101, "daemon-started", logging.INFO)
+DAEMON_STOPPING = Event(102, "daemon-stopping", logging.INFO)
+DAEMON_STOPPED = Event(103, "daemon-stopped", logging.INFO)
+DAEMON_WAS_PAUSED = Event(104, "daemon-was-paused", logging.WARNING)
+TASK_FAILED = Event(105, "task-failed", logging.ERROR)
+
+CONFIGURATION_ACCEPTED = Event(201, "configuration-accepted", logging.INFO)
+CONFIGURATION_REFUSED = Event(202, "configuration-refused", logging.ERROR)
+PLACEMENT_ACCEPTED = Event(203, "placement-accepted", logging.INFO)
+OLD_NEWS_IGNORED = Event(204, "old-news-ignored", logging.INFO)
+
+LEASE_TAKEN = Event(301, "lease-taken", logging.INFO)
+LEASE_LOST = Event(302, "lease-lost", logging.WARNING)
+ASSIGNMENT_WRITTEN = Event(303, "assignment-written", logging.INFO)
+ASSIGNMENT_CONFLICT = Event(304, "assignment-conflict", logging.WARNING)
+GRANT_REFUSED = Event(305, "grant-refused", logging.WARNING)
+GRANT_UNANSWERED = Event(306, "grant-unanswered", logging.WARNING)
+SHARDS_RELEASED = Event(307, "shards-released", logging.INFO)
+SHARDS_WAITED_OUT = Event(308, "shards-waited-out", logging.WARNING)
+REASSIGNMENT_HELD = Event(309, "reassignment-held", logging.WARNING)
+
+STORE_LOST = Event(401, "store-lost", logging.WARNING)
+STORE_BACK = Event(402, "store-back", logging.INFO)
+STORE_REPLY_BAD = Event(403, "store-reply-bad", logging.ERROR)
+PEER_LOST = Event(404, "peer-lost", logging.WARNING)
+PEER_JOINED = Event(405, "peer-joined", logging.INFO)
+PEER_REFUSED = Event(406, "peer-refused", logging.WARNING)
+OUTAGE_MODE_ENTERED = Event(407, "outage-mode-entered", logging.WARNING)
+OUTAGE_MODE_LEFT = Event(408, "outage-mode-left", logging.INFO)
+LICENCE_LAPSED = Event(409, "licence-lapsed", logging.ERROR)
+
+UPSTREAM_FOUND = Event(501, "upstream-found", logging.INFO)
+UPSTREAM_GONE = Event(502, "upstream-gone", logging.INFO)
+UPSTREAM_RESTARTED = Event(503, "upstream-restarted", logging.WARNING)
+UPSTREAM_EJECTED = Event(504, "upstream-ejected", logging.WARNING)
+UPSTREAM_WARM = Event(505, "upstream-warm", logging.INFO)
+UPSTREAM_ANSWER_BAD = Event(506, "upstream-answer-bad", logging.ERROR)
+
+ACCOUNT_KEYS_ACCEPTED = Event(601, "account-keys-accepted", logging.INFO)
+ACCOUNT_OVER_RATE = Event(602, "account-over-rate", logging.INFO)
+TOKENS_HOLDER_CHANGED = Event(603, "tokens-holder-changed", logging.INFO)
+
+REQUEST_REFUSED = Event(701, "request-refused", logging.DEBUG)
+REQUEST_UNCERTAIN = Event(702, "request-uncertain", logging.WARNING)
+REQUEST_FAILED_INSIDE = Event(703, "request-failed-inside", logging.ERROR)
+
+
+def catalogue() -> Iterator[Event]:
+    """Yields every event of this module."""
+    for value in globals().values():
+        if isinstance(value, Event):
+            yield value
+
+
+def log(event: Event, **fields: Any) -> None:
+    """Logs an event with its fields.
+
+    Args:
+      event: one of this module.
+      **fields: values that JSON can hold, or that are logged as text.
+    """
+    if _log.isEnabledFor(event.level):
+        _log.log(event.level, event.name, extra={"ev": event, "fields": fields})
+
+
+class JsonFormatter(logging.Formatter):
+    """Writes each record as one JSON object on one line."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Returns the line of a record."""
+        return json.dumps(as_json(record), default=str)
+
+
+def as_json(record: logging.LogRecord) -> dict[str, Any]:
+    """Returns a record's time, level, event and fields."""
+    line: dict[str, Any] = {
+        "time_s": record.created,
+        "level": record.levelname.lower(),
+    }
+    event = getattr(record, "ev", None)
+    if isinstance(event, Event):
+        line["event"] = event.number
+        line["name"] = event.name
+        line.update(getattr(record, "fields", {}))
+    else:
+        line["logger"] = record.name
+        line["message"] = record.getMessage()
+    if record.exc_info:
+        line["traceback"] = logging.Formatter().formatException(record.exc_info)
+    return line
+
+
+class Recent(logging.Handler):
+    """Keeps the last events in memory for `sardinehill events`."""
+
+    def __init__(self, limit: int = RECENT_EVENTS):
+        super().__init__()
+        self._lines: collections.deque[dict[str, Any]] = collections.deque(
+            maxlen=limit
+        )
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keeps a record, dropping the oldest when there are too many."""
+        self._lines.append(as_json(record))
+
+    def since(self, time_s: float) -> list[dict[str, Any]]:
+        """Returns the events logged after a wall time, oldest first."""
+        return [line for line in self._lines if line["time_s"] > time_s]
+
+
+def configure_logging(stream: TextIO | None = None) -> Recent:
+    """Sends all logs to a stream as JSON lines, and keeps the last.
+
+    Args:
+      stream: where lines go, the standard error by default.
+
+    Returns:
+      The handler that keeps the last events.
+    """
+    logging.Formatter.converter = time.gmtime
+    lines = logging.StreamHandler(stream or sys.stderr)
+    lines.setFormatter(JsonFormatter())
+    recent = Recent()
+    logging.basicConfig(
+        level=logging.INFO, handlers=[lines, recent], force=True
+    )
+    return recent
--- /dev/null
+++ b/src/sardinehill/metrics.py
@@ -0,0 +1,143 @@
+"""Counters and latencies of one daemon, in the usual text format."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+
+from hdrh import histogram
+import prometheus_client
+from prometheus_client import metrics_core
+from prometheus_client import registry as registry_module
+
+from sardinehill import errors
+
+LATENCY_MIN_US = 1
+LATENCY_MAX_US = 120_000_000
+# Two digits tell 10.0 ms from 10.1 ms, in 16 KB a histogram; a third digit
+# would take eight times that for each service.
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
+_US_PER_S = 1_000_000
+
+
+class _Latencies(registry_module.Collector):
+    """Latency by service, recorded in hdrhistogram."""
+
+    def __init__(self, name: str, help_text: str):
+        self._name = name
+        self._help_text = help_text
+        self._histograms: dict[str, histogram.HdrHistogram] = {}
+        self._sums_s: dict[str, float] = {}
+
+    def record(self, service: str, latency_s: float) -> None:
+        found = self._histograms.get(service)
+        if found is None:
+            found = histogram.HdrHistogram(
+                LATENCY_MIN_US, LATENCY_MAX_US, SIGNIFICANT_DIGITS
+            )
+            self._histograms[service] = found
+        latency_us = int(latency_s * _US_PER_S)
+        found.record_value(min(max(latency_us, LATENCY_MIN_US), LATENCY_MAX_US))
+        self._sums_s[service] = self._sums_s.get(service, 0.0) + latency_s
+
+    def quantile_s(self, service: str, quantile: float) -> float:
+        found = self._histograms.get(service)
+        if found is None:
+            return 0.0
+        return float(found.get_value_at_percentile(quantile * 100)) / _US_PER_S
+
+    def collect(self) -> Iterator[metrics_core.Metric]:
+        family = metrics_core.Metric(self._name, self._help_text, "summary")
+        for service, found in self._histograms.items():
+            for quantile in QUANTILES:
+                family.add_sample(
+                    self._name,
+                    {"service": service, "quantile": str(quantile)},
+                    self.quantile_s(service, quantile),
+                )
+            labels = {"service": service}
+            family.add_sample(
+                f"{self._name}_count", labels, found.get_total_count()
+            )
+            family.add_sample(
+                f"{self._name}_sum", labels, self._sums_s[service]
+            )
+        yield family
+
+
+class Metrics:
+    """What one daemon counts.
+
+    Every reason has its counter from the start, at zero: a counter that
+    appears with its first refusal cannot be told from one that was lost.
+    """
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self._requests = prometheus_client.Counter(
+            "sardinehill_requests",
+            "Callers' requests answered, by service and verdict.",
+            ["service", "verdict"],
+            registry=self.registry,
+        )
+        self._refusals = prometheus_client.Counter(
+            "sardinehill_refusals",
+            "Callers' requests refused, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self._retries = prometheus_client.Counter(
+            "sardinehill_retries",
+            "Requests sent again, by the reason of the failure before.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self._counters: dict[str, prometheus_client.Counter] = {}
+        self._latencies = _Latencies(
+            "sardinehill_request_latency_seconds",
+            "Time from a caller's request to the end of its answer.",
+        )
+        self.registry.register(self._latencies)
+        for reason in errors.Reason:
+            self._refusals.labels(reason.value)
+            self._retries.labels(reason.value)
+
+    def count_request(
+        self, service: str, verdict: errors.Verdict, latency_s: float
+    ) -> None:
+        """Counts one answered request and its latency."""
+        self._requests.labels(service, verdict.value).inc()
+        self._latencies.record(service, latency_s)
+
+    def count_refusal(self, reason: errors.Reason) -> None:
+        """Counts one refusal."""
+        self._refusals.labels(reason.value).inc()
+
+    def count_retry(self, reason: errors.Reason) -> None:
+        """Counts one request that is sent again."""
+        self._retries.labels(reason.value).inc()
+
+    def count(self, name: str, help_text: str, amount: float = 1.0) -> None:
+        """Adds to a counter, which is made when it is first named."""
+        counter = self._counters.get(name)
+        if counter is None:
+            counter = prometheus_client.Counter(
+                name, help_text, registry=self.registry
+            )
+            self._counters[name] = counter
+        counter.inc(amount)
+
+    def gauge(
+        self, name: str, help_text: str, value: Callable[[], float]
+    ) -> None:
+        """Adds a gauge that is read when it is asked for."""
+        prometheus_client.Gauge(
+            name, help_text, registry=self.registry
+        ).set_function(value)
+
+    def latency_s(self, service: str, quantile: float) -> float:
+        """Returns a latency quantile, 0 for a service without requests."""
+        return self._latencies.quantile_s(service, quantile)
+
+    def text(self) -> bytes:
+        """Returns all metrics in the text format."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/tests/cover/test_events_and_metrics.py
@@ -0,0 +1,72 @@
+"""Claims about log lines and counters."""
+
+import io
+import json
+import logging
+
+import pytest
+
+from sardinehill import errors
+from sardinehill import events
+from sardinehill import metrics
+
+
+@pytest.fixture
+def log_lines():
+    root = logging.getLogger()
+    before = (root.level, root.handlers[:])
+    stream = io.StringIO()
+    recent = events.configure_logging(stream)
+    yield stream, recent
+    root.setLevel(before[0])
+    root.handlers[:] = before[1]
+
+
+def test_event_is_one_json_line_with_number_and_fields(log_lines):
+    stream, recent = log_lines
+    events.log(events.STORE_LOST, since_s=1.5, url="a\nb")
+    (line,) = stream.getvalue().splitlines()
+    logged = json.loads(line)
+    assert logged["event"] == 401
+    assert logged["name"] == "store-lost"
+    assert logged["level"] == "warning"
+    assert logged["since_s"] == 1.5
+    assert recent.since(0.0) == [logged]
+    assert recent.since(logged["time_s"]) == []
+
+
+def test_plain_records_are_json_lines_as_well(log_lines):
+    stream, _ = log_lines
+    logging.getLogger("aiohttp.server").warning("met %s", "trouble")
+    logged = json.loads(stream.getvalue())
+    assert logged["message"] == "met trouble"
+    assert "event" not in logged
+
+
+def test_every_reason_has_counters_before_it_is_met():
+    text = metrics.Metrics().text().decode()
+    for reason in errors.Reason:
+        for counter in ("refusals", "retries"):
+            sample = f'sardinehill_{counter}_total{{reason="{reason.value}"}}'
+            assert f"{sample} 0.0" in text
+
+
+def test_latency_quantiles_are_those_of_the_recorded_requests():
+    counts = metrics.Metrics()
+    for latency_ms in range(1, 101):
+        counts.count_request("prenota", errors.Verdict.RAN, latency_ms / 1000)
+    assert counts.latency_s("prenota", 0.5) == pytest.approx(0.050, rel=0.02)
+    assert counts.latency_s("prenota", 0.99) == pytest.approx(0.099, rel=0.02)
+    text = counts.text().decode()
+    assert 'latency_seconds_count{service="prenota"} 100.0' in text
+    assert 'requests_total{service="prenota",verdict="ran"} 100.0' in text
+
+
+def test_named_counters_and_gauges_show_their_values():
+    counts = metrics.Metrics()
+    counts.count("sardinehill_store_calls", "Calls to the store.", 3)
+    counts.count("sardinehill_store_calls", "Calls to the store.")
+    counts.gauge("sardinehill_peers", "Daemons heard of late.", lambda: 7)
+    text = counts.text().decode()
+    assert "sardinehill_store_calls_total 4.0" in text
+    assert "sardinehill_peers 7.0" in text
