--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,115 @@
+"""Starts real processes, waits until they listen, and ends them by pid."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+import time
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+POLL_S = 0.02
+ROOT = pathlib.Path(__file__).parents[1]
+
+
+class ProcessError(Exception):
+    """Raised when a process ended or hung instead of doing its work."""
+
+
+class Process:
+    """One started process and the addresses that it announced."""
+
+    def __init__(self, name: str, arguments: list[str], log: pathlib.Path):
+        self.name = name
+        self.arguments = arguments
+        self.log = log
+        self.addresses: dict[str, tuple[str, int]] = {}
+        self.process: asyncio.subprocess.Process | None = None
+        self._environment: dict[str, str] = {}
+
+    @property
+    def pid(self) -> int:
+        """Returns the process's id; it must have been started."""
+        if self.process is None:
+            raise ProcessError(f"{self.name} was not started")
+        return self.process.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Returns whether the process was started and has not ended."""
+        return self.process is not None and self.process.returncode is None
+
+    async def start(
+        self,
+        ready: str = "listening",
+        environment: dict[str, str] | None = None,
+    ) -> None:
+        """Starts the process and waits for its line that starts so.
+
+        Args:
+          ready: the first words of the line that says it is ready.
+          environment: variables beside those of this process.
+        """
+        if environment is not None:
+            self._environment = environment
+        with self.log.open("ab") as errors_file:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *self.arguments,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=errors_file,
+                cwd=ROOT,
+                env={**os.environ, **self._environment},
+            )
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                await self._read_until(ready)
+        except TimeoutError:
+            raise ProcessError(f"{self.name} hangs; see {self.log}") from None
+
+    async def _read_until(self, ready: str) -> None:
+        assert self.process is not None
+        assert self.process.stdout is not None
+        while True:
+            line = (await self.process.stdout.readline()).decode().strip()
+            if not line:
+                raise ProcessError(f"{self.name} ended; see {self.log}")
+            words = line.split()
+            self.addresses[" ".join(words[:-2])] = (words[-2], int(words[-1]))
+            if line.startswith(ready):
+                return
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal, if the process still runs."""
+        if self.is_running:
+            os.kill(self.pid, number)
+
+    async def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> float:
+        """Asks the process to end, and returns how many seconds it took."""
+        started_s = time.monotonic()
+        self.signal(signal.SIGTERM)
+        self.signal(signal.SIGCONT)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.wait()
+        except TimeoutError:
+            await self.kill()
+            raise ProcessError(f"{self.name} did not stop") from None
+        return time.monotonic() - started_s
+
+    async def kill(self) -> None:
+        """Ends the process at once."""
+        self.signal(signal.SIGKILL)
+        await self.wait()
+
+    async def wait(self) -> int:
+        """Waits until the process has ended and returns its status."""
+        if self.process is None:
+            return 0
+        return await self.process.wait()
+
+
+async def finish(processes: list[Process]) -> None:
+    """Ends all processes of a list, however they are."""
+    await asyncio.gather(*(process.kill() for process in processes))
--- /dev/null
+++ b/standins/referee/evidence.py
@@ -0,0 +1,160 @@
+"""The records of a run, merged by time and grouped for the checks."""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+import pathlib
+from typing import Any
+
+from standins import journal as journal_module
+
+Record = dict[str, Any]
+
+# The brief says "after a few seconds".
+FEW_SECONDS_S = 5.0
+
+
+class EmptyEvidenceError(Exception):
+    """Raised when there is nothing to check: such a run proves nothing."""
+
+
+@dataclasses.dataclass
+class Finding:
+    """What came of checking one promise.
+
+    Attributes:
+      promise: the promise, in the words of the brief.
+      events: how many events were checked.
+      violations: one line for each violation.
+    """
+
+    promise: str
+    events: int = 0
+    violations: list[str] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """One request on one upstream, from its start to its end.
+
+    Attributes:
+      record: the record of its start.
+      end: "finished", "not-run", another event's name, or empty when the
+        upstream was lost in the middle.
+      end_s: when it ended; infinite when it never did.
+    """
+
+    record: Record
+    end: str
+    end_s: float
+
+    @property
+    def upstream(self) -> str:
+        """Returns the upstream's name."""
+        return str(self.record["source"])
+
+    @property
+    def start_s(self) -> float:
+        """Returns when it started, on the monotonic clock."""
+        return float(self.record["monotonic_s"])
+
+
+class Evidence:
+    """All records of one run.
+
+    Attributes:
+      records: every record in the order of the monotonic clock, which all
+        processes of one machine share.
+      runs: every request that an upstream started.
+      answers: every answer that the driver got.
+    """
+
+    def __init__(self, records: Iterable[Record]):
+        self.records = sorted(records, key=lambda one: one["monotonic_s"])
+        self.by_event: dict[str, list[Record]] = collections.defaultdict(list)
+        for record in self.records:
+            self.by_event[record["event"]].append(record)
+        self.answers = self.by_event["answer"]
+        self.runs = self._pair_runs()
+        if not self.runs or not self.answers:
+            raise EmptyEvidenceError(
+                f"{len(self.runs)} runs and {len(self.answers)} answers:"
+                " there is nothing to check"
+            )
+        self.upstream_zones = {
+            record["source"]: record["availability_zone"]
+            for record in self.by_event["up"]
+        }
+        self._answers_by_marker: dict[str, list[Record]] = (
+            collections.defaultdict(list)
+        )
+        for answer in self.answers:
+            self._answers_by_marker[answer["marker"]].append(answer)
+        self.runs_by_marker: dict[str, list[Run]] = collections.defaultdict(
+            list
+        )
+        for run in self.runs:
+            self.runs_by_marker[run.record["marker"]].append(run)
+
+    def answers_of(self, marker: str) -> list[Record]:
+        """Returns the answers to all submissions of one action."""
+        return self._answers_by_marker.get(marker, [])
+
+    def _pair_runs(self) -> list[Run]:
+        ends = ("finished", "not-run", "lost-in-collapse", "fenced-late")
+        waiting: dict[tuple[str, str, str], list[Record]] = (
+            collections.defaultdict(list)
+        )
+        for event in ends:
+            for record in self.by_event[event]:
+                waiting[_identity(record)].append(record)
+        runs = []
+        for start in self.by_event["started"]:
+            found = [
+                record
+                for record in waiting[_identity(start)]
+                if record["monotonic_s"] >= start["monotonic_s"]
+            ]
+            # A fenced run writes both `fenced-late` and `not-run`; the last
+            # one tells what the upstream answered.
+            if found:
+                last = max(found, key=lambda one: one["monotonic_s"])
+                runs.append(Run(start, last["event"], last["monotonic_s"]))
+            else:
+                runs.append(Run(start, "", float("inf")))
+        return runs
+
+    def windows(
+        self, begin: str, end: str, field: str
+    ) -> list[tuple[str, float, float]]:
+        """Returns (name, from, until) for pairs of operators' events."""
+        open_since: dict[str, float] = {}
+        found = []
+        for record in self.records:
+            name = str(record.get(field, ""))
+            if record["event"] == begin:
+                open_since.setdefault(name, record["monotonic_s"])
+            elif record["event"] == end and name in open_since:
+                since_s = open_since.pop(name)
+                found.append((name, since_s, float(record["monotonic_s"])))
+        found.extend(
+            (name, since_s, float("inf"))
+            for name, since_s in open_since.items()
+        )
+        return found
+
+
+def _identity(record: Record) -> tuple[str, str, str]:
+    return (record["source"], record["incarnation"], record["request_id"])
+
+
+def read(directory: pathlib.Path) -> Evidence:
+    """Returns the evidence of all `*.journal` files of a directory.
+
+    Raises:
+      EmptyEvidenceError: when no request ran or none was answered.
+    """
+    records: list[Record] = []
+    for path in sorted(directory.glob("*.journal")):
+        records.extend(journal_module.read(path))
+    return Evidence(records)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -71,12 +71,15 @@
     """One caller's request inside the upstream.
 
     Attributes:
+      marker: the `marker` of the query, by which a driver tells the
+        requests of one action from those of another.
       state: "waiting", "running", "done" or "not-run".
       cancelled: set when a cancel has been asked for.
       ended: set once the request has run or will not run any more.
     """
 
     request_id: str
+    marker: str
     account: str
     key: str
     shard: int
@@ -225,6 +228,7 @@
             availability_zone=self.options.availability_zone,
             incarnation=str(self.incarnation),
             request_id=run.request_id,
+            marker=run.marker,
             account=run.account,
             key=run.key,
             shard=run.shard,
@@ -290,6 +294,7 @@
     )
     return Run(
         request_id=headers.get("Sardinehill-Request-Id", ""),
+        marker=request.query.get("marker", ""),
         account=headers.get("Sardinehill-Account", ""),
         key=headers.get("Sardinehill-Key", ""),
         shard=_integer(headers.get("Sardinehill-Shard"), -1),
