--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,144 @@
+"""`python -m bench NAME --seed N --seconds S [--policy baseline] ...`."""
+
+import argparse
+import asyncio
+import json
+import pathlib
+import sys
+import tempfile
+import time
+from typing import Any
+
+from bench import load as load_module
+from bench import measures
+from bench import usage
+from bench import workloads
+from standins import deployment as deployment_module
+from standins import operations as operations_module
+from standins.referee import evidence
+from standins.referee import verdicts
+
+WARM_UP_S = 3.0
+
+
+def _usage(
+    deployment: deployment_module.Deployment,
+) -> dict[int, usage.Usage | None]:
+    return {
+        process.pid: usage.read(process.pid)
+        for process in deployment.daemons.values()
+        if process.is_running
+    }
+
+
+def _usage_between(
+    before: dict[int, usage.Usage | None],
+    after: dict[int, usage.Usage | None],
+    seconds: float,
+) -> dict[str, float]:
+    """Returns the mean of the daemons that lived all the time."""
+    pairs = [
+        (one, after.get(pid))
+        for pid, one in before.items()
+        if one is not None and after.get(pid) is not None
+    ]
+    count = max(len(pairs), 1)
+    processor_s = sum(b.processor_s - a.processor_s for a, b in pairs if b)
+    moved_bytes = sum(b.moved_bytes - a.moved_bytes for a, b in pairs if b)
+    resident = sum(b.resident_bytes for _, b in pairs if b)
+    return {
+        "daemons": len(pairs),
+        "processor_share_of_core": round(processor_s / count / seconds, 4),
+        "moved_bytes_per_s": round(moved_bytes / count / seconds),
+        "resident_mb": round(resident / count / 1e6, 1),
+    }
+
+
+async def _run(
+    options: argparse.Namespace, directory: pathlib.Path
+) -> dict[str, Any]:
+    deployment = deployment_module.Deployment(
+        directory,
+        deployment_module.SHAPES[options.deployment],
+        is_baseline=options.policy == "baseline",
+    )
+    operations = operations_module.Operations(deployment)
+    try:
+        await deployment.start()
+        operations.start_sampling()
+        plan = load_module.Plan(load=options.load)
+        load = load_module.Load(deployment, options.seed, plan)
+        scene = workloads.Scene(deployment, operations, load, options.seconds)
+        sending = asyncio.ensure_future(load.run(3600.0))
+        await asyncio.sleep(WARM_UP_S)
+        begin_s, calls = time.monotonic(), await deployment.store_stats()
+        before = _usage(deployment)
+        await workloads.WORKLOADS[options.name](scene)
+        end_s, calls_after = time.monotonic(), await deployment.store_stats()
+        used = _usage_between(before, _usage(deployment), end_s - begin_s)
+        load.stop()
+        await sending
+    finally:
+        await operations.close()
+        await deployment.close()
+    facts = evidence.read(directory)
+    report = measures.measure(facts, begin_s, end_s)
+    report["daemon_usage"] = used
+    report["store_calls_per_s"] = _calls_per_s(
+        calls, calls_after, end_s - begin_s
+    )
+    findings = verdicts.check(facts)
+    report["promises"] = {
+        finding.promise: {
+            "events": finding.events,
+            "violations": len(finding.violations),
+            "first": finding.violations[:3],
+        }
+        for finding in findings
+    }
+    sys.stderr.write(verdicts.table(findings) + "\n")
+    return report
+
+
+def _calls_per_s(
+    before: dict[str, Any], after: dict[str, Any], seconds: float
+) -> dict[str, float]:
+    return {
+        call: round((count - before["calls"].get(call, 0)) / seconds, 2)
+        for call, count in after["calls"].items()
+    }
+
+
+def main() -> int:
+    """Runs one workload and writes its report."""
+    parser = argparse.ArgumentParser(prog="bench")
+    parser.add_argument("name", choices=sorted(workloads.WORKLOADS))
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--policy", default="sardinehill")
+    parser.add_argument(
+        "--deployment",
+        default="aretusa",
+        choices=sorted(deployment_module.SHAPES),
+    )
+    parser.add_argument("--load", type=float, default=0.5)
+    parser.add_argument("--json", type=pathlib.Path)
+    parser.add_argument("--journals", type=pathlib.Path)
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as temporary:
+        directory = options.journals or pathlib.Path(temporary)
+        directory.mkdir(parents=True, exist_ok=True)
+        report = asyncio.run(_run(options, directory))
+    report["run"] = {
+        name: getattr(options, name)
+        for name in ("name", "seed", "seconds", "policy", "deployment", "load")
+    }
+    text = json.dumps(report, indent=2)
+    if options.json:
+        options.json.write_text(text + "\n")
+    print(text)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/baseline.py
@@ -0,0 +1,186 @@
+"""A plain router to compare with: static hash, no limits, three tries.
+
+Each process hashes a key onto the upstreams that it sees, connects to them
+directly, and tries again three times after any failure. It grants nothing,
+so that it needs upstreams that do not check fencing.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import itertools
+import json
+import pathlib
+from typing import Any
+import uuid
+
+import aiohttp
+from aiohttp import web
+import xxhash
+
+from standins import serving
+
+POLL_S = 0.5
+TRIES = 3
+TRY_TIMEOUT_S = 5.0
+SHARDS = 1024
+_REMOVED = frozenset({"authorization", "host", "content-length", "connection"})
+
+
+class Baseline:
+    """What one process of the plain router knows."""
+
+    def __init__(self, platform_url: str, plan: dict[str, Any]):
+        self.platform_url = platform_url
+        self.accounts: dict[str, str] = plan["accounts"]
+        self.routes: dict[str, str] = plan["routes"]
+        self.divided: list[str] = plan["divided"]
+        self.hosts: dict[str, list[str]] = {}
+        self.turn = itertools.count()
+        self.session: aiohttp.ClientSession | None = None
+
+    async def poll(self) -> None:
+        """Reads the list of hosts and the placement over and over."""
+        while True:
+            with contextlib.suppress(
+                aiohttp.ClientError, OSError, TimeoutError, ValueError
+            ):
+                await self._poll_once()
+            await asyncio.sleep(POLL_S)
+
+    async def _poll_once(self) -> None:
+        hosts = await self._get("/v1/hosts")
+        placement = await self._get("/v1/objects/placement/fleet")
+        out = placement.get("value", {"zones_out": [], "hosts_out": []})
+        found: dict[str, list[str]] = {}
+        for host in sorted(hosts["hosts"], key=lambda one: str(one["name"])):
+            if (
+                host["state"] == "live"
+                and host["availability_zone"] not in out["zones_out"]
+                and host["name"] not in out["hosts_out"]
+            ):
+                found.setdefault(host["service"], []).append(host["address"])
+        self.hosts = found
+
+    async def _get(self, path: str) -> dict[str, Any]:
+        assert self.session is not None
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        async with self.session.get(
+            self.platform_url + path, timeout=timeout
+        ) as reply:
+            return dict(await reply.json()) if reply.status == 200 else {}
+
+    def choose(self, service: str, key: str) -> str | None:
+        """Returns the address of the upstream that is tried next."""
+        hosts = self.hosts.get(service)
+        if not hosts:
+            return None
+        if service in self.divided:
+            return hosts[xxhash.xxh3_64_intdigest(key.encode()) % len(hosts)]
+        return hosts[next(self.turn) % len(hosts)]
+
+    def service_of(self, path: str) -> str:
+        """Returns the service of a path, empty for none."""
+        found = [prefix for prefix in self.routes if path.startswith(prefix)]
+        return self.routes[max(found, key=len)] if found else ""
+
+    async def serve(self, request: web.Request) -> web.StreamResponse:
+        """Sends a caller's request on, three times at most."""
+        if request.path == "/-/ready":
+            return web.Response(status=200 if self.hosts else 503)
+        secret = request.headers.get("Authorization", "")[len("Bearer ") :]
+        account = self.accounts.get(secret)
+        if account is None:
+            return _refuse(401, "not-run", "account-key-unknown", "")
+        body = await request.read()
+        request_id = uuid.uuid4().hex
+        service = self.service_of(request.path)
+        headers = self._headers(request, account, service, request_id)
+        for _ in range(TRIES):
+            key = request.headers.get("Sardinehill-Key", "")
+            address = self.choose(service, key)
+            if address is None:
+                continue
+            answer = await self._try(request, address, headers, body)
+            if answer is not None:
+                answer.headers["Sardinehill-Request-Id"] = request_id
+                return answer
+        return _refuse(502, "may-have-run", "connection-lost", request_id)
+
+    def _headers(
+        self, request: web.Request, account: str, service: str, request_id: str
+    ) -> dict[str, str]:
+        headers = {
+            name: value
+            for name, value in request.headers.items()
+            if name.lower() not in _REMOVED
+        }
+        headers["Sardinehill-Account"] = account
+        headers["Sardinehill-Request-Id"] = request_id
+        if service in self.divided:
+            key = request.headers.get("Sardinehill-Key", "")
+            shard = xxhash.xxh3_64_intdigest(key.encode()) % SHARDS
+            headers["Sardinehill-Shard"] = str(shard)
+        return headers
+
+    async def _try(
+        self,
+        request: web.Request,
+        address: str,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> web.Response | None:
+        assert self.session is not None
+        try:
+            async with self.session.request(
+                request.method,
+                f"http://{address}{request.path_qs}",
+                headers=headers,
+                data=body,
+                timeout=aiohttp.ClientTimeout(total=TRY_TIMEOUT_S),
+            ) as reply:
+                content = await reply.read()
+                if reply.status >= 500:
+                    return None
+                return web.Response(
+                    status=reply.status,
+                    body=content,
+                    headers={"Sardinehill-Verdict": "ran"},
+                )
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return None
+
+
+def _refuse(
+    status: int, verdict: str, reason: str, request_id: str
+) -> web.Response:
+    headers = {
+        "Sardinehill-Verdict": verdict,
+        "Sardinehill-Reason": reason,
+        "Sardinehill-Request-Id": request_id,
+    }
+    return web.Response(status=status, headers=headers)
+
+
+def main() -> None:
+    """Reads the command line and serves."""
+    parser = argparse.ArgumentParser(prog="bench.baseline")
+    parser.add_argument("--platform", required=True)
+    parser.add_argument("--plan", type=pathlib.Path, required=True)
+    options = parser.parse_args()
+    plan = json.loads(options.plan.read_text())
+    baseline = Baseline(options.platform, plan)
+    application = web.Application(client_max_size=64 * 1024 * 1024)
+    application.router.add_route("*", "/{path:.*}", baseline.serve)
+    polls: list[asyncio.Task[None]] = []
+
+    async def on_listening(_ip: str, _port: int) -> None:
+        connector = aiohttp.TCPConnector(limit=0)
+        baseline.session = aiohttp.ClientSession(connector=connector)
+        polls.append(asyncio.ensure_future(baseline.poll()))
+
+    serving.run(application, "127.0.0.1", 0, on_listening)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/sardinehill/events.py
+++ b/src/sardinehill/events.py
@@ -12,7 +12,6 @@
 import json
 import logging
 import sys
-import time
 from typing import Any
 from typing import TextIO
 
@@ -106,7 +105,12 @@
 
     def format(self, record: logging.LogRecord) -> str:
         """Returns the line of a record."""
-        return json.dumps(as_json(record), default=str)
+        return dump_json(as_json(record))
+
+
+def dump_json(value: Any) -> str:
+    """Returns JSON, with text for values that JSON cannot hold."""
+    return json.dumps(value, default=str)
 
 
 def as_json(record: logging.LogRecord) -> dict[str, Any]:
@@ -118,7 +122,7 @@
     event = getattr(record, "ev", None)
     if isinstance(event, Event):
         line["event"] = event.number
-        line["name"] = event.name
+        line["event_name"] = event.name
         line.update(getattr(record, "fields", {}))
     else:
         line["logger"] = record.name
@@ -155,7 +159,9 @@
     Returns:
       The handler that keeps the last events.
     """
-    logging.Formatter.converter = time.gmtime
+    # A line for each request would cost more than the request's admission;
+    # the metrics count them.
+    logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
     lines = logging.StreamHandler(stream or sys.stderr)
     lines.setFormatter(JsonFormatter())
     recent = Recent()
--- /dev/null
+++ b/standins/operations.py
@@ -0,0 +1,163 @@
+"""What operators do to a deployment and what breaks it, journaled."""
+
+import asyncio
+import signal
+from typing import Any
+
+import aiohttp
+
+from standins import deployment as deployment_module
+from standins import driver as driver_module
+
+SAMPLE_INTERVAL_S = 0.5
+SAMPLE_TIMEOUT_S = 1.0
+
+
+class Operations:
+    """Operators' actions and faults of one deployment."""
+
+    def __init__(self, deployment: deployment_module.Deployment):
+        self.deployment = deployment
+        self._journal = deployment.driver.journal
+        self._samples: asyncio.Task[None] | None = None
+
+    def start_sampling(self) -> None:
+        """Begins to note which configuration each daemon has in force."""
+        if not self.deployment.is_baseline:
+            self._samples = asyncio.ensure_future(self._sample())
+
+    async def close(self) -> None:
+        """Ends the sampling."""
+        if self._samples is not None:
+            self._samples.cancel()
+            await asyncio.gather(self._samples, return_exceptions=True)
+
+    async def _sample(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=SAMPLE_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                await asyncio.gather(
+                    *(
+                        self._sample_one(session, name)
+                        for name in list(self.deployment.daemons)
+                    )
+                )
+                await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+    async def _sample_one(
+        self, session: aiohttp.ClientSession, daemon: str
+    ) -> None:
+        status = await self.status(session, daemon)
+        version = status.get("versions", {}).get("config", 0)
+        # A daemon that has just started has no configuration yet, and says
+        # that it is not ready.
+        if version:
+            self._journal.write("in-force", daemon=daemon, version=version)
+
+    async def status(
+        self, session: aiohttp.ClientSession, daemon: str
+    ) -> dict[str, Any]:
+        """Returns a daemon's status, empty when it does not answer."""
+        process = self.deployment.daemons[daemon]
+        address = process.addresses.get("listening operators")
+        if address is None or not process.is_running:
+            return {}
+        ip, port = address
+        try:
+            async with session.get(f"http://{ip}:{port}/-/status") as reply:
+                return dict(await reply.json())
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return {}
+
+    async def zone_out(self, zone: str) -> None:
+        """Takes a zone out by the real command line."""
+        await self.deployment.expect_command("zone", "out", zone)
+        self._journal.write("zone-out", zone=zone)
+
+    async def zone_in(self, zone: str) -> None:
+        """Puts a zone back."""
+        self._journal.write("zone-in", zone=zone)
+        await self.deployment.expect_command("zone", "in", zone)
+
+    async def host_out(self, host: str) -> None:
+        """Takes one upstream's host out."""
+        await self.deployment.expect_command("host", "out", host)
+        self._journal.write("host-out", host=host)
+
+    async def host_in(self, host: str) -> None:
+        """Puts a host back."""
+        self._journal.write("host-in", host=host)
+        await self.deployment.expect_command("host", "in", host)
+
+    async def leave(self, upstream: str) -> None:
+        """Lets the platform list an upstream as leaving."""
+        await self.deployment.control_upstream(upstream, leave=True)
+
+    async def reapply(self) -> None:
+        """Applies the configuration again, as another version."""
+        text = (self.deployment.directory / "fleet.ini").read_text()
+        await self.deployment.apply(f"# applied again\n{text}")
+
+    async def change_key(self, account: deployment_module.AccountShape) -> str:
+        """Gives an account a new key and revokes the old one.
+
+        Returns:
+          The old key, which must not work any more in a few seconds.
+        """
+        deployment = self.deployment
+        old = deployment.driver.account_keys[account.name]
+        listed = await deployment.expect_command(
+            "key", "list", account.name, "--json"
+        )
+        old_ids = [
+            str(row["key_id"])
+            for row in listed.json()["keys"]
+            if row["revoked_at_s"] is None
+        ]
+        await deployment.issue_key(account)
+        for key_id in old_ids:
+            await deployment.expect_command(
+                "key", "revoke", account.name, key_id
+            )
+        self._journal.write(
+            "key-revoked", account_key_id=driver_module.key_id(old)
+        )
+        return old
+
+    async def kill_daemon(self, daemon: str) -> None:
+        """Ends a daemon without notice."""
+        self._journal.write("daemon-killed", daemon=daemon)
+        await self.deployment.daemons[daemon].kill()
+
+    async def stop_daemon(self, daemon: str) -> None:
+        """Stops a daemon as planned."""
+        self._journal.write("stop-begins", daemon=daemon)
+        await self.deployment.daemons[daemon].stop()
+        self._journal.write("stop-ended", daemon=daemon)
+
+    async def start_daemon(self, daemon: str) -> None:
+        """Starts a daemon again, in the zone it was in."""
+        place = list(self.deployment.daemons).index(daemon)
+        await self.deployment.start_daemon(daemon, place)
+
+    async def freeze_upstream(self, upstream: str, seconds: float) -> None:
+        """Freezes an upstream, which then goes on as if nothing happened."""
+        self._journal.write("upstream-frozen", upstream=upstream)
+        process = self.deployment.upstreams[upstream]
+        process.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        process.signal(signal.SIGCONT)
+        self._journal.write("upstream-resumed", upstream=upstream)
+
+    async def kill_upstream(self, upstream: str) -> None:
+        """Ends an upstream without notice."""
+        self._journal.write("upstream-killed", upstream=upstream)
+        await self.deployment.upstreams[upstream].kill()
+
+    async def outage(self, seconds: float, kind: str = "reset") -> None:
+        """Takes the store down for a while."""
+        self._journal.write("outage-begins")
+        await self.deployment.control_store(outage=kind)
+        await asyncio.sleep(seconds)
+        await self.deployment.control_store(outage="")
+        self._journal.write("outage-ended")
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -1,6 +1,7 @@
 """Starts real processes, waits until they listen, and ends them by pid."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import signal
@@ -82,8 +83,9 @@
 
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal, if the process still runs."""
-        if self.is_running:
-            os.kill(self.pid, number)
+        if self.process is not None:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(number)
 
     async def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> float:
         """Asks the process to end, and returns how many seconds it took."""
--- a/tests/cover/test_events_and_metrics.py
+++ b/tests/cover/test_events_and_metrics.py
@@ -28,7 +28,7 @@
     (line,) = stream.getvalue().splitlines()
     logged = json.loads(line)
     assert logged["event"] == 401
-    assert logged["name"] == "store-lost"
+    assert logged["event_name"] == "store-lost"
     assert logged["level"] == "warning"
     assert logged["since_s"] == 1.5
     assert recent.since(0.0) == [logged]
