--- /dev/null
+++ b/src/sardinehill/core/membership.py
@@ -0,0 +1,294 @@
+"""Which daemons are members, and who finds out that one is gone.
+
+The committed member list is one object in the platform's store. Between the
+daemons, each member is probed by a fixed number of others, its monitors: its
+predecessors on several rings, each ordered by another hash. So a member sends
+and receives the same number of heartbeats in a fleet of 11 and of 640.
+
+Three other ways were weighed. All-to-all heartbeats grow with the fleet and
+need 640 connections a daemon for control alone. Heartbeats kept in the store
+need one write a second for each daemon, more than its rate. Random probing
+as in SWIM has the same bounds as the rings, but each probe meets another
+daemon, which over authenticated TCP means a new connection and handshake.
+
+A monitor only raises an alarm. A member is removed when a majority of its
+monitors raise one, so one cut or flapping link removes nobody.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import functools
+import itertools
+
+import xxhash
+
+from sardinehill.core import fleet
+
+REGION_RINGS = 5
+FLEET_RINGS = 2
+PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 0.8
+ALARM_AFTER_S = 2.0
+FAILED_PROBES_BEFORE_ALARM = 2
+# A daemon whose timer was this late was itself frozen: what it did not hear
+# in that time says nothing about the others.
+OWN_PAUSE_S = 1.5
+# Below this many members a region lends its monitors from the whole fleet.
+SMALLEST_MONITORED_REGION = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class Members:
+    """The committed member list.
+
+    Attributes:
+      version: the store's version of the list; it only grows.
+      hosts: the members, ordered by name.
+      writer_id: the daemon that wrote this version.
+      nonce: tells this write from every other when a reply was lost.
+    """
+
+    version: int = 0
+    hosts: tuple[fleet.DaemonHost, ...] = ()
+    writer_id: str = ""
+    nonce: str = ""
+
+    @functools.cached_property
+    def by_name(self) -> dict[str, fleet.DaemonHost]:
+        """The members by name."""
+        return {host.name: host for host in self.hosts}
+
+    def incarnation_of(self, name: str) -> int | None:
+        """Returns a member's incarnation, or None for no member."""
+        host = self.by_name.get(name)
+        return None if host is None else host.incarnation
+
+
+@dataclasses.dataclass(frozen=True)
+class Alarm:
+    """A monitor's word that it does not reach a member.
+
+    Attributes:
+      reporter: the monitor's name.
+      subject: the member's name.
+      incarnation: the incarnation that the monitor probed.
+    """
+
+    reporter: str
+    subject: str
+    incarnation: int
+
+
+class Overlay:
+    """Who probes whom under one member list."""
+
+    def __init__(self, members: Members):
+        region_of = {host.name: host.region for host in members.hosts}
+        names = sorted(region_of)
+        self._monitors: dict[str, tuple[str, ...]] = {}
+        for region in sorted(set(region_of.values())):
+            inside = [name for name in names if region_of[name] == region]
+            pool = inside
+            if len(inside) < SMALLEST_MONITORED_REGION:
+                pool = names
+            rings = _rings(pool, region, REGION_RINGS)
+            self._monitors.update(_predecessors(rings, inside))
+        # Heartbeats across regions carry news and raise no alarms: a region
+        # that is cut off is not a region that is gone.
+        self._senders: dict[str, tuple[str, ...]] = {}
+        if len(set(region_of.values())) > 1:
+            rings = _rings(names, "fleet", FLEET_RINGS)
+            self._senders = _predecessors(rings, names)
+        self._subjects = _inverse(self._monitors)
+        self._receivers = _inverse(self._senders)
+
+    def monitors_of(self, name: str) -> tuple[str, ...]:
+        """Returns the members whose alarms count against a member."""
+        return self._monitors.get(name, ())
+
+    def subjects_of(self, name: str) -> tuple[str, ...]:
+        """Returns the members that a member raises alarms for."""
+        return self._subjects.get(name, ())
+
+    def probed_by(self, name: str) -> tuple[str, ...]:
+        """Returns all members that a member sends heartbeats to."""
+        receivers = self._receivers.get(name, ())
+        return _distinct(self.subjects_of(name), receivers)
+
+    def links_of(self, name: str) -> tuple[str, ...]:
+        """Returns all members that a member exchanges news with."""
+        senders = self._senders.get(name, ())
+        return _distinct(self.probed_by(name), self.monitors_of(name), senders)
+
+
+@dataclasses.dataclass
+class Probe:
+    """What a monitor knows of one member that it probes.
+
+    Attributes:
+      incarnation: the incarnation of the member list.
+      answered_at_s: when the last good answer came.
+      failed_probes: probes that failed since then.
+      next_at_s: when the next probe is due.
+    """
+
+    incarnation: int
+    answered_at_s: float
+    failed_probes: int = 0
+    next_at_s: float = 0.0
+
+
+class Monitor:
+    """One daemon's probes of its subjects."""
+
+    def __init__(self, name: str, probe_interval_s: float = PROBE_INTERVAL_S):
+        self.name = name
+        self.members = Members()
+        self.overlay = Overlay(self.members)
+        self._probe_interval_s = probe_interval_s
+        self._probes: dict[str, Probe] = {}
+        self._subjects: frozenset[str] = frozenset()
+        self._ticked_at_s: float | None = None
+
+    def set_members(self, members: Members, now_s: float) -> bool:
+        """Takes a newer member list over; an older one changes nothing."""
+        if members.version <= self.members.version:
+            return False
+        self.members = members
+        self.overlay = Overlay(members)
+        self._subjects = frozenset(self.overlay.subjects_of(self.name))
+        probed = self.overlay.probed_by(self.name)
+        kept: dict[str, Probe] = {}
+        for index, subject in enumerate(probed):
+            incarnation = members.by_name[subject].incarnation
+            probe = self._probes.get(subject)
+            if probe is None or probe.incarnation != incarnation:
+                # First probes are spread over the interval, so that a new
+                # list does not make every daemon send all of its at once.
+                offset_s = self._probe_interval_s * index / len(probed)
+                probe = Probe(incarnation, now_s, 0, now_s + offset_s)
+            kept[subject] = probe
+        self._probes = kept
+        return True
+
+    def due(self, now_s: float) -> list[str]:
+        """Returns the members to probe now and plans their next probes."""
+        self._forgive_after_own_pause(now_s)
+        names = []
+        for name, probe in self._probes.items():
+            if probe.next_at_s <= now_s:
+                probe.next_at_s = now_s + self._probe_interval_s
+                names.append(name)
+        return names
+
+    def answered(
+        self, name: str, answered_as: str, incarnation: int, now_s: float
+    ) -> None:
+        """Takes an answer to a probe.
+
+        An answer under another name comes from a new host at a reused
+        address, and one with a lower incarnation from before a restart:
+        neither shows that the member lives.
+        """
+        probe = self._probes.get(name)
+        if probe is None:
+            return
+        if answered_as != name or incarnation < probe.incarnation:
+            probe.failed_probes += 1
+            return
+        probe.answered_at_s = now_s
+        probe.failed_probes = 0
+
+    def failed(self, name: str) -> None:
+        """Takes the failure of a probe, by a timeout or a lost connection."""
+        probe = self._probes.get(name)
+        if probe is not None:
+            probe.failed_probes += 1
+
+    def alarms(self, now_s: float) -> list[Alarm]:
+        """Returns the alarms that stand now; repeated until they end."""
+        silent = [
+            name
+            for name in self._subjects
+            if _is_silent(self._probes[name], now_s)
+        ]
+        # A monitor that hears none of several subjects more likely lost its
+        # own link than saw all of them die at once.
+        if len(self._subjects) > 1 and len(silent) == len(self._subjects):
+            return []
+        return [
+            Alarm(self.name, name, self._probes[name].incarnation)
+            for name in sorted(silent)
+        ]
+
+    def is_hearing(self, name: str, now_s: float) -> bool:
+        """Returns whether a probed member answered lately."""
+        probe = self._probes.get(name)
+        return probe is not None and not _is_silent(probe, now_s)
+
+    def _forgive_after_own_pause(self, now_s: float) -> None:
+        ticked_at_s = self._ticked_at_s
+        self._ticked_at_s = now_s
+        if ticked_at_s is None or now_s - ticked_at_s < OWN_PAUSE_S:
+            return
+        for probe in self._probes.values():
+            probe.answered_at_s = now_s
+            probe.failed_probes = 0
+
+
+def _is_silent(probe: Probe, now_s: float) -> bool:
+    return (
+        now_s - probe.answered_at_s >= ALARM_AFTER_S
+        and probe.failed_probes >= FAILED_PROBES_BEFORE_ALARM
+    )
+
+
+def _rings(names: Iterable[str], label: str, count: int) -> list[list[str]]:
+    listed = list(names)
+    return [
+        sorted(
+            listed,
+            key=lambda name: (
+                xxhash.xxh3_64_intdigest(f"{label}\0{ring}\0{name}".encode()),
+                name,
+            ),
+        )
+        for ring in range(count)
+    ]
+
+
+def _predecessors(
+    rings: list[list[str]], names: Iterable[str]
+) -> dict[str, tuple[str, ...]]:
+    places = [{name: at for at, name in enumerate(ring)} for ring in rings]
+    return {name: _distinct_predecessors(rings, places, name) for name in names}
+
+
+def _distinct_predecessors(
+    rings: list[list[str]], places: list[dict[str, int]], name: str
+) -> tuple[str, ...]:
+    found: dict[str, None] = {}
+    for ring, place in zip(rings, places, strict=True):
+        # A predecessor that another ring gave already would leave the member
+        # with fewer monitors than rings, so the one before it is taken. Small
+        # fleets need this; there, all members monitor all.
+        for distance in range(1, len(ring)):
+            predecessor = ring[place[name] - distance]
+            if predecessor not in found:
+                found[predecessor] = None
+                break
+    return tuple(found)
+
+
+def _inverse(
+    relation: dict[str, tuple[str, ...]],
+) -> dict[str, tuple[str, ...]]:
+    inverse: dict[str, list[str]] = {}
+    for name, others in relation.items():
+        for other in others:
+            inverse.setdefault(other, []).append(name)
+    return {name: tuple(others) for name, others in inverse.items()}
+
+
+def _distinct(*groups: tuple[str, ...]) -> tuple[str, ...]:
+    return tuple(dict.fromkeys(itertools.chain.from_iterable(groups)))
--- /dev/null
+++ b/src/sardinehill/core/steward.py
@@ -0,0 +1,258 @@
+"""When the member list changes, and to what.
+
+A few members, the stewards, hold the duty to write the member list. They need
+no lease: the list changes by a conditional update, so of two stewards that act
+at once one loses and reads again. Writing by the joining daemons themselves
+was weighed and lost, since 200 restarts at once would fight over one object.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+from sardinehill.core import duties
+from sardinehill.core import fleet
+from sardinehill.core import membership
+
+ALARM_LIFETIME_S = 2.5
+# Stewards wait by their rank, so that usually the first one writes.
+RANK_DELAY_S = 2.0
+# Changes wait for each other, so that a rolling restart costs few writes.
+CHANGE_INTERVAL_S = 0.5
+# Below two alarms a removal would rest on one link alone.
+SMALLEST_QUORUM = 2
+FIRST_REJOIN_DELAY_S = 1.0
+LONGEST_REJOIN_DELAY_S = 60.0
+# A removal is forgiven after this time without another.
+REJOIN_MEMORY_S = 600.0
+# Probes a second that a steward sends to suspects.
+MOST_SUSPECTS = 8
+# The platform's list lags, so a host missing from it must stay missing.
+UNLISTED_BEFORE_REMOVAL_S = 10.0
+# A joining daemon that no steward serves writes itself after this time.
+UNSERVED_BEFORE_OWN_JOIN_S = 6.0
+
+
+@dataclasses.dataclass
+class Removal:
+    """A member's latest removals for silence.
+
+    Attributes:
+      count: removals in a row.
+      removed_at_s: the time of the last one.
+    """
+
+    count: int
+    removed_at_s: float
+
+
+class Steward:
+    """What one daemon knows that may change the member list."""
+
+    def __init__(self, name: str):
+        self.name = name
+        self._alarms: dict[tuple[str, str, int], float] = {}
+        self._joins: dict[str, fleet.DaemonHost] = {}
+        self._leaves: dict[str, int] = {}
+        self._removals: dict[str, Removal] = {}
+        self._wanted_since_s: float | None = None
+        self._changed_at_s = float("-inf")
+        self._unlisted_since_s: dict[str, float] = {}
+        self._own_probe_failed: set[tuple[str, int]] = set()
+
+    def heard_alarm(self, alarm: membership.Alarm, now_s: float) -> None:
+        """Takes a monitor's alarm, which stands for a short time."""
+        key = (alarm.reporter, alarm.subject, alarm.incarnation)
+        self._alarms[key] = now_s
+
+    def heard_join(self, host: fleet.DaemonHost) -> None:
+        """Takes a daemon's wish to be a member."""
+        known = self._joins.get(host.name)
+        if known is None or known.incarnation <= host.incarnation:
+            self._joins[host.name] = host
+
+    def heard_leave(self, name: str, incarnation: int) -> None:
+        """Takes a daemon's wish to be a member no more."""
+        self._leaves[name] = max(incarnation, self._leaves.get(name, 0))
+        joining = self._joins.get(name)
+        if joining is not None and joining.incarnation <= incarnation:
+            del self._joins[name]
+
+    def heard_platform_hosts(
+        self,
+        live: Iterable[str],
+        members: membership.Members,
+        now_s: float,
+    ) -> None:
+        """Takes the platform's list of hosts, which lags and only hints."""
+        listed = set(live)
+        self._unlisted_since_s = {
+            host.name: self._unlisted_since_s.get(host.name, now_s)
+            for host in members.hosts
+            if host.name not in listed
+        }
+
+    def own_probe(self, name: str, incarnation: int, answered: bool) -> None:
+        """Takes the result of this steward's own probe of a suspect."""
+        if answered:
+            self._own_probe_failed.discard((name, incarnation))
+        else:
+            self._own_probe_failed.add((name, incarnation))
+
+    def suspects(
+        self, overlay: membership.Overlay, members: membership.Members
+    ) -> list[str]:
+        """Returns the members that this steward should probe itself."""
+        found = [
+            host.name
+            for host in members.hosts
+            if host.name != self.name
+            and (
+                host.name in self._unlisted_since_s
+                or self._has_quorum(host, overlay)
+            )
+        ]
+        return found[:MOST_SUSPECTS]
+
+    def proposal(
+        self,
+        table: duties.DutyTable,
+        overlay: membership.Overlay,
+        now_s: float,
+    ) -> tuple[fleet.DaemonHost, ...] | None:
+        """Returns the hosts that the list should hold, or None for no change.
+
+        At most a third of the list, and at least one member, is removed at
+        once, so that the majorities of two lists in a row meet.
+        """
+        members = table.members
+        self._forget_old(members, now_s)
+        removed = self._removed(members, overlay, now_s)
+        joined = self._joined(members, now_s)
+        if not removed and not joined:
+            self._wanted_since_s = None
+            return None
+        if not self._may_act(table, now_s):
+            return None
+        hosts = {
+            host.name: host
+            for host in members.hosts
+            if host.name not in removed
+        }
+        hosts.update({host.name: host for host in joined})
+        return tuple(hosts[name] for name in sorted(hosts))
+
+    def committed(
+        self,
+        before: membership.Members,
+        after: membership.Members,
+        now_s: float,
+    ) -> None:
+        """Takes note that a change of the list was accepted by the store."""
+        self._changed_at_s = now_s
+        self._wanted_since_s = None
+        for host in before.hosts:
+            if host.name in after.by_name or host.name in self._leaves:
+                continue
+            earlier = self._removals.get(host.name)
+            count = 1 if earlier is None else earlier.count + 1
+            self._removals[host.name] = Removal(count, now_s)
+
+    def _may_act(self, table: duties.DutyTable, now_s: float) -> bool:
+        if self._wanted_since_s is None:
+            self._wanted_since_s = now_s
+        ranked = table.holders(duties.STEWARD_DUTY, len(table.members.hosts))
+        if self.name not in ranked:
+            return False
+        # Not the first three only: all of them may be gone.
+        delay_s = ranked.index(self.name) * RANK_DELAY_S
+        return (
+            now_s - self._wanted_since_s >= delay_s
+            and now_s - self._changed_at_s >= CHANGE_INTERVAL_S
+        )
+
+    def _removed(
+        self,
+        members: membership.Members,
+        overlay: membership.Overlay,
+        now_s: float,
+    ) -> list[str]:
+        most = max(1, len(members.hosts) // 3)
+        gone = [
+            host.name
+            for host in members.hosts
+            if self._is_gone(host, overlay, now_s)
+        ]
+        return gone[:most]
+
+    def _is_gone(
+        self,
+        host: fleet.DaemonHost,
+        overlay: membership.Overlay,
+        now_s: float,
+    ) -> bool:
+        if self._leaves.get(host.name, -1) >= host.incarnation:
+            return True
+        if (host.name, host.incarnation) not in self._own_probe_failed:
+            return False
+        unlisted_since_s = self._unlisted_since_s.get(host.name, now_s)
+        if now_s - unlisted_since_s >= UNLISTED_BEFORE_REMOVAL_S:
+            return True
+        return self._has_quorum(host, overlay)
+
+    def _has_quorum(
+        self, host: fleet.DaemonHost, overlay: membership.Overlay
+    ) -> bool:
+        monitors = overlay.monitors_of(host.name)
+        raised = sum(
+            (monitor, host.name, host.incarnation) in self._alarms
+            for monitor in monitors
+        )
+        return raised >= max(SMALLEST_QUORUM, len(monitors) // 2 + 1)
+
+    def _joined(
+        self, members: membership.Members, now_s: float
+    ) -> list[fleet.DaemonHost]:
+        return [
+            host
+            for host in self._joins.values()
+            if members.by_name.get(host.name) != host
+            and now_s >= self._may_rejoin_at_s(host.name)
+        ]
+
+    def _may_rejoin_at_s(self, name: str) -> float:
+        # A member whose links flap would be added and removed without end,
+        # and each time its duties would move, so its return is slowed.
+        removal = self._removals.get(name)
+        if removal is None:
+            return float("-inf")
+        doublings = min(removal.count - 1, 16)
+        delay_s = FIRST_REJOIN_DELAY_S * 2.0**doublings
+        return removal.removed_at_s + min(delay_s, LONGEST_REJOIN_DELAY_S)
+
+    def _forget_old(self, members: membership.Members, now_s: float) -> None:
+        self._alarms = {
+            key: heard_at_s
+            for key, heard_at_s in self._alarms.items()
+            if now_s - heard_at_s < ALARM_LIFETIME_S
+        }
+        self._joins = {
+            name: host
+            for name, host in self._joins.items()
+            if (members.incarnation_of(name) or 0) <= host.incarnation
+            and members.by_name.get(name) != host
+        }
+        self._leaves = {
+            name: incarnation
+            for name, incarnation in self._leaves.items()
+            if members.incarnation_of(name) is not None
+        }
+        self._removals = {
+            name: removal
+            for name, removal in self._removals.items()
+            if now_s - removal.removed_at_s < REJOIN_MEMORY_S
+        }
+        self._own_probe_failed = {
+            (name, incarnation)
+            for name, incarnation in self._own_probe_failed
+            if members.incarnation_of(name) == incarnation
+        }
