--- a/src/sardinehill/core/steward.py
+++ b/src/sardinehill/core/steward.py
@@ -196,9 +196,22 @@
             return False
         unlisted_since_s = self._unlisted_since_s.get(host.name, now_s)
         if now_s - unlisted_since_s >= UNLISTED_BEFORE_REMOVAL_S:
-            return True
+            return self._no_listed_monitor_hears(host, overlay)
         return self._has_quorum(host, overlay)
 
+    def _no_listed_monitor_hears(
+        self, host: fleet.DaemonHost, overlay: membership.Overlay
+    ) -> bool:
+        # The list may be wrong about a live member, and this steward's own
+        # link to it may be cut at the same time; its monitors would know.
+        # Monitors that are missing from the list too have no say, or a fleet
+        # replaced as a whole would keep its dead members for ever.
+        return all(
+            (monitor, host.name, host.incarnation) in self._alarms
+            for monitor in overlay.monitors_of(host.name)
+            if monitor not in self._unlisted_since_s and monitor != self.name
+        )
+
     def _has_quorum(
         self, host: fleet.DaemonHost, overlay: membership.Overlay
     ) -> bool:
--- a/tests/common/peer_network.py
+++ b/tests/common/peer_network.py
@@ -26,6 +26,7 @@
     )
     revision: int = 0
     available: bool = True
+    loses_replies: bool = False
     history: list[membership.Members] = dataclasses.field(default_factory=list)
 
     def write(
@@ -37,7 +38,7 @@
         self.revision += 1
         self.members = membership.Members(self.revision, hosts)
         self.history.append(self.members)
-        return self.members
+        return None if self.loses_replies else self.members
 
 
 @dataclasses.dataclass
