--- a/src/sardinehill/core/member.py
+++ b/src/sardinehill/core/member.py
@@ -96,6 +96,7 @@
         self._wants: dict[tuple[str, str], OpenWant] = {}
         self._contacts: list[str] = []
         self._told_at_s = float("-inf")
+        self._ticked_at_s = float("-inf")
         self._absent_since_s: float | None = None
         self._wishing_since_s: float | None = None
 
@@ -116,8 +117,12 @@
 
     def set_members(self, members: membership.Members, now_s: float) -> bool:
         """Takes a newer list over, and returns whether it was newer."""
+        before = self.members
         if not self._monitor.set_members(members, now_s):
             return False
+        self._steward.observed(before, members, now_s)
+        if self.is_member:
+            self._absent_since_s = None
         self.duties = duties.DutyTable(members)
         return True
 
@@ -135,6 +140,11 @@
 
     def tick(self, now_s: float) -> list[peer_messages.Outgoing]:
         """Returns what there is to send now."""
+        if now_s - self._ticked_at_s >= membership.OWN_PAUSE_S:
+            # Stewards had no time to grant a wish that a frozen daemon did
+            # not tell, so the time of the pause does not count.
+            self._absent_since_s = None
+        self._ticked_at_s = now_s
         self._expire_probes(now_s)
         outgoing = self._heartbeats(now_s)
         outgoing += self._overdue_wants(now_s)
@@ -174,7 +184,7 @@
                 for alarm in message.alarms:
                     self._steward.heard_alarm(alarm, now_s)
             case peer_messages.Join():
-                self._steward.heard_join(message.host)
+                self._steward.heard_join(message.host, now_s)
             case peer_messages.Leave():
                 self._steward.heard_leave(message.name, message.incarnation)
         return []
@@ -190,11 +200,6 @@
         hosts[self.host.name] = self.host
         return tuple(hosts[name] for name in sorted(hosts))
 
-    def committed(self, members: membership.Members, now_s: float) -> None:
-        """Takes a list that this daemon wrote and the store accepted."""
-        self._steward.committed(self.members, members, now_s)
-        self.set_members(members, now_s)
-
     def _heartbeats(self, now_s: float) -> list[peer_messages.Outgoing]:
         names = self._monitor.due(now_s)
         if not self.is_member and now_s - self._told_at_s >= 1.0:
--- a/src/sardinehill/core/steward.py
+++ b/src/sardinehill/core/steward.py
@@ -14,6 +14,7 @@
 from sardinehill.core import membership
 
 ALARM_LIFETIME_S = 2.5
+JOIN_LIFETIME_S = 2.5
 # Stewards wait by their rank, so that usually the first one writes.
 RANK_DELAY_S = 2.0
 # Changes wait for each other, so that a rolling restart costs few writes.
@@ -45,13 +46,26 @@
     removed_at_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Wish:
+    """A daemon's wish to be a member.
+
+    Attributes:
+      host: the daemon.
+      heard_at_s: when it last said so.
+    """
+
+    host: fleet.DaemonHost
+    heard_at_s: float
+
+
 class Steward:
     """What one daemon knows that may change the member list."""
 
     def __init__(self, name: str):
         self.name = name
         self._alarms: dict[tuple[str, str, int], float] = {}
-        self._joins: dict[str, fleet.DaemonHost] = {}
+        self._joins: dict[str, Wish] = {}
         self._leaves: dict[str, int] = {}
         self._removals: dict[str, Removal] = {}
         self._wanted_since_s: float | None = None
@@ -64,17 +78,17 @@
         key = (alarm.reporter, alarm.subject, alarm.incarnation)
         self._alarms[key] = now_s
 
-    def heard_join(self, host: fleet.DaemonHost) -> None:
-        """Takes a daemon's wish to be a member."""
+    def heard_join(self, host: fleet.DaemonHost, now_s: float) -> None:
+        """Takes a daemon's wish to be a member, which stands a short time."""
         known = self._joins.get(host.name)
-        if known is None or known.incarnation <= host.incarnation:
-            self._joins[host.name] = host
+        if known is None or known.host.incarnation <= host.incarnation:
+            self._joins[host.name] = Wish(host, now_s)
 
     def heard_leave(self, name: str, incarnation: int) -> None:
         """Takes a daemon's wish to be a member no more."""
         self._leaves[name] = max(incarnation, self._leaves.get(name, 0))
         joining = self._joins.get(name)
-        if joining is not None and joining.incarnation <= incarnation:
+        if joining is not None and joining.host.incarnation <= incarnation:
             del self._joins[name]
 
     def heard_platform_hosts(
@@ -141,13 +155,13 @@
         hosts.update({host.name: host for host in joined})
         return tuple(hosts[name] for name in sorted(hosts))
 
-    def committed(
+    def observed(
         self,
         before: membership.Members,
         after: membership.Members,
         now_s: float,
     ) -> None:
-        """Takes note that a change of the list was accepted by the store."""
+        """Takes note of a change of the list, whoever wrote it."""
         self._changed_at_s = now_s
         self._wanted_since_s = None
         for host in before.hosts:
@@ -226,10 +240,10 @@
         self, members: membership.Members, now_s: float
     ) -> list[fleet.DaemonHost]:
         return [
-            host
-            for host in self._joins.values()
-            if members.by_name.get(host.name) != host
-            and now_s >= self._may_rejoin_at_s(host.name)
+            wish.host
+            for wish in self._joins.values()
+            if members.by_name.get(wish.host.name) != wish.host
+            and now_s >= self._may_rejoin_at_s(wish.host.name)
         ]
 
     def _may_rejoin_at_s(self, name: str) -> float:
@@ -249,10 +263,10 @@
             if now_s - heard_at_s < ALARM_LIFETIME_S
         }
         self._joins = {
-            name: host
-            for name, host in self._joins.items()
-            if (members.incarnation_of(name) or 0) <= host.incarnation
-            and members.by_name.get(name) != host
+            name: wish
+            for name, wish in self._joins.items()
+            if now_s - wish.heard_at_s < JOIN_LIFETIME_S
+            and (members.incarnation_of(name) or 0) <= wish.host.incarnation
         }
         self._leaves = {
             name: incarnation
--- a/tests/common/peer_network.py
+++ b/tests/common/peer_network.py
@@ -148,7 +148,7 @@
             return
         members = self.store.write(hosts, one.members.version)
         if members is not None:
-            one.committed(members, self.now_s)
+            one.set_members(members, self.now_s)
 
     def _deliver(self) -> None:
         arriving, self._in_flight = self._in_flight, []
--- /dev/null
+++ b/tests/cover/test_news.py
@@ -0,0 +1,112 @@
+"""Claims about versions of news and how fresh they are."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from sardinehill.core import news
+from tests.common import peer_network
+
+
+def _item(version: int, name: str = "fleet") -> news.Item:
+    return news.Item("config", name, version, str(version).encode())
+
+
+@given(st.lists(st.integers(1, 9), min_size=1))
+def test_the_highest_version_stays_whatever_the_order(
+    versions: list[int],
+) -> None:
+    table = news.NewsTable()
+    taken = [version for version in versions if table.offer(_item(version))]
+    assert taken == sorted(set(taken))
+    found = table.get("config", "fleet")
+    assert found is not None
+    assert found.version == max(versions)
+
+
+@given(st.permutations([(1, "a"), (2, "b"), (3, "a"), (4, "c")]))
+def test_equal_tables_have_equal_digests(
+    order: list[tuple[int, str]],
+) -> None:
+    table = news.NewsTable()
+    for version, name in order:
+        table.offer(_item(version, name))
+    other = news.NewsTable()
+    for version, name in ((4, "c"), (2, "b"), (3, "a")):
+        other.offer(_item(version, name))
+    assert table.digest == other.digest
+    assert table.digest != news.NewsTable().digest
+
+
+def test_a_list_older_than_an_item_does_not_delete_it() -> None:
+    table = news.NewsTable()
+    table.offer(_item(7))
+    assert table.listed("config", [], revision=6) == []
+
+
+def test_a_newer_list_deletes_what_it_lacks() -> None:
+    table = news.NewsTable()
+    table.offer(_item(7))
+    (gone,) = table.listed("config", [], revision=9)
+    assert table.offer(gone)
+    assert table.get("config", "fleet") is None
+    assert not table.offer(_item(8))
+    assert table.offer(_item(10))
+
+
+def test_freshness_of_other_news_is_not_taken_over() -> None:
+    table = news.NewsTable()
+    table.offer(_item(1))
+    other = news.NewsTable()
+    other.offer(_item(2))
+    table.hear_age(other.digest, age_s=0.0, asked_at_s=10.0)
+    assert table.age_s(10.0) == float("inf")
+
+
+def test_freshness_is_counted_from_the_question() -> None:
+    table = news.NewsTable()
+    table.hear_age(table.digest, age_s=2.0, asked_at_s=10.0)
+    assert table.age_s(15.0) == pytest.approx(7.0)
+
+
+def test_freshness_never_goes_back() -> None:
+    table = news.NewsTable()
+    table.confirm(10.0)
+    table.hear_age(table.digest, age_s=5.0, asked_at_s=11.0)
+    assert table.age_s(11.0) == pytest.approx(1.0)
+
+
+def test_freshness_spreads_from_one_watcher_to_all() -> None:
+    hosts = [peer_network.host(f"d{i:02}") for i in range(40)]
+    network = peer_network.Network(hosts)
+    network.commit_all()
+    watcher = network.daemons["d00"].member
+    network.run(8.0, lambda: watcher.news.confirm(network.now_s))
+    ages = [
+        d.member.news.age_s(network.now_s) for d in network.daemons.values()
+    ]
+    assert max(ages) < 5.0
+
+
+def test_a_body_is_asked_of_another_when_the_first_is_silent() -> None:
+    hosts = [peer_network.host(name) for name in "abc"]
+    network = peer_network.Network(hosts)
+    network.commit_all()
+    network.offer("a", _item(1))
+    network.cut.add(("a", "c"))
+    network.run(3.0)
+    found = network.daemons["c"].member.news.get("config", "fleet")
+    assert found == _item(1)
+
+
+def test_a_body_is_sent_once_to_each_member() -> None:
+    hosts = [peer_network.host(f"d{i:02}") for i in range(40)]
+    network = peer_network.Network(hosts, measured=True)
+    network.commit_all()
+    network.run(2.0)
+    body_bytes = 100_000
+    before = {n: d.received_bytes for n, d in network.daemons.items()}
+    network.offer("d00", news.Item("config", "fleet", 1, b"x" * body_bytes))
+    network.run(1.0)
+    for name, daemon in network.daemons.items():
+        assert daemon.received_bytes - before[name] < 1.2 * body_bytes
--- /dev/null
+++ b/tests/slow/test_news_machine.py
@@ -0,0 +1,124 @@
+"""Long stories of changes, losses and restarts; versions never go back."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from sardinehill.core import news
+from tests.common import peer_network
+
+NAMES = ("a", "b", "c", "d", "e")
+OBJECTS = (
+    ("config", "fleet"),
+    ("placement", "fleet"),
+    ("account-keys", "0"),
+    ("assignment", "prenota"),
+)
+names = st.sampled_from(NAMES)
+objects = st.sampled_from(OBJECTS)
+# Heartbeats each second find what was lost, over a few hops.
+SETTLED_S = 8.0
+
+
+class NewsMachine(stateful.RuleBasedStateMachine):
+    """Five members, and a store that any of them may read, late or stale."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        hosts = [peer_network.host(name) for name in NAMES]
+        self.network = peer_network.Network(hosts)
+        self.network.commit_all()
+        self.revision = 0
+        self.written: dict[tuple[str, str], list[news.Item]] = {}
+        self.applied: dict[str, dict[tuple[str, str], int]] = {
+            name: {} for name in NAMES
+        }
+
+    @stateful.rule(key=objects, deleted=st.booleans())
+    def store_changes(self, key: tuple[str, str], deleted: bool) -> None:
+        """Writes or deletes an object in the store."""
+        self.revision += 1
+        body = b"" if deleted else str(self.revision).encode()
+        item = news.Item(*key, self.revision, body, deleted)
+        self.written.setdefault(key, []).append(item)
+
+    @stateful.rule(name=names, key=objects, back=st.integers(0, 3))
+    def a_daemon_reads(
+        self, name: str, key: tuple[str, str], back: int
+    ) -> None:
+        """Has a daemon read an object, perhaps in an old version."""
+        versions = self.written.get(key, [])
+        if versions and self.network.runs(name):
+            item = versions[max(0, len(versions) - 1 - back)]
+            self.network.offer(name, item)
+            self._check()
+
+    @stateful.rule(ticks=st.integers(1, 10))
+    def time_passes(self, ticks: int) -> None:
+        """Lets up to two seconds pass."""
+        self.network.run(ticks * peer_network.TICK_S, self._check)
+
+    @stateful.rule(sender=names, receiver=names)
+    def cut_one_way(self, sender: str, receiver: str) -> None:
+        """Loses all messages from one member to another."""
+        self.network.cut.add((sender, receiver))
+
+    @stateful.rule()
+    def heal(self) -> None:
+        """Ends all cuts."""
+        self.network.cut.clear()
+
+    @stateful.rule(name=names, paused=st.booleans())
+    def pause_or_resume(self, name: str, paused: bool) -> None:
+        """Freezes a member or lets it go on."""
+        self.network.daemons[name].paused = paused
+
+    @stateful.rule(name=names)
+    def restart_in_an_outage(self, name: str) -> None:
+        """Starts a member anew, which can learn only from its peers."""
+        old = self.network.daemons[name].member.host
+        host = peer_network.host(name, incarnation=old.incarnation + 1)
+        self.network.start(host)
+        self.applied[name] = {}
+
+    def teardown(self) -> None:
+        """Ends all faults and expects all to know the same."""
+        self.network.cut.clear()
+        for daemon in self.network.daemons.values():
+            daemon.paused = False
+        known = {
+            notice
+            for daemon in self.network.daemons.values()
+            for notice in daemon.member.news.notices()
+        }
+        newest: dict[tuple[str, str], int] = {}
+        for notice in known:
+            key = (notice.kind, notice.name)
+            newest[key] = max(newest.get(key, 0), notice.version)
+        self.network.run(SETTLED_S, self._check)
+        for daemon in self.network.daemons.values():
+            there = {
+                (notice.kind, notice.name): notice.version
+                for notice in daemon.member.news.notices()
+            }
+            assert there == newest
+
+    def _check(self) -> None:
+        for name, daemon in self.network.daemons.items():
+            table = daemon.member.news
+            there = {(n.kind, n.name): n.version for n in table.notices()}
+            for key, version in self.applied[name].items():
+                assert there.get(key, 0) >= version, "a version went back"
+            self.applied[name] = there
+            for item in table.items("config"):
+                assert item in self.written["config", "fleet"]
+
+
+TestNewsMachine = NewsMachine.TestCase
+TestNewsMachine.settings = hypothesis.settings(
+    max_examples=60,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
