Hold a removal to a majority of the monitors by a focused test

Cause: a mutant that took two alarms for a quorum passed the state machine. Change: a test cuts a member from two of its monitors and every steward. Conclusion: the quorum is held by a test.

--- a/tests/cover/test_membership.py
+++ b/tests/cover/test_membership.py
@@ -283,3 +283,16 @@
     network.run(5.0)
     listed = network.store.members.by_name["d00"]
     assert listed.peer_address == moved
+
+
+def test_a_minority_of_the_monitors_and_the_stewards_remove_nobody() -> None:
+    network = _network(11)
+    table = network.daemons["d00"].member.duties
+    overlay = membership.Overlay(network.store.members)
+    victim = next(n for n in network.daemons if n not in table.stewards())
+    monitors = overlay.monitors_of(victim)
+    assert len(monitors) == membership.REGION_RINGS
+    cut_off = {*monitors[:2], *(set(network.daemons) - set(monitors))}
+    network.cut |= {(victim, other) for other in cut_off - {victim}}
+    network.run(30.0)
+    assert _writes(network) == 1
