Say how two daemons prove a shared secret, and when one reads the store

Cause: mutants that ignored the incarnation of a leave, that alarmed on one failed probe, or that let a deaf monitor alarm passed the tests. Change: a focused test for each. Conclusion: ready to be wired.

--- a/src/sardinehill/core/news.py
+++ b/src/sardinehill/core/news.py
@@ -21,6 +21,9 @@
     "account-keys",
     "assignment",
     "members",
+    # The platform's list of hosts, which a watcher copies into an object:
+    # so it has versions, and 640 daemons need not ask for it.
+    "hosts",
 )
 
 
--- a/src/sardinehill/core/store_budget.py
+++ b/src/sardinehill/core/store_budget.py
@@ -11,6 +11,8 @@
 
 FIRST_BACKOFF_S = 0.1
 LONGEST_BACKOFF_S = 5.0
+# What all daemons together may ask of a store that does not answer.
+OUTAGE_CALLS_PER_S = 100.0
 # What all daemons together may ask of the store while it recovers.
 RECOVERY_CALLS_PER_S = 400.0
 
@@ -54,8 +56,13 @@
     come back together.
     """
 
-    def __init__(self, uniform: Callable[[float, float], float]):
+    def __init__(
+        self,
+        uniform: Callable[[float, float], float],
+        longest_s: float = LONGEST_BACKOFF_S,
+    ):
         self._uniform = uniform
+        self._longest_s = longest_s
         self._failures = 0
 
     @property
@@ -67,13 +74,19 @@
         """Notes a failure and returns the seconds to wait."""
         bound_s = FIRST_BACKOFF_S * 2 ** min(self._failures, 16)
         self._failures += 1
-        return self._uniform(0.0, min(bound_s, LONGEST_BACKOFF_S))
+        return self._uniform(0.0, min(bound_s, self._longest_s))
 
     def succeeded(self) -> None:
         """Notes a success: the next failure starts from the shortest wait."""
         self._failures = 0
 
 
+def longest_backoff_s(members: int) -> float:
+    """Returns the bound of a wait with which a whole fleet asks slowly."""
+    # Waits are half their bound on average.
+    return max(LONGEST_BACKOFF_S, 2 * members / OUTAGE_CALLS_PER_S)
+
+
 def recovery_window_s(members: int, calls_each: int) -> float:
     """Returns the time over which a fleet's first calls are spread."""
     return members * calls_each / RECOVERY_CALLS_PER_S
--- a/src/sardinehill/wire/membership.capnp
+++ b/src/sardinehill/wire/membership.capnp
@@ -46,3 +46,27 @@
     leave @4 :Leave;
   }
 }
+
+# The three messages that begin a connection; see core/peer_proof.py.
+
+struct Hello {
+  name @0 :Text;
+  expectedName @1 :Text;
+  nonce @2 :Data;
+  secretIds @3 :List(Data);
+}
+
+struct Welcome {
+  name @0 :Text;
+  nonce @1 :Data;
+  secretId @2 :Data;
+  proof @3 :Data;
+}
+
+struct HandshakeMessage {
+  union {
+    hello @0 :Hello;
+    welcome @1 :Welcome;
+    proof @2 :Data;
+  }
+}
--- a/tests/cover/test_membership.py
+++ b/tests/cover/test_membership.py
@@ -4,6 +4,7 @@
 
 from sardinehill.core import fleet
 from sardinehill.core import membership
+from sardinehill.core import peer_messages
 from sardinehill.core import steward
 from tests.common import peer_network
 
@@ -58,8 +59,11 @@
 
 def test_a_member_that_hears_nobody_raises_no_alarm() -> None:
     network = _network()
+    # Without the store, d00 keeps the list and so its subjects.
+    network.store.available = False
     network.cut |= {(f"d{i:02}", "d00") for i in range(1, 7)}
     network.run(5.0)
+    assert len(network.daemons["d00"].member.members.hosts) == 7
     assert network.daemons["d00"].member.unreachable(network.now_s) == []
 
 
@@ -296,3 +300,27 @@
     network.cut |= {(victim, other) for other in cut_off - {victim}}
     network.run(30.0)
     assert _writes(network) == 1
+
+
+def test_one_failed_probe_raises_no_alarm() -> None:
+    monitor = membership.Monitor("a")
+    hosts = tuple(peer_network.host(name) for name in "abc")
+    monitor.set_members(membership.Members(1, hosts), 0.0)
+    for failures in range(1, membership.FAILED_PROBES_BEFORE_ALARM + 1):
+        assert monitor.alarms(10.0) == []
+        monitor.failed("b", float(failures))
+        monitor.answered("c", "c", 1, float(failures))
+    assert [alarm.subject for alarm in monitor.alarms(10.0)] == ["b"]
+
+
+def test_a_leave_from_before_a_restart_removes_nobody() -> None:
+    network = _network()
+    network.run(2.0)
+    network.start(peer_network.host("d01", "z1", "r0", incarnation=2))
+    network.run(5.0)
+    assert network.store.members.incarnation_of("d01") == 2
+    late = peer_messages.Leave("d01", 1)
+    for daemon in network.daemons.values():
+        daemon.member.receive("d01", late, network.now_s)
+    network.run(5.0)
+    assert network.store.members.incarnation_of("d01") == 2
--- a/tests/cover/test_store_budget.py
+++ b/tests/cover/test_store_budget.py
@@ -70,3 +70,15 @@
     budget = store_budget.CallBudget(rate_per_s=1.0, burst_calls=1.0)
     waits = [budget.wait_s(0.0) for _ in range(3)]
     assert waits == pytest.approx([0.0, 1.0, 2.0])
+
+
+def test_640_daemons_ask_a_dead_store_slowly() -> None:
+    longest_s = store_budget.longest_backoff_s(640)
+    waits = []
+    for daemon in range(640):
+        uniform = store_budget.seeded_uniform(f"d{daemon}")
+        backoff = store_budget.Backoff(uniform, longest_s)
+        waits += [backoff.failed() for _ in range(20)][10:]
+    calls_per_s = len(waits) / (sum(waits) / 640)
+    assert calls_per_s < 1.2 * store_budget.OUTAGE_CALLS_PER_S
+    assert store_budget.longest_backoff_s(11) == store_budget.LONGEST_BACKOFF_S
