Let contacts take turns, and hold the answer to a table

Cause: two mutants passed: one told nothing back to a peer that lacked something, one never turned the list of contacts. Handing the same contacts in again undid the turn as well. Change: the same contacts keep their order; a focused test for each.

--- a/src/sardinehill/core/member.py
+++ b/src/sardinehill/core/member.py
@@ -128,7 +128,10 @@
 
     def set_contacts(self, names: Iterable[str]) -> None:
         """Sets the daemons to turn to while the list is of no use."""
-        self._contacts = [n for n in names if n != self.host.name]
+        contacts = [name for name in names if name != self.host.name]
+        # The same contacts keep their order, which turns with each use.
+        if set(contacts) != set(self._contacts):
+            self._contacts = contacts
 
     def heard_platform_hosts(self, live: Iterable[str], now_s: float) -> None:
         """Takes the platform's list of live daemon hosts, a mere hint."""
--- a/tests/cover/test_news.py
+++ b/tests/cover/test_news.py
@@ -4,7 +4,9 @@
 from hypothesis import strategies as st
 import pytest
 
+from sardinehill.core import member
 from sardinehill.core import news
+from sardinehill.core import peer_messages
 from tests.common import peer_network
 
 
@@ -110,3 +112,24 @@
     network.run(1.0)
     for name, daemon in network.daemons.items():
         assert daemon.received_bytes - before[name] < 1.2 * body_bytes
+
+
+def test_a_table_is_answered_with_what_it_lacks() -> None:
+    one = member.Member(peer_network.host("a"), lambda item: None)
+    one.offer(_item(3))
+    table = peer_messages.Notices((_item(2).notice,), complete=True)
+    (answer,) = one.receive("b", table, 0.0)
+    assert answer == peer_messages.Outgoing(
+        "b", peer_messages.Notices((_item(3).notice,))
+    )
+    part = peer_messages.Notices((_item(2).notice,))
+    assert one.receive("b", part, 0.0) == []
+
+
+def test_contacts_take_turns() -> None:
+    one = member.Member(peer_network.host("a"), lambda item: None)
+    met = []
+    for second in range(3):
+        one.set_contacts(["b", "c", "d", "e"])
+        met += [out.to for out in one.tick(float(second))]
+    assert met == ["b", "c", "d", "e", "b", "c"]
