--- /dev/null
+++ b/src/sardinehill/core/limits.py
@@ -0,0 +1,196 @@
+"""How many requests one upstream gets at once, and who waits for it.
+
+All requests of an upstream pass through one gateway, so its own count of
+requests in flight is the true one. Load reports are not used here: they lag,
+and a straggler's flatter.
+"""
+
+import dataclasses
+import math
+
+
+@dataclasses.dataclass(frozen=True)
+class LimitPolicy:
+    """The bounds of an upstream's concurrency limit.
+
+    Attributes:
+      slots: requests that the upstream works on at once.
+      queue_requests: requests in flight beyond the slots, which keep a slot
+        from idling while an answer and the next request travel.
+      shed_factor: what a refusal because of load multiplies the limit by.
+      shed_pause_s: the least time between two such cuts, since one overload
+        brings a burst of refusals.
+      slow_ratio: latency over the usual one at which the queue at the
+        upstream is given up.
+    """
+
+    slots: int
+    queue_requests: int = 1
+    shed_factor: float = 0.7
+    shed_pause_s: float = 0.1
+    slow_ratio: float = 2.5
+
+
+class AdaptiveLimit:
+    """A concurrency limit that follows refusals and latency.
+
+    A refusal because of load cuts it, down to one request. Slowness alone
+    cuts it to the slots and no further: a straggler serves as many requests
+    at once as before, only slower, and a smaller limit would lengthen its
+    queue without speeding up one answer.
+    """
+
+    def __init__(self, policy: LimitPolicy):
+        self._policy = policy
+        self._limit = float(policy.slots)
+        self._cut_s = -math.inf
+
+    @property
+    def requests(self) -> int:
+        """The limit now, in requests in flight; at least 1."""
+        return max(1, int(self._limit))
+
+    def answered(
+        self, latency_s: float, usual_latency_s: float, in_flight: int
+    ) -> None:
+        """Takes in a good answer.
+
+        Args:
+          latency_s: its latency.
+          usual_latency_s: the upstream's usual latency, or 0 if unknown.
+          in_flight: requests in flight when it was sent, itself included.
+        """
+        slow_s = usual_latency_s * self._policy.slow_ratio
+        if usual_latency_s > 0 and latency_s > slow_s:
+            self._limit = min(self._limit, float(self._policy.slots))
+            return
+        # A limit that was not used tells nothing about a higher one.
+        if in_flight < self.requests:
+            return
+        ceiling = self._policy.slots + self._policy.queue_requests
+        self._limit = min(float(ceiling), self._limit + 1 / self._limit)
+
+    def shed(self, now_s: float) -> None:
+        """Takes in an upstream's refusal because of load."""
+        if now_s - self._cut_s < self._policy.shed_pause_s:
+            return
+        self._cut_s = now_s
+        self._limit = max(1.0, self._limit * self._policy.shed_factor)
+
+
+@dataclasses.dataclass
+class _Sent:
+    sent_s: float
+    ends_s: float
+
+
+class InFlight:
+    """The requests that an upstream may be working on.
+
+    A request whose caller has gone, or whose time is over, counts on until
+    the upstream says that it has ended, or until it must have: a frozen
+    upstream wakes with everything that was sent to it.
+    """
+
+    def __init__(self, orphan_s: float = 10.0):
+        """Makes an empty ledger.
+
+        Args:
+          orphan_s: how long an abandoned request counts when the upstream
+            does not say what became of it.
+        """
+        self._orphan_s = orphan_s
+        self._sent: dict[str, _Sent] = {}
+        self._orphans: dict[str, _Sent] = {}
+
+    def sent(self, request_id: str, now_s: float, deadline_s: float) -> None:
+        """Counts a request, before its first byte is written."""
+        self._sent[request_id] = _Sent(now_s, deadline_s)
+
+    def ended(self, request_id: str) -> None:
+        """Takes a request off: it was answered, or never reached anyone."""
+        self._sent.pop(request_id, None)
+        self._orphans.pop(request_id, None)
+
+    def abandoned(self, request_id: str, now_s: float) -> None:
+        """Keeps counting a request that nobody waits for any more."""
+        sent = self._sent.pop(request_id, None)
+        if sent is not None:
+            ends_s = max(sent.ends_s, now_s) + self._orphan_s
+            self._orphans[request_id] = _Sent(sent.sent_s, ends_s)
+
+    def upstream_restarted(self) -> None:
+        """Drops abandoned requests: the process that had them is gone."""
+        self._orphans.clear()
+
+    def orphans(self, now_s: float) -> list[str]:
+        """Returns the ids of abandoned requests that still count."""
+        self._expire(now_s)
+        return list(self._orphans)
+
+    def count(self, now_s: float) -> int:
+        """Returns how many requests the upstream may be working on."""
+        self._expire(now_s)
+        return len(self._sent) + len(self._orphans)
+
+    def oldest_age_s(self, now_s: float) -> float:
+        """Returns the age of the oldest request that is waited for, or 0."""
+        if not self._sent:
+            return 0.0
+        oldest_s = min(sent.sent_s for sent in self._sent.values())
+        return now_s - oldest_s
+
+    def longest_left_s(self, now_s: float) -> float:
+        """Returns the seconds until the last request must have ended."""
+        everything = [*self._sent.values(), *self._orphans.values()]
+        return max(
+            (max(0.0, sent.ends_s - now_s) for sent in everything),
+            default=0.0,
+        )
+
+    def _expire(self, now_s: float) -> None:
+        over = [
+            request_id
+            for request_id, orphan in self._orphans.items()
+            if orphan.ends_s <= now_s
+        ]
+        for request_id in over:
+            del self._orphans[request_id]
+
+
+def expected_wait_s(
+    queued: int, limit_requests: int, usual_latency_s: float
+) -> float:
+    """Returns how long a request that joins a queue now waits in it.
+
+    Args:
+      queued: requests that wait before it.
+      limit_requests: requests that the upstream works on at once.
+      usual_latency_s: the upstream's usual latency.
+    """
+    rounds = (queued + 1) / max(1, limit_requests)
+    return rounds * usual_latency_s
+
+
+def comes_too_late(
+    expected_s: float, usual_latency_s: float, time_left_s: float
+) -> bool:
+    """Returns whether a request is better refused now than run in vain.
+
+    A quarter of the time left is kept back for the way home. Without it a
+    queue under steady overload settles where each answer is just too late:
+    the upstreams are busy and no caller is served.
+    """
+    return expected_s + usual_latency_s > 0.75 * time_left_s
+
+
+def retry_after_s(expected_s: float, jitter: float) -> float:
+    """Returns when a refused caller may try again.
+
+    Args:
+      expected_s: the wait that was too long.
+      jitter: a random number from 0 to 1, so that callers who were refused
+        together do not come back together.
+    """
+    least_s = max(0.1, expected_s)
+    return least_s * (1 + jitter)
--- /dev/null
+++ b/tests/slow/test_ramp_machine.py
@@ -0,0 +1,244 @@
+"""A state machine of one upstream and the gateways it has in turn."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from sardinehill.core import ramp
+
+_POLICY = ramp.RampPolicy(cold_start_requests=1, full_requests=4)
+_WARM_LATENCY_S = 0.005
+_COLD_LATENCY_S = 0.2
+_WARMING_PER_ANSWER = 0.7
+_REQUEST_TIME_S = 1.0
+
+
+@dataclasses.dataclass
+class Request:
+    """A request in flight at the upstream."""
+
+    gateway: int
+    sent_s: float
+
+
+class RampMachine(stateful.RuleBasedStateMachine):
+    """Sends as the ramp allows, to an upstream that turns cold at will.
+
+    The upstream is cold after a restart until it has answered often enough.
+    A fall back to cold shows at the first answer or refusal; until then no
+    gateway can know, so the bound is held from the first sign on.
+    """
+
+    make_ramp = staticmethod(ramp.Ramp)
+    make_first = staticmethod(ramp.Ramp.first)
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 100.0
+        self.incarnation = 1
+        self.latency_s = _COLD_LATENCY_S
+        self.in_flight: list[Request] = []
+        self.gateway = 0
+        self.signed = True
+        self.ramp = self.make_first(_POLICY, self.now_s)
+
+    def _own(self) -> int:
+        return sum(r.gateway == self.gateway for r in self.in_flight)
+
+    def _expire(self) -> None:
+        """The upstream honours deadlines."""
+        self.in_flight = [
+            r
+            for r in self.in_flight
+            if self.now_s - r.sent_s < _REQUEST_TIME_S
+            or r.gateway == self.gateway
+        ]
+
+    @stateful.rule(count=st.integers(1, 6))
+    def send(self, count):
+        for _ in range(count):
+            if self._own() >= self.ramp.allowance(self.now_s):
+                return
+            self.in_flight.append(Request(self.gateway, self.now_s))
+            cold = self.latency_s > _WARM_LATENCY_S
+            if cold and self.signed:
+                borne = _POLICY.cold_start_requests
+                assert len(self.in_flight) <= borne, "a cold upstream fell"
+
+    @stateful.rule(count=st.integers(1, 12))
+    def serve(self, count):
+        """Sends and answers one request after another."""
+        for _ in range(count):
+            self.send(1)
+            self.answer()
+
+    @stateful.rule()
+    def answer(self):
+        if not self.in_flight:
+            return
+        request = self.in_flight.pop(0)
+        self.now_s += self.latency_s
+        latency_s = self.now_s - request.sent_s
+        if request.gateway == self.gateway:
+            self.signed = True
+            self.ramp.answered(self.now_s, str(self.incarnation), latency_s)
+        self.latency_s = max(
+            _WARM_LATENCY_S, self.latency_s * _WARMING_PER_ANSWER
+        )
+        self._expire()
+
+    @stateful.rule(seconds=st.sampled_from([0.01, 0.3, 0.6, 1.5]))
+    def wait(self, seconds):
+        self.now_s += seconds
+        self._expire()
+
+    @stateful.rule()
+    def restart(self):
+        """The connections of a process that ends are seen to close."""
+        lost = max(1, self._own())
+        self.in_flight.clear()
+        self.incarnation += 1
+        self.latency_s = _COLD_LATENCY_S
+        self.signed = True
+        for _ in range(lost):
+            self.ramp.connection_lost(self.now_s)
+
+    @stateful.rule()
+    def restart_while_idle(self):
+        """A restart that no connection shows takes a while."""
+        if self.in_flight:
+            return
+        self.now_s += _POLICY.confirm_s + 0.01
+        self.incarnation += 1
+        self.latency_s = _COLD_LATENCY_S
+        self.signed = True
+
+    @stateful.rule()
+    def fall_cold(self):
+        """A fall back to cold that shows nowhere yet."""
+        self.latency_s = _COLD_LATENCY_S
+        self.signed = False
+
+    @stateful.rule()
+    def refuse_cold(self):
+        if not self._own() or self.latency_s <= _WARM_LATENCY_S:
+            return
+        own = [r for r in self.in_flight if r.gateway == self.gateway]
+        self.in_flight.remove(own[-1])
+        self.signed = True
+        self.ramp.refused_cold(self.now_s)
+
+    @stateful.rule()
+    def hand_over(self):
+        left_s = [
+            request.sent_s + _REQUEST_TIME_S - self.now_s
+            for request in self.in_flight
+            if request.gateway == self.gateway
+        ]
+        handover = self.ramp.hand_over(
+            self.now_s, len(left_s), max([0.0, *left_s])
+        )
+        self.gateway += 1
+        self._expire()
+        self.ramp = self.make_ramp(_POLICY, self.now_s, handover)
+
+    @stateful.rule()
+    def lose_gateway(self):
+        self.gateway += 1
+        self._expire()
+        self.signed = True
+        self.ramp = self.make_ramp(_POLICY, self.now_s)
+
+
+SETTINGS = hypothesis.settings(
+    max_examples=150,
+    stateful_step_count=60,
+    derandomize=True,
+    deadline=None,
+    print_blob=False,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+def test_a_cold_upstream_never_gets_more_than_it_bears():
+    stateful.run_state_machine_as_test(RampMachine, settings=SETTINGS)
+
+
+class _ForgetsTheLostGateway(ramp.Ramp):
+    def __init__(self, policy, now_s, handover=None):
+        nothing = ramp.Handover("", 0, 0, 0.0, 0.0)
+        super().__init__(policy, now_s, handover or nothing)
+
+
+class _ForgetsForeignRequests(ramp.Ramp):
+    def allowance(self, now_s):
+        self._foreign = 0
+        return super().allowance(now_s)
+
+
+class _TrustsAHandoverWithoutAnAnswer(ramp.Ramp):
+    def __init__(self, policy, now_s, handover=None):
+        super().__init__(policy, now_s, handover)
+        self._last_answer_s = now_s
+
+
+class _StepsByTimeAlone(ramp.Ramp):
+    def allowance(self, now_s):
+        if now_s - self._step_began_s > self._policy.step_min_s:
+            self._limit = min(self._policy.full_requests, self._limit * 2)
+            self._begin_step(now_s)
+        return super().allowance(now_s)
+
+
+class _StepsOnAnyAnswer(ramp.Ramp):
+    def _try_step(self, now_s):
+        self._limit = min(self._policy.full_requests, self._limit * 2)
+
+
+class _IgnoresIncarnations(ramp.Ramp):
+    def answered(self, now_s, incarnation, latency_s):
+        return super().answered(now_s, "always", latency_s)
+
+
+class _IgnoresSilence(ramp.Ramp):
+    def _confirmed(self, now_s):
+        return True
+
+
+class _IgnoresLostConnections(ramp.Ramp):
+    def connection_lost(self, now_s):
+        pass
+
+
+class _IgnoresColdRefusals(ramp.Ramp):
+    def refused_cold(self, now_s):
+        pass
+
+
+@pytest.mark.parametrize(
+    "mutant",
+    [
+        _ForgetsTheLostGateway,
+        _ForgetsForeignRequests,
+        _TrustsAHandoverWithoutAnAnswer,
+        _StepsByTimeAlone,
+        _StepsOnAnyAnswer,
+        _IgnoresIncarnations,
+        _IgnoresSilence,
+        _IgnoresLostConnections,
+        _IgnoresColdRefusals,
+    ],
+)
+def test_a_broken_ramp_is_caught(mutant):
+    class Machine(RampMachine):
+        make_ramp = staticmethod(mutant)
+        make_first = staticmethod(mutant.first)
+
+    settings = hypothesis.settings(
+        SETTINGS, max_examples=3000, phases=[hypothesis.Phase.generate]
+    )
+    with pytest.raises(AssertionError, match="a cold upstream fell"):
+        stateful.run_state_machine_as_test(Machine, settings=settings)
