Hold the ramp's bound over unseen restarts, refusals and gateway changes

Cause: a cold upstream shows warmth by answers; four were taken as proof after one stretch, which a stretch that spans the warming also gives. Change: a step needs ten answers for each request in flight and a second stretch that is no faster; a jump is 2.2 times the usual latency and is accepted as usual by time, not by answers.

--- a/src/sardinehill/core/ramp.py
+++ b/src/sardinehill/core/ramp.py
@@ -27,11 +27,14 @@
       confirm_s: how long an answer proves that the upstream did not restart.
       settle_s: how long requests of a lost gateway may still be running.
       refusal_pause_s: how long nothing is sent after a refusal for coldness.
+      suspicion_answers: good answers that disprove a suspicion.
       resets_in_burst: lost connections within `burst_s` that mean a restart.
       burst_s: the span over which lost connections are counted.
       jump_ratio: latency over the usual one that counts as a jump.
       jump_answers: answers in a row that make a jump.
       jump_floor_s: latency under which nothing counts as a jump.
+      jump_accepted_s: time in which a lasting slowness doubles the usual
+        latency.
       steady_ratio: latency over that of the stretch before, under which the
         upstream is still warming.
       veto_s: how long a health report that says cold holds a step back.
@@ -40,16 +43,18 @@
 
     cold_start_requests: int
     full_requests: int
-    good_answers: int = 4
+    good_answers: int = 10
     step_min_s: float = 0.5
     confirm_s: float = 1.0
     settle_s: float = 2.0
     refusal_pause_s: float = 0.25
+    suspicion_answers: int = 4
     resets_in_burst: int = 2
     burst_s: float = 1.0
-    jump_ratio: float = 5.0
+    jump_ratio: float = 2.2
     jump_answers: int = 3
-    jump_floor_s: float = 0.02
+    jump_floor_s: float = 0.01
+    jump_accepted_s: float = 5.0
     steady_ratio: float = 0.7
     veto_s: float = 2.5
     veto_max_s: float = 30.0
@@ -171,10 +176,11 @@
         if incarnation in self._past_incarnations:
             return False
         restarted = self._learn_incarnation(now_s, incarnation)
+        silence_s = now_s - self._last_answer_s
         self._last_answer_s = now_s
         if restarted:
             return True
-        if self._jumped(now_s, latency_s):
+        if self._jumped(now_s, latency_s, silence_s):
             return False
         sent_s = now_s - latency_s
         self._settle_suspicion(sent_s)
@@ -294,7 +300,7 @@
         self._suspect_s = now_s
         self._suspicion_good = 0
 
-    def _jumped(self, now_s: float, latency_s: float) -> bool:
+    def _jumped(self, now_s: float, latency_s: float, silence_s: float) -> bool:
         usual_s = self._usual_latency_s
         threshold_s = max(
             self._policy.jump_floor_s, usual_s * self._policy.jump_ratio
@@ -307,14 +313,17 @@
             self._raise_suspicion(now_s)
             # A lasting slowness has to become the usual latency in the end,
             # or an upstream that has grown slower would stay at a trickle.
-            self._usual_latency_s *= 1.05
+            # It does so by time: counted by answers, a cold upstream would
+            # be called usual after its first few.
+            share = min(silence_s, 1.0) / self._policy.jump_accepted_s
+            self._usual_latency_s *= 2**share
         return True
 
     def _settle_suspicion(self, sent_s: float) -> None:
         if not self._suspect or sent_s < self._suspect_s:
             return
         self._suspicion_good += 1
-        if self._suspicion_good < self._policy.good_answers:
+        if self._suspicion_good < self._policy.suspicion_answers:
             return
         self._suspect = False
         self._suspicion_good = 0
@@ -323,9 +332,9 @@
         if self._usual_latency_s <= 0:
             self._usual_latency_s = latency_s
             return
-        # A cold upstream answers slowly, so a fall is learnt at once and a
-        # rise slowly: otherwise cold answers would set the usual latency.
-        weight = 0.3 if latency_s < self._usual_latency_s else 0.02
+        # A cold upstream answers slowly, so a fall is learnt faster than a
+        # rise: otherwise cold answers would set the usual latency.
+        weight = 0.1 if latency_s < self._usual_latency_s else 0.05
         self._usual_latency_s += weight * (latency_s - self._usual_latency_s)
 
     def _begin_step(self, now_s: float) -> None:
--- /dev/null
+++ b/tests/slow/test_outlier_machine.py
@@ -0,0 +1,146 @@
+"""A state machine of the upstreams that one daemon leaves out."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from sardinehill.core import outliers
+
+_POLICY = outliers.OutlierPolicy()
+_NAMES = [f"u{number}" for number in range(10)]
+
+
+class OutlierMachine(stateful.RuleBasedStateMachine):
+    """Upstreams that fail, slow down and recover in any order."""
+
+    make_detector = staticmethod(outliers.OutlierDetector)
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 0.0
+        self.detector = self.make_detector(_POLICY)
+        self.detector.set_upstreams(_NAMES)
+        self.in_flight = dict.fromkeys(_NAMES, 0)
+        self.names = list(_NAMES)
+
+    @stateful.rule(count=st.integers(1, 20), data=st.data())
+    def send(self, count, data):
+        for _ in range(count):
+            usable = self.detector.usable(self.now_s)
+            assert usable, "nothing to choose from"
+            name = data.draw(st.sampled_from(usable))
+            out = self.detector.ejected(self.now_s)
+            # A service of which all is out still serves somewhere.
+            if set(out) != set(self.names):
+                assert name not in out, "sent to an ejected upstream"
+            others = [n for n in usable if n not in self.detector.recovering()]
+            if others and name in self.detector.recovering():
+                assert self.in_flight[name] == 0, "more than a trickle"
+            self.in_flight[name] += 1
+            self.detector.sent(name)
+
+    @stateful.rule(
+        name=st.sampled_from(_NAMES),
+        fate=st.sampled_from(["good", "slow", "failed"]),
+        count=st.integers(1, 5),
+    )
+    def end(self, name, fate, count):
+        for _ in range(count):
+            if name not in self.names:
+                return
+            if self.in_flight[name]:
+                self.in_flight[name] -= 1
+                self.detector.ended(name)
+            if fate == "failed":
+                self.detector.failed(name, self.now_s)
+            else:
+                latency_s = 0.005 if fate == "good" else 0.2
+                self.detector.succeeded(name, self.now_s, latency_s)
+
+    @stateful.rule(names=st.sets(st.sampled_from(_NAMES)))
+    def everything_fails(self, names):
+        for name in names:
+            for _ in range(_POLICY.failures_in_row):
+                self.detector.failed(name, self.now_s)
+
+    @stateful.rule(name=st.sampled_from(_NAMES), age_s=st.floats(0, 10))
+    def freeze(self, name, age_s):
+        self.detector.overdue(name, self.now_s, age_s)
+
+    @stateful.rule(seconds=st.sampled_from([0.01, 0.3, 1.0, 11.0]))
+    def wait(self, seconds):
+        self.now_s += seconds
+
+    @stateful.rule(names=st.sets(st.sampled_from(_NAMES), min_size=1))
+    def change_upstreams(self, names):
+        self.names = sorted(names)
+        self.detector.set_upstreams(self.names)
+        for name in _NAMES:
+            if name not in names:
+                self.in_flight[name] = 0
+
+    @stateful.invariant()
+    def the_floor_holds(self):
+        out = self.detector.ejected(self.now_s)
+        if len(self.names) == len(_NAMES):
+            most = len(_NAMES) * _POLICY.ejected_share
+            recovering = self.detector.recovering()
+            held = set(recovering) | set(out)
+            assert len(held) <= most, "more than the share is left out"
+        assert self.detector.usable(self.now_s), "nothing to choose from"
+
+
+SETTINGS = hypothesis.settings(
+    max_examples=100,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+    print_blob=False,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+def test_a_service_always_keeps_its_floor():
+    stateful.run_state_machine_as_test(OutlierMachine, settings=SETTINGS)
+
+
+class _HasNoFloor(outliers.OutlierDetector):
+    def _may_eject_one_more(self):
+        return True
+
+
+class _CountsOnlyThoseThatAreOut(outliers.OutlierDetector):
+    now_s = 0.0
+
+    def failed(self, name, now_s):
+        self.now_s = now_s
+        super().failed(name, now_s)
+
+    def _may_eject_one_more(self):
+        return len(self.ejected(self.now_s)) < 4
+
+
+class _ComesBackAtOnce(outliers.OutlierDetector):
+    def _is_usable(self, record, now_s):
+        return now_s >= record.ejected_until_s
+
+
+class _EjectsNobody(outliers.OutlierDetector):
+    def usable(self, now_s):
+        return sorted(self._records)
+
+
+@pytest.mark.parametrize(
+    "mutant",
+    [_HasNoFloor, _CountsOnlyThoseThatAreOut, _ComesBackAtOnce, _EjectsNobody],
+)
+def test_a_broken_detector_is_caught(mutant):
+    class Machine(OutlierMachine):
+        make_detector = staticmethod(mutant)
+
+    settings = hypothesis.settings(
+        SETTINGS, max_examples=1000, phases=[hypothesis.Phase.generate]
+    )
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(Machine, settings=settings)
--- a/tests/slow/test_ramp_machine.py
+++ b/tests/slow/test_ramp_machine.py
@@ -9,7 +9,9 @@
 
 from sardinehill.core import ramp
 
-_POLICY = ramp.RampPolicy(cold_start_requests=1, full_requests=4)
+_POLICY = ramp.RampPolicy(
+    cold_start_requests=1, full_requests=4, good_answers=4
+)
 _WARM_LATENCY_S = 0.005
 _COLD_LATENCY_S = 0.2
 _WARMING_PER_ANSWER = 0.7
@@ -43,6 +45,7 @@
         self.in_flight: list[Request] = []
         self.gateway = 0
         self.signed = True
+        self.slow_answers = 0
         self.ramp = self.make_first(_POLICY, self.now_s)
 
     def _own(self) -> int:
@@ -75,6 +78,16 @@
             self.send(1)
             self.answer()
 
+    @stateful.rule()
+    def warm_up(self):
+        """Serves until the ramp of a sound upstream has ended."""
+        if self.ramp.warm:
+            return
+        for _ in range(6):
+            self.serve(15)
+            self.wait(0.6)
+        self.serve(1)
+
     @stateful.rule()
     def answer(self):
         if not self.in_flight:
@@ -83,13 +96,20 @@
         self.now_s += self.latency_s
         latency_s = self.now_s - request.sent_s
         if request.gateway == self.gateway:
-            self.signed = True
+            self._count_slow(latency_s)
             self.ramp.answered(self.now_s, str(self.incarnation), latency_s)
         self.latency_s = max(
             _WARM_LATENCY_S, self.latency_s * _WARMING_PER_ANSWER
         )
         self._expire()
 
+    def _count_slow(self, latency_s: float) -> None:
+        """One slow answer is no sign: any upstream has slow moments."""
+        slow = latency_s > 3 * _WARM_LATENCY_S
+        self.slow_answers = self.slow_answers + 1 if slow else 0
+        if self.slow_answers >= _POLICY.jump_answers:
+            self.signed = True
+
     @stateful.rule(seconds=st.sampled_from([0.01, 0.3, 0.6, 1.5]))
     def wait(self, seconds):
         self.now_s += seconds
@@ -121,6 +141,7 @@
         """A fall back to cold that shows nowhere yet."""
         self.latency_s = _COLD_LATENCY_S
         self.signed = False
+        self.slow_answers = 0
 
     @stateful.rule()
     def refuse_cold(self):
@@ -131,6 +152,25 @@
         self.signed = True
         self.ramp.refused_cold(self.now_s)
 
+    @stateful.rule(first_answers=st.integers(0, 2), moved=st.booleans())
+    def restart_unseen(self, first_answers, moved):
+        self.warm_up()
+        while self.in_flight:
+            self.answer()
+        if moved:
+            self.hand_over()
+        self.restart_while_idle()
+        self.serve(first_answers)
+        self.send(4)
+
+    @stateful.rule()
+    def fall_and_refuse(self):
+        self.warm_up()
+        self.fall_cold()
+        self.send(4)
+        self.refuse_cold()
+        self.wait(0.3)
+
     @stateful.rule()
     def hand_over(self):
         left_s = [
@@ -218,6 +258,11 @@
         pass
 
 
+class _IgnoresLatencyJumps(ramp.Ramp):
+    def _jumped(self, now_s, latency_s, silence_s):
+        return False
+
+
 @pytest.mark.parametrize(
     "mutant",
     [
@@ -230,6 +275,7 @@
         _IgnoresSilence,
         _IgnoresLostConnections,
         _IgnoresColdRefusals,
+        _IgnoresLatencyJumps,
     ],
 )
 def test_a_broken_ramp_is_caught(mutant):
