--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -196,9 +196,9 @@
         super().sent(daemon, index)
         if self.rng.random() >= self.probe_share:
             return
-        unknown = self.pools[daemon].unknown(self.names, self.now_s)
-        if unknown:
-            self._probe(daemon, int(self.rng.choice(unknown)))
+        drawn = self.rng.sample(self.names, 2)
+        unknown = self.pools[daemon].unknown(drawn, self.now_s)
+        self._probe(daemon, int((unknown or drawn)[0]))
 
     def answered(
         self, daemon: int, index: int, held: int, work_s: float
@@ -309,6 +309,7 @@
         self.holders = [[0] * 3 for _ in range(load.upstreams)]
         self.lent_s = [[-1.0] * 3 for _ in range(load.upstreams)]
         self.in_use = [[False] * 3 for _ in range(load.upstreams)]
+        self.woken = [[False] * 3 for _ in range(load.upstreams)]
 
     def _reach(self, daemon: int, index: int, began_s: float) -> None:
         self.upstreams[index].waiting.append((daemon, began_s))
@@ -333,12 +334,18 @@
             return True
         lapses_s = self.lent_s[index][slot] + self.lease_s
         if self.now_s < lapses_s:
-            self.at(lapses_s, lambda: self._serve(index))
+            if not self.woken[index][slot]:
+                self.woken[index][slot] = True
+                self.at(lapses_s, lambda: self._wake(index, slot))
             return False
         self.holders[index][slot] = daemon
         self.lent_s[index][slot] = self.now_s
         return True
 
+    def _wake(self, index: int, slot: int) -> None:
+        self.woken[index][slot] = False
+        self._serve(index)
+
     def _work(self, daemon: int, index: int, slot: int, began_s: float) -> None:
         slow = self.now_s < self.upstreams[index].slow_until_s
         work_s = SERVICE_S * (0.5 + self.rng.expovariate(2.0))
@@ -379,9 +386,12 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--requests", type=int, default=40_000)
     options = parser.parse_args()
-    for daemons, upstreams in ((11, 20), (640, 1200)):
+    for daemons, upstreams, times in ((11, 20, 1), (640, 120, 4)):
         load = Load(
-            daemons, upstreams, requests=options.requests, seed=options.seed
+            daemons,
+            upstreams,
+            requests=options.requests * times,
+            seed=options.seed,
         )
         print(f"choice, {daemons} daemons, {upstreams} upstreams")
         print("| way | mean ms | p50 | p99 | p99.9 | probes a request |")
