Run control of each service through the searched core

Cause: the first controller granted without waiting for releases or lapses.

Change: daemon/controller.py turns commands of core/controlling.py into calls; daemon/gateway_leases.py holds a gateway's grants; grants to upstreams name the incarnation and clock they rely on, and keys that were split out. The upstream stand-in, its adapter, the records, the gateway and the application are changed as far as that needs.

--- a/src/sardinehill/adapters/records.py
+++ b/src/sardinehill/adapters/records.py
@@ -4,6 +4,7 @@
 
 from sardinehill import errors
 from sardinehill.core import fleet
+from sardinehill.core import lease
 from sardinehill.core import placement
 
 
@@ -17,6 +18,13 @@
         "hot_owners": assignment.hot_owners,
         "writer_id": assignment.writer_id,
         "nonce": assignment.nonce,
+        "moving_shards": {
+            str(shard): old for shard, old in assignment.moving_shards.items()
+        },
+        "moving_keys": assignment.moving_keys,
+        "moving_gateways": assignment.moving_gateways,
+        "electorate": list(assignment.electorate),
+        "electorate_before": list(assignment.electorate_before),
     }
 
 
@@ -39,6 +47,14 @@
             hot_owners=dict(value["hot_owners"]),
             writer_id=str(value["writer_id"]),
             nonce=str(value["nonce"]),
+            moving_shards={
+                int(shard): str(old)
+                for shard, old in value.get("moving_shards", {}).items()
+            },
+            moving_keys=dict(value.get("moving_keys", {})),
+            moving_gateways=dict(value.get("moving_gateways", {})),
+            electorate=tuple(value.get("electorate", ())),
+            electorate_before=tuple(value.get("electorate_before", ())),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise errors.StoreReplyError(
@@ -46,6 +62,34 @@
         ) from error
 
 
+def lease_value(record: lease.LeaseRecord) -> dict[str, Any]:
+    """Returns the store's value of a lease, without its version."""
+    return {
+        "term": record.term,
+        "holder": record.holder,
+        "nonce": record.nonce,
+    }
+
+
+def read_lease(
+    name: str, version: int, value: dict[str, Any]
+) -> lease.LeaseRecord:
+    """Returns a lease as read from the store.
+
+    Raises:
+      StoreReplyError: a field is missing or makes no sense.
+    """
+    try:
+        return lease.LeaseRecord(
+            version,
+            int(value["term"]),
+            str(value["holder"]),
+            str(value["nonce"]),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise errors.StoreReplyError(f"lease/{name}: {error!r}") from error
+
+
 def member_value(member: fleet.DaemonHost) -> dict[str, Any]:
     """Returns the store's value of one member."""
     return {
--- a/src/sardinehill/adapters/upstream.py
+++ b/src/sardinehill/adapters/upstream.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Mapping
-import dataclasses
 from typing import Any
 
 import aiohttp
@@ -13,6 +12,7 @@
 
 from sardinehill import errors
 from sardinehill.core import fleet
+from sardinehill.core import grants
 from sardinehill.core import messages
 
 CONTROL_TIMEOUT_S = 0.5
@@ -42,46 +42,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True)
-class Grant:
-    """Leave for an upstream to run requests for some shards.
-
-    Attributes:
-      service: the service's name.
-      term: the controller lease's term.
-      sequence: grows with each grant or release of that term.
-      shards: inclusive ranges of shards.
-      hot_keys: keys owned beside those shards.
-      ttl_s: seconds from its receipt until it lapses.
-      sent_by: the daemon that sends it.
-    """
-
-    service: str
-    term: int
-    sequence: int
-    shards: tuple[tuple[int, int], ...]
-    hot_keys: tuple[str, ...]
-    ttl_s: float
-    sent_by: str
-
-
-@dataclasses.dataclass(frozen=True)
-class GrantReply:
-    """An upstream's answer to a grant.
-
-    Attributes:
-      accepted: False when it knows a higher term or sequence.
-      term: the highest term it knows.
-      sequence: the highest sequence of that term.
-      incarnation: changes with each start of the upstream.
-    """
-
-    accepted: bool
-    term: int
-    sequence: int
-    incarnation: str
-
-
 class UpstreamClient:
     """Typed calls to upstreams; one connection pool."""
 
@@ -144,29 +104,46 @@
             )
 
     async def grant(
-        self, upstream: fleet.UpstreamHost, grant: Grant
-    ) -> GrantReply | None:
-        """Sends a grant; returns None when no whole answer came."""
+        self,
+        upstream: fleet.UpstreamHost,
+        service: str,
+        grant: grants.Grant,
+        sent_by: str,
+        timeout_s: float,
+    ) -> grants.GrantAnswer | None:
+        """Sends a grant; returns None when no whole answer came.
+
+        An upstream that names no clock is taken to answer at 0: then each
+        grant counts from its receipt there, and the stamp says nothing.
+        """
+        shards = [unit for unit in grant.units if isinstance(unit, int)]
+        keys = [unit for unit in grant.units if isinstance(unit, str)]
         body = await self._control(
             "PUT",
             upstream,
             "/-/grant",
             {
-                "service": grant.service,
+                "service": service,
                 "term": grant.term,
                 "sequence": grant.sequence,
-                "shards": [list(span) for span in grant.shards],
-                "hot_keys": list(grant.hot_keys),
+                "shards": [list(span) for span in grants.ranges(shards)],
+                "hot_keys": sorted(keys),
+                "except_keys": sorted(grant.except_keys),
                 "ttl_ms": int(grant.ttl_s * 1000),
-                "sent_by": grant.sent_by,
+                "incarnation": grant.incarnation,
+                "as_of_ms": grant.stamp_ms,
+                "sent_by": sent_by,
             },
+            timeout_s,
         )
         try:
-            return GrantReply(
-                bool(body["accepted"]),
-                int(body["term"]),
-                int(body["sequence"]),
-                str(body["incarnation"]),
+            return grants.GrantAnswer(
+                accepted=bool(body["accepted"]),
+                term=int(body["term"]),
+                sequence=int(body["sequence"]),
+                incarnation=str(body["incarnation"]),
+                clock_ms=int(body.get("clock_ms", 0)),
+                running_outside=int(body.get("running_outside", 0)),
             )
         except (KeyError, TypeError, ValueError):
             return None
@@ -197,13 +174,14 @@
         upstream: fleet.UpstreamHost,
         path: str,
         value: dict[str, Any] | None,
+        timeout_s: float = CONTROL_TIMEOUT_S,
     ) -> dict[str, Any]:
         try:
             async with self._sessions().request(
                 method,
                 _url(upstream, path),
                 json=value,
-                timeout=aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S),
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 body = await response.json(content_type=None)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
--- a/src/sardinehill/core/controlling.py
+++ b/src/sardinehill/core/controlling.py
@@ -6,14 +6,21 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 
+import xxhash
+
 from sardinehill.core import grants
 from sardinehill.core import lease
 from sardinehill.core import licence
 from sardinehill.core import ownership
 from sardinehill.core import placement
 
+# Two of five may be lost at once while the store is down.
+ELECTORATE_SIZE = 5
+
 
 @dataclasses.dataclass(frozen=True)
 class Timing:
@@ -82,6 +89,76 @@
     )
 
 
+def rank_of(service: str, me: str, members: Sequence[str]) -> int:
+    """Returns a daemon's place among the candidates for a service's lease.
+
+    A daemon that is no member comes after all that are.
+    """
+    ordered = sorted(
+        members, key=lambda name: _score(service, name), reverse=True
+    )
+    return ordered.index(me) if me in ordered else len(ordered)
+
+
+def _score(service: str, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{name}\0{service}".encode())
+
+
+def choose_electorate(
+    service: str, current: Sequence[str], zones: Mapping[str, str]
+) -> tuple[str, ...]:
+    """Returns the daemons that should vouch for a service's controller.
+
+    A few are enough however large the fleet is. They are spread over the
+    availability zones, so that losing one zone never loses the majority when
+    there are three or more, and those that are there already stay.
+
+    Args:
+      service: the service's name.
+      current: the present electorate.
+      zones: each member's availability zone.
+    """
+    chosen: list[str] = []
+    in_zone = dict.fromkeys(zones.values(), 0)
+    candidates = sorted(
+        zones,
+        key=lambda name: (name not in current, -_score(service, name)),
+    )
+    while candidates and len(chosen) < ELECTORATE_SIZE:
+        fewest = min(in_zone[zones[name]] for name in candidates)
+        name = next(
+            name for name in candidates if in_zone[zones[name]] == fewest
+        )
+        candidates.remove(name)
+        in_zone[zones[name]] += 1
+        chosen.append(name)
+    if len(chosen) % 2 == 0 and len(chosen) > 2:
+        # An even number bears no more losses than one less.
+        chosen.pop()
+    return tuple(sorted(chosen))
+
+
+def is_moving(duty: Duty) -> bool:
+    """Tells whether a move is on its way, so that answers are urgent."""
+    committed = duty.controller.committed
+    return committed is not None and bool(
+        committed.moving_shards
+        or committed.moving_keys
+        or committed.moving_gateways
+    )
+
+
+def resign(duty: Duty) -> lease.WriteLease | None:
+    """Gives the lease up; nothing may be sent from now on.
+
+    Returns the write that tells candidates not to wait, if it was held.
+    """
+    command = lease.resign(duty.lease, duty.new_nonce())
+    ownership.begin_term(duty.controller, 0)
+    licence.begin(duty.licence, 0)
+    return command
+
+
 def by_store(duty: Duty, now_s: float) -> bool:
     """Tells whether the lease is held by the store's own word."""
     return duty.lease.term > 0 and now_s < duty.lease.store_until_s
--- a/src/sardinehill/core/grants.py
+++ b/src/sardinehill/core/grants.py
@@ -165,7 +165,10 @@
     if not grant.units and not holder.sent:
         return
     holder.sent.append(grant)
-    lapse_s = holder.stamp_s + grant.ttl_s * (1.0 + 2.0 * drift_ratio)
+    # A holder that names no clock counts from the receipt. What a grant may
+    # wait on its way is then not covered; its gateway's grant is the guard.
+    begin_s = holder.stamp_s if holder.stamp_ms else now_s
+    lapse_s = begin_s + grant.ttl_s * (1.0 + 2.0 * drift_ratio)
     holder.lapse_s = max(holder.lapse_s, lapse_s)
 
 
--- a/src/sardinehill/core/lease.py
+++ b/src/sardinehill/core/lease.py
@@ -112,7 +112,9 @@
     """Tells whether the holder seen last can no longer rely on the lease."""
     if lease.seen is None:
         return False
-    if lease.seen.version == 0:
+    # A holder that resigned leaves its name empty; nobody has to be waited
+    # for, and the term stays on record.
+    if lease.seen.version == 0 or not lease.seen.holder:
         return True
     wait_s = lease.timing.ttl_s * (1.0 + lease.timing.drift_ratio)
     # Lower ranks go first, so that most takeovers cost the store one write
@@ -209,3 +211,14 @@
     lease.sent_s = {
         nonce: at_s for nonce, at_s in lease.sent_s.items() if at_s >= sent_s
     }
+
+
+def resign(lease: Lease, nonce: str) -> WriteLease | None:
+    """Gives the lease up; returns the write that says so, if it was held."""
+    if lease.term == 0 or lease.seen is None:
+        return None
+    record = LeaseRecord(lease.seen.version, lease.term, "", nonce)
+    lease.term = 0
+    lease.store_until_s = float("-inf")
+    lease.sent_s = {}
+    return WriteLease(lease.seen.version, record)
--- a/src/sardinehill/core/ownership.py
+++ b/src/sardinehill/core/ownership.py
@@ -175,14 +175,14 @@
     suspects: set[str] = dataclasses.field(default_factory=set)
 
 
-def empty_assignment(service: str, view: View) -> placement.Assignment:
+def empty_assignment(service: str, shard_count: int) -> placement.Assignment:
     """Returns the assignment of a service that never had one."""
     return placement.Assignment(
         service=service,
         version=0,
         term=0,
         upstreams=(),
-        owners=(-1,) * view.shard_count,
+        owners=(-1,) * shard_count,
         gateways={},
         hot_owners={},
         writer_id="",
--- a/src/sardinehill/daemon/application.py
+++ b/src/sardinehill/daemon/application.py
@@ -16,6 +16,7 @@
 from sardinehill.daemon import controller
 from sardinehill.daemon import entry
 from sardinehill.daemon import gateway
+from sardinehill.daemon import gateway_leases
 from sardinehill.daemon import news
 from sardinehill.daemon import peers
 from sardinehill.daemon import view
@@ -35,9 +36,12 @@
         self.upstreams = upstream.UpstreamClient(CONNECTIONS_PER_UPSTREAM)
         self.bus = peers.PeerBus(settings.name, self._locate)
         self.news = news.News(self.platform, self.view)
-        self.gateway = gateway.Gateway(self.view, self.upstreams, self.bus)
+        self.gateway_leases = gateway_leases.GatewayLeases(self.bus)
+        self.gateway = gateway.Gateway(
+            self.view, self.upstreams, self.bus, self.gateway_leases
+        )
         self.controller = controller.Controller(
-            self.view, self.platform, self.upstreams
+            self.view, self.platform, self.upstreams, self.bus
         )
         self.entry = entry.Entry(self.view, self.bus)
 
--- a/src/sardinehill/daemon/controller.py
+++ b/src/sardinehill/daemon/controller.py
@@ -1,153 +1,352 @@
-"""Decides who owns which shard, and grants it."""
+"""Runs the control of each service: store, peers and upstreams.
+
+Every decision is made in `core.controlling`. Here each command becomes a
+call, and each call ends in exactly one event for the core.
+"""
 
 import asyncio
+from collections.abc import Coroutine
+import dataclasses
+import itertools
 import logging
+from typing import Any
 import uuid
 
 from sardinehill import errors
 from sardinehill.adapters import platform
 from sardinehill.adapters import records
 from sardinehill.adapters import upstream
+from sardinehill.core import controlling
 from sardinehill.core import fleet
-from sardinehill.core import placement
+from sardinehill.core import grants
+from sardinehill.core import lease
+from sardinehill.core import ownership
+from sardinehill.daemon import boot_clock
+from sardinehill.daemon import peers
 from sardinehill.daemon import view
+from sardinehill.wire import kinds
+from sardinehill.wire import ownership as ownership_wire
 
-LEASE_TTL_S = 2.0
-ROUND_INTERVAL_S = 0.5
-GRANT_TTL_S = 2.0
+STEP_INTERVAL_S = 0.05
+# Answers that arrive together are worked off in one step.
+SHORTEST_STEP_INTERVAL_S = 0.004
+GRANT_TIMEOUT_S = 0.3
+ASK_TIMEOUT_S = 0.3
+RESIGN_TIMEOUT_S = 0.5
 
 _log = logging.getLogger(__name__)
 
 
 class Controller:
-    """Takes the lease of each service when it is free, and acts on it."""
+    """This daemon's part in controlling every service."""
 
     def __init__(
         self,
         knowledge: view.View,
         client: platform.PlatformClient,
         upstreams: upstream.UpstreamClient,
+        bus: peers.PeerBus,
+        timing: controlling.Timing | None = None,
     ) -> None:
         self._view = knowledge
         self._client = client
         self._upstreams = upstreams
-        self._task: asyncio.Task[None] | None = None
-        self._terms: dict[str, int] = {}
-        self._seen: dict[str, tuple[int, float]] = {}
-        self._sequence = 0
+        self._bus = bus
+        self._timing = timing or controlling.Timing()
+        self._duties: dict[str, controlling.Duty] = {}
+        self._main: asyncio.Task[None] | None = None
+        self._calls: set[asyncio.Task[None]] = set()
+        self._wake = asyncio.Event()
+        self._nonces = map(f"{uuid.uuid4()}/{{}}".format, itertools.count())
+        bus.register(kinds.Kind.VOUCH, self._handle_question)
 
     def start(self) -> None:
-        """Begins the rounds."""
-        self._task = asyncio.ensure_future(self._run())
+        """Begins to control."""
+        self._main = asyncio.ensure_future(self._run())
 
     async def close(self) -> None:
-        """Ends the rounds."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        """Ends the control, and gives held leases back.
+
+        Nothing is released: the next controller goes on with the same
+        assignment before any grant lapses.
+        """
+        running = [task for task in (self._main, *self._calls) if task]
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        resigning = [self._resign(duty) for duty in self._duties.values()]
+        await asyncio.gather(*resigning, return_exceptions=True)
+
+    def duty(self, service: str) -> controlling.Duty | None:
+        """Returns this daemon's part in a service, for status pages."""
+        return self._duties.get(service)
+
+    def is_controller(self, service: str) -> bool:
+        """Tells whether this daemon may act as a service's controller."""
+        duty = self._duties.get(service)
+        return duty is not None and controlling.is_licensed(
+            duty, boot_clock.now_s()
+        )
+
+    # The loop.
 
     async def _run(self) -> None:
         while True:
-            config = self._view.config
-            services = config.services.values() if config else ()
-            for service in services:
+            for service in self._services():
                 try:
-                    await self._round(service)
-                except errors.StoreError as error:
-                    _log.warning("%s: %s", service.name, error)
-            await asyncio.sleep(ROUND_INTERVAL_S)
+                    self._step(service)
+                except Exception:
+                    # One service's fault must not end the others' control.
+                    _log.exception("control of %s failed", service.name)
+            await asyncio.sleep(SHORTEST_STEP_INTERVAL_S)
+            try:
+                async with asyncio.timeout(STEP_INTERVAL_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
 
-    async def _round(self, service: fleet.Service) -> None:
-        if not await self._hold_lease(service.name):
-            return
-        assignment = await self._assign(service)
-        await asyncio.gather(
-            *(self._grant(assignment, name) for name in assignment.upstreams)
-        )
+    def _services(self) -> list[fleet.Service]:
+        config = self._view.config
+        return [] if config is None else list(config.services.values())
 
-    async def _hold_lease(self, service: str) -> bool:
-        name = f"controller-{service}"
-        found = await self._client.get("lease", name)
-        own_name = self._view.settings.name
-        now_s = asyncio.get_running_loop().time()
-        if found is not None and found.value["holder"] != own_name:
-            version, since_s = self._seen.get(service, (0, now_s))
-            if version != found.version:
-                self._seen[service] = (found.version, now_s)
-                return False
-            if now_s - since_s < LEASE_TTL_S:
-                return False
-        term = 0 if found is None else int(found.value["term"])
-        if service not in self._terms:
-            term += 1
-        value = {"holder": own_name, "term": term, "nonce": str(uuid.uuid4())}
-        version = 0 if found is None else found.version
-        try:
-            await platform.settle_write(
-                self._client, "lease", name, value, version
+    def _duty(self, service: str) -> controlling.Duty:
+        duty = self._duties.get(service)
+        if duty is None:
+            duty = controlling.new_duty(
+                service,
+                self._view.settings.name,
+                self._timing,
+                self._nonces.__next__,
+                boot_clock.now_s(),
             )
-        except errors.StoreConflictError:
-            self._terms.pop(service, None)
-            return False
-        self._terms[service] = term
-        return True
-
-    async def _assign(self, service: fleet.Service) -> placement.Assignment:
-        usable = sorted(
-            host.name
-            for host in self._view.upstreams.values()
-            if host.service == service.name and not self._view.is_out(host)
+            self._duties[service] = duty
+        return duty
+
+    def _step(self, service: fleet.Service) -> None:
+        duty = self._duty(service.name)
+        known = self._view.assignments.get(service.name)
+        if known is not None:
+            controlling.on_known(duty, known)
+        seen = self._look(service)
+        rank = controlling.rank_of(
+            service.name, duty.me, sorted(self._view.members)
         )
-        members = sorted(self._view.members)
-        gateways = {
-            name: placement.rendezvous(name, members) or "" for name in usable
+        commands = controlling.step(duty, seen, boot_clock.now_s(), rank)
+        for command in commands:
+            self._call(self._carry_out(duty, service, command))
+
+    def _look(self, service: fleet.Service) -> ownership.View:
+        members = self._view.members
+        taken_out = self._view.taken_out
+        current: tuple[str, ...] = ()
+        committed = self._duty(service.name).controller.committed
+        if committed is not None:
+            current = committed.electorate
+        zones = {
+            name: member.availability_zone for name, member in members.items()
         }
-        current = self._view.assignments.get(service.name)
-        if (
-            current is not None
-            and list(current.upstreams) == usable
-            and current.gateways == gateways
-        ):
-            return current
-        owners = tuple(
-            shard % len(usable) if usable else -1
-            for shard in range(service.shard_count)
-        )
-        wanted = placement.Assignment(
-            service=service.name,
-            version=0 if current is None else current.version,
-            term=self._terms[service.name],
-            upstreams=tuple(usable),
-            owners=owners,
-            gateways=gateways,
-            hot_owners={},
-            writer_id=self._view.settings.name,
-            nonce=str(uuid.uuid4()),
+        return ownership.View(
+            shard_count=service.shard_count,
+            checks_fencing=service.checks_fencing,
+            upstreams={
+                host.name: ownership.UpstreamView(
+                    host.availability_zone, self._view.is_out(host)
+                )
+                for host in self._view.upstreams.values()
+                if host.service == service.name
+            },
+            daemons={
+                name: ownership.DaemonView(
+                    zone,
+                    name in taken_out.hosts_out or zone in taken_out.zones_out,
+                )
+                for name, zone in zones.items()
+            },
+            electorate=controlling.choose_electorate(
+                service.name, current, zones
+            ),
         )
-        await platform.settle_write(
-            self._client,
-            "assignment",
-            service.name,
-            records.assignment_value(wanted),
-            wanted.version,
+
+    def _call(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _carry_out(
+        self,
+        duty: controlling.Duty,
+        service: fleet.Service,
+        command: controlling.Command,
+    ) -> None:
+        match command:
+            case lease.ReadLease():
+                await self._read_lease(duty)
+            case lease.WriteLease():
+                await self._write_lease(duty, command)
+            case ownership.ReadAssignment():
+                await self._read_assignment(duty, service)
+            case ownership.WriteAssignment():
+                await self._write_assignment(duty, command)
+            case ownership.SendGrant():
+                await self._send_grant(duty, command.grant)
+            case controlling.Ask():
+                await self._ask(duty, command)
+
+    # The store.
+
+    async def _read_lease(self, duty: controlling.Duty) -> None:
+        name = _lease_name(duty)
+        try:
+            found = await self._client.get("lease", name)
+            record = (
+                lease.ABSENT
+                if found is None
+                else records.read_lease(name, found.version, found.value)
+            )
+        except errors.StoreError:
+            lease.on_lost(duty.lease, boot_clock.now_s())
+            return
+        controlling.on_lease_read(duty, record, boot_clock.now_s())
+        self._wake.set()
+
+    async def _write_lease(
+        self, duty: controlling.Duty, command: lease.WriteLease
+    ) -> None:
+        try:
+            version = await self._client.put(
+                "lease",
+                _lease_name(duty),
+                records.lease_value(command.record),
+                command.expected,
+            )
+        except errors.StoreConflictError:
+            lease.on_conflict(duty.lease, boot_clock.now_s())
+            self._wake.set()
+            return
+        except errors.StoreError:
+            lease.on_lost(duty.lease, boot_clock.now_s())
+            return
+        record = dataclasses.replace(command.record, version=version)
+        took_over = duty.lease.term != record.term
+        controlling.on_lease_written(duty, record, boot_clock.now_s())
+        if took_over:
+            _log.info("controller of %s, term %d", _lease_name(duty), version)
+            self._wake.set()
+
+    async def _read_assignment(
+        self, duty: controlling.Duty, service: fleet.Service
+    ) -> None:
+        term = duty.controller.term
+        try:
+            found = await self._client.get("assignment", service.name)
+            assignment = (
+                ownership.empty_assignment(service.name, service.shard_count)
+                if found is None
+                else records.read_assignment(
+                    service.name, found.version, found.value
+                )
+            )
+        except errors.StoreError:
+            ownership.on_assignment_unknown(duty.controller)
+            return
+        controlling.on_assignment_read(
+            duty, assignment, term, boot_clock.now_s()
         )
-        return wanted
+        self._wake.set()
 
-    async def _grant(self, assignment: placement.Assignment, name: str) -> None:
-        host = self._view.upstreams.get(name)
-        if host is None:
+    async def _write_assignment(
+        self, duty: controlling.Duty, command: ownership.WriteAssignment
+    ) -> None:
+        assignment = command.assignment
+        try:
+            version = await self._client.put(
+                "assignment",
+                assignment.service,
+                records.assignment_value(assignment),
+                command.expected,
+            )
+        except errors.StoreError:
+            # Also after a conflict: the version found may be our own write,
+            # of which the reply was lost.
+            ownership.on_assignment_unknown(duty.controller)
+            self._wake.set()
             return
-        self._sequence += 1
-        shards = placement.shards_of_upstream(assignment, name)
-        await self._upstreams.grant(
-            host,
-            upstream.Grant(
-                service=assignment.service,
-                term=self._terms[assignment.service],
-                sequence=self._sequence,
-                shards=tuple((shard, shard) for shard in shards),
-                hot_keys=(),
-                ttl_s=GRANT_TTL_S,
-                sent_by=self._view.settings.name,
-            ),
+        written = dataclasses.replace(assignment, version=version)
+        controlling.on_assignment_written(duty, written, boot_clock.now_s())
+        self._wake.set()
+
+    # Holders and members.
+
+    async def _send_grant(
+        self, duty: controlling.Duty, grant: grants.Grant
+    ) -> None:
+        # The loop may have been held up since the step that made this grant.
+        answer = None
+        if controlling.is_licensed(duty, boot_clock.now_s()):
+            answer = await self._offer(duty, grant)
+        if answer is None:
+            ownership.on_grant_lost(duty.controller, grant)
+            return
+        controlling.on_grant_answer(duty, grant, answer, boot_clock.now_s())
+        if not answer.accepted or controlling.is_moving(duty):
+            self._wake.set()
+
+    async def _offer(
+        self, duty: controlling.Duty, grant: grants.Grant
+    ) -> grants.GrantAnswer | None:
+        service = duty.controller.service
+        target = grant.target
+        if target.daemon:
+            payload = ownership_wire.encode_grant(service, grant)
+            try:
+                reply = await self._bus.ask(
+                    target.daemon,
+                    kinds.Kind.GATEWAY_GRANT,
+                    payload,
+                    GRANT_TIMEOUT_S,
+                )
+                return ownership_wire.decode_grant_answer(reply)
+            except errors.PeerError:
+                return None
+        host = self._view.upstreams.get(target.upstream)
+        if host is None:
+            return None
+        return await self._upstreams.grant(
+            host, service, grant, self._view.settings.name, GRANT_TIMEOUT_S
         )
+
+    async def _ask(self, duty: controlling.Duty, ask: controlling.Ask) -> None:
+        payload = ownership_wire.encode_query(ask.query)
+        try:
+            reply = await self._bus.ask(
+                ask.member, kinds.Kind.VOUCH, payload, ASK_TIMEOUT_S
+            )
+            answer = ownership_wire.decode_vouch(reply)
+        except errors.PeerError:
+            return
+        controlling.on_answer(duty, ask, answer, boot_clock.now_s())
+        if ask.query.seal:
+            self._wake.set()
+
+    def _handle_question(self, sender: str, payload: bytes) -> bytes:
+        query = ownership_wire.decode_query(payload)
+        duty = self._duty(query.service)
+        answer = controlling.on_question(duty, query, boot_clock.now_s())
+        return ownership_wire.encode_vouch(answer)
+
+    async def _resign(self, duty: controlling.Duty) -> None:
+        command = controlling.resign(duty)
+        if command is None:
+            return
+        async with asyncio.timeout(RESIGN_TIMEOUT_S):
+            await self._client.put(
+                "lease",
+                _lease_name(duty),
+                records.lease_value(command.record),
+                command.expected,
+            )
+
+
+def _lease_name(duty: controlling.Duty) -> str:
+    return f"controller-{duty.controller.service}"
--- /dev/null
+++ b/src/sardinehill/daemon/gateway_leases.py
@@ -0,0 +1,81 @@
+"""Takes the grants that make this daemon the gateway of upstreams."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import uuid
+
+from sardinehill.core import gateway_book
+from sardinehill.daemon import boot_clock
+from sardinehill.daemon import peers
+from sardinehill.wire import kinds
+from sardinehill.wire import ownership as ownership_wire
+
+
+class GatewayLeases:
+    """What this daemon may send to which upstream, and what is in flight."""
+
+    def __init__(self, bus: peers.PeerBus):
+        self._book = gateway_book.GatewayBook(str(uuid.uuid4()))
+        self._changed = asyncio.Event()
+        bus.register(kinds.Kind.GATEWAY_GRANT, self._handle)
+
+    def is_gateway(self, service: str, upstream: str) -> bool:
+        """Tells whether this daemon is an upstream's gateway now."""
+        return self._book.is_gateway(service, upstream, boot_clock.now_ms())
+
+    def fence(
+        self, service: str, upstream: str, key: str, shard_count: int
+    ) -> gateway_book.Fence | None:
+        """Returns the grant that covers a key now, or None.
+
+        It has to be asked again after every wait, last thing before the
+        request is written to the upstream.
+        """
+        return self._book.fence(
+            service, upstream, key, shard_count, boot_clock.now_ms()
+        )
+
+    async def wait_for_fence(
+        self,
+        service: str,
+        upstream: str,
+        key: str,
+        shard_count: int,
+        timeout_s: float,
+    ) -> gateway_book.Fence | None:
+        """Returns the grant that covers a key, waiting for it a little.
+
+        In a planned move the news of the new owner usually arrives some
+        milliseconds before the grant does.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while True:
+                    fence = self.fence(service, upstream, key, shard_count)
+                    if fence is not None:
+                        return fence
+                    await self._changed.wait()
+        return None
+
+    @contextlib.asynccontextmanager
+    async def running(
+        self, service: str, upstream: str, shard: int, key: str
+    ) -> AsyncIterator[None]:
+        """Notes a request as in flight: its shard is not given up before."""
+        self._book.begin(service, upstream, shard, key)
+        try:
+            yield
+        finally:
+            self._book.end(service, upstream, shard, key)
+
+    def _handle(self, sender: str, payload: bytes) -> bytes:
+        service, grant = ownership_wire.decode_grant(payload)
+        answer = self._book.offer(service, grant, boot_clock.now_ms())
+        if answer.accepted:
+            self._wake()
+        return ownership_wire.encode_grant_answer(answer)
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
--- a/standins/grants.py
+++ b/standins/grants.py
@@ -17,6 +17,7 @@
       rank: its term and sequence; a higher rank replaces a lower one.
       shards: first and last shard of each range.
       hot_keys: keys granted apart from their shard.
+      except_keys: keys of granted shards that are not granted.
       lapses_s: the boot time at which it ends.
     """
 
@@ -24,6 +25,15 @@
     shards: tuple[tuple[int, int], ...]
     hot_keys: frozenset[str]
     lapses_s: float
+    except_keys: frozenset[str] = frozenset()
+
+    def covers(self, shard: int, key: str) -> bool:
+        """Returns whether a key is granted, as long as the grant lasts."""
+        if key in self.hot_keys:
+            return True
+        if key in self.except_keys:
+            return False
+        return any(first <= shard <= last for first, last in self.shards)
 
 
 class GrantBook:
@@ -42,6 +52,8 @@
         """
         if grant.rank < self.highest_rank or grant.rank <= self.released_rank:
             return False
+        if grant.lapses_s <= boot_time_s():
+            return False
         self.highest_rank = grant.rank
         self.grant = grant
         return True
@@ -60,6 +72,4 @@
         grant = self.grant
         if grant is None or grant.lapses_s <= boot_time_s():
             return False
-        if key in grant.hot_keys:
-            return True
-        return any(first <= shard <= last for first, last in grant.shards)
+        return grant.covers(shard, key)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -519,18 +519,39 @@
         rank=(order["term"], order["sequence"]),
         shards=tuple((first, last) for first, last in order["shards"]),
         hot_keys=frozenset(order.get("hot_keys", ())),
-        lapses_s=grants.boot_time_s() + order["ttl_ms"] / 1000,
+        lapses_s=_lapses_s(order),
+        except_keys=frozenset(order.get("except_keys", ())),
+    )
+    wanted = order.get("incarnation", str(upstream.incarnation))
+    accepted = wanted == str(upstream.incarnation) and upstream.book.offer(
+        grant
+    )
+    running_outside = sum(
+        1
+        for run in upstream.runs.values()
+        if run.state == "running" and not grant.covers(run.shard, run.key)
     )
-    accepted = upstream.book.offer(grant)
     upstream.journal.write(
         "grant",
         accepted=accepted,
-        incarnation=str(upstream.incarnation),
-        lapses_monotonic_s=time.monotonic() + order["ttl_ms"] / 1000,
+        lapses_monotonic_s=time.monotonic()
+        + grant.lapses_s
+        - grants.boot_time_s(),
         fencing=upstream.fencing,
+        granted_incarnation=order.pop("incarnation", ""),
+        incarnation=str(upstream.incarnation),
         **order,
     )
-    return _grant_reply(upstream, {"accepted": accepted})
+    return _grant_reply(
+        upstream, {"accepted": accepted, "running_outside": running_outside}
+    )
+
+
+def _lapses_s(order: dict[str, Any]) -> float:
+    # Counted from the clock that this upstream named in an earlier answer,
+    # so that a grant that waited on its way has no longer life.
+    as_of_ms = order.get("as_of_ms") or grants.boot_time_s() * 1000
+    return float((as_of_ms + order["ttl_ms"]) / 1000)
 
 
 def _grant_reply(upstream: Upstream, reply: dict[str, Any]) -> web.Response:
@@ -541,6 +562,7 @@
             "term": term,
             "sequence": sequence,
             "incarnation": str(upstream.incarnation),
+            "clock_ms": int(grants.boot_time_s() * 1000),
         }
     )
 
--- a/tests/common/ownership_world.py
+++ b/tests/common/ownership_world.py
@@ -382,7 +382,7 @@
         def serve(reply: Callable[[Callable[[], None]], None]) -> None:
             if self.store_up:
                 found = self.assignment or ownership.empty_assignment(
-                    "s", self.view()
+                    "s", SHARD_COUNT
                 )
                 reply(
                     lambda: controlling.on_assignment_read(
