Measure service through losses with real processes

Cause: the time to service again has to be known for real processes.

Change: bench/ownership.py kills daemons and upstreams and takes zones out while every key is used; the search gains partitions round the controller.

--- /dev/null
+++ b/bench/ownership.py
@@ -0,0 +1,167 @@
+"""Measures service through losses and moves, and the calls that it costs.
+
+Run as `python -m bench.ownership loss-of-daemon|loss-of-upstream|zone-out|
+calls [--rounds N] [--upstreams N]`; each prints one line a round and a
+summary.
+"""
+
+import argparse
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import pathlib
+import statistics
+import tempfile
+import time
+
+from tests.common import ownership_fleet
+
+SETTLE_S = 4.0
+CALLS_S = 10.0
+
+
+def _quantile(values: list[float], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def _tell(name: str, values: list[float]) -> None:
+    print(
+        f"{name}: n={len(values)} p50={statistics.median(values):.3f}"
+        f" p99={_quantile(values, 0.99):.3f} worst={max(values):.3f} s",
+        flush=True,
+    )
+
+
+async def _with_fleet(
+    work: Callable[[ownership_fleet.Fleet], Awaitable[None]],
+    upstreams: int,
+    daemons: int = 5,
+    keys: int = 24,
+) -> None:
+    with tempfile.TemporaryDirectory() as directory:
+        fleet = ownership_fleet.Fleet(
+            pathlib.Path(directory),
+            ownership_fleet.shape(daemons, upstreams),
+        )
+        try:
+            await fleet.start(keys)
+            await asyncio.sleep(SETTLE_S)
+            await work(fleet)
+            fleet.check_one_owner()
+            print("one owner: no violation", flush=True)
+        finally:
+            await fleet.close()
+
+
+async def loss_of_daemon(rounds: int, upstreams: int) -> None:
+    """Kills the controller, or any other daemon, and starts it again."""
+
+    async def work(fleet: ownership_fleet.Fleet) -> None:
+        worst: dict[str, list[float]] = {"controller": [], "other": []}
+        names = list(fleet.deployment.daemons)
+        for number in range(rounds):
+            controller = await fleet.deployment.controller()
+            others = [name for name in names if name != controller]
+            role = "controller" if number % 2 else "other"
+            victim = controller if number % 2 else others[number % len(others)]
+            since_s = time.monotonic()
+            await fleet.deployment.daemons[victim].kill()
+            await asyncio.sleep(5.0)
+            gap_s = max(fleet.watch.gaps_s(since_s))
+            worst[role].append(gap_s)
+            print(f"{role} {victim}: longest gap {gap_s:.3f} s", flush=True)
+            place = names.index(victim)
+            await fleet.deployment.start_daemon(victim, place)
+            await asyncio.sleep(SETTLE_S)
+        for role, values in worst.items():
+            _tell(f"longest gap of any key, {role} killed", values)
+
+    await _with_fleet(work, upstreams)
+
+
+async def loss_of_upstream(rounds: int, upstreams: int) -> None:
+    """Kills an upstream; its keys move to others."""
+
+    async def work(fleet: ownership_fleet.Fleet) -> None:
+        worst = []
+        names = list(fleet.deployment.upstreams)
+        for number in range(rounds):
+            victim = names[number % len(names)]
+            since_s = time.monotonic()
+            await fleet.deployment.upstreams[victim].kill()
+            await asyncio.sleep(5.0)
+            gap_s = max(fleet.watch.gaps_s(since_s))
+            worst.append(gap_s)
+            print(f"{victim}: longest gap {gap_s:.3f} s", flush=True)
+            await fleet.deployment.restart_upstream(victim)
+            await asyncio.sleep(SETTLE_S)
+        _tell("longest gap of any key, upstream killed", worst)
+
+    await _with_fleet(work, upstreams)
+
+
+async def zone_out(rounds: int, upstreams: int) -> None:
+    """Takes a zone out and back while keys are used all the time."""
+
+    async def work(fleet: ownership_fleet.Fleet) -> None:
+        gaps: list[float] = []
+        for _ in range(rounds):
+            for zones in (["pa-1"], []):
+                since_s = time.monotonic()
+                await fleet.deployment.take_out(zones, [])
+                await asyncio.sleep(6.0)
+                these = fleet.watch.gaps_s(since_s)
+                gaps.extend(these)
+                _tell(f"gap of each key, zones out {zones}", these)
+        _tell("gap of each key, all rounds", gaps)
+        print(f"refusals {fleet.watch.refused}")
+
+    await _with_fleet(work, upstreams)
+
+
+async def calls(rounds: int, upstreams: int) -> None:
+    """Counts the store's calls and processor time of an idle fleet."""
+    del rounds
+
+    async def work(fleet: ownership_fleet.Fleet) -> None:
+        before = await fleet.deployment.store_stats()
+        used_s = {
+            name: _processor_s(process.pid)
+            for name, process in fleet.deployment.daemons.items()
+        }
+        await asyncio.sleep(CALLS_S)
+        after = await fleet.deployment.store_stats()
+        controller = await fleet.deployment.controller()
+        print(f"store before {before}\nstore after {after}")
+        for name, process in fleet.deployment.daemons.items():
+            share = (_processor_s(process.pid) - used_s[name]) / CALLS_S
+            role = "controller" if name == controller else "other"
+            print(f"{name} ({role}): {100 * share:.2f}% of a core")
+
+    await _with_fleet(work, upstreams, daemons=3, keys=1)
+
+
+def _processor_s(pid: int) -> float:
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().split()
+    return (int(fields[13]) + int(fields[14])) / 100.0
+
+
+def main() -> None:
+    """Runs one measurement."""
+    parser = argparse.ArgumentParser(prog="bench.ownership")
+    works = {
+        "loss-of-daemon": loss_of_daemon,
+        "loss-of-upstream": loss_of_upstream,
+        "zone-out": zone_out,
+        "calls": calls,
+    }
+    parser.add_argument("work", choices=works)
+    parser.add_argument("--rounds", type=int, default=20)
+    parser.add_argument("--upstreams", type=int, default=6)
+    options = parser.parse_args()
+    asyncio.run(works[options.work](options.rounds, options.upstreams))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/common/ownership_fleet.py
@@ -0,0 +1,188 @@
+"""Real processes of one service, and a watch on when its keys are served."""
+
+import asyncio
+import dataclasses
+import pathlib
+import time
+from typing import Any
+
+from sardinehill.adapters import platform
+from sardinehill.core import account_keys
+from standins import deployment
+from standins import driver
+from standins.referee import evidence
+from standins.referee import ownership
+
+ACCOUNT = deployment.AccountShape("venue-1", 100_000.0, 100_000.0)
+PROBE_INTERVAL_S = 0.02
+SERVED_TIMEOUT_S = 20.0
+
+
+def shape(
+    daemons: int = 3,
+    upstreams: int = 4,
+    checks_fencing: bool = True,
+    shard_count: int = 64,
+) -> deployment.Shape:
+    """Returns a deployment of one service divided by key."""
+    return deployment.Shape(
+        "ownership",
+        ("pa-1", "pa-2", "pa-3"),
+        daemons,
+        (
+            deployment.ServiceShape(
+                "prenota",
+                "/bookings",
+                True,
+                upstreams,
+                service_time_ms=2.0,
+                checks_fencing=checks_fencing,
+                shard_count=shard_count,
+            ),
+        ),
+        (ACCOUNT,),
+    )
+
+
+class DirectDeployment(deployment.Deployment):
+    """A deployment set up through the store, without the command line."""
+
+    async def apply(self, text: str) -> deployment.CommandResult:
+        """Writes the operators' text into the store."""
+        await self._write("config", "fleet", {"text": text})
+        return deployment.CommandResult(0, "", "")
+
+    async def issue_key(self, account: deployment.AccountShape) -> str:
+        """Writes an account's key into the store."""
+        secret = f"{account.name}.secret"
+        digest = account_keys.digest_of(secret, deployment.ACCOUNT_KEY_SECRET)
+        bucket = account_keys.bucket_of(account.name)
+        record = {"account": account.name, "revoked_at_s": None}
+        await self._write("account-keys", bucket, {"keys": {digest: record}})
+        self.driver.account_keys[account.name] = secret
+        return secret
+
+    async def take_out(self, zones: list[str], hosts: list[str]) -> None:
+        """Sets which zones and hosts are out."""
+        value = {"zones_out": zones, "hosts_out": hosts}
+        await self._write("placement", "fleet", value)
+
+    async def read(self, kind: str, name: str) -> dict[str, Any]:
+        """Returns an object's value, empty when there is none."""
+        client = platform.PlatformClient(self.platform_url)
+        try:
+            found = await client.get(kind, name)
+        finally:
+            await client.close()
+        return {} if found is None else found.value
+
+    async def controller(self) -> str:
+        """Returns the name of the daemon that holds the lease."""
+        lease = await self.read("lease", "controller-prenota")
+        return str(lease.get("holder", ""))
+
+    async def _write(self, kind: str, name: str, value: dict[str, Any]) -> None:
+        client = platform.PlatformClient(self.platform_url)
+        try:
+            found = await client.get(kind, name)
+            version = 0 if found is None else found.version
+            await client.put(kind, name, value, version)
+        finally:
+            await client.close()
+
+
+@dataclasses.dataclass
+class Watch:
+    """When each key was served, by requests sent all the time.
+
+    Attributes:
+      answered_s: for each key the times at which it was served.
+      refused: counts of refusals by reason.
+      begun_s: when the watch began.
+    """
+
+    answered_s: dict[str, list[float]]
+    refused: dict[str, int]
+    begun_s: float
+
+    def gaps_s(self, since_s: float) -> list[float]:
+        """Returns each key's longest time without service after a moment.
+
+        It is counted between two requests that were served, so it includes
+        the time between two probes.
+        """
+        now_s = time.monotonic()
+        gaps = []
+        for times in self.answered_s.values():
+            after = [since_s, *(at for at in times if at > since_s), now_s]
+            gaps.append(
+                max(
+                    later - earlier
+                    for earlier, later in zip(after, after[1:], strict=False)
+                )
+            )
+        return gaps
+
+
+class Fleet:
+    """A running deployment with a watch on its keys."""
+
+    def __init__(self, directory: pathlib.Path, its_shape: deployment.Shape):
+        self.directory = directory
+        self.deployment = DirectDeployment(directory, its_shape)
+        self.watch = Watch({}, {}, 0.0)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self, keys: int = 24) -> None:
+        """Starts all processes and waits until each key is served."""
+        await self.deployment.start()
+        self.watch.begun_s = time.monotonic()
+        for number in range(keys):
+            name = f"key-{number}"
+            self.watch.answered_s[name] = []
+            self._tasks.append(asyncio.ensure_future(self._probe(name)))
+        await self.wait_served(self.watch.begun_s)
+
+    async def close(self) -> None:
+        """Ends the watch and all processes."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.deployment.close()
+
+    async def _probe(self, key: str) -> None:
+        sender = self.deployment.driver
+        while True:
+            order = driver.Order(
+                ACCOUNT.name, "/bookings/x", key, deadline_ms=1000
+            )
+            answer = await sender.send(order)
+            if answer.matches:
+                self.watch.answered_s[key].append(time.monotonic())
+            else:
+                name = answer.reason or answer.outcome
+                counts = self.watch.refused
+                counts[name] = counts.get(name, 0) + 1
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    async def wait_served(self, since_s: float) -> float:
+        """Waits until each key was served after a moment; returns how long.
+
+        Raises:
+          TimeoutError: a key was not served in time.
+        """
+        async with asyncio.timeout(SERVED_TIMEOUT_S):
+            while True:
+                firsts = [
+                    next((at for at in times if at > since_s), None)
+                    for times in self.watch.answered_s.values()
+                ]
+                if None not in firsts:
+                    return max(at for at in firsts if at is not None) - since_s
+                await asyncio.sleep(PROBE_INTERVAL_S)
+
+    def check_one_owner(self) -> None:
+        """Fails when the journals show two owners of a key, or nothing."""
+        finding = ownership.one_owner(evidence.read(self.directory))
+        assert finding.events > 0
+        assert not finding.violations, finding.violations[:5]
--- a/tests/slow/test_ownership_machine.py
+++ b/tests/slow/test_ownership_machine.py
@@ -119,6 +119,24 @@
                 self.world.cut.update([(name, other), (other, name)])
         self.world.advance(seconds)
 
+    @stateful.rule(
+        companions=st.sets(PROCESSES, max_size=3),
+        seconds=st.sampled_from([1.0, 3.0, 6.0]),
+    )
+    def partition_controller(
+        self, companions: set[str], seconds: float
+    ) -> None:
+        """Cuts the controller off, with some others on its side."""
+        holder = self.world.lease.holder or "d0"
+        self.partition(names={holder, *companions}, seconds=seconds)
+
+    @stateful.rule(name=PROCESSES, seconds=st.sampled_from([0.5, 1.5, 3.0]))
+    def freeze_for(self, name: str, seconds: float) -> None:
+        """Stops a process for a while without its noticing."""
+        self.process(name).frozen = True
+        self.world.advance(seconds)
+        self.process(name).thaw()
+
     @stateful.rule()
     def mend_network(self) -> None:
         """Ends all cuts."""
