--- a/src/sardinehill/core/grants.py
+++ b/src/sardinehill/core/grants.py
@@ -165,6 +165,10 @@
     if not grant.units and not holder.sent:
         return
     holder.sent.append(grant)
+    if not grant.units:
+        # It gives nothing that could lapse. Counting it kept the role of a
+        # dead gateway for as long as anybody asked after it.
+        return
     # A holder that names no clock counts from the receipt. What a grant may
     # wait on its way is then not covered; its gateway's grant is the guard.
     begin_s = holder.stamp_s if holder.stamp_ms else now_s
