--- /dev/null
+++ b/tests/slow/test_retries.py
@@ -0,0 +1,161 @@
+"""Claims about the retry rule: no path of attempts runs a request twice."""
+
+from collections.abc import Callable
+import random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from sardinehill import errors
+from sardinehill.core import retries
+
+POLICY = retries.RetryPolicy()
+METHODS = st.sampled_from(["GET", "HEAD", "POST", "PUT", "DELETE", "PATCH"])
+ENDINGS = st.tuples(
+    st.sampled_from(errors.Verdict), st.sampled_from(errors.Reason)
+)
+MayRunAgain = Callable[[errors.Verdict, str], bool]
+
+
+def attempts_until_stopped(
+    method: str,
+    endings: list[tuple[errors.Verdict, errors.Reason]],
+    deadline_s: float,
+    seed: int,
+) -> tuple[list[errors.Verdict], float]:
+    """Returns the verdicts of all attempts made and when the last began."""
+    rng = random.Random(seed)
+    budget = retries.RetryBudget()
+    now_s = 0.0
+    made: list[errors.Verdict] = []
+    attempts = routing_attempts = 0
+    for verdict, reason in endings:
+        made.append(verdict)
+        if retries.cause_of(reason) is retries.Cause.ROUTING:
+            routing_attempts += 1
+        else:
+            attempts += 1
+        outcome = retries.Outcome(
+            verdict,
+            reason,
+            method,
+            attempts,
+            routing_attempts,
+            now_s,
+            deadline_s,
+        )
+        decision = retries.decide(outcome, POLICY, budget, rng)
+        if not decision.retry:
+            break
+        now_s += decision.wait_s
+    return made, now_s
+
+
+def check_runs_at_most_once(
+    method: str, endings: list[tuple[errors.Verdict, errors.Reason]]
+) -> None:
+    made, _ = attempts_until_stopped(method, endings, 60.0, 1)
+    runs = [verdict for verdict in made if verdict != errors.Verdict.NOT_RUN]
+    if method not in ("GET", "HEAD"):
+        assert len(runs) <= 1, "an attempt followed one that may have run"
+    ran = [verdict for verdict in made if verdict is errors.Verdict.RAN]
+    assert len(ran) <= 1
+
+
+@given(METHODS, st.lists(ENDINGS, max_size=12))
+@settings(derandomize=True, max_examples=500)
+def test_no_path_of_attempts_runs_a_request_twice(
+    method: str, endings: list[tuple[errors.Verdict, errors.Reason]]
+) -> None:
+    check_runs_at_most_once(method, endings)
+
+
+def always(verdict: errors.Verdict, method: str) -> bool:
+    return True
+
+
+def puts_are_idempotent(verdict: errors.Verdict, method: str) -> bool:
+    if verdict is errors.Verdict.MAY_HAVE_RUN:
+        return method != "POST"
+    return verdict is errors.Verdict.NOT_RUN
+
+
+def may_have_run_means_not_run(verdict: errors.Verdict, method: str) -> bool:
+    return verdict is not errors.Verdict.RAN
+
+
+@pytest.mark.parametrize(
+    "mutant", [always, puts_are_idempotent, may_have_run_means_not_run]
+)
+def test_a_broken_retry_rule_is_caught(
+    mutant: MayRunAgain, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(retries, "may_run_again", mutant)
+
+    @given(METHODS, st.lists(ENDINGS, max_size=12))
+    @settings(
+        derandomize=True,
+        max_examples=500,
+        database=None,
+        report_multiple_bugs=False,
+    )
+    def search(
+        method: str, endings: list[tuple[errors.Verdict, errors.Reason]]
+    ) -> None:
+        check_runs_at_most_once(method, endings)
+
+    with pytest.raises(AssertionError):
+        search()
+
+
+@given(
+    METHODS,
+    st.lists(ENDINGS, max_size=80),
+    st.floats(min_value=0.0, max_value=3.0),
+    st.integers(min_value=0, max_value=1000),
+)
+@settings(derandomize=True)
+def test_no_attempt_starts_at_or_after_the_deadline(
+    method: str,
+    endings: list[tuple[errors.Verdict, errors.Reason]],
+    deadline_s: float,
+    seed: int,
+) -> None:
+    made, last_start_s = attempts_until_stopped(
+        method, endings, deadline_s, seed
+    )
+    if len(made) > 1:
+        assert last_start_s < deadline_s
+
+
+@given(st.integers(min_value=0, max_value=2000))
+@settings(derandomize=True)
+def test_retries_stay_within_their_share_of_requests(requests: int) -> None:
+    budget = retries.RetryBudget(share=0.1, reserve_retries=10.0)
+    spent = 0
+    for _ in range(requests):
+        budget.earn()
+        spent += budget.spend()
+    assert spent <= 10 + requests * 0.1 + 1e-6
+
+
+@pytest.mark.parametrize("reason", sorted(retries.ROUTING_REASONS, key=str))
+def test_waiting_out_a_move_needs_no_budget(reason: errors.Reason) -> None:
+    empty = retries.RetryBudget(reserve_retries=0.0)
+    outcome = retries.Outcome(
+        errors.Verdict.NOT_RUN, reason, "POST", 1, 3, 0.0, 5.0
+    )
+    decision = retries.decide(outcome, POLICY, empty, random.Random(1))
+    assert decision.retry
+
+
+def test_a_spent_budget_says_so() -> None:
+    empty = retries.RetryBudget(reserve_retries=0.0)
+    outcome = retries.Outcome(
+        errors.Verdict.NOT_RUN, errors.Reason.SHED, "POST", 1, 0, 0.0, 5.0
+    )
+    decision = retries.decide(outcome, POLICY, empty, random.Random(1))
+    assert not decision.retry
+    assert decision.reason is errors.Reason.RETRY_BUDGET_SPENT
