Lend an account's tokens from one bucket over all hosts

Cause: an account's rate and burst count over all hosts together, through the loss of the daemon that keeps the bucket, a partition, a pause and drift. Change: one holder by rendezvous hashing lends tokens for a short life from a bucket smaller than the burst by what one life earns. A new holder waits until every older licence has lapsed and begins empty, or is handed the bucket once. An account whose burst has no room for a loan's life is served a little slower instead of over its rate.

--- /dev/null
+++ b/tests/slow/test_tokens.py
@@ -0,0 +1,444 @@
+"""Claims about tokens lent over the fleet, searched by a state machine.
+
+The model keeps true time, the platform's member list and every message on
+its way. Daemons read the list when the search lets them; one that is paused
+simply does nothing for a while. Their clocks run at different rates.
+"""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+from hypothesis import Phase
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from sardinehill.core import fleet
+from sardinehill.core import tokens
+
+NAMES = ["a", "b", "c"]
+# A slow account earns little while a bucket changes hands, so that one token
+# given twice shows; a fast one earns much in the life of one loan.
+SLOW = fleet.ClientAccount("hotel", 2.0, 10.0)
+FAST = fleet.ClientAccount("hotel", 80.0, 40.0)
+TIGHT = fleet.ClientAccount("hotel", 20.0, 1.0)
+EPSILON = 1e-6
+
+
+@dataclasses.dataclass
+class Daemon:
+    """A daemon of the model."""
+
+    name: str
+    clock_rate: float
+    clock_offset_s: float
+    holder: Any
+    borrower: Any
+
+    def now_s(self, true_s: float) -> float:
+        return true_s * self.clock_rate + self.clock_offset_s
+
+
+class TokensMachine(stateful.RuleBasedStateMachine):
+    """Lends and uses tokens of one account."""
+
+    holder_class: type = tokens.Holder
+    borrower_class: type = tokens.Borrower
+    account = SLOW
+    terms: tokens.Terms | None = None
+
+    def __init__(self):
+        super().__init__()
+        self.loan_terms = self.terms or tokens.terms_of(self.account)
+        self.true_s = 1000.0
+        self.epoch = 1
+        self.members = list(NAMES)
+        drift = tokens.CLOCK_DRIFT
+        self.daemons = {
+            name: self.new_daemon(name, rate, offset_s)
+            for name, rate, offset_s in [
+                ("a", 1 - drift, 0.0),
+                ("b", 1 + drift, 70.0),
+                ("c", 1.0, -40.0),
+            ]
+        }
+        self.reads: list[tuple[str, float, int, list[str]]] = []
+        self.asks: list[tuple[str, str, float, int, tokens.Wish]] = []
+        self.replies: list[tuple[str, float, tokens.Loan]] = []
+        self.handovers: list[tuple[str, int, float]] = []
+        self.uses_s: list[float] = []
+        self.cut: set[str] = set()
+        # Long enough for the first holder's bucket to open and to fill.
+        self.tick(20.0)
+        self.tick(20.0)
+
+    def new_daemon(
+        self, name: str, clock_rate: float, offset_s: float
+    ) -> Daemon:
+        return Daemon(
+            name,
+            clock_rate,
+            offset_s,
+            self.holder_class(name),
+            self.borrower_class(),
+        )
+
+    @stateful.rule(step_s=st.sampled_from([0.02, 0.12, 0.21, 0.9]))
+    def pass_time(self, step_s: float) -> None:
+        self.tick(step_s)
+
+    def tick(self, step_s: float) -> None:
+        self.true_s += step_s
+        for name in NAMES:
+            if name not in self.cut:
+                self.begin_read(name)
+                self.end_read(self.reads.pop())
+
+    @stateful.rule(
+        members=st.sampled_from([["a"], ["b"], ["a", "b"], ["b", "c"], NAMES])
+    )
+    def commit_list(self, members: list[str]) -> None:
+        if members != self.members:
+            self.epoch += 1
+            self.members = list(members)
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def cut_or_heal(self, name: str) -> None:
+        self.cut ^= {name}
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def read_slowly(self, name: str) -> None:
+        self.begin_read(name)
+
+    def begin_read(self, name: str) -> None:
+        began_s = self.daemons[name].now_s(self.true_s)
+        self.reads.append((name, began_s, self.epoch, self.members))
+
+    @stateful.rule()
+    def end_oldest_read(self) -> None:
+        if self.reads:
+            self.end_read(self.reads.pop(0))
+
+    def end_read(self, read: tuple[str, float, int, list[str]]) -> None:
+        name, began_s, epoch, members = read
+        daemon = self.daemons[name]
+        daemon.holder.adopt(epoch, members, daemon.now_s(self.true_s))
+        daemon.holder.confirm(epoch, began_s)
+
+    @stateful.rule(
+        name=st.sampled_from(NAMES),
+        count=st.sampled_from([1, 40]),
+        arrives=st.sampled_from(["never yet", "at the holder", "back"]),
+    )
+    def borrow_some(self, name: str, count: int, arrives: str) -> None:
+        self.borrow(name, count, arrives)
+
+    def borrow(self, name: str, count: int, arrives: str) -> None:
+        daemon = self.daemons[name]
+        holder = tokens.holder_of("hotel", daemon.holder.members)
+        if holder is None:
+            return
+        asked_s = daemon.now_s(self.true_s)
+        wish = tokens.Wish(count, 2)
+        ask = (name, holder, asked_s, daemon.holder.epoch, wish)
+        if arrives == "never yet":
+            self.asks.append(ask)
+            return
+        reply = self.answer(ask)
+        if arrives == "back":
+            self.take_reply(reply)
+        else:
+            self.replies.append(reply)
+
+    def answer(
+        self, ask: tuple[str, str, float, int, tokens.Wish]
+    ) -> tuple[str, float, tokens.Loan]:
+        name, holder, asked_s, epoch, wish = ask
+        daemon = self.daemons[holder]
+        now_s = daemon.now_s(self.true_s)
+        loan = daemon.holder.lend("hotel", self.loan_terms, epoch, wish, now_s)
+        return name, asked_s, loan
+
+    def take_reply(self, reply: tuple[str, float, tokens.Loan]) -> None:
+        name, asked_s, loan = reply
+        borrower = self.daemons[name].borrower
+        borrower.receive(self.loan_terms, loan.tokens, asked_s)
+
+    @stateful.rule()
+    def deliver_ask(self) -> None:
+        if self.asks:
+            self.replies.append(self.answer(self.asks.pop(0)))
+
+    @stateful.rule()
+    def deliver_reply(self) -> None:
+        if self.replies:
+            self.take_reply(self.replies.pop(0))
+
+    @stateful.rule(names=st.sampled_from([["a"], ["b"], ["c"], NAMES, NAMES]))
+    def borrow_and_use(self, names: list[str]) -> None:
+        for name in names:
+            self.borrow(name, 40, "back")
+            self.use_all(name)
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def use(self, name: str) -> None:
+        self.use_all(name)
+
+    def use_all(self, name: str) -> None:
+        daemon = self.daemons[name]
+        while daemon.borrower.take(daemon.now_s(self.true_s)):
+            self.uses_s.append(self.true_s)
+            self.check_windows()
+
+    @stateful.rule(name=st.sampled_from(NAMES), delayed=st.booleans())
+    def ask_for_bucket(self, name: str, delayed: bool) -> None:
+        daemon = self.daemons[name]
+        now_s = daemon.now_s(self.true_s)
+        previous = daemon.holder.predecessor("hotel", now_s)
+        if previous is None:
+            return
+        old = self.daemons[previous]
+        epoch = daemon.holder.epoch
+        level = old.holder.hand_over("hotel", epoch, old.now_s(self.true_s))
+        if level is not None:
+            self.handovers.append((name, epoch, level))
+            if not delayed:
+                self.take_bucket(self.handovers.pop())
+
+    @stateful.rule()
+    def deliver_bucket(self) -> None:
+        if self.handovers:
+            self.take_bucket(self.handovers.pop(0))
+
+    def take_bucket(self, handover: tuple[str, int, float]) -> None:
+        name, epoch, level = handover
+        daemon = self.daemons[name]
+        daemon.holder.receive(
+            "hotel", self.loan_terms, epoch, level, daemon.now_s(self.true_s)
+        )
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def restart(self, name: str) -> None:
+        old = self.daemons[name]
+        self.daemons[name] = self.new_daemon(
+            name, old.clock_rate, old.clock_offset_s
+        )
+        self.reads = [read for read in self.reads if read[0] != name]
+        self.asks = [ask for ask in self.asks if name not in ask[:2]]
+        self.replies = [reply for reply in self.replies if reply[0] != name]
+        self.handovers = [over for over in self.handovers if over[0] != name]
+
+    def check_windows(self) -> None:
+        now_s = self.uses_s[-1]
+        for index, began_s in enumerate(self.uses_s):
+            used = len(self.uses_s) - index
+            allowed = self.account.rate_per_s * (now_s - began_s)
+            allowed += self.account.burst_requests
+            assert used <= allowed + EPSILON, "over rate and burst"
+
+
+class OpensAtOnce(tokens.Holder):
+    """A mutant whose new holder does not wait for the old one's licence."""
+
+    def _bucket(self, account, terms):  # type: ignore
+        if account not in self._buckets:
+            self._buckets[account] = tokens.Bucket(terms, self._adopted_s, 9.0)
+        return self._buckets[account]
+
+
+class StartsFull(tokens.Holder):
+    """A mutant whose new holder waits, but then begins with a full bucket."""
+
+    def _bucket(self, account, terms):  # type: ignore
+        if account not in self._buckets:
+            opens_at_s = self._adopted_s + tokens.TAKEOVER_S
+            bucket = tokens.Bucket(terms, opens_at_s, terms.capacity_tokens)
+            self._buckets[account] = bucket
+        return self._buckets[account]
+
+
+class LendsForEver(tokens.Holder):
+    """A mutant that lends whatever the list may be by now."""
+
+    def is_licensed(self, now_s):  # type: ignore
+        """Always says yes."""
+        return True
+
+
+class KeepsWhatItGave(tokens.Holder):
+    """A mutant that hands its bucket over and goes on lending."""
+
+    def hand_over(self, account, epoch, now_s):  # type: ignore
+        """Gives the level away and keeps the bucket."""
+        bucket = self._buckets.get(account) or self._released.get(account)
+        if bucket is None or not bucket.is_open(now_s):
+            return None
+        return bucket.level(now_s)
+
+
+class TrustsAGapInTheLists(tokens.Holder):
+    """A mutant that keeps its bucket over lists that it never saw."""
+
+    def adopt(self, epoch, members, now_s):  # type: ignore
+        """Takes every list for the next one."""
+        if epoch > self._epoch >= 0:
+            self._epoch = epoch - 1
+        super().adopt(epoch, members, now_s)
+
+
+class LifeFromTheAnswer(tokens.Borrower):
+    """A mutant whose loans live for longer than they were lent for."""
+
+    def receive(self, terms, tokens_lent, asked_s):  # type: ignore
+        """Adds another life."""
+        super().receive(terms, tokens_lent, asked_s + 4 * terms.loan_life_s)
+
+
+SETTINGS = settings(
+    max_examples=200, stateful_step_count=40, derandomize=True, deadline=None
+)
+# A mutant need only be caught, so no time goes into the smallest story.
+MUTANT_SETTINGS = settings(
+    SETTINGS,
+    max_examples=600,
+    phases=[Phase.generate],
+    report_multiple_bugs=False,
+)
+
+
+def run(examples: settings, **overrides: Any) -> None:
+    machine = type("Machine", (TokensMachine,), overrides)
+    stateful.run_state_machine_as_test(machine, settings=examples)
+
+
+@pytest.mark.parametrize("account", [SLOW, FAST, TIGHT])
+def test_no_window_exceeds_rate_and_burst(
+    account: fleet.ClientAccount,
+) -> None:
+    run(SETTINGS, account=account)
+
+
+def cut_off_holder_goes_on(model: TokensMachine) -> None:
+    model.cut.add("a")
+    model.members, model.epoch = ["b"], model.epoch + 1
+    for _ in range(8):
+        model.tick(0.9)
+    model.borrow("b", 40, "back")
+    model.use_all("b")
+    model.borrow("a", 40, "back")
+    model.use_all("a")
+
+
+def holder_is_lost(model: TokensMachine) -> None:
+    model.borrow("a", 40, "back")
+    model.use_all("a")
+    model.cut.add("a")
+    model.members, model.epoch = ["b"], model.epoch + 1
+    model.tick(0.02)
+    model.tick(tokens.TAKEOVER_S + 0.01)
+    model.borrow("b", 40, "back")
+    model.use_all("b")
+
+
+def holder_gives_its_bucket_away(model: TokensMachine) -> None:
+    model.borrow("a", 1, "back")
+    model.cut.add("a")
+    model.members, model.epoch = ["b"], model.epoch + 1
+    model.tick(0.02)
+    level = model.daemons["a"].holder.hand_over(
+        "hotel", model.epoch, model.daemons["a"].now_s(model.true_s)
+    )
+    assert level is not None
+    model.take_bucket(("b", model.epoch, level))
+    for name in ("b", "a"):
+        model.borrow(name, 40, "back")
+        model.use_all(name)
+
+
+def holder_misses_a_list(model: TokensMachine) -> None:
+    model.borrow("a", 1, "back")
+    model.cut.add("a")
+    model.members, model.epoch = ["b"], model.epoch + 1
+    for _ in range(8):
+        model.tick(0.9)
+    model.borrow("b", 40, "back")
+    model.use_all("b")
+    model.members, model.epoch = ["a", "b"], model.epoch + 1
+    model.cut.clear()
+    model.tick(0.02)
+    model.borrow("a", 40, "back")
+    model.use_all("a")
+
+
+def borrower_saves_up_loans(model: TokensMachine) -> None:
+    for _ in range(4):
+        model.borrow("a", 40, "back")
+        model.tick(0.21)
+    model.use_all("a")
+
+
+def borrower_keeps_one_loan(model: TokensMachine) -> None:
+    model.borrow("a", 40, "back")
+    model.tick(0.21)
+    model.borrow("a", 40, "back")
+    model.use_all("a")
+
+
+STORIES = [
+    borrower_keeps_one_loan,
+    cut_off_holder_goes_on,
+    holder_is_lost,
+    holder_gives_its_bucket_away,
+    holder_misses_a_list,
+    borrower_saves_up_loans,
+]
+
+
+def tell(story: Callable[[TokensMachine], None], **overrides: Any) -> None:
+    story(type("Machine", (TokensMachine,), overrides)())
+
+
+@pytest.mark.parametrize("story", STORIES)
+@pytest.mark.parametrize("account", [SLOW, FAST])
+def test_each_story_stays_within_rate_and_burst(
+    story: Callable[[TokensMachine], None], account: fleet.ClientAccount
+) -> None:
+    tell(story, account=account)
+
+
+def test_a_takeover_without_a_wait_is_caught() -> None:
+    with pytest.raises(AssertionError):
+        run(MUTANT_SETTINGS, holder_class=OpensAtOnce)
+
+
+@pytest.mark.parametrize(
+    ("mutant", "story"),
+    [
+        (StartsFull, holder_is_lost),
+        (LendsForEver, cut_off_holder_goes_on),
+        (KeepsWhatItGave, holder_gives_its_bucket_away),
+        (TrustsAGapInTheLists, holder_misses_a_list),
+    ],
+)
+def test_a_broken_holder_is_caught(
+    mutant: type, story: Callable[[TokensMachine], None]
+) -> None:
+    with pytest.raises(AssertionError, match="over rate and burst"):
+        tell(story, holder_class=mutant)
+
+
+def test_loans_that_outlive_their_life_are_caught() -> None:
+    with pytest.raises(AssertionError, match="over rate and burst"):
+        tell(
+            borrower_saves_up_loans,
+            account=FAST,
+            borrower_class=LifeFromTheAnswer,
+        )
+
+
+def test_a_bucket_as_large_as_the_burst_is_caught() -> None:
+    terms = tokens.Terms(80.0, 40.0, tokens.LOAN_LIFE_S)
+    with pytest.raises(AssertionError, match="over rate and burst"):
+        tell(borrower_keeps_one_loan, account=FAST, terms=terms)
