--- a/src/sardinehill/daemon/application.py
+++ b/src/sardinehill/daemon/application.py
@@ -12,6 +12,7 @@
 from sardinehill import errors
 from sardinehill.adapters import platform
 from sardinehill.adapters import upstream
+from sardinehill.core import account_keys
 from sardinehill.core import fleet
 from sardinehill.daemon import controller
 from sardinehill.daemon import entry
@@ -30,7 +31,9 @@
     """One daemon: every part of it, started and stopped in order."""
 
     def __init__(self, settings: fleet.HostSettings) -> None:
-        self.view = view.View(settings)
+        self.view = view.View(
+            settings, account_keys.KeyRing(settings.account_key_secret)
+        )
         self.platform = platform.PlatformClient(settings.platform_url)
         self.upstreams = upstream.UpstreamClient(CONNECTIONS_PER_UPSTREAM)
         self.bus = peers.PeerBus(settings.name, self._locate)
