--- a/src/sardinehill/core/grants.py
+++ b/src/sardinehill/core/grants.py
@@ -7,6 +7,7 @@
 its life long after everybody else had written it off.
 """
 
+from collections.abc import Iterable
 import dataclasses
 
 from sardinehill.core import placement
@@ -17,6 +18,19 @@
 # The unit of being an upstream's gateway, apart from any shard.
 GATEWAY_ROLE = -1
 
+SHARDS_LIMIT = 1 << 20
+
+
+def ranges(shards: Iterable[int]) -> list[tuple[int, int]]:
+    """Returns shards as inclusive ranges, in ascending order."""
+    found: list[tuple[int, int]] = []
+    for shard in sorted(shards):
+        if found and found[-1][1] == shard - 1:
+            found[-1] = (found[-1][0], shard)
+        else:
+            found.append((shard, shard))
+    return found
+
 
 @dataclasses.dataclass(frozen=True, order=True)
 class Target:
@@ -101,6 +115,7 @@
       stamp_s: own clock when that answer came.
       awaiting: sequence of the only call whose answer counts, or 0.
       sent_s: own clock when that call was sent.
+      answered_sequence: sequence of the newest call that was answered.
       answered_s: own clock at the newest answer, None before the first.
       lost: calls without an answer since then.
       accepted: the newest grant that it accepted.
@@ -116,6 +131,7 @@
     stamp_s: float = float("-inf")
     awaiting: int = 0
     sent_s: float = float("-inf")
+    answered_sequence: int = 0
     answered_s: float | None = None
     lost: int = 0
     accepted: Grant | None = None
@@ -149,7 +165,10 @@
     if not grant.units and not holder.sent:
         return
     holder.sent.append(grant)
-    lapse_s = holder.stamp_s + grant.ttl_s * (1.0 + 2.0 * drift_ratio)
+    # A holder that names no clock counts from the receipt. What a grant may
+    # wait on its way is then not covered; its gateway's grant is the guard.
+    begin_s = holder.stamp_s if holder.stamp_ms else now_s
+    lapse_s = begin_s + grant.ttl_s * (1.0 + 2.0 * drift_ratio)
     holder.lapse_s = max(holder.lapse_s, lapse_s)
 
 
@@ -165,6 +184,7 @@
     if holder.awaiting != grant.sequence:
         return False
     holder.awaiting = 0
+    holder.answered_sequence = grant.sequence
     holder.lost = 0
     holder.answered_s = now_s
     if holder.incarnation not in ("", answer.incarnation):
@@ -195,6 +215,7 @@
     """Takes in that a call had no answer in time; none will count later."""
     if holder.awaiting == grant.sequence:
         holder.awaiting = 0
+    if grant.sequence > holder.answered_sequence:
         holder.lost += 1
 
 
