--- a/src/sardinehill/adapters/records.py
+++ b/src/sardinehill/adapters/records.py
@@ -1,8 +1,10 @@
 """How the core's data is written in the store's objects."""
 
+import dataclasses
 from typing import Any
 
 from sardinehill import errors
+from sardinehill.core import account_keys
 from sardinehill.core import fleet
 from sardinehill.core import lease
 from sardinehill.core import placement
@@ -131,6 +133,30 @@
         raise errors.StoreReplyError(f"placement/fleet: {error!r}") from error
 
 
+def key_bucket_value(bucket: account_keys.KeyBucket) -> dict[str, Any]:
+    """Returns the store's value of a bucket of account key records."""
+    return {"records": [dataclasses.asdict(each) for each in bucket.records]}
+
+
+def read_key_bucket(name: str, value: dict[str, Any]) -> account_keys.KeyBucket:
+    """Returns a bucket of account key records.
+
+    Raises:
+      StoreReplyError: a field is missing or makes no sense.
+    """
+    try:
+        return account_keys.KeyBucket(
+            tuple(
+                account_keys.KeyRecord(**record) for record in value["records"]
+            )
+        )
+    except (KeyError, TypeError) as error:
+        # The error's text may hold a digest, which belongs in no log.
+        raise errors.StoreReplyError(
+            f"account-keys/{name}: {type(error).__name__}"
+        ) from None
+
+
 def _read_member(name: str, value: dict[str, Any]) -> fleet.DaemonHost:
     ip, _, port = str(value["address"]).rpartition(":")
     return fleet.DaemonHost(
--- a/src/sardinehill/daemon/entry.py
+++ b/src/sardinehill/daemon/entry.py
@@ -1,12 +1,12 @@
 """Takes callers' requests and answers them."""
 
+import asyncio
 import json
 import uuid
 
 from aiohttp import web
 
 from sardinehill import errors
-from sardinehill.core import account_keys
 from sardinehill.core import fleet
 from sardinehill.core import messages
 from sardinehill.core import placement
@@ -116,14 +116,8 @@
         ).partition(" ")
         if scheme.lower() != "bearer" or not account_key:
             raise _refusal(errors.Reason.ACCOUNT_KEY_MISSING)
-        account = account_keys.account_of(account_key)
-        bucket = self._view.account_keys.get(account_keys.bucket_of(account))
-        digest = account_keys.digest_of(
-            account_key, self._view.settings.account_key_secret
-        )
-        if not account_keys.is_known(digest, account, bucket or {}):
-            raise _refusal(errors.Reason.ACCOUNT_KEY_UNKNOWN)
-        return account
+        now_s = asyncio.get_running_loop().time()
+        return self._view.key_ring.check(account_key, now_s).account
 
     async def _send(
         self, forward: messages.ForwardRequest
