Let a joining upstream get its share also when shards are few

Cause: with 17 shards each, no upstream was a whole shard above its share, so the one that joined a fleet of 30 got 2 shards of 16.

Change: the giver may end a little below its share; claims about churn and imbalance in tests/cover/test_balancing.py. The fleet of process tests writes account keys in their present form.

Conclusion: churn of a join or a leave stays within 1.2 times the least.

--- a/src/sardinehill/core/balancing.py
+++ b/src/sardinehill/core/balancing.py
@@ -109,7 +109,7 @@
             deficit <= slack * problem.weights[low]
         ):
             return
-        best = _best_shard(held[high], problem.loads, surplus, deficit)
+        best = _best_shard(held[high], problem.loads, surplus, deficit, slack)
         if best is None:
             return
         held[high].remove(best)
@@ -123,10 +123,12 @@
     loads: Sequence[float],
     surplus: float,
     deficit: float,
+    slack: float,
 ) -> int | None:
-    """Returns the largest shard whose move overshoots neither side."""
-    room = min(max(surplus, 0.0), max(deficit, 0.0))
-    # A move of a shard larger than the room would only swap who is above.
+    """Returns the largest shard whose move makes the two more alike."""
+    # The receiver must not end above its share. The giver may end a little
+    # below: when each upstream has few shards none would ever leave else.
+    room = min(deficit, surplus + slack, (surplus + deficit) / 1.5)
     fitting = [shard for shard in shards if loads[shard] <= room]
     if not fitting:
         return None
--- a/tests/common/ownership_fleet.py
+++ b/tests/common/ownership_fleet.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from sardinehill.adapters import platform
+from sardinehill.adapters import records
 from sardinehill.core import account_keys
 from standins import deployment
 from standins import driver
@@ -55,10 +56,17 @@
     async def issue_key(self, account: deployment.AccountShape) -> str:
         """Writes an account's key into the store."""
         secret = f"{account.name}.secret"
-        digest = account_keys.digest_of(secret, deployment.ACCOUNT_KEY_SECRET)
-        bucket = account_keys.bucket_of(account.name)
-        record = {"account": account.name, "revoked_at_s": None}
-        await self._write("account-keys", bucket, {"keys": {digest: record}})
+        record = account_keys.KeyRecord(
+            account.name,
+            account_keys.digest_of(secret, deployment.ACCOUNT_KEY_SECRET),
+            issued_at_s=0.0,
+        )
+        bucket = account_keys.KeyBucket((record,))
+        await self._write(
+            "account-keys",
+            account_keys.bucket_name(account.name),
+            records.key_bucket_value(bucket),
+        )
         self.driver.account_keys[account.name] = secret
         return secret
 
--- /dev/null
+++ b/tests/cover/test_balancing.py
@@ -0,0 +1,143 @@
+"""Claims about which shards move, and how many."""
+
+import collections
+import random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from sardinehill.core import balancing
+
+SHARD_COUNT = 512
+CHURN_LIMIT_RATIO = 1.2
+IMBALANCE_LIMIT_RATIO = 1.3
+
+
+def names(count: int) -> list[str]:
+    """Returns names of upstreams."""
+    return [f"u{index}" for index in range(count)]
+
+
+def settle(
+    owners: list[str | None],
+    loads: list[float],
+    weights: dict[str, float],
+    gone: frozenset[str] = frozenset(),
+) -> int:
+    """Applies passes until nothing moves; returns how many shards moved."""
+    moved = 0
+    for _ in range(200):
+        moves = balancing.plan(
+            balancing.Problem(owners, loads, weights, gone=gone)
+        )
+        if not moves:
+            return moved
+        moved += sum(owners[shard] is not None for shard in moves)
+        for shard, owner in moves.items():
+            owners[shard] = owner
+    raise AssertionError("the moves never end")
+
+
+def held(owners: list[str | None], loads: list[float]) -> dict[str, float]:
+    """Returns each upstream's load."""
+    found: dict[str, float] = collections.defaultdict(float)
+    for owner, load in zip(owners, loads, strict=True):
+        found[owner or ""] += load
+    return found
+
+
+def fresh(count: int) -> tuple[list[str | None], list[float]]:
+    """Returns a settled assignment of equal shards to some upstreams."""
+    owners: list[str | None] = [None] * SHARD_COUNT
+    loads = [1.0] * SHARD_COUNT
+    settle(owners, loads, dict.fromkeys(names(count), 1.0))
+    return owners, loads
+
+
+@pytest.mark.parametrize("count", [5, 20, 30])
+def test_an_upstream_that_leaves_moves_only_its_own_shards(
+    count: int,
+) -> None:
+    owners, loads = fresh(count)
+    least = held(owners, loads)["u0"]
+    weights = dict.fromkeys(names(count)[1:], 1.0)
+    moved = settle(owners, loads, weights)
+    assert moved <= CHURN_LIMIT_RATIO * least
+
+
+@pytest.mark.parametrize("count", [5, 20, 30])
+def test_an_upstream_that_joins_moves_no_more_than_its_share(
+    count: int,
+) -> None:
+    owners, loads = fresh(count)
+    weights = dict.fromkeys(names(count + 1), 1.0)
+    moved = settle(owners, loads, weights)
+    assert moved <= CHURN_LIMIT_RATIO * SHARD_COUNT / (count + 1)
+    assert held(owners, loads)[f"u{count}"] >= 0.7 * SHARD_COUNT / (count + 1)
+
+
+@given(seed=st.integers(0, 1000), count=st.integers(2, 30))
+@settings(max_examples=40, derandomize=True, deadline=None)
+def test_uneven_shards_end_within_the_limit(seed: int, count: int) -> None:
+    source = random.Random(seed)
+    loads = [source.uniform(0.5, 3.0) for _ in range(SHARD_COUNT)]
+    owners: list[str | None] = [
+        source.choice(names(count)) for _ in range(SHARD_COUNT)
+    ]
+    settle(owners, loads, dict.fromkeys(names(count), 1.0))
+    found = held(owners, loads)
+    mean = sum(loads) / count
+    assert max(found.values()) <= IMBALANCE_LIMIT_RATIO * mean
+
+
+def test_a_balanced_fleet_moves_nothing() -> None:
+    owners, loads = fresh(7)
+    assert settle(owners, loads, dict.fromkeys(names(7), 1.0)) == 0
+
+
+def test_shards_of_hosts_taken_out_leave_in_steps() -> None:
+    owners, loads = fresh(4)
+    moves = balancing.plan(
+        balancing.Problem(
+            owners, loads, dict.fromkeys(names(4)[1:], 1.0), orphan_budget=10
+        )
+    )
+    assert len(moves) == 10
+
+
+def test_shards_of_a_lost_upstream_leave_at_once() -> None:
+    owners, loads = fresh(4)
+    least = held(owners, loads)["u0"]
+    moves = balancing.plan(
+        balancing.Problem(
+            owners,
+            loads,
+            dict.fromkeys(names(4)[1:], 1.0),
+            orphan_budget=10,
+            gone=frozenset(["u0"]),
+        )
+    )
+    assert len(moves) == least
+
+
+def test_keys_of_a_peak_are_found_in_bounded_space() -> None:
+    source = random.Random(1)
+    top = balancing.TopKeys(capacity_keys=128)
+    for _ in range(20_000):
+        hot = source.random() < 0.3
+        key = (
+            f"hot-{source.randrange(10)}"
+            if hot
+            else f"cold-{source.randrange(100_000)}"
+        )
+        top.add(key)
+    found = balancing.wanted_hot_keys(top.shares(), frozenset(), 0.02)
+    assert found == {f"hot-{index}" for index in range(10)}
+
+
+def test_a_key_on_the_threshold_stays_where_it_is() -> None:
+    shares = {"key": 0.011}
+    assert not balancing.wanted_hot_keys(shares, frozenset(), 0.02)
+    assert balancing.wanted_hot_keys(shares, frozenset(["key"]), 0.02)
