Wait for unseen grants when there is no assignment, and outlive a deleted lease

Cause: with no assignment in the store a controller assigned at once, though a predecessor's grants may have been in force; and a deleted lease looked like an old reply, so that nobody ever took it again.

--- a/src/sardinehill/core/controlling.py
+++ b/src/sardinehill/core/controlling.py
@@ -57,6 +57,7 @@
       controller: the ownership it controls.
       known: the newest assignment known from anywhere.
       asked_s: own clock of the last round of questions.
+      term_began_s: own clock when the present term began here.
     """
 
     me: str
@@ -68,6 +69,7 @@
     controller: ownership.Controller
     known: placement.Assignment | None = None
     asked_s: float = float("-inf")
+    term_began_s: float = float("-inf")
 
 
 def new_duty(
@@ -191,12 +193,14 @@
     lease_command = lease.tick(duty.lease, now_s, rank, duty.new_nonce())
     if lease_command is not None:
         commands.append(lease_command)
+    if duty.lease.term != duty.controller.term:
+        duty.term_began_s = now_s
     ownership.begin_term(duty.controller, duty.lease.term)
     licence.begin(duty.licence, duty.lease.term)
     commands.extend(_questions(duty, now_s))
     if not is_licensed(duty, now_s):
         return commands
-    _settle(duty, now_s)
+    _settle(duty, view, now_s)
     commands.extend(
         ownership.tick(
             duty.controller,
@@ -213,11 +217,20 @@
     return ownership.electorate_of(duty.controller.committed)
 
 
-def _settle(duty: Duty, now_s: float) -> None:
+def _settle(duty: Duty, view: ownership.View, now_s: float) -> None:
     if duty.controller.committed is None:
         return
-    nobody = not _electorate(duty).everyone
-    if nobody or now_s >= licence.settled_s(duty.licence):
+    if _electorate(duty).everyone:
+        settled = now_s >= licence.settled_s(duty.licence)
+    else:
+        # There is no assignment: either this is a new service, or operators
+        # deleted it, and what a predecessor granted must lapse unseen.
+        timing = duty.timing.of_grants
+        wait_s = duty.timing.of_lease.ttl_s + timing.grant_ttl_s
+        wait_s *= 1.0 + 2.0 * timing.drift_ratio
+        settled = now_s >= duty.term_began_s + wait_s
+        settled = settled or ownership.is_new_service(duty.controller, view)
+    if settled:
         ownership.on_settled(duty.controller, now_s)
 
 
--- a/src/sardinehill/core/grants.py
+++ b/src/sardinehill/core/grants.py
@@ -120,6 +120,7 @@
       lost: calls without an answer since then.
       accepted: the newest grant that it accepted.
       refused: whether it refused the newest.
+      earlier_term: the highest term that it knew when it was first asked.
     """
 
     target: Target
@@ -136,6 +137,7 @@
     lost: int = 0
     accepted: Grant | None = None
     refused: bool = False
+    earlier_term: int | None = None
 
 
 def may_hold(
@@ -191,6 +193,8 @@
     holder.answered_sequence = grant.sequence
     holder.lost = 0
     holder.answered_s = now_s
+    if holder.earlier_term is None:
+        holder.earlier_term = answer.term
     if holder.incarnation not in ("", answer.incarnation):
         holder.sent = [
             one for one in holder.sent if one.incarnation == answer.incarnation
--- a/src/sardinehill/core/lease.py
+++ b/src/sardinehill/core/lease.py
@@ -194,10 +194,12 @@
 
 
 def _see(lease: Lease, record: LeaseRecord, now_s: float) -> None:
-    # Replies may overtake each other; an older version tells nothing new.
-    if lease.seen is not None and record.version < lease.seen.version:
+    # Replies may overtake each other; an older version tells nothing new. But
+    # an absent lease may have been deleted, and then no version comes back.
+    known_version = 0 if lease.seen is None else lease.seen.version
+    if 0 < record.version < known_version:
         return
-    if lease.seen is None or record.version > lease.seen.version:
+    if lease.seen is None or record.version != lease.seen.version:
         lease.seen = record
         lease.seen_s = now_s
     sent_s = lease.sent_s.get(record.nonce)
--- a/src/sardinehill/core/ownership.py
+++ b/src/sardinehill/core/ownership.py
@@ -221,6 +221,16 @@
     )
 
 
+def is_new_service(controller: Controller, view: View) -> bool:
+    """Tells whether no upstream was ever granted anything by anybody."""
+    holders = [
+        controller.holders.get(grants.Target(name)) for name in view.upstreams
+    ]
+    return bool(holders) and all(
+        holder is not None and holder.earlier_term == 0 for holder in holders
+    )
+
+
 # Events from the store.
 
 
