Count how much shards and keys are used, and place hot keys alone

Cause: shards were balanced by number, so popular keys that shift loaded some upstreams twice as much as others.

--- a/src/sardinehill/core/balancing.py
+++ b/src/sardinehill/core/balancing.py
@@ -12,7 +12,7 @@
 
 # An upstream must be this much above its share before anything leaves it,
 # and a move must leave the receiver below that share by the same measure.
-HYSTERESIS_RATIO = 0.08
+HYSTERESIS_RATIO = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -166,6 +166,11 @@
             if count >= 1.0
         }
 
+    def most(self, limit: int = 32) -> list[tuple[str, float]]:
+        """Returns the keys counted most, and their counts."""
+        ordered = sorted(self._counts, key=self._counts.__getitem__)
+        return [(key, self._counts[key]) for key in ordered[-limit:]]
+
     def shares(self) -> dict[str, float]:
         """Returns each key's share of all requests, never too low."""
         if self.total <= 0.0:
--- a/src/sardinehill/core/controlling.py
+++ b/src/sardinehill/core/controlling.py
@@ -17,6 +17,7 @@
 from sardinehill.core import licence
 from sardinehill.core import ownership
 from sardinehill.core import placement
+from sardinehill.core import popularity
 
 # Two of five may be lost at once while the store is down.
 ELECTORATE_SIZE = 5
@@ -55,6 +56,7 @@
       member: this daemon's own memory as one that vouches.
       licence: what it collected as a controller.
       controller: the ownership it controls.
+      popularity: how much shards and keys are used.
       known: the newest assignment known from anywhere.
       asked_s: own clock of the last round of questions.
       term_began_s: own clock when the present term began here.
@@ -67,6 +69,7 @@
     member: licence.Member
     licence: licence.Licence
     controller: ownership.Controller
+    popularity: popularity.Popularity
     known: placement.Assignment | None = None
     asked_s: float = float("-inf")
     term_began_s: float = float("-inf")
@@ -74,6 +77,7 @@
 
 def new_duty(
     service: str,
+    shard_count: int,
     me: str,
     timing: Timing,
     new_nonce: Callable[[], str],
@@ -88,6 +92,7 @@
         member=licence.Member(started_s=now_s),
         licence=licence.Licence(),
         controller=ownership.Controller(service, me, timing.of_grants),
+        popularity=popularity.Popularity(shard_count),
     )
 
 
@@ -201,6 +206,9 @@
     if not is_licensed(duty, now_s):
         return commands
     _settle(duty, view, now_s)
+    committed = duty.controller.committed
+    split = committed.hot_owners if committed is not None else ()
+    duty.popularity.update(now_s, len(view.upstreams), split)
     commands.extend(
         ownership.tick(
             duty.controller,
@@ -360,3 +368,8 @@
 ) -> None:
     """Takes in a holder's answer to a grant."""
     ownership.on_grant_answer(duty.controller, grant, answer, now_s)
+
+
+def on_report(duty: Duty, report: popularity.Report) -> None:
+    """Takes in what a gateway counted."""
+    duty.popularity.add(report)
--- a/src/sardinehill/core/gateway_book.py
+++ b/src/sardinehill/core/gateway_book.py
@@ -5,6 +5,7 @@
 
 from sardinehill.core import grants
 from sardinehill.core import placement
+from sardinehill.core import popularity
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,6 +37,7 @@
         self._running: dict[
             tuple[str, str], collections.Counter[tuple[int, str]]
         ] = {}
+        self._counts: dict[tuple[str, str], popularity.Counts] = {}
 
     def offer(
         self, service: str, grant: grants.Grant, clock_ms: int
@@ -50,6 +52,11 @@
         )
         return grants.offer(held, grant, clock_ms, outside)
 
+    def take_report(self, service: str, upstream: str) -> popularity.Report:
+        """Returns what was counted for an upstream since the last report."""
+        counts = self._counts.pop((service, upstream), None)
+        return popularity.Report() if counts is None else counts.take()
+
     def fence(
         self,
         service: str,
@@ -86,6 +93,13 @@
         place = (service, upstream)
         running = self._running.setdefault(place, collections.Counter())
         running[(shard, key)] += 1
+        if shard < 0:
+            return
+        held = self._held.get(place)
+        grant = None if held is None else held.grant
+        is_split = grant is not None and key in grant.units
+        counts = self._counts.setdefault(place, popularity.Counts())
+        counts.add(shard, key, is_split)
 
     def end(self, service: str, upstream: str, shard: int, key: str) -> None:
         """Notes that a request is over, whatever became of it."""
--- a/src/sardinehill/daemon/controller.py
+++ b/src/sardinehill/daemon/controller.py
@@ -113,8 +113,11 @@
     def _duty(self, service: str) -> controlling.Duty:
         duty = self._duties.get(service)
         if duty is None:
+            config = self._view.config
+            known = config.services.get(service) if config else None
             duty = controlling.new_duty(
                 service,
+                known.shard_count if known else 0,
                 self._view.settings.name,
                 self._timing,
                 self._nonces.__next__,
@@ -140,7 +143,8 @@
         members = self._view.members
         taken_out = self._view.taken_out
         current: tuple[str, ...] = ()
-        committed = self._duty(service.name).controller.committed
+        duty = self._duty(service.name)
+        committed = duty.controller.committed
         if committed is not None:
             current = committed.electorate
         zones = {
@@ -166,6 +170,8 @@
             electorate=controlling.choose_electorate(
                 service.name, current, zones
             ),
+            shard_loads=duty.popularity.shard_loads,
+            hot_keys=duty.popularity.hot_keys,
         )
 
     def _call(self, work: Coroutine[Any, Any, None]) -> None:
@@ -306,9 +312,11 @@
                     payload,
                     GRANT_TIMEOUT_S,
                 )
-                return ownership_wire.decode_grant_answer(reply)
+                answer, report = ownership_wire.decode_grant_answer(reply)
             except errors.PeerError:
                 return None
+            controlling.on_report(duty, report)
+            return answer
         host = self._view.upstreams.get(target.upstream)
         if host is None:
             return None
--- a/src/sardinehill/daemon/gateway_leases.py
+++ b/src/sardinehill/daemon/gateway_leases.py
@@ -74,7 +74,8 @@
         answer = self._book.offer(service, grant, boot_clock.now_ms())
         if answer.accepted:
             self._wake()
-        return ownership_wire.encode_grant_answer(answer)
+        report = self._book.take_report(service, grant.target.upstream)
+        return ownership_wire.encode_grant_answer(answer, report)
 
     def _wake(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
--- a/src/sardinehill/wire/ownership.capnp
+++ b/src/sardinehill/wire/ownership.capnp
@@ -19,6 +19,16 @@
   last @1 :Int32;
 }
 
+struct ShardCount {
+  shard @0 :Int32;
+  count @1 :UInt32;
+}
+
+struct KeyCount {
+  key @0 :Text;
+  count @1 :UInt32;
+}
+
 # A controller makes a daemon the gateway of an upstream, or ends that.
 struct GatewayGrant {
   service @0 :Text;
@@ -41,4 +51,7 @@
   incarnation @3 :Text;
   clockMs @4 :UInt64;
   runningOutside @5 :UInt32;
+  # Requests since the answer before.
+  shardCounts @6 :List(ShardCount);
+  keyCounts @7 :List(KeyCount);
 }
--- a/src/sardinehill/wire/ownership.py
+++ b/src/sardinehill/wire/ownership.py
@@ -8,6 +8,7 @@
 from sardinehill import errors
 from sardinehill.core import grants
 from sardinehill.core import licence
+from sardinehill.core import popularity
 from sardinehill.wire import schemas
 
 _SCHEMA = schemas.load("ownership")
@@ -123,8 +124,10 @@
         yield from range(one.first, one.last + 1)
 
 
-def encode_grant_answer(answer: grants.GrantAnswer) -> bytes:
-    """Returns the message of a gateway's answer."""
+def encode_grant_answer(
+    answer: grants.GrantAnswer, report: popularity.Report
+) -> bytes:
+    """Returns the message of a gateway's answer and of what it counted."""
     message = _SCHEMA.GatewayAnswer.new_message(
         accepted=answer.accepted,
         term=answer.term,
@@ -132,19 +135,28 @@
         incarnation=answer.incarnation,
         clockMs=answer.clock_ms,
         runningOutside=answer.running_outside,
+        shardCounts=[
+            {"shard": shard, "count": count}
+            for shard, count in report.shards.items()
+        ],
+        keyCounts=[
+            {"key": key, "count": count} for key, count in report.keys.items()
+        ],
     )
     return bytes(message.to_bytes())
 
 
-def decode_grant_answer(data: bytes) -> grants.GrantAnswer:
-    """Returns a gateway's answer.
+def decode_grant_answer(
+    data: bytes,
+) -> tuple[grants.GrantAnswer, popularity.Report]:
+    """Returns a gateway's answer and what it counted.
 
     Raises:
       PeerFrameError: the bytes are not such a message.
     """
     try:
         message = schemas.read(_SCHEMA.GatewayAnswer, data)
-        return grants.GrantAnswer(
+        answer = grants.GrantAnswer(
             message.accepted,
             message.term,
             message.sequence,
@@ -152,5 +164,10 @@
             message.clockMs,
             message.runningOutside,
         )
+        report = popularity.Report(
+            {one.shard: one.count for one in message.shardCounts},
+            {one.key: one.count for one in message.keyCounts},
+        )
+        return answer, report
     except (capnp.KjException, ValueError) as error:
         raise errors.PeerFrameError(f"not an answer: {error}") from error
--- a/tests/common/ownership_world.py
+++ b/tests/common/ownership_world.py
@@ -125,6 +125,7 @@
         self.held = {}
         self.duty = controlling.new_duty(
             "s",
+            SHARD_COUNT,
             self.name,
             controlling.Timing(),
             self.world.new_nonce,
--- /dev/null
+++ b/tests/cover/test_ownership_messages.py
@@ -0,0 +1,81 @@
+"""Claims about messages between a controller, members and gateways."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from sardinehill import errors
+from sardinehill.core import grants
+from sardinehill.core import licence
+from sardinehill.core import popularity
+from sardinehill.wire import ownership
+
+COUNTS = st.integers(0, 2**31)
+UNITS = st.frozensets(st.one_of(st.integers(-1, 5000), st.text(max_size=9)))
+SETTINGS = settings(derandomize=True, deadline=None, max_examples=50)
+
+
+@given(units=UNITS, except_keys=st.frozensets(st.text(max_size=9)), term=COUNTS)
+@SETTINGS
+def test_a_grant_arrives_as_it_was_sent(
+    units: frozenset[grants.Unit], except_keys: frozenset[str], term: int
+) -> None:
+    grant = grants.Grant(
+        target=grants.Target("up", "host"),
+        term=term,
+        sequence=3,
+        units=units,
+        except_keys=except_keys,
+        ttl_s=1.5,
+        incarnation="i",
+        stamp_ms=2**40,
+    )
+    assert ownership.decode_grant(ownership.encode_grant("s", grant)) == (
+        "s",
+        grant,
+    )
+
+
+@given(
+    shards=st.dictionaries(st.integers(0, 9999), COUNTS),
+    keys=st.dictionaries(st.text(max_size=9), COUNTS),
+)
+@SETTINGS
+def test_an_answer_and_its_counts_arrive_as_they_were_sent(
+    shards: dict[int, int], keys: dict[str, int]
+) -> None:
+    answer = grants.GrantAnswer(True, 4, 5, "i", 2**40, 6)
+    report = popularity.Report(shards, keys)
+    data = ownership.encode_grant_answer(answer, report)
+    assert ownership.decode_grant_answer(data) == (answer, report)
+
+
+def test_questions_and_vouches_arrive_as_they_were_sent() -> None:
+    query = licence.VouchQuery("s", 9, True)
+    assert ownership.decode_query(ownership.encode_query(query)) == query
+    vouch = licence.VouchAnswer(True, 9, True, 0.25)
+    assert ownership.decode_vouch(ownership.encode_vouch(vouch)) == vouch
+
+
+@given(data=st.binary(max_size=200))
+@SETTINGS
+def test_garbage_is_refused_as_garbage(data: bytes) -> None:
+    for decode in (
+        ownership.decode_query,
+        ownership.decode_vouch,
+        ownership.decode_grant,
+        ownership.decode_grant_answer,
+    ):
+        try:
+            decode(data)
+        except errors.PeerFrameError:
+            continue
+
+
+def test_a_grant_of_too_many_shards_is_refused() -> None:
+    message = ownership._SCHEMA.GatewayGrant.new_message(
+        shards=[{"first": 0, "last": 2**30}]
+    )
+    with pytest.raises(errors.PeerFrameError):
+        ownership.decode_grant(bytes(message.to_bytes()))
