--- a/tests/cover/test_membership.py
+++ b/tests/cover/test_membership.py
@@ -305,14 +305,14 @@
     assert _writes(network) == 1
 
 
-def test_one_failed_probe_raises_no_alarm() -> None:
+def test_two_failed_probes_raise_no_alarm() -> None:
     monitor = membership.Monitor("a")
     hosts = tuple(peer_network.host(name) for name in "abc")
     monitor.set_members(membership.Members(1, hosts), 0.0)
-    for failures in range(1, membership.FAILED_PROBES_BEFORE_ALARM + 1):
+    monitor.answered("c", "c", 1, 10.0)
+    for failures in range(3):
         assert monitor.alarms(10.0) == []
         monitor.failed("b", float(failures))
-        monitor.answered("c", "c", 1, float(failures))
     assert [alarm.subject for alarm in monitor.alarms(10.0)] == ["b"]
 
 
