Tell a lost reply of the store, and test members and news by processes

Cause: the HTTP client sent a write again by itself when its reply was lost, and so reported a conflict with its own first try; a process test found it. Change: the platform client turns that off. Process tests freeze a daemon, restart one inside an outage, lose and garble replies and make the list of hosts stale. Conclusion: a lost reply is told as unknown and settled by reading back.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -9,23 +9,11 @@
 import argparse
 import asyncio
 from collections.abc import Callable
-from collections.abc import Iterator
-import contextlib
-import dataclasses
-import json
-import os
-import pathlib
 import statistics
-import subprocess
-import sys
-import tempfile
 import time
-from typing import Any
-
-import aiohttp
 
+from bench import idle_fleet
 from bench import slopes
-from sardinehill.adapters import platform
 
 DAEMON_SIZES = (4, 8, 16, 32, 64)
 FIXED_DAEMONS = 8
@@ -34,12 +22,7 @@
 ACCOUNT_SIZES = (0, 100, 200, 400, 800)
 CHANGES_A_MINUTE = (0, 30, 60, 120, 240)
 IN_FORCE_CHANGES = 50
-SETTLE_S = 4.0
 WINDOW_S = 10.0
-JOIN_LIMIT_S = 90.0
-ZONES = 6
-REGIONS = 3
-CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 MEASURES = (
     "processor_percent",
     "resident_mb",
@@ -48,189 +31,9 @@
     "store_calls_per_s",
 )
 
-HOST_TEXT = """
-[host]
-name = {name}
-availability_zone = zone-{zone}
-region = region-{region}
-
-[addresses]
-callers = 127.0.0.1:0
-operators = 127.0.0.1:0
-peers = 127.0.0.1:0
-
-[platform]
-url = {store_url}
-account_key_secret = hash-secret-of-the-benchmark
-
-[peers]
-secrets = peer-secret-of-the-benchmark
-"""
-
-FLEET_TEXT = """
-[fleet]
-availability_zones = {zones}
-{sections}
-# {remark}
-"""
-
-ACCOUNT_TEXT = """
-[account account-{number}]
-rate_per_s = 10
-burst_requests = 10
-"""
-
-
-@dataclasses.dataclass
-class Daemon:
-    """A daemon's process and where it reports."""
-
-    name: str
-    process: subprocess.Popen[bytes]
-    report: pathlib.Path
-
-    def records(self) -> list[dict[str, Any]]:
-        """Returns what it reported so far."""
-        lines = self.report.read_text().split("\n")
-        return [json.loads(line) for line in lines[:-1]]
-
-    def sample(self) -> dict[str, Any]:
-        """Returns its newest sample."""
-        return [r for r in self.records() if "members" in r][-1]
-
-    def processor_s(self) -> float:
-        """Returns the processor time it has used."""
-        stat = pathlib.Path(f"/proc/{self.process.pid}/stat").read_text()
-        fields = stat.rpartition(")")[2].split()
-        return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
-
-    def resident_mb(self) -> float:
-        """Returns the memory it holds, shared pages included."""
-        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
-        (line,) = [x for x in status.split("\n") if x.startswith("VmRSS")]
-        return int(line.split()[1]) / 1024
-
-
-@dataclasses.dataclass
-class Fleet:
-    """Running daemons, their store, and where they write."""
-
-    store_url: str
-    daemons: list[Daemon]
-
-
-def _fleet_text(accounts: int = 0, remark: str = "") -> str:
-    zones = ", ".join(f"zone-{zone}" for zone in range(ZONES))
-    sections = "".join(
-        ACCOUNT_TEXT.format(number=number) for number in range(accounts)
-    )
-    return FLEET_TEXT.format(zones=zones, sections=sections, remark=remark)
-
-
-def _start_store(directory: pathlib.Path) -> tuple[Any, str]:
-    process = subprocess.Popen(
-        [
-            *(sys.executable, "-m", "standins.store"),
-            *("--journal", str(directory / "store")),
-        ],
-        stdout=subprocess.PIPE,
-        text=True,
-    )
-    assert process.stdout is not None
-    _, ip, port = process.stdout.readline().split()
-    return process, f"http://{ip}:{port}"
-
-
-def _start_daemon(
-    directory: pathlib.Path, number: int, store_url: str
-) -> Daemon:
-    name = f"host-{number:03}"
-    settings_file = directory / f"{name}.ini"
-    settings_file.write_text(
-        HOST_TEXT.format(
-            name=name,
-            zone=number % ZONES,
-            region=number % REGIONS,
-            store_url=store_url,
-        )
-    )
-    report = directory / f"{name}.report"
-    report.touch()
-    process = subprocess.Popen(
-        [
-            *(sys.executable, "-m", "bench.capacity_daemon"),
-            *(str(settings_file), str(report)),
-        ],
-        stdout=subprocess.DEVNULL,
-        stderr=subprocess.DEVNULL,
-    )
-    return Daemon(name, process, report)
-
-
-@contextlib.contextmanager
-def running_fleet(size: int) -> Iterator[Fleet]:
-    """Yields a fleet in which every daemon knows all others."""
-    with tempfile.TemporaryDirectory() as place:
-        directory = pathlib.Path(place)
-        store, store_url = _start_store(directory)
-        asyncio.run(_put(store_url, "config", "fleet", _config(_fleet_text())))
-        daemons = [_start_daemon(directory, n, store_url) for n in range(size)]
-        try:
-            _wait_until_joined(daemons)
-            time.sleep(SETTLE_S)
-            yield Fleet(store_url, daemons)
-        finally:
-            processes = [daemon.process for daemon in daemons]
-            for process in [*processes, store]:
-                process.kill()
-                process.wait()
-
-
-def _wait_until_joined(daemons: list[Daemon]) -> None:
-    end_s = time.monotonic() + JOIN_LIMIT_S
-    while time.monotonic() < end_s:
-        time.sleep(1.0)
-        records = [daemon.records() for daemon in daemons]
-        if all(
-            each and each[-1].get("members") == len(daemons) for each in records
-        ):
-            return
-    raise RuntimeError(f"{len(daemons)} daemons did not join in time")
-
-
-def _config(text: str) -> dict[str, Any]:
-    return {"text": text}
-
-
-async def _put(
-    store_url: str, kind: str, name: str, value: dict[str, Any]
-) -> int:
-    client = platform.PlatformClient(store_url)
-    try:
-        found = await client.get(kind, name)
-        version = 0 if found is None else found.version
-        return await client.put(kind, name, value, version)
-    finally:
-        await client.close()
-
-
-async def _put_hosts(store_url: str, count: int) -> None:
-    async with aiohttp.ClientSession() as session:
-        for number in range(count):
-            host = {
-                "name": f"upstream-{number}",
-                "address": f"127.0.0.1:{20000 + number}",
-                "availability_zone": f"zone-{number % ZONES}",
-                "service": "without-a-section",
-                "state": "live",
-            }
-            control = f"{store_url}/-/control"
-            async with session.post(control, json={"put_host": host}):
-                pass
-
 
 def measure(
-    fleet: Fleet, during: Callable[[], None] | None = None
+    fleet: idle_fleet.Fleet, during: Callable[[], None] | None = None
 ) -> dict[str, float]:
     """Returns the mean cost of a daemon over the window."""
     started_s = time.monotonic()
@@ -271,7 +74,7 @@
 def _vary_daemons(sizes: tuple[int, ...]) -> dict[int, dict[str, float]]:
     found = {}
     for size in sizes:
-        with running_fleet(size) as fleet:
+        with idle_fleet.running_fleet(size) as fleet:
             found[size] = measure(fleet)
         _print_row(size, found[size])
     return found
@@ -279,23 +82,23 @@
 
 def _vary(
     sizes: tuple[int, ...],
-    apply: Callable[[Fleet, int], Callable[[], None] | None],
+    apply: Callable[[idle_fleet.Fleet, int], Callable[[], None] | None],
 ) -> dict[int, dict[str, float]]:
     found = {}
     for size in sizes:
-        with running_fleet(FIXED_DAEMONS) as fleet:
+        with idle_fleet.running_fleet(FIXED_DAEMONS) as fleet:
             during = apply(fleet, size)
-            time.sleep(SETTLE_S)
+            time.sleep(idle_fleet.SETTLE_S)
             found[size] = measure(fleet, during)
         _print_row(size, found[size])
     return found
 
 
-def _apply_upstreams(fleet: Fleet, count: int) -> None:
-    asyncio.run(_put_hosts(fleet.store_url, count))
+def _apply_upstreams(fleet: idle_fleet.Fleet, count: int) -> None:
+    asyncio.run(idle_fleet.put_hosts(fleet.store_url, count))
 
 
-def _apply_shards(fleet: Fleet, count: int) -> None:
+def _apply_shards(fleet: idle_fleet.Fleet, count: int) -> None:
     if count == 0:
         return
     value = {
@@ -307,21 +110,33 @@
         "writer_id": "bench",
         "nonce": "bench",
     }
-    asyncio.run(_put(fleet.store_url, "assignment", "of-the-bench", value))
+    asyncio.run(
+        idle_fleet.put(fleet.store_url, "assignment", "of-the-bench", value)
+    )
 
 
-def _apply_accounts(fleet: Fleet, count: int) -> None:
-    text = _fleet_text(accounts=count)
-    asyncio.run(_put(fleet.store_url, "config", "fleet", _config(text)))
+def _apply_accounts(fleet: idle_fleet.Fleet, count: int) -> None:
+    text = idle_fleet.fleet_text(accounts=count)
+    asyncio.run(
+        idle_fleet.put(
+            fleet.store_url, "config", "fleet", idle_fleet.config(text)
+        )
+    )
 
 
-def _apply_changes(fleet: Fleet, a_minute: int) -> Callable[[], None]:
+def _apply_changes(
+    fleet: idle_fleet.Fleet, a_minute: int
+) -> Callable[[], None]:
     def change() -> None:
         count = round(a_minute * WINDOW_S / 60)
         end_s = time.monotonic() + WINDOW_S
         for number in range(count):
-            text = _fleet_text(remark=f"change {number}")
-            asyncio.run(_put(fleet.store_url, "config", "fleet", _config(text)))
+            text = idle_fleet.fleet_text(remark=f"change {number}")
+            asyncio.run(
+                idle_fleet.put(
+                    fleet.store_url, "config", "fleet", idle_fleet.config(text)
+                )
+            )
             left_s = end_s - time.monotonic()
             time.sleep(max(0.0, left_s / (count - number)))
 
@@ -330,12 +145,14 @@
 
 def _time_in_force(size: int) -> None:
     times_s = []
-    with running_fleet(size) as fleet:
+    with idle_fleet.running_fleet(size) as fleet:
         for number in range(IN_FORCE_CHANGES):
-            text = _fleet_text(remark=f"change {number}")
+            text = idle_fleet.fleet_text(remark=f"change {number}")
             written_s = time.monotonic()
             version = asyncio.run(
-                _put(fleet.store_url, "config", "fleet", _config(text))
+                idle_fleet.put(
+                    fleet.store_url, "config", "fleet", idle_fleet.config(text)
+                )
             )
             time.sleep(0.3)
             times_s.append(_worst_in_force_s(fleet, version) - written_s)
@@ -347,7 +164,7 @@
     )
 
 
-def _worst_in_force_s(fleet: Fleet, version: int) -> float:
+def _worst_in_force_s(fleet: idle_fleet.Fleet, version: int) -> float:
     worst_s = 0.0
     for daemon in fleet.daemons:
         for _ in range(100):
@@ -381,7 +198,10 @@
 
 _VARIED: dict[
     str,
-    tuple[tuple[int, ...], Callable[[Fleet, int], Callable[[], None] | None]],
+    tuple[
+        tuple[int, ...],
+        Callable[[idle_fleet.Fleet, int], Callable[[], None] | None],
+    ],
 ] = {
     "upstreams": (UPSTREAM_SIZES, _apply_upstreams),
     "shards": (SHARD_SIZES, _apply_shards),
--- /dev/null
+++ b/bench/idle_fleet.py
@@ -0,0 +1,230 @@
+"""A fleet of idle daemons as real processes, for measures and for tests."""
+
+import asyncio
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+
+import aiohttp
+
+from sardinehill.adapters import platform
+
+SETTLE_S = 4.0
+JOIN_LIMIT_S = 90.0
+ZONES = 6
+REGIONS = 3
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+HOST_TEXT = """
+[host]
+name = {name}
+availability_zone = zone-{zone}
+region = region-{region}
+
+[addresses]
+callers = 127.0.0.1:0
+operators = 127.0.0.1:0
+peers = 127.0.0.1:0
+
+[platform]
+url = {store_url}
+account_key_secret = hash-secret-of-the-benchmark
+
+[peers]
+secrets = peer-secret-of-the-benchmark
+bootstrap = {bootstrap}
+"""
+
+FLEET_TEXT = """
+[fleet]
+availability_zones = {zones}
+{sections}
+# {remark}
+"""
+
+ACCOUNT_TEXT = """
+[account account-{number}]
+rate_per_s = 10
+burst_requests = 10
+"""
+
+
+@dataclasses.dataclass
+class Daemon:
+    """A daemon's process and where it reports."""
+
+    name: str
+    process: subprocess.Popen[bytes]
+    report: pathlib.Path
+
+    def records(self) -> list[dict[str, Any]]:
+        """Returns what it reported so far."""
+        lines = self.report.read_text().split("\n")
+        return [json.loads(line) for line in lines[:-1]]
+
+    def sample(self) -> dict[str, Any]:
+        """Returns its newest sample."""
+        return [r for r in self.records() if "members" in r][-1]
+
+    def knows(self) -> dict[str, int]:
+        """Returns the newest version of each object in force."""
+        return {
+            record["changed"]: record["version"]
+            for record in self.records()
+            if "changed" in record
+        }
+
+    def processor_s(self) -> float:
+        """Returns the processor time it has used."""
+        stat = pathlib.Path(f"/proc/{self.process.pid}/stat").read_text()
+        fields = stat.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+
+    def resident_mb(self) -> float:
+        """Returns the memory it holds, shared pages included."""
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        (line,) = [x for x in status.split("\n") if x.startswith("VmRSS")]
+        return int(line.split()[1]) / 1024
+
+
+@dataclasses.dataclass
+class Fleet:
+    """Running daemons, their store, and where they write."""
+
+    store_url: str
+    daemons: list[Daemon]
+    directory: pathlib.Path
+
+
+def fleet_text(accounts: int = 0, remark: str = "") -> str:
+    """Returns an operators' text with some accounts and a remark."""
+    zones = ", ".join(f"zone-{zone}" for zone in range(ZONES))
+    sections = "".join(
+        ACCOUNT_TEXT.format(number=number) for number in range(accounts)
+    )
+    return FLEET_TEXT.format(zones=zones, sections=sections, remark=remark)
+
+
+def _start_store(directory: pathlib.Path) -> tuple[Any, str]:
+    process = subprocess.Popen(
+        [
+            *(sys.executable, "-m", "standins.store"),
+            *("--journal", str(directory / "store")),
+        ],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    assert process.stdout is not None
+    _, ip, port = process.stdout.readline().split()
+    return process, f"http://{ip}:{port}"
+
+
+def start_daemon(
+    directory: pathlib.Path, number: int, store_url: str, bootstrap: str = ""
+) -> Daemon:
+    """Starts the daemon of one host; the same number is the same host."""
+    name = f"host-{number:03}"
+    settings_file = directory / f"{name}.ini"
+    settings_file.write_text(
+        HOST_TEXT.format(
+            name=name,
+            zone=number % ZONES,
+            region=number % REGIONS,
+            store_url=store_url,
+            bootstrap=bootstrap,
+        )
+    )
+    report = directory / f"{name}.report"
+    report.touch()
+    process = subprocess.Popen(
+        [
+            *(sys.executable, "-m", "bench.capacity_daemon"),
+            *(str(settings_file), str(report)),
+        ],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    return Daemon(name, process, report)
+
+
+@contextlib.contextmanager
+def running_fleet(size: int) -> Iterator[Fleet]:
+    """Yields a fleet in which every daemon knows all others."""
+    with tempfile.TemporaryDirectory() as place:
+        directory = pathlib.Path(place)
+        store, store_url = _start_store(directory)
+        asyncio.run(put(store_url, "config", "fleet", config(fleet_text())))
+        daemons = [start_daemon(directory, n, store_url) for n in range(size)]
+        try:
+            _wait_until_joined(daemons)
+            time.sleep(SETTLE_S)
+            yield Fleet(store_url, daemons, directory)
+        finally:
+            # A test may have put other processes in place of the first ones.
+            processes = [daemon.process for daemon in daemons]
+            for process in [*processes, store]:
+                process.kill()
+                process.wait()
+
+
+def _wait_until_joined(daemons: list[Daemon]) -> None:
+    end_s = time.monotonic() + JOIN_LIMIT_S
+    while time.monotonic() < end_s:
+        time.sleep(1.0)
+        records = [daemon.records() for daemon in daemons]
+        if all(
+            each and each[-1].get("members") == len(daemons) for each in records
+        ):
+            return
+    raise RuntimeError(f"{len(daemons)} daemons did not join in time")
+
+
+def config(text: str) -> dict[str, Any]:
+    """Returns the store's value of an operators' text."""
+    return {"text": text}
+
+
+async def put(
+    store_url: str, kind: str, name: str, value: dict[str, Any]
+) -> int:
+    """Writes an object over whatever is there and returns its version."""
+    client = platform.PlatformClient(store_url)
+    try:
+        found = await client.get(kind, name)
+        version = 0 if found is None else found.version
+        return await client.put(kind, name, value, version)
+    finally:
+        await client.close()
+
+
+async def control(store_url: str, **faults: Any) -> None:
+    """Sets faults of the store."""
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(f"{store_url}/-/control", json=faults),
+    ):
+        pass
+
+
+async def put_hosts(store_url: str, count: int) -> None:
+    """Has the platform list that many upstreams of no service."""
+    async with aiohttp.ClientSession() as session:
+        for number in range(count):
+            host = {
+                "name": f"upstream-{number}",
+                "address": f"127.0.0.1:{20000 + number}",
+                "availability_zone": f"zone-{number % ZONES}",
+                "service": "without-a-section",
+                "state": "live",
+            }
+            control = f"{store_url}/-/control"
+            async with session.post(control, json={"put_host": host}):
+                pass
--- a/src/sardinehill/adapters/platform.py
+++ b/src/sardinehill/adapters/platform.py
@@ -187,6 +187,9 @@
     ) -> tuple[int, Any]:
         if self._session is None:
             self._session = aiohttp.ClientSession()
+            # The session would send a write again by itself when its reply
+            # was lost, and report the conflict with its own first try.
+            self._session._retry_connection = False
         await self._wait_for_budget(method, path)
         timeout = aiohttp.ClientTimeout(total=timeout_s or self._timeout_s)
         data = None if value is None else json.dumps({"value": value}).encode()
--- /dev/null
+++ b/tests/process/test_fleet_news.py
@@ -0,0 +1,218 @@
+"""Claims about members and news among real daemons and a real store."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterator
+import signal
+import threading
+import time
+from typing import Any
+
+import pytest
+
+from bench import idle_fleet
+from sardinehill import errors
+from sardinehill.adapters import platform
+from sardinehill.adapters import records
+
+DAEMONS = 5
+LIMIT_S = 40.0
+# Never set: a wait on it is a pause between two looks at real processes.
+_PAUSE = threading.Event()
+
+
+@pytest.fixture(scope="module")
+def fleet() -> Iterator[idle_fleet.Fleet]:
+    """Yields five daemons that know each other."""
+    with idle_fleet.running_fleet(DAEMONS) as running:
+        yield running
+
+
+def _until(holds: Callable[[], bool]) -> None:
+    end_s = time.monotonic() + LIMIT_S
+    while not holds():
+        assert time.monotonic() < end_s, "the condition never held"
+        _PAUSE.wait(0.2)
+
+
+def _put_config(fleet: idle_fleet.Fleet, remark: str) -> int:
+    text = idle_fleet.fleet_text(remark=remark)
+    value = idle_fleet.config(text)
+    return asyncio.run(
+        idle_fleet.put(fleet.store_url, "config", "fleet", value)
+    )
+
+
+def _control(fleet: idle_fleet.Fleet, **faults: Any) -> None:
+    asyncio.run(idle_fleet.control(fleet.store_url, **faults))
+
+
+async def _read_members(store_url: str) -> dict[str, Any]:
+    client = platform.PlatformClient(store_url)
+    try:
+        found = await client.get("members", "fleet")
+    finally:
+        await client.close()
+    return {} if found is None else dict(records.read_members(found.value))
+
+
+def _members(fleet: idle_fleet.Fleet) -> dict[str, Any]:
+    return asyncio.run(_read_members(fleet.store_url))
+
+
+def _incarnation(fleet: idle_fleet.Fleet, name: str) -> int:
+    """Returns a member's incarnation, 0 when it cannot be read now."""
+    try:
+        member = _members(fleet).get(name)
+    except errors.StoreError:
+        return 0
+    return 0 if member is None else int(member.incarnation)
+
+
+def _all_know(fleet: idle_fleet.Fleet, version: int) -> bool:
+    return all(
+        daemon.knows().get("config/fleet", 0) >= version
+        for daemon in fleet.daemons
+    )
+
+
+def _kill_and_start(
+    fleet: idle_fleet.Fleet, number: int, bootstrap: str = ""
+) -> idle_fleet.Daemon:
+    old = fleet.daemons[number]
+    old.process.kill()
+    old.process.wait()
+    started = idle_fleet.start_daemon(
+        fleet.directory, number, fleet.store_url, bootstrap
+    )
+    fleet.daemons[number] = started
+    return started
+
+
+def test_a_change_is_in_force_in_every_daemon(
+    fleet: idle_fleet.Fleet,
+) -> None:
+    version = _put_config(fleet, "first")
+    _until(lambda: _all_know(fleet, version))
+
+
+def test_a_daemon_frozen_for_long_leaves_the_list_and_returns(
+    fleet: idle_fleet.Fleet,
+) -> None:
+    frozen = fleet.daemons[1]
+    frozen.process.send_signal(signal.SIGSTOP)
+    try:
+        _until(lambda: frozen.name not in _members(fleet))
+        version = _put_config(fleet, "while one is frozen")
+    finally:
+        frozen.process.send_signal(signal.SIGCONT)
+    _until(lambda: frozen.name in _members(fleet))
+    _until(lambda: _all_know(fleet, version))
+    assert len(_members(fleet)) == DAEMONS
+
+
+def test_a_daemon_restarted_in_an_outage_learns_from_its_peers(
+    fleet: idle_fleet.Fleet,
+) -> None:
+    version = _put_config(fleet, "before the outage")
+    _until(lambda: _all_know(fleet, version))
+    members = _members(fleet)
+    peer = members[fleet.daemons[0].name].peer_address
+    incarnation = members[fleet.daemons[2].name].incarnation
+    _control(fleet, outage="reset")
+    try:
+        restarted = _kill_and_start(fleet, 2, bootstrap=str(peer))
+        _until(lambda: restarted.knows().get("config/fleet", 0) >= version)
+    finally:
+        _control(fleet, outage="")
+    later = _put_config(fleet, "after the outage")
+    _until(lambda: _all_know(fleet, later))
+    _until(lambda: _incarnation(fleet, restarted.name) > incarnation)
+
+
+def test_lost_and_garbled_replies_of_the_store_lose_no_member(
+    fleet: idle_fleet.Fleet,
+) -> None:
+    incarnation = _members(fleet)[fleet.daemons[3].name].incarnation
+    _control(fleet, lose_replies=2, garbage_replies=5)
+    restarted = _kill_and_start(fleet, 3)
+    _until(lambda: _incarnation(fleet, restarted.name) > incarnation)
+    _control(fleet, lose_replies=0, garbage_replies=0)
+    version = _put_config(fleet, "after lost replies")
+    _until(lambda: _all_know(fleet, version))
+    assert len(_members(fleet)) == DAEMONS
+
+
+def test_a_stale_list_of_hosts_removes_no_live_daemon(
+    fleet: idle_fleet.Fleet,
+) -> None:
+    listed = fleet.daemons[0].name
+    host = {
+        "name": listed,
+        "address": "127.0.0.1:1",
+        "availability_zone": "zone-0",
+        "service": platform.DAEMON_SERVICE,
+        "state": "live",
+    }
+    # From here on the list shows one of the five daemons only.
+    _control(fleet, put_host=host)
+    _control(fleet, stale_list=True)
+    before = _members(fleet)
+    # Longer than a host must be missing from the list to be suspected.
+    _PAUSE.wait(14.0)
+    assert _members(fleet) == before
+    _control(fleet, stale_list=False, delete_host=listed)
+
+
+def test_every_version_a_daemon_took_was_newer_than_the_one_before(
+    fleet: idle_fleet.Fleet,
+) -> None:
+    # Runs last and judges all that the daemons wrote down above. A report
+    # goes on over a restart, which may begin from an older version again.
+    changes = 0
+    for index, daemon in enumerate(fleet.daemons):
+        if index in (2, 3):
+            continue
+        newest: dict[str, int] = {}
+        for record in daemon.records():
+            if "changed" not in record:
+                continue
+            changes += 1
+            name, version = record["changed"], record["version"]
+            assert version > newest.get(name, 0)
+            newest[name] = version
+    assert changes > 0
+
+
+async def _write_with_a_lost_reply(store_url: str) -> tuple[bool, int]:
+    """Returns whether the loss was told, and the version of the write."""
+    client = platform.PlatformClient(store_url)
+    value = {"nonce": "of-this-write"}
+    try:
+        # The connection is in use before, so that it is a kept one.
+        found = await client.get("status", "lost")
+        assert found is None
+        await idle_fleet.control(store_url, lose_replies=1)
+        try:
+            await client.put("status", "lost", value, 0)
+        except errors.StoreUnavailableError:
+            told = True
+        else:
+            told = False
+        found = await client.get("status", "lost")
+        assert found is not None
+        await idle_fleet.control(store_url, lose_replies=1)
+        version = await platform.settle_write(
+            client, "status", "lost", {"nonce": "second"}, found.version
+        )
+        assert version > found.version
+    finally:
+        await client.close()
+    return told, version
+
+
+def test_a_lost_reply_is_told_and_settled_by_reading_back(
+    fleet: idle_fleet.Fleet,
+) -> None:
+    told, _ = asyncio.run(_write_with_a_lost_reply(fleet.store_url))
+    assert told
