Look only at members that something speaks against

Change: suspects and removals are found from alarms, leaves and failed probes; the holders of a duty are kept once worked out.

--- a/src/sardinehill/core/duties.py
+++ b/src/sardinehill/core/duties.py
@@ -29,6 +29,7 @@
     def __init__(self, members: membership.Members):
         self.members = members
         self._ranked: dict[tuple[str, str], tuple[str, ...]] = {}
+        self._holders: dict[tuple[str, int], tuple[str, ...]] = {}
 
     def ranked(self, duty: str, near_zone: str = "") -> tuple[str, ...]:
         """Returns all members for a duty, the holder first.
@@ -49,10 +50,14 @@
 
     def holders(self, duty: str, count: int) -> tuple[str, ...]:
         """Returns up to `count` holders, in as many zones as there are."""
-        zone_of = {
-            host.name: host.availability_zone for host in self.members.hosts
-        }
-        return _in_distinct_zones(self.ranked(duty), zone_of, count)
+        found = self._holders.get((duty, count))
+        if found is None:
+            zone_of = {
+                host.name: host.availability_zone for host in self.members.hosts
+            }
+            found = _in_distinct_zones(self.ranked(duty), zone_of, count)
+            self._holders[duty, count] = found
+        return found
 
     def stewards(self) -> tuple[str, ...]:
         """Returns the members that may write the member list, first first."""
--- a/src/sardinehill/core/steward.py
+++ b/src/sardinehill/core/steward.py
@@ -116,12 +116,17 @@
         self, overlay: membership.Overlay, members: membership.Members
     ) -> list[str]:
         """Returns the members that this steward should probe itself."""
+        # Only members that something speaks against are looked at: this runs
+        # each second, and the list may have hundreds of members.
+        against = {subject for _, subject, _ in self._alarms}
+        against.update(self._unlisted_since_s)
+        against.discard(self.name)
         found = [
             host.name
-            for host in members.hosts
-            if host.name != self.name
+            for name in sorted(against)
+            if (host := members.by_name.get(name)) is not None
             and (
-                host.name in self._unlisted_since_s
+                name in self._unlisted_since_s
                 or self._has_quorum(host, overlay)
             )
         ]
@@ -191,10 +196,12 @@
         now_s: float,
     ) -> list[str]:
         most = max(1, len(members.hosts) // 3)
+        suspected = {name for name, _ in self._own_probe_failed}
         gone = [
-            host.name
-            for host in members.hosts
-            if self._is_gone(host, overlay, now_s)
+            name
+            for name in sorted(suspected.union(self._leaves))
+            if (host := members.by_name.get(name)) is not None
+            and self._is_gone(host, overlay, now_s)
         ]
         return gone[:most]
 
