--- a/src/sardinehill/daemon/application.py
+++ b/src/sardinehill/daemon/application.py
@@ -11,10 +11,12 @@
 
 from sardinehill.adapters import platform
 from sardinehill.adapters import upstream
+from sardinehill.core import account_keys
 from sardinehill.core import fleet
 from sardinehill.daemon import controller
 from sardinehill.daemon import entry
 from sardinehill.daemon import gateway
+from sardinehill.daemon import gateway_leases
 from sardinehill.daemon import news
 from sardinehill.daemon import peers
 from sardinehill.daemon import view
@@ -28,16 +30,21 @@
     """One daemon: every part of it, started and stopped in order."""
 
     def __init__(self, settings: fleet.HostSettings) -> None:
-        self.view = view.View(settings)
+        self.view = view.View(
+            settings, account_keys.KeyRing(settings.account_key_secret)
+        )
         self.platform = platform.PlatformClient(settings.platform_url)
         self.upstreams = upstream.UpstreamClient(CONNECTIONS_PER_UPSTREAM)
         self.bus = peers.PeerBus(
             settings.name, self._locate, settings.peer_secrets
         )
         self.news = news.News(self.platform, self.view, self.bus)
-        self.gateway = gateway.Gateway(self.view, self.upstreams, self.bus)
+        self.gateway_leases = gateway_leases.GatewayLeases(self.bus)
+        self.gateway = gateway.Gateway(
+            self.view, self.upstreams, self.bus, self.gateway_leases
+        )
         self.controller = controller.Controller(
-            self.view, self.platform, self.upstreams
+            self.view, self.platform, self.upstreams, self.bus
         )
         self.entry = entry.Entry(self.view, self.bus)
 
--- a/src/sardinehill/daemon/news.py
+++ b/src/sardinehill/daemon/news.py
@@ -13,6 +13,7 @@
 from sardinehill.adapters import peers as peer_codec
 from sardinehill.adapters import platform
 from sardinehill.adapters import records
+from sardinehill.core import account_keys
 from sardinehill.core import duties
 from sardinehill.core import fleet
 from sardinehill.core import member
@@ -166,7 +167,9 @@
     async def _tick_forever(self) -> None:
         while True:
             self.member.set_contacts(sorted(self._bus.peers()))
-            self.send(self.member.tick(_now_s()))
+            now_s = _now_s()
+            self.send(self.member.tick(now_s))
+            self._view.key_ring.confirm(now_s - self.member.news.age_s(now_s))
             await asyncio.sleep(member.TICK_INTERVAL_S)
 
     async def _bootstrap_forever(self) -> None:
@@ -217,7 +220,13 @@
                     else records.read_placement(item.version, value)
                 )
             case "account-keys":
-                _set_or_drop(self._view.account_keys, item.name, value)
+                # Without its object a bucket holds no key.
+                bucket = account_keys.KeyBucket()
+                if value is not None:
+                    bucket = records.read_key_bucket(item.name, value)
+                self._view.key_ring.replace_bucket(
+                    item.name, item.version, bucket
+                )
             case "assignment":
                 assignment = None
                 if value is not None:
