Decide each sending to an upstream in a lane at its gateway

Cause: requests went to an upstream as they came: nothing bounded what a cold or full one got, and nothing said what its load was. Change: core/lane.py joins the fair queue, the requests in flight, the limit and the ramp; the gateway asks it what to send. An upstream's denial counts only in a whole answer to this request, and tells shed from cold. A gateway asks the one before it what it knows (kind 13), and each answer carries the lane's load (three fields at the end of ForwardAnswer in forward.capnp and core/messages.py). aiohttp's own repetition of idempotent requests is off.

--- a/src/sardinehill/adapters/upstream.py
+++ b/src/sardinehill/adapters/upstream.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Mapping
 import dataclasses
+import enum
 from typing import Any
 
 import aiohttp
@@ -13,6 +14,7 @@
 
 from sardinehill import errors
 from sardinehill.core import fleet
+from sardinehill.core import lane
 from sardinehill.core import messages
 
 CONTROL_TIMEOUT_S = 0.5
@@ -29,6 +31,10 @@
     "deadline": errors.Reason.DEADLINE_PASSED,
     "cancelled": errors.Reason.CANCELLED,
 }
+_FATE_OF_DENIAL: Mapping[str, lane.Fate] = {
+    "shed": lane.Fate.SHED,
+    "cold": lane.Fate.COLD,
+}
 # These describe one connection and are never passed on.
 _HOP_HEADERS = frozenset(
     {
@@ -82,6 +88,18 @@
     incarnation: str
 
 
+class CancelState(enum.Enum):
+    """What an upstream says of a request that it was asked to cancel.
+
+    `UNKNOWN` is no proof: the request may never have arrived.
+    """
+
+    NOT_STARTED = "not-started"
+    CANCELLED = "cancelled"
+    RUNNING = "running"
+    UNKNOWN = "unknown"
+
+
 class UpstreamClient:
     """Typed calls to upstreams; one connection pool."""
 
@@ -100,7 +118,7 @@
         request: messages.ForwardRequest,
         fence: Mapping[str, str],
         timeout_s: float,
-    ) -> messages.ForwardAnswer:
+    ) -> lane.Outcome:
         """Sends a request once and says what became of it.
 
         A connection that could not be made proves that nothing ran. Whatever
@@ -123,26 +141,35 @@
                 allow_redirects=False,
             ) as response:
                 body = await response.read()
-                return _answer(request, response, body)
+                return _outcome(request, response, body)
         except aiohttp.ClientConnectorError:
-            return messages.refusal(
-                request.request_id,
+            return _failure(
+                request,
+                lane.Fate.NOT_SENT,
                 errors.Reason.CONNECT_FAILED,
                 errors.Verdict.NOT_RUN,
             )
         except TimeoutError:
-            return messages.refusal(
-                request.request_id,
-                errors.Reason.DEADLINE_PASSED,
-                errors.Verdict.MAY_HAVE_RUN,
+            return _failure(
+                request, lane.Fate.TIMED_OUT, errors.Reason.DEADLINE_PASSED
             )
         except (aiohttp.ClientError, OSError):
-            return messages.refusal(
-                request.request_id,
-                errors.Reason.CONNECTION_LOST,
-                errors.Verdict.MAY_HAVE_RUN,
+            return _failure(
+                request, lane.Fate.LOST, errors.Reason.CONNECTION_LOST
             )
 
+    async def cancel(
+        self, upstream: fleet.UpstreamHost, request_id: str
+    ) -> CancelState | None:
+        """Asks to cancel a request; returns None when no whole answer came."""
+        body = await self._control(
+            "POST", upstream, "/-/cancel", {"request_id": request_id}
+        )
+        try:
+            return CancelState(body.get("state"))
+        except ValueError:
+            return None
+
     async def grant(
         self, upstream: fleet.UpstreamHost, grant: Grant
     ) -> GrantReply | None:
@@ -218,6 +245,12 @@
             self._session = aiohttp.ClientSession(
                 connector=connector, auto_decompress=False
             )
+            # The client sends idempotent requests again by itself when a
+            # kept connection turns out closed. The lane would count one
+            # request in flight where there are two, and not learn of the
+            # lost connection, which may be a restart. There is no public
+            # switch for it.
+            self._session._retry_connection = False
         return self._session
 
 
@@ -225,34 +258,49 @@
     return f"http://{upstream.address}{path}"
 
 
-def _answer(
+def _failure(
+    request: messages.ForwardRequest,
+    fate: lane.Fate,
+    reason: errors.Reason,
+    verdict: errors.Verdict = errors.Verdict.MAY_HAVE_RUN,
+    detail: str = "",
+) -> lane.Outcome:
+    answer = messages.refusal(request.request_id, reason, verdict, detail)
+    return lane.Outcome(fate, answer)
+
+
+def _outcome(
     request: messages.ForwardRequest,
     response: aiohttp.ClientResponse,
     body: bytes,
-) -> messages.ForwardAnswer:
+) -> lane.Outcome:
     if response.headers.get(REQUEST_ID_HEADER) != request.request_id:
-        return messages.refusal(
-            request.request_id,
+        return _failure(
+            request,
+            lane.Fate.LOST,
             errors.Reason.CONNECTION_LOST,
-            errors.Verdict.MAY_HAVE_RUN,
-            "the upstream answered another request",
+            detail="the upstream answered another request",
         )
+    incarnation = response.headers.get(INCARNATION_HEADER, "")
     denial = response.headers.get(NOT_RUN_HEADER)
     if denial is not None and response.status in _NOT_RUN_STATUSES:
         reason = _NOT_RUN_REASONS.get(denial)
         if reason is not None:
-            return messages.refusal(
+            refused = messages.refusal(
                 request.request_id, reason, errors.Verdict.NOT_RUN
             )
+            fate = _FATE_OF_DENIAL.get(denial, lane.Fate.OTHERWISE_NOT_RUN)
+            return lane.Outcome(fate, refused, incarnation)
     headers = tuple(
         (name, value)
         for name, value in response.headers.items()
         if name.lower() not in _HOP_HEADERS
     )
-    return messages.ForwardAnswer(
+    answer = messages.ForwardAnswer(
         request.request_id,
         errors.Verdict.RAN,
         status=response.status,
         headers=headers,
         body=body,
     )
+    return lane.Outcome(lane.Fate.ANSWERED, answer, incarnation)
--- a/src/sardinehill/core/limits.py
+++ b/src/sardinehill/core/limits.py
@@ -133,6 +133,17 @@
         self._expire(now_s)
         return len(self._sent) + len(self._orphans)
 
+    def age_s(self, request_id: str, now_s: float) -> float:
+        """Returns how long ago a request was sent, 0 if it is not known."""
+        sent = self._sent.get(request_id)
+        return 0.0 if sent is None else now_s - sent.sent_s
+
+    def ends_by(self, request_id: str, time_s: float) -> None:
+        """Takes in that an abandoned request ends by a time."""
+        orphan = self._orphans.get(request_id)
+        if orphan is not None:
+            orphan.ends_s = min(orphan.ends_s, time_s)
+
     def oldest_age_s(self, now_s: float) -> float:
         """Returns the age of the oldest request that is waited for, or 0."""
         if not self._sent:
@@ -156,41 +167,3 @@
         ]
         for request_id in over:
             del self._orphans[request_id]
-
-
-def expected_wait_s(
-    queued: int, limit_requests: int, usual_latency_s: float
-) -> float:
-    """Returns how long a request that joins a queue now waits in it.
-
-    Args:
-      queued: requests that wait before it.
-      limit_requests: requests that the upstream works on at once.
-      usual_latency_s: the upstream's usual latency.
-    """
-    rounds = (queued + 1) / max(1, limit_requests)
-    return rounds * usual_latency_s
-
-
-def comes_too_late(
-    expected_s: float, usual_latency_s: float, time_left_s: float
-) -> bool:
-    """Returns whether a request is better refused now than run in vain.
-
-    A quarter of the time left is kept back for the way home. Without it a
-    queue under steady overload settles where each answer is just too late:
-    the upstreams are busy and no caller is served.
-    """
-    return expected_s + usual_latency_s > 0.75 * time_left_s
-
-
-def retry_after_s(expected_s: float, jitter: float) -> float:
-    """Returns when a refused caller may try again.
-
-    Args:
-      expected_s: the wait that was too long.
-      jitter: a random number from 0 to 1, so that callers who were refused
-        together do not come back together.
-    """
-    least_s = max(0.1, expected_s)
-    return least_s * (1 + jitter)
--- a/src/sardinehill/core/messages.py
+++ b/src/sardinehill/core/messages.py
@@ -47,6 +47,21 @@
         return self.method in IDEMPOTENT_METHODS
 
 
+@dataclasses.dataclass(frozen=True)
+class LaneLoad:
+    """What a gateway says of an upstream with each answer.
+
+    Attributes:
+      waiting_requests: requests in flight at it and queued before it.
+      latency_s: its latency of late, 0 when there is none.
+      limit_requests: requests that may be in flight, 0 when unknown.
+    """
+
+    waiting_requests: int = 0
+    latency_s: float = 0.0
+    limit_requests: int = 0
+
+
 @dataclasses.dataclass(frozen=True)
 class ForwardAnswer:
     """What became of a request.
@@ -60,6 +75,7 @@
       body: the whole body.
       retry_after_ms: when a refused caller may try again, 0 if unknown.
       detail: a sentence for the caller.
+      load: what the gateway says of the upstream.
     """
 
     request_id: str
@@ -70,6 +86,7 @@
     body: bytes = b""
     retry_after_ms: int = 0
     detail: str = ""
+    load: LaneLoad = LaneLoad()
 
 
 def refusal(
--- a/src/sardinehill/daemon/gateway.py
+++ b/src/sardinehill/daemon/gateway.py
@@ -1,17 +1,68 @@
-"""The one daemon through which an upstream's requests pass."""
+"""The one daemon through which an upstream's requests pass.
+
+What is sent when is decided by `core.lane`; this module moves requests
+between the lanes, the upstreams and the other daemons.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+from collections.abc import Iterable
+import dataclasses
+from typing import Any
 
 from sardinehill import errors
 from sardinehill.adapters import upstream
+from sardinehill.core import fair_queue
+from sardinehill.core import fleet
+from sardinehill.core import lane
 from sardinehill.core import messages
 from sardinehill.core import placement
+from sardinehill.core import ramp
 from sardinehill.daemon import peers
 from sardinehill.daemon import view
 from sardinehill.wire import forwards
 from sardinehill.wire import kinds
+from sardinehill.wire import lanes
+
+WAKE_INTERVAL_S = 0.02
+HEALTH_INTERVAL_S = 1.0
+CANCEL_RETRY_S = 0.25
+HANDOVER_TIMEOUT_S = 0.5
+RETRY_AFTER_MS = 200
+
+
+@dataclasses.dataclass(eq=False)
+class _Job:
+    """One request at this gateway.
+
+    Attributes:
+      request: the request.
+      deadline_s: by the loop's clock.
+      answer: set exactly once.
+      sendings: how often it was sent.
+      place: its place in the queue, while it waits.
+    """
+
+    request: messages.ForwardRequest
+    deadline_s: float
+    answer: asyncio.Future[messages.ForwardAnswer]
+    sendings: int = 0
+    place: fair_queue.Waiting["_Job"] | None = None
+
+
+@dataclasses.dataclass(eq=False)
+class _Line:
+    """One upstream's lane with what the loop needs around it."""
+
+    name: str
+    service: str
+    lane: lane.Lane[_Job]
+    jobs: dict[str, _Job] = dataclasses.field(default_factory=dict)
+    wake: asyncio.TimerHandle | None = None
 
 
 class Gateway:
-    """Takes forwarded requests and sends them to the upstream."""
+    """Takes forwarded requests and sends them to their upstreams."""
 
     def __init__(
         self,
@@ -21,38 +72,361 @@
     ) -> None:
         self._view = knowledge
         self._client = client
+        self._bus = bus
+        self._lines: dict[str, _Line] = {}
+        self._taking_over: dict[str, asyncio.Future[_Line]] = {}
+        self._gateways_before: dict[str, str] = {}
+        self._given_away: dict[str, int] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._closing = False
         bus.register(kinds.Kind.FORWARD, self._handle)
+        bus.register(kinds.Kind.CANCEL, self._handle_cancel)
+        bus.register(kinds.Kind.LANE_HANDOVER, self._handle_handover)
+        bus.register(kinds.Kind.LANE_REPORT, self._handle_report)
 
     async def forward(
         self, request: messages.ForwardRequest
     ) -> messages.ForwardAnswer:
-        """Runs a request on the upstream that owns its key."""
-        assignment = self._view.assignments.get(request.service)
-        if assignment is None:
-            return _refuse(request, errors.Reason.CONFIGURATION_MISSING)
-        owner = placement.owner_of(assignment, request.key)
-        if owner is None:
-            return _refuse(request, errors.Reason.UNOWNED)
-        if assignment.gateways.get(owner) != self._view.settings.name:
+        """Runs a request on the upstream that owns its key or was chosen."""
+        name, reason = self._locate(request)
+        if reason is not None:
+            return _refuse(request, reason)
+        deadline_s = _now_s() + request.deadline_ms / 1000
+        line = await self._line(request.service, name)
+        if not line.lane.is_open:
             return _refuse(request, errors.Reason.NOT_GATEWAY)
-        host = self._view.upstreams.get(owner)
+        job = line.jobs.get(request.request_id)
+        if job is None:
+            answer = asyncio.get_running_loop().create_future()
+            job = _Job(request, deadline_s, answer)
+            self._push(line, job)
+            self._pump(line)
+        return await asyncio.shield(job.answer)
+
+    def on_news(self, kind: str, name: str) -> None:
+        """Follows the view: gives lanes away and stops work taken out."""
+        if kind == "assignment":
+            self._follow_assignment(name)
+        elif kind == "placement":
+            self._stop_taken_out()
+
+    async def close(self) -> None:
+        """Refuses what waits and lets everything in flight end."""
+        self._closing = True
+        for line in self._lines.values():
+            self._refuse_all(line, line.lane.close(errors.Reason.DRAINING))
+        in_flight = [
+            job.answer
+            for line in self._lines.values()
+            for job in line.jobs.values()
+        ]
+        await asyncio.gather(*in_flight)
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _locate(
+        self, request: messages.ForwardRequest
+    ) -> tuple[str, errors.Reason | None]:
+        assignment = self._view.assignments.get(request.service)
+        config = self._view.config
+        service = config.services.get(request.service) if config else None
+        if assignment is None or service is None:
+            return "", errors.Reason.CONFIGURATION_MISSING
+        name: str | None = request.upstream
+        if service.divided_by_key:
+            name = placement.owner_of(assignment, request.key)
+        if not name:
+            return "", errors.Reason.UNOWNED
+        if assignment.gateways.get(name) != self._view.settings.name:
+            return "", errors.Reason.NOT_GATEWAY
+        if self._given_away.get(name, 0) > assignment.version:
+            return "", errors.Reason.NOT_GATEWAY
+        host = self._view.upstreams.get(name)
         if host is None:
-            return _refuse(request, errors.Reason.NO_UPSTREAM)
-        shard = placement.shard_of(request.key, len(assignment.owners))
-        fence = {
-            "Sardinehill-Shard": str(shard),
-            "Sardinehill-Term": str(assignment.term),
-        }
-        return await self._client.run(
-            host, request, fence, request.deadline_ms / 1000
+            return "", errors.Reason.NO_UPSTREAM
+        if self._closing or self._view.is_out(host):
+            return "", errors.Reason.DRAINING
+        return name, None
+
+    async def _line(self, service: str, name: str) -> _Line:
+        line = self._lines.get(name)
+        # A lane that was given away and has come back begins anew, once
+        # what it still had in flight has ended.
+        if line is not None and (line.lane.is_open or line.jobs):
+            return line
+        opening = self._taking_over.get(name)
+        if opening is None:
+            opening = asyncio.ensure_future(self._open_line(service, name))
+            self._taking_over[name] = opening
+            opening.add_done_callback(
+                lambda done: self._taking_over.pop(name, None)
+            )
+        return await asyncio.shield(opening)
+
+    async def _open_line(self, service: str, name: str) -> _Line:
+        now_s = _now_s()
+        handover = await self._ask_for_handover(service, name)
+        config = self._view.config
+        assert config is not None
+        opened: lane.Lane[_Job] = lane.Lane(
+            config.services[service], now_s, handover
         )
+        line = self._lines[name] = _Line(name, service, opened)
+        self._spawn(self._watch_health(line))
+        return line
+
+    async def _ask_for_handover(
+        self, service: str, name: str
+    ) -> ramp.Handover | None:
+        before = self._gateways_before.get(name, "")
+        if not before or before == self._view.settings.name:
+            return None
+        version = self._view.assignments[service].version
+        try:
+            answer = await self._bus.ask(
+                before,
+                kinds.Kind.LANE_HANDOVER,
+                lanes.encode_question(name, version),
+                HANDOVER_TIMEOUT_S,
+            )
+            return lanes.decode_handover(answer)
+        except errors.PeerError:
+            return None
+
+    def _push(self, line: _Line, job: _Job) -> None:
+        request = job.request
+        line.jobs[request.request_id] = job
+        config = self._view.config
+        account = config.accounts.get(request.account) if config else None
+        job.place, refused = line.lane.push(
+            request.account,
+            account.weight if account else 1.0,
+            job,
+            job.deadline_s,
+            _now_s(),
+        )
+        self._refuse_all(line, refused)
+
+    def _pump(self, line: _Line) -> None:
+        """Sends everything that the lane lets go now."""
+        while True:
+            job, refused = line.lane.take(_now_s())
+            self._refuse_all(line, refused)
+            if job is None:
+                break
+            job.place = None
+            job.sendings += 1
+            line.lane.began(job.request.request_id, _now_s(), job.deadline_s)
+            self._spawn(self._send(line, job))
+        if line.lane.queued() and line.wake is None:
+            # Deadlines and pauses end without any answer arriving.
+            line.wake = asyncio.get_running_loop().call_later(
+                WAKE_INTERVAL_S, self._wake, line
+            )
+
+    def _wake(self, line: _Line) -> None:
+        line.wake = None
+        self._pump(line)
+
+    async def _send(self, line: _Line, job: _Job) -> None:
+        request = job.request
+        host = self._view.upstreams.get(line.name)
+        assignment = self._view.assignments.get(line.service)
+        left_s = job.deadline_s - _now_s()
+        if host is None or assignment is None or left_s <= 0:
+            line.lane.orphan_ended(request.request_id)
+            self._settle(line, job, _late(request, host))
+            self._pump(line)
+            return
+        fence = _fence(request, assignment)
+        try:
+            outcome = await self._client.run(host, request, fence, left_s)
+        except BaseException:
+            # Only the end of the daemon or a fault of its own leads here.
+            line.lane.ended(request.request_id, _now_s(), lane.Fate.LOST, "")
+            self._settle(line, job, _broken(request))
+            raise
+        line.lane.ended(
+            request.request_id, _now_s(), outcome.fate, outcome.incarnation
+        )
+        if outcome.fate in (lane.Fate.LOST, lane.Fate.TIMED_OUT):
+            self._spawn(self._settle_orphan(line, request.request_id))
+        if line.lane.is_open and lane.may_send_again(outcome, job.sendings):
+            self._push(line, job)
+        else:
+            self._settle(line, job, outcome.answer)
+        self._pump(line)
+
+    async def _settle_orphan(self, line: _Line, request_id: str) -> None:
+        """Asks until the upstream says that a request has ended."""
+        while request_id in line.lane.orphans(_now_s()):
+            host = self._view.upstreams.get(line.name)
+            if host is None:
+                return
+            state = await self._client.cancel(host, request_id)
+            if state is upstream.CancelState.RUNNING:
+                line.lane.orphan_cancelled(request_id, _now_s())
+            elif state is not None:
+                line.lane.orphan_ended(request_id)
+                self._pump(line)
+                return
+            await asyncio.sleep(CANCEL_RETRY_S)
+        self._pump(line)
+
+    async def _watch_health(self, line: _Line) -> None:
+        while line.lane.is_open:
+            await asyncio.sleep(HEALTH_INTERVAL_S)
+            host = self._view.upstreams.get(line.name)
+            if host is None:
+                continue
+            report = await self._client.health(host)
+            stale = report.get("incarnation") != line.lane.ramp.incarnation
+            if report.get("state") == "cold" and not stale:
+                line.lane.ramp.reported_cold(_now_s())
+
+    def _follow_assignment(self, service: str) -> None:
+        assignment = self._view.assignments[service]
+        own_name = self._view.settings.name
+        for name, line in self._lines.items():
+            moved = assignment.gateways.get(name) != own_name
+            if line.service == service and moved and line.lane.is_open:
+                closed = line.lane.close(errors.Reason.NOT_GATEWAY)
+                self._refuse_all(line, closed)
+        for name, daemon in assignment.gateways.items():
+            if daemon != own_name:
+                self._gateways_before[name] = daemon
+            elif self._view.config is not None and not self._closing:
+                # Taken over before the first request asks for it, so that
+                # the wait for a lost gateway's requests begins early.
+                self._spawn(self._take_over(service, name))
+
+    async def _take_over(self, service: str, name: str) -> None:
+        if service in self._view.assignments:
+            await self._line(service, name)
+
+    def _stop_taken_out(self) -> None:
+        for line in self._lines.values():
+            host = self._view.upstreams.get(line.name)
+            if host is None or self._view.is_out(host):
+                self._refuse_all(line, line.lane.drain(errors.Reason.DRAINING))
+
+    def _refuse_all(
+        self, line: _Line, refused: Iterable[fair_queue.Refused[_Job]]
+    ) -> None:
+        for one in refused:
+            retry_after_ms = max(RETRY_AFTER_MS, int(one.retry_after_s * 1000))
+            answer = messages.refusal(
+                one.item.request.request_id,
+                one.reason,
+                one.verdict,
+                retry_after_ms=retry_after_ms,
+            )
+            self._settle(line, one.item, answer)
+
+    def _settle(
+        self, line: _Line, job: _Job, answer: messages.ForwardAnswer
+    ) -> None:
+        line.jobs.pop(job.request.request_id, None)
+        if not job.answer.done():
+            job.answer.set_result(
+                dataclasses.replace(answer, load=_load_of(line))
+            )
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _handle(self, sender: str, payload: bytes) -> bytes:
         request = forwards.decode_request(payload)
         return forwards.encode_answer(await self.forward(request))
 
+    async def _handle_cancel(self, sender: str, payload: bytes) -> None:
+        """Ends a request that no caller waits for any more."""
+        request_id = payload.decode(errors="replace")
+        for line in self._lines.values():
+            job = line.jobs.get(request_id)
+            if job is None:
+                continue
+            if job.place is not None and line.lane.remove(job.place):
+                self._settle(line, job, _cancelled(job.request))
+                return
+            host = self._view.upstreams.get(line.name)
+            if host is not None:
+                await self._client.cancel(host, request_id)
+            return
+
+    async def _handle_handover(self, sender: str, payload: bytes) -> bytes:
+        """Stops sending to an upstream and says what is known of it."""
+        name, version = lanes.decode_question(payload)
+        known = self._given_away.get(name, 0)
+        self._given_away[name] = max(known, version)
+        line = self._lines.get(name)
+        if line is None:
+            return lanes.encode_handover(None)
+        self._refuse_all(line, line.lane.close(errors.Reason.NOT_GATEWAY))
+        return lanes.encode_handover(line.lane.hand_over(_now_s()))
+
+    async def _handle_report(self, sender: str, payload: bytes) -> bytes:
+        """Says how much waits at an upstream, without touching it."""
+        line = self._lines.get(payload.decode(errors="replace"))
+        load = messages.LaneLoad() if line is None else _load_of(line)
+        answer = messages.ForwardAnswer("", errors.Verdict.NOT_RUN, load=load)
+        return forwards.encode_answer(answer)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _load_of(line: _Line) -> messages.LaneLoad:
+    now_s = _now_s()
+    return messages.LaneLoad(
+        line.lane.waiting(now_s),
+        line.lane.latency_s(now_s),
+        line.lane.allowed(now_s),
+    )
+
+
+def _fence(
+    request: messages.ForwardRequest, assignment: placement.Assignment
+) -> dict[str, str]:
+    if not request.key:
+        return {}
+    shard = placement.shard_of(request.key, len(assignment.owners))
+    return {
+        "Sardinehill-Shard": str(shard),
+        "Sardinehill-Term": str(assignment.term),
+    }
+
 
 def _refuse(
     request: messages.ForwardRequest, reason: errors.Reason
 ) -> messages.ForwardAnswer:
-    return messages.refusal(request.request_id, reason, errors.Verdict.NOT_RUN)
+    return messages.refusal(
+        request.request_id,
+        reason,
+        errors.Verdict.NOT_RUN,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
+def _late(
+    request: messages.ForwardRequest, host: fleet.UpstreamHost | None
+) -> messages.ForwardAnswer:
+    if host is None:
+        return _refuse(request, errors.Reason.NO_UPSTREAM)
+    return _refuse(request, errors.Reason.DEADLINE_PASSED)
+
+
+def _cancelled(request: messages.ForwardRequest) -> messages.ForwardAnswer:
+    return _refuse(request, errors.Reason.CANCELLED)
+
+
+def _broken(request: messages.ForwardRequest) -> messages.ForwardAnswer:
+    return messages.refusal(
+        request.request_id,
+        errors.Reason.INTERNAL,
+        errors.Verdict.MAY_HAVE_RUN,
+    )
--- a/src/sardinehill/wire/forward.capnp
+++ b/src/sardinehill/wire/forward.capnp
@@ -29,4 +29,24 @@
   body @5 :Data;
   retryAfterMs @6 :UInt32;
   detail @7 :Text;
+  # What the gateway knows of the upstream, for the choice of the next one.
+  waitingRequests @8 :UInt16;
+  latencyUs @9 :UInt32;
+  limitRequests @10 :UInt16;
+}
+
+# Asked by the next gateway of an upstream; the asked one sends no more.
+struct LaneQuestion {
+  upstream @0 :Text;
+  # The version of the assignment that names the next gateway.
+  assignmentVersion @1 :UInt64;
+}
+
+struct LaneHandover {
+  known @0 :Bool;
+  incarnation @1 :Text;
+  limitRequests @2 :UInt16;
+  inFlight @3 :UInt16;
+  inFlightMs @4 :UInt32;
+  usualLatencyUs @5 :UInt32;
 }
--- a/src/sardinehill/wire/forwards.py
+++ b/src/sardinehill/wire/forwards.py
@@ -8,6 +8,8 @@
 from sardinehill.core import messages
 from sardinehill.wire import schemas
 
+UINT16_MAX = 65535
+
 _SCHEMA = schemas.load("forward")
 
 
@@ -68,6 +70,9 @@
         body=answer.body,
         retryAfterMs=answer.retry_after_ms,
         detail=answer.detail,
+        waitingRequests=min(answer.load.waiting_requests, UINT16_MAX),
+        latencyUs=int(answer.load.latency_s * 1e6),
+        limitRequests=answer.load.limit_requests,
     )
     return bytes(message.to_bytes())
 
@@ -90,6 +95,11 @@
             body=bytes(message.body),
             retry_after_ms=message.retryAfterMs,
             detail=message.detail,
+            load=messages.LaneLoad(
+                message.waitingRequests,
+                message.latencyUs / 1e6,
+                message.limitRequests,
+            ),
         )
     except (capnp.KjException, ValueError) as error:
         raise errors.PeerFrameError(f"not an answer: {error}") from error
--- a/src/sardinehill/wire/kinds.py
+++ b/src/sardinehill/wire/kinds.py
@@ -12,6 +12,8 @@
     FORWARD = 10
     FORWARD_CHUNK = 11
     CANCEL = 12
+    LANE_HANDOVER = 13
+    LANE_REPORT = 14
     LEND_TOKENS = 20
     DUPLICATE_LOOKUP = 21
     VOUCH = 30
