Choose upstreams of undivided services by their gateways' reports

Cause: a request of an undivided service went to one upstream by its empty key. Change: daemon/undivided.py chooses by reports that come with each answer, ejects outliers, probes gateways and hedges safe methods. The entry calls it for undivided services and the application closes the gateway before the peers (smallest changes in daemon/entry.py and daemon/application.py).

--- a/src/sardinehill/core/choice.py
+++ b/src/sardinehill/core/choice.py
@@ -83,7 +83,7 @@
     once would ask for a probe with each request.
     """
 
-    def __init__(self, uses: int = 4, fresh_s: float = 1.0):
+    def __init__(self, uses: int = 1, fresh_s: float = 1.0):
         """Makes an empty pool.
 
         Args:
@@ -148,7 +148,7 @@
     clock_s: Callable[[], float],
     extra_s: Callable[[str], float],
     otherwise: Chooser,
-    sample: int = 3,
+    sample: int = 6,
 ) -> Chooser:
     """Returns a chooser that takes the least expected time of a few reports.
 
--- a/src/sardinehill/daemon/application.py
+++ b/src/sardinehill/daemon/application.py
@@ -18,6 +18,7 @@
 from sardinehill.daemon import gateway
 from sardinehill.daemon import news
 from sardinehill.daemon import peers
+from sardinehill.daemon import undivided
 from sardinehill.daemon import view
 
 JOIN_RETRY_S = 0.5
@@ -39,7 +40,9 @@
         self.controller = controller.Controller(
             self.view, self.platform, self.upstreams
         )
-        self.entry = entry.Entry(self.view, self.bus)
+        self.undivided = undivided.UndividedSender(self.view, self.bus)
+        self.entry = entry.Entry(self.view, self.bus, self.undivided)
+        self.news.subscribe(self.gateway.on_news)
 
     async def start(self) -> None:
         """Binds every address, joins the fleet and begins to serve."""
@@ -59,6 +62,8 @@
     async def stop(self) -> None:
         """Finishes what is in flight, then ends every part."""
         await self.entry.close()
+        await self.gateway.close()
+        await self.undivided.close()
         await self.controller.close()
         await self.news.close()
         await self.bus.close()
--- a/src/sardinehill/daemon/entry.py
+++ b/src/sardinehill/daemon/entry.py
@@ -11,6 +11,7 @@
 from sardinehill.core import messages
 from sardinehill.core import placement
 from sardinehill.daemon import peers
+from sardinehill.daemon import undivided
 from sardinehill.daemon import view
 from sardinehill.wire import forwards
 from sardinehill.wire import kinds
@@ -45,8 +46,14 @@
 class Entry:
     """The callers' side of a daemon."""
 
-    def __init__(self, knowledge: view.View, bus: peers.PeerBus) -> None:
+    def __init__(
+        self,
+        knowledge: view.View,
+        bus: peers.PeerBus,
+        undivided_sender: undivided.UndividedSender,
+    ) -> None:
         self._view = knowledge
+        self._undivided = undivided_sender
         self._bus = bus
         self._runner: web.ServerRunner | None = None
 
@@ -128,6 +135,11 @@
     async def _send(
         self, forward: messages.ForwardRequest
     ) -> messages.ForwardAnswer:
+        config = self._view.config
+        if config and not config.services[forward.service].divided_by_key:
+            return await self._undivided.forward(
+                forward, forward.deadline_ms / 1000
+            )
         assignment = self._view.assignments.get(forward.service)
         if assignment is None:
             raise _refusal(errors.Reason.UNOWNED)
--- /dev/null
+++ b/src/sardinehill/daemon/undivided.py
@@ -0,0 +1,355 @@
+"""Sends requests of undivided services to an upstream of choice.
+
+The choice is made where the request enters, from what the upstreams'
+gateways said with earlier answers. `core.choice`, `core.outliers` and
+`core.hedging` decide; this module asks the gateways.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+import dataclasses
+import random
+from typing import Any
+
+from sardinehill import errors
+from sardinehill.core import choice
+from sardinehill.core import hedging
+from sardinehill.core import messages
+from sardinehill.core import outliers
+from sardinehill.core import placement
+from sardinehill.daemon import peers
+from sardinehill.daemon import view
+from sardinehill.wire import forwards
+from sardinehill.wire import kinds
+
+HOP_S = 0.001
+PEER_GRACE_S = 0.25
+PROBE_TIMEOUT_S = 0.25
+PROBE_INTERVAL_S = 0.1
+HEDGE_SUFFIX = "-2"
+
+_FAILURES = frozenset(
+    {
+        errors.Reason.CONNECT_FAILED,
+        errors.Reason.CONNECTION_LOST,
+        errors.Reason.DEADLINE_PASSED,
+        errors.Reason.GATEWAY_LOST,
+    }
+)
+
+
+class _Balancer:
+    """What one daemon knows of the upstreams of one undivided service."""
+
+    def __init__(
+        self, knowledge: view.View, rng: random.Random, now_s: float
+    ) -> None:
+        self._view = knowledge
+        self.detector = outliers.OutlierDetector(outliers.OutlierPolicy())
+        self.pool = choice.ReportPool(uses=1)
+        self.hedger = hedging.Hedger(hedging.HedgePolicy(), now_s)
+        self.in_flight: dict[str, dict[str, float]] = {}
+        self.probed_s = now_s
+        self.choose = choice.by_reports(
+            rng,
+            self.pool,
+            _now_s,
+            self._extra_s,
+            choice.least_of_two(rng, self._load_of),
+        )
+
+    def began(self, upstream: str, request_id: str) -> None:
+        """Counts a request that is sent to an upstream's gateway."""
+        self.in_flight.setdefault(upstream, {})[request_id] = _now_s()
+        self.detector.sent(upstream)
+
+    def ended(
+        self,
+        upstream: str,
+        request_id: str,
+        answer: messages.ForwardAnswer | None,
+    ) -> None:
+        """Takes in an answer, or None for a request that was given up."""
+        began_s = self.in_flight[upstream].pop(request_id)
+        self.detector.ended(upstream)
+        if answer is None:
+            return
+        now_s = _now_s()
+        self.add_report(upstream, answer.load)
+        if answer.verdict is errors.Verdict.RAN:
+            self.detector.succeeded(upstream, now_s, now_s - began_s)
+            self.hedger.answered(now_s, now_s - began_s)
+        elif answer.reason in _FAILURES:
+            self.detector.failed(upstream, now_s)
+            self.pool.forget(upstream)
+
+    def add_report(self, upstream: str, load: messages.LaneLoad) -> None:
+        """Takes in what a gateway said, unless it knew nothing."""
+        if load.latency_s > 0:
+            self.pool.add(
+                upstream,
+                load.waiting_requests,
+                load.latency_s,
+                load.limit_requests,
+                _now_s(),
+            )
+
+    def look_for_overdue(self) -> None:
+        """Judges upstreams by what they have not answered yet."""
+        now_s = _now_s()
+        for upstream, waiting in self.in_flight.items():
+            if waiting:
+                age_s = now_s - min(waiting.values())
+                self.detector.overdue(upstream, now_s, age_s)
+
+    def _load_of(self, upstream: str) -> float:
+        return len(self.in_flight.get(upstream, ()))
+
+    def _extra_s(self, upstream: str) -> float:
+        host = self._view.upstreams.get(upstream)
+        own_zone = self._view.settings.availability_zone
+        near = host is not None and host.availability_zone == own_zone
+        return 0.0 if near else HOP_S
+
+
+class UndividedSender:
+    """Chooses an upstream for each request, and hedges some of them."""
+
+    def __init__(
+        self, knowledge: view.View, bus: peers.PeerBus, seed: int | None = None
+    ) -> None:
+        self._view = knowledge
+        self._bus = bus
+        self._rng = random.Random(seed)
+        self._balancers: dict[str, _Balancer] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    async def forward(
+        self, request: messages.ForwardRequest, timeout_s: float
+    ) -> messages.ForwardAnswer:
+        """Returns the answer of the upstream that was chosen.
+
+        Raises:
+          RequestRefusedError: no upstream could be asked.
+        """
+        config = self._view.config
+        assignment = self._view.assignments.get(request.service)
+        if config is None or assignment is None:
+            raise _refusal(errors.Reason.CONFIGURATION_MISSING)
+        service = config.services[request.service]
+        balancer = self._balancer(service.name)
+        balancer.detector.set_upstreams(self._existing(assignment))
+        balancer.look_for_overdue()
+        self._probe_now_and_then(balancer, assignment)
+        usable = balancer.detector.usable(_now_s())
+        if not usable:
+            raise _refusal(errors.Reason.NO_UPSTREAM)
+        chosen = balancer.choose(usable)
+        first = self._ask(balancer, assignment, chosen, request, timeout_s)
+        if not hedging.may_hedge(service, request.method):
+            return await first
+        balancer.hedger.requested()
+        others = [name for name in usable if name != chosen]
+        return await self._hedge(
+            balancer, assignment, first, others, request, timeout_s
+        )
+
+    async def close(self) -> None:
+        """Ends what nobody waits for."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _balancer(self, service: str) -> _Balancer:
+        balancer = self._balancers.get(service)
+        if balancer is None:
+            balancer = _Balancer(self._view, self._rng, _now_s())
+            self._balancers[service] = balancer
+        return balancer
+
+    def _existing(self, assignment: placement.Assignment) -> list[str]:
+        hosts = self._view.upstreams
+        return [
+            name
+            for name in assignment.upstreams
+            if name in hosts
+            and not self._view.is_out(hosts[name])
+            and assignment.gateways.get(name)
+        ]
+
+    def _ask(
+        self,
+        balancer: _Balancer,
+        assignment: placement.Assignment,
+        upstream: str,
+        request: messages.ForwardRequest,
+        timeout_s: float,
+    ) -> asyncio.Task[messages.ForwardAnswer]:
+        balancer.began(upstream, request.request_id)
+        sent = dataclasses.replace(
+            request, upstream=upstream, assignment_version=assignment.version
+        )
+        return self._spawn(
+            self._ask_gateway(
+                balancer,
+                assignment.gateways[upstream],
+                sent,
+                timeout_s + PEER_GRACE_S,
+            )
+        )
+
+    async def _ask_gateway(
+        self,
+        balancer: _Balancer,
+        gateway: str,
+        request: messages.ForwardRequest,
+        timeout_s: float,
+    ) -> messages.ForwardAnswer:
+        answer = None
+        try:
+            answer = await self._answer_of(gateway, request, timeout_s)
+            return answer
+        finally:
+            balancer.ended(request.upstream, request.request_id, answer)
+
+    async def _answer_of(
+        self,
+        gateway: str,
+        request: messages.ForwardRequest,
+        timeout_s: float,
+    ) -> messages.ForwardAnswer:
+        try:
+            payload = await self._bus.ask(
+                gateway,
+                kinds.Kind.FORWARD,
+                forwards.encode_request(request),
+                timeout_s,
+            )
+            return forwards.decode_answer(payload)
+        except errors.PeerNotSentError:
+            verdict = errors.Verdict.NOT_RUN
+        except errors.PeerError:
+            verdict = errors.Verdict.MAY_HAVE_RUN
+        return messages.refusal(
+            request.request_id, errors.Reason.GATEWAY_LOST, verdict
+        )
+
+    async def _hedge(
+        self,
+        balancer: _Balancer,
+        assignment: placement.Assignment,
+        first: asyncio.Task[messages.ForwardAnswer],
+        others: list[str],
+        request: messages.ForwardRequest,
+        timeout_s: float,
+    ) -> messages.ForwardAnswer:
+        began_s = _now_s()
+        delay_s = balancer.hedger.delay_s(began_s)
+        await asyncio.wait({first}, timeout=delay_s)
+        if first.done() or not others or not balancer.hedger.take():
+            return await first
+        left_s = timeout_s - (_now_s() - began_s)
+        second_request = dataclasses.replace(
+            request,
+            request_id=request.request_id + HEDGE_SUFFIX,
+            deadline_ms=max(1, int(left_s * 1000)),
+        )
+        second = self._ask(
+            balancer,
+            assignment,
+            balancer.choose(others),
+            second_request,
+            left_s,
+        )
+        answer = await _first_good(first, second)
+        # The loser's work is of no use to anyone any more.
+        for task, request_id in (
+            (first, request.request_id),
+            (second, second_request.request_id),
+        ):
+            if not task.done():
+                self._cancel(assignment, task, request_id, balancer)
+        return dataclasses.replace(answer, request_id=request.request_id)
+
+    def _cancel(
+        self,
+        assignment: placement.Assignment,
+        task: asyncio.Task[messages.ForwardAnswer],
+        request_id: str,
+        balancer: _Balancer,
+    ) -> None:
+        for upstream, waiting in balancer.in_flight.items():
+            if request_id in waiting:
+                self._bus.tell(
+                    assignment.gateways[upstream],
+                    kinds.Kind.CANCEL,
+                    request_id.encode(),
+                )
+        # The task goes on until its answer: only then the upstream is free.
+
+    def _probe_now_and_then(
+        self, balancer: _Balancer, assignment: placement.Assignment
+    ) -> None:
+        """Asks one gateway about an upstream of which nothing is known.
+
+        A gateway answers from its own count: the probe costs the upstream
+        nothing, and the two daemons one small message each way.
+        """
+        now_s = _now_s()
+        if now_s - balancer.probed_s < PROBE_INTERVAL_S:
+            return
+        unknown = balancer.pool.unknown(balancer.detector.usable(now_s), now_s)
+        if not unknown:
+            return
+        balancer.probed_s = now_s
+        upstream = self._rng.choice(unknown)
+        gateway = assignment.gateways[upstream]
+        self._spawn(self._probe(balancer, gateway, upstream))
+
+    async def _probe(
+        self, balancer: _Balancer, gateway: str, upstream: str
+    ) -> None:
+        try:
+            payload = await self._bus.ask(
+                gateway,
+                kinds.Kind.LANE_REPORT,
+                upstream.encode(),
+                PROBE_TIMEOUT_S,
+            )
+            answer = forwards.decode_answer(payload)
+        except errors.PeerError:
+            return
+        balancer.add_report(upstream, answer.load)
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+async def _first_good(
+    first: asyncio.Task[messages.ForwardAnswer],
+    second: asyncio.Task[messages.ForwardAnswer],
+) -> messages.ForwardAnswer:
+    """Returns the first answer that an upstream gave, else the last one."""
+    waiting = {first, second}
+    answer = None
+    while waiting:
+        done, waiting = await asyncio.wait(
+            waiting, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            answer = task.result()
+            if answer.verdict is errors.Verdict.RAN:
+                return answer
+    assert answer is not None
+    return answer
+
+
+def _refusal(reason: errors.Reason) -> errors.RequestRefusedError:
+    return errors.RequestRefusedError(reason, errors.Verdict.NOT_RUN)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
