Keep a straggler's slots when no cold start explains its slowness

Cause: any latency jump allowed a trickle only. Change: slowness beyond what cold starts were seen to cause, or five times the usual latency while none was seen, is a straggler's.

--- a/src/sardinehill/core/ramp.py
+++ b/src/sardinehill/core/ramp.py
@@ -33,6 +33,8 @@
       jump_ratio: latency over the usual one that counts as a jump.
       jump_answers: answers in a row that make a jump.
       jump_floor_s: latency under which nothing counts as a jump.
+      cold_ratio: latency of a cold upstream over the usual one, at most, while
+        no cold start was seen.
       jump_accepted_s: time in which a lasting slowness doubles the usual
         latency.
       steady_ratio: latency over that of the stretch before, under which the
@@ -54,6 +56,7 @@
     jump_ratio: float = 2.2
     jump_answers: int = 3
     jump_floor_s: float = 0.01
+    cold_ratio: float = 5.0
     jump_accepted_s: float = 5.0
     steady_ratio: float = 0.7
     veto_s: float = 2.5
@@ -120,6 +123,8 @@
         self._ramp_began_s = now_s
         self._lost_s: list[float] = []
         self._slow_in_row = 0
+        self._slow_least_s = math.inf
+        self._seen_cold_ratio = 0.0
         self._usual_latency_s = 0.0
         self._previous_step_s: float | None = None
         self._foreign = policy.full_requests
@@ -307,18 +312,41 @@
         )
         if usual_s <= 0 or latency_s <= threshold_s:
             self._slow_in_row = 0
+            self._slow_least_s = math.inf
             return False
         self._slow_in_row += 1
-        if self._slow_in_row >= self._policy.jump_answers:
+        self._slow_least_s = min(self._slow_least_s, latency_s)
+        self._learn_cold_ratio(latency_s / usual_s)
+        if self._slow_in_row < self._policy.jump_answers:
+            return True
+        if self._slow_least_s <= usual_s * self._cold_ratio():
             self._raise_suspicion(now_s)
-            # A lasting slowness has to become the usual latency in the end,
-            # or an upstream that has grown slower would stay at a trickle.
-            # It does so by time: counted by answers, a cold upstream would
-            # be called usual after its first few.
-            share = min(silence_s, 1.0) / self._policy.jump_accepted_s
-            self._usual_latency_s *= 2**share
+        # A lasting slowness has to become the usual latency in the end, or
+        # an upstream that has grown slower would stay at a trickle. It does
+        # so by time: counted by answers, a cold upstream would be called
+        # usual after its first few.
+        share = min(silence_s, 1.0) / self._policy.jump_accepted_s
+        self._usual_latency_s *= 2**share
         return True
 
+    def _cold_ratio(self) -> float:
+        """Returns the slowness up to which an upstream may be cold.
+
+        A straggler is far slower than a cold start makes an upstream. At a
+        trickle it would serve a third of what it still can, and the queue of
+        its keys would be three times as long; a cold one would fall over.
+        """
+        if self._seen_cold_ratio > 0:
+            return 1.6 * self._seen_cold_ratio
+        return self._policy.cold_ratio
+
+    def _learn_cold_ratio(self, ratio: float) -> None:
+        if self._suspect or self._limit > self._policy.cold_start_requests:
+            return
+        if self._seen_cold_ratio <= 0:
+            self._seen_cold_ratio = ratio
+        self._seen_cold_ratio += 0.2 * (ratio - self._seen_cold_ratio)
+
     def _settle_suspicion(self, sent_s: float) -> None:
         if not self._suspect or sent_s < self._suspect_s:
             return
