--- a/src/sardinehill/daemon/gateway.py
+++ b/src/sardinehill/daemon/gateway.py
@@ -14,10 +14,12 @@
 from sardinehill.adapters import upstream
 from sardinehill.core import fair_queue
 from sardinehill.core import fleet
+from sardinehill.core import gateway_book
 from sardinehill.core import lane
 from sardinehill.core import messages
 from sardinehill.core import placement
 from sardinehill.core import ramp
+from sardinehill.daemon import gateway_leases
 from sardinehill.daemon import peers
 from sardinehill.daemon import view
 from sardinehill.wire import forwards
@@ -29,6 +31,10 @@
 CANCEL_RETRY_S = 0.25
 HANDOVER_TIMEOUT_S = 0.5
 RETRY_AFTER_MS = 200
+# Covers the time between the news of a new owner and its grant.
+FENCE_WAIT_S = 0.3
+# A lost gateway's grant lapses long before this.
+TAKE_OVER_WAIT_S = 15.0
 
 
 @dataclasses.dataclass(eq=False)
@@ -69,10 +75,12 @@
         knowledge: view.View,
         client: upstream.UpstreamClient,
         bus: peers.PeerBus,
+        leases: gateway_leases.GatewayLeases,
     ) -> None:
         self._view = knowledge
         self._client = client
         self._bus = bus
+        self._leases = leases
         self._lines: dict[str, _Line] = {}
         self._taking_over: dict[str, asyncio.Future[_Line]] = {}
         self._gateways_before: dict[str, str] = {}
@@ -92,6 +100,9 @@
         if reason is not None:
             return _refuse(request, reason)
         deadline_s = _now_s() + request.deadline_ms / 1000
+        reason = await self._wait_for_grant(request, name)
+        if reason is not None:
+            return _refuse(request, reason)
         line = await self._line(request.service, name)
         if not line.lane.is_open:
             return _refuse(request, errors.Reason.NOT_GATEWAY)
@@ -138,8 +149,6 @@
             name = placement.owner_of(assignment, request.key)
         if not name:
             return "", errors.Reason.UNOWNED
-        if assignment.gateways.get(name) != self._view.settings.name:
-            return "", errors.Reason.NOT_GATEWAY
         if self._given_away.get(name, 0) > assignment.version:
             return "", errors.Reason.NOT_GATEWAY
         host = self._view.upstreams.get(name)
@@ -149,6 +158,25 @@
             return "", errors.Reason.DRAINING
         return name, None
 
+    async def _wait_for_grant(
+        self, request: messages.ForwardRequest, name: str
+    ) -> errors.Reason | None:
+        fence = await self._leases.wait_for_fence(
+            request.service,
+            name,
+            request.key,
+            self._shard_count(request.service),
+            min(FENCE_WAIT_S, request.deadline_ms / 1000),
+        )
+        if fence is not None:
+            return None
+        if self._leases.is_gateway(request.service, name):
+            return errors.Reason.FENCED
+        return errors.Reason.NOT_GATEWAY
+
+    def _shard_count(self, service: str) -> int:
+        return len(self._view.assignments[service].owners)
+
     async def _line(self, service: str, name: str) -> _Line:
         line = self._lines.get(name)
         # A lane that was given away and has come back begins anew, once
@@ -232,16 +260,25 @@
     async def _send(self, line: _Line, job: _Job) -> None:
         request = job.request
         host = self._view.upstreams.get(line.name)
-        assignment = self._view.assignments.get(line.service)
+        fence = self._leases.fence(
+            line.service,
+            line.name,
+            request.key,
+            self._shard_count(line.service),
+        )
         left_s = job.deadline_s - _now_s()
-        if host is None or assignment is None or left_s <= 0:
+        if host is None or fence is None or left_s <= 0:
             line.lane.orphan_ended(request.request_id)
-            self._settle(line, job, _late(request, host))
+            self._settle(line, job, _unsent(request, host, fence))
             self._pump(line)
             return
-        fence = _fence(request, assignment)
         try:
-            outcome = await self._client.run(host, request, fence, left_s)
+            async with self._leases.running(
+                line.service, line.name, fence.shard, request.key
+            ):
+                outcome = await self._client.run(
+                    host, request, _fence_headers(fence), left_s
+                )
         except BaseException:
             # Only the end of the daemon or a fault of its own leads here.
             line.lane.ended(request.request_id, _now_s(), lane.Fate.LOST, "")
@@ -302,7 +339,10 @@
                 self._spawn(self._take_over(service, name))
 
     async def _take_over(self, service: str, name: str) -> None:
-        if service in self._view.assignments:
+        fence = await self._leases.wait_for_fence(
+            service, name, "", 1, TAKE_OVER_WAIT_S
+        )
+        if fence is not None and service in self._view.assignments:
             await self._line(service, name)
 
     def _stop_taken_out(self) -> None:
@@ -389,16 +429,14 @@
     )
 
 
-def _fence(
-    request: messages.ForwardRequest, assignment: placement.Assignment
-) -> dict[str, str]:
-    if not request.key:
-        return {}
-    shard = placement.shard_of(request.key, len(assignment.owners))
-    return {
-        "Sardinehill-Shard": str(shard),
-        "Sardinehill-Term": str(assignment.term),
+def _fence_headers(fence: gateway_book.Fence) -> dict[str, str]:
+    headers = {
+        "Sardinehill-Term": str(fence.term),
+        "Sardinehill-Sequence": str(fence.sequence),
     }
+    if fence.shard >= 0:
+        headers["Sardinehill-Shard"] = str(fence.shard)
+    return headers
 
 
 def _refuse(
@@ -412,11 +450,15 @@
     )
 
 
-def _late(
-    request: messages.ForwardRequest, host: fleet.UpstreamHost | None
+def _unsent(
+    request: messages.ForwardRequest,
+    host: fleet.UpstreamHost | None,
+    fence: gateway_book.Fence | None,
 ) -> messages.ForwardAnswer:
     if host is None:
         return _refuse(request, errors.Reason.NO_UPSTREAM)
+    if fence is None:
+        return _refuse(request, errors.Reason.FENCED)
     return _refuse(request, errors.Reason.DEADLINE_PASSED)
 
 
--- a/src/sardinehill/daemon/view.py
+++ b/src/sardinehill/daemon/view.py
@@ -1,8 +1,8 @@
 """What one daemon knows of the fleet at the moment."""
 
 import dataclasses
-from typing import Any
 
+from sardinehill.core import account_keys
 from sardinehill.core import fleet
 from sardinehill.core import placement
 
@@ -19,10 +19,11 @@
       assignments: the accepted assignment of each service.
       upstreams: upstreams by name, from the platform's lagging list.
       members: daemons by name.
-      account_keys: the store's value of each bucket of account keys.
+      key_ring: records of account keys, checked on every request.
     """
 
     settings: fleet.HostSettings
+    key_ring: account_keys.KeyRing
     config: fleet.FleetConfig | None = None
     config_text: str = ""
     taken_out: fleet.Placement = dataclasses.field(
@@ -37,9 +38,6 @@
     members: dict[str, fleet.DaemonHost] = dataclasses.field(
         default_factory=dict
     )
-    account_keys: dict[str, dict[str, Any]] = dataclasses.field(
-        default_factory=dict
-    )
 
     def is_out(self, upstream: fleet.UpstreamHost) -> bool:
         """Whether an upstream may get no new work."""
--- a/tests/process/test_whole_path.py
+++ b/tests/process/test_whole_path.py
@@ -13,6 +13,7 @@
 import pytest
 
 from sardinehill.adapters import platform
+from sardinehill.adapters import records
 from sardinehill.core import account_keys
 
 FLEET_TEXT = """
@@ -62,10 +63,17 @@
 
 async def _prepare(store_url: str, account_key: str) -> None:
     client = platform.PlatformClient(store_url)
-    digest = account_keys.digest_of(account_key, "hash-secret-of-the-test")
-    bucket = account_keys.bucket_of("aretusa")
-    record = {"account": "aretusa", "revoked_at_s": None}
-    await client.put("account-keys", bucket, {"keys": {digest: record}}, 0)
+    record = account_keys.KeyRecord(
+        "aretusa",
+        account_keys.digest_of(account_key, "hash-secret-of-the-test"),
+        issued_at_s=0.0,
+    )
+    await client.put(
+        "account-keys",
+        account_keys.bucket_name("aretusa"),
+        records.key_bucket_value(account_keys.KeyBucket((record,))),
+        0,
+    )
     await client.put("config", "fleet", {"text": FLEET_TEXT}, 0)
     await client.close()
 
