Keep news confirmed while the store answers nobody

Cause: account keys are trusted for three seconds after news was confirmed, so an outage of the store refused all callers, and a few hops of heartbeats let news grow that old by themselves. Change: the first daemons by rank ask all members to try the store; when a majority failed after the question, what is known counts as read at that time. A member with news older than 0.8 s asks the freshest of its links at once. The smaller side of a partition finds no majority and refuses them after three seconds.

--- a/src/sardinehill/core/member.py
+++ b/src/sardinehill/core/member.py
@@ -22,6 +22,9 @@
 TICK_INTERVAL_S = 0.2
 # An item that was asked for and did not come is asked of another peer.
 BODY_TIMEOUT_S = 0.4
+# With older news than this, a member asks the freshest of its links at once.
+# Heartbeats alone added up to a second of age for each hop from a watcher.
+PULL_AGE_S = 0.8
 # A wish to the stewards that is not granted is told to more of them.
 WIDER_AFTER_S = 5.0
 # Daemons a second that write themselves into the list without a steward.
@@ -98,6 +101,7 @@
         self._told_at_s = float("-inf")
         self._ticked_at_s = float("-inf")
         self._absent_since_s: float | None = None
+        self._fresh_at_s: dict[str, float] = {}
         self._wishing_since_s: float | None = None
 
     @property
@@ -124,6 +128,12 @@
         if self.is_member:
             self._absent_since_s = None
         self.duties = duties.DutyTable(members)
+        links = set(self._monitor.overlay.links_of(self.host.name))
+        self._fresh_at_s = {
+            name: fresh_at_s
+            for name, fresh_at_s in self._fresh_at_s.items()
+            if name in links
+        }
         return True
 
     def set_contacts(self, names: Iterable[str]) -> None:
@@ -207,8 +217,19 @@
         names = self._monitor.due(now_s)
         if not self.is_member and now_s - self._told_at_s >= 1.0:
             names += self._next_contacts()
+        names += self._pull_from(now_s, set(names))
         return [self._probe(name, now_s) for name in names]
 
+    def _pull_from(self, now_s: float, chosen: set[str]) -> list[str]:
+        if self.is_watcher or self.news.age_s(now_s) < PULL_AGE_S:
+            return []
+        links = self._monitor.overlay.links_of(self.host.name)
+        known = [link for link in links if link in self._fresh_at_s]
+        if not known:
+            return []
+        freshest = max(known, key=lambda link: self._fresh_at_s[link])
+        return [] if freshest in chosen else [freshest]
+
     def _next_contacts(self) -> list[str]:
         # The list turns, so that a daemon whose first contacts are dead
         # reaches a live one after a few rounds.
@@ -266,6 +287,7 @@
             and answer.incarnation >= probe.incarnation
         )
         self._steward.own_probe(probe.name, probe.incarnation, same)
+        self._fresh_at_s[sender] = probe.sent_at_s - answer.age_ms / 1000
         if answer.digest == self.news.digest:
             self.news.hear_age(
                 answer.digest, answer.age_ms / 1000, probe.sent_at_s
--- /dev/null
+++ b/src/sardinehill/core/outage.py
@@ -0,0 +1,38 @@
+"""Telling an outage of the store from being cut off from it.
+
+While the store answers nobody, nothing can be accepted that a daemon would
+have to hear of, so what it knows stays the newest. While the store answers
+others, it may not. The difference is a majority of the member list: each of
+its daemons is asked to try the store, and when a majority failed after the
+question was sent, what all of them know counts as read at that time. On the
+smaller side of a partition no majority is found, and news grows old there.
+
+Asking by each daemon was weighed: its messages grow with the square of the
+fleet. So the first daemons by rank ask, and the rest hear of it by the age
+that every heartbeat's answer carries.
+"""
+
+from collections.abc import Iterable
+
+# A watcher's news is younger than this while the store answers.
+ASK_AGE_S = 1.2
+# A daemon further down asks later, in case those before it are gone.
+ASK_RANK_DELAY_S = 0.15
+# The store's own timeout is within this.
+ANSWER_TIMEOUT_S = 1.2
+
+
+def must_ask(age_s: float, rank: int) -> bool:
+    """Returns whether a daemon should ask the others about the store."""
+    return age_s > ASK_AGE_S + rank * ASK_RANK_DELAY_S
+
+
+def is_outage(failed: Iterable[str], members: Iterable[str]) -> bool:
+    """Returns whether a majority of the members failed to reach the store.
+
+    Args:
+      failed: daemons whose own attempt failed after they were asked.
+      members: the member list.
+    """
+    listed = set(members)
+    return len(listed.intersection(failed)) > len(listed) // 2
--- a/src/sardinehill/core/reading.py
+++ b/src/sardinehill/core/reading.py
@@ -4,7 +4,7 @@
 
 # Older news than this and a daemon that is no watcher looks for itself: its
 # peers may be cut off while the store is not.
-FALLBACK_AGE_S = 6.0
+FALLBACK_AGE_S = 2.2
 # Calls of one pass over all kinds.
 CALLS_OF_A_PASS = 6
 
--- a/src/sardinehill/daemon/news.py
+++ b/src/sardinehill/daemon/news.py
@@ -20,6 +20,7 @@
 from sardinehill.core import membership
 from sardinehill.core import news
 from sardinehill.core import peer_messages
+from sardinehill.daemon import outage_watch
 from sardinehill.daemon import peers
 from sardinehill.daemon import roster
 from sardinehill.daemon import store_reader
@@ -100,11 +101,13 @@
             self._bus.register(kind, self._handler(kind))
         reader = store_reader.StoreReader(self._client, self)
         writer = roster.Roster(self._client, self)
+        outages = outage_watch.OutageWatch(self._client, self._bus, self)
         for loop in (
             self._tick_forever(),
             self._bootstrap_forever(),
             reader.run(),
             writer.run(),
+            outages.run(),
         ):
             self._tasks.append(asyncio.ensure_future(loop))
 
--- /dev/null
+++ b/src/sardinehill/daemon/outage_watch.py
@@ -0,0 +1,85 @@
+"""Keeps news from growing old while the store answers nobody."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from sardinehill import errors
+from sardinehill.adapters import platform
+from sardinehill.core import duties
+from sardinehill.core import member
+from sardinehill.core import outage
+from sardinehill.daemon import peers
+from sardinehill.wire import kinds
+
+if TYPE_CHECKING:
+    from sardinehill.daemon import news
+
+_REACHED = b"reached"
+_FAILED = b"failed"
+
+
+class OutageWatch:
+    """Asks the members whether they reach the store, and answers them."""
+
+    def __init__(
+        self,
+        client: platform.PlatformClient,
+        bus: peers.PeerBus,
+        part: "news.News",
+    ) -> None:
+        self._client = client
+        self._bus = bus
+        self._news = part
+        bus.register(kinds.Kind.STORE_QUESTION, self._answer)
+
+    async def run(self) -> None:
+        """Asks whenever this daemon's news is old enough for its rank."""
+        while True:
+            await asyncio.sleep(member.TICK_INTERVAL_S)
+            part = self._news.member
+            if not part.is_member:
+                continue
+            age_s = part.news.age_s(asyncio.get_running_loop().time())
+            ranked = part.duties.holders(
+                duties.WATCHER_DUTY, len(part.members.hosts)
+            )
+            if outage.must_ask(age_s, ranked.index(part.host.name)):
+                await self._ask_all()
+
+    async def _ask_all(self) -> None:
+        asked_s = asyncio.get_running_loop().time()
+        names = list(self._news.member.members.by_name)
+        answers = await asyncio.gather(*(self._ask(name) for name in names))
+        failed = [
+            name
+            for name, answer in zip(names, answers, strict=True)
+            if answer == _FAILED
+        ]
+        # The list may have changed meanwhile; the newest one decides.
+        if outage.is_outage(failed, self._news.member.members.by_name):
+            self._news.member.news.confirm(asked_s)
+
+    async def _ask(self, name: str) -> bytes:
+        try:
+            return await self._bus.ask(
+                name,
+                kinds.Kind.STORE_QUESTION,
+                b"",
+                outage.ANSWER_TIMEOUT_S,
+            )
+        except errors.PeerError:
+            return b""
+
+    async def _answer(self, sender: str, payload: bytes) -> bytes:
+        return await self._try_store()
+
+    async def _try_store(self) -> bytes:
+        try:
+            found = await self._client.get("members", "fleet")
+        except errors.StoreUnavailableError:
+            return _FAILED
+        except errors.StoreError:
+            return _REACHED
+        if found is not None:
+            self._news.apply(found)
+        return _REACHED
--- a/src/sardinehill/daemon/store_reader.py
+++ b/src/sardinehill/daemon/store_reader.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from sardinehill.daemon import news
 
-WATCH_WAIT_S = 2.0
+WATCH_WAIT_S = 0.9
 HOSTS_INTERVAL_S = 1.0
 LOOK_INTERVAL_S = 0.2
 HOSTS_WRITE_DELAY_S = 3.0
--- a/src/sardinehill/wire/kinds.py
+++ b/src/sardinehill/wire/kinds.py
@@ -9,6 +9,7 @@
     HELLO = 1
     HEARTBEAT = 2
     MEMBERS = 3
+    STORE_QUESTION = 4
     FORWARD = 10
     FORWARD_CHUNK = 11
     CANCEL = 12
--- a/tests/cover/test_news.py
+++ b/tests/cover/test_news.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from sardinehill.core import account_keys
 from sardinehill.core import member
 from sardinehill.core import news
 from sardinehill.core import peer_messages
@@ -78,16 +79,26 @@
     assert table.age_s(11.0) == pytest.approx(1.0)
 
 
-def test_freshness_spreads_from_one_watcher_to_all() -> None:
-    hosts = [peer_network.host(f"d{i:02}") for i in range(40)]
+@pytest.mark.parametrize("count", [11, 200])
+def test_freshness_spreads_from_one_watcher_to_all(count: int) -> None:
+    hosts = [peer_network.host(f"d{i:03}") for i in range(count)]
     network = peer_network.Network(hosts)
     network.commit_all()
-    watcher = network.daemons["d00"].member
-    network.run(8.0, lambda: watcher.news.confirm(network.now_s))
-    ages = [
-        d.member.news.age_s(network.now_s) for d in network.daemons.values()
-    ]
-    assert max(ages) < 5.0
+    watcher = network.daemons["d000"].member
+    ages = []
+
+    def _watch() -> None:
+        # As a watch that waits for a second does.
+        if network.now_s % 1.0 < peer_network.TICK_S:
+            watcher.news.confirm(network.now_s)
+        if network.now_s > 6.0:
+            ages.extend(
+                daemon.member.news.age_s(network.now_s)
+                for daemon in network.daemons.values()
+            )
+
+    network.run(12.0, _watch)
+    assert max(ages) < account_keys.CONFIRMED_WITHIN_S
 
 
 def test_a_body_is_asked_of_another_when_the_first_is_silent() -> None:
--- a/tests/process/test_fleet_news.py
+++ b/tests/process/test_fleet_news.py
@@ -14,6 +14,7 @@
 from sardinehill import errors
 from sardinehill.adapters import platform
 from sardinehill.adapters import records
+from sardinehill.core import account_keys
 
 DAEMONS = 5
 LIMIT_S = 40.0
@@ -130,6 +131,26 @@
     _until(lambda: _incarnation(fleet, restarted.name) > incarnation)
 
 
+@pytest.mark.parametrize("outage", ["error", "hang"])
+def test_news_stays_confirmed_in_a_long_outage(
+    fleet: idle_fleet.Fleet, outage: str
+) -> None:
+    began_s = time.monotonic()
+    _control(fleet, outage=outage)
+    _PAUSE.wait(8.0)
+    _control(fleet, outage="")
+    ages_s = [
+        record["age_s"]
+        for daemon in fleet.daemons
+        for record in daemon.records()
+        if "age_s" in record and record["at_s"] > began_s
+    ]
+    assert len(ages_s) > DAEMONS
+    assert max(ages_s) < account_keys.CONFIRMED_WITHIN_S
+    version = _put_config(fleet, f"after {outage}")
+    _until(lambda: _all_know(fleet, version))
+
+
 def test_lost_and_garbled_replies_of_the_store_lose_no_member(
     fleet: idle_fleet.Fleet,
 ) -> None:
