--- a/src/sardinehill/daemon/application.py
+++ b/src/sardinehill/daemon/application.py
@@ -19,6 +19,7 @@
 from sardinehill.daemon import gateway_leases
 from sardinehill.daemon import news
 from sardinehill.daemon import peers
+from sardinehill.daemon import undivided
 from sardinehill.daemon import view
 
 CONNECTIONS_PER_UPSTREAM = 8
@@ -46,7 +47,9 @@
         self.controller = controller.Controller(
             self.view, self.platform, self.upstreams, self.bus
         )
-        self.entry = entry.Entry(self.view, self.bus)
+        self.undivided = undivided.UndividedSender(self.view, self.bus)
+        self.entry = entry.Entry(self.view, self.bus, self.undivided)
+        self.news.subscribe(self.gateway.on_news)
 
     async def start(self) -> None:
         """Binds every address, joins the fleet and begins to serve."""
@@ -66,6 +69,8 @@
         """Finishes what is in flight, then ends every part."""
         await self.news.leave()
         await self.entry.close()
+        await self.gateway.close()
+        await self.undivided.close()
         await self.controller.close()
         await self.news.close()
         await self.bus.close()
