--- /dev/null
+++ b/src/sardinehill/core/assigning.py
@@ -0,0 +1,392 @@
+"""Which assignment should follow the one in force."""
+
+from collections.abc import Mapping
+import dataclasses
+
+from sardinehill.core import balancing
+from sardinehill.core import control_state
+from sardinehill.core import grants
+from sardinehill.core import placement
+
+# The share of keys that a new upstream begins with, and grows by.
+WARM_STEP = 0.1
+# Shards moved in one change for balance alone, and off hosts taken out.
+LEVEL_BUDGET_SHARDS = 16
+DRAIN_BUDGET_SHARDS = 64
+
+
+def situation_of(
+    controller: control_state.Controller, view: control_state.View, now_s: float
+) -> control_state.Situation:
+    """Returns what the next assignment depends on while nothing moves."""
+    committed = controller.committed
+    assert committed is not None
+    return control_state.Situation(
+        committed.version,
+        usable_upstreams(controller, view, now_s),
+        _gone_upstreams(controller, committed, view, now_s),
+        frozenset(controller.suspects),
+        view,
+    )
+
+
+def next_assignment(
+    controller: control_state.Controller, view: control_state.View, now_s: float
+) -> placement.Assignment:
+    """Returns the assignment that should follow the committed one."""
+    assignment = controller.committed
+    assert assignment is not None
+    assignment = _clear_moves(controller, assignment, view, now_s)
+    assignment = _change_electorate(assignment, view)
+    assignment = _change_gateways(controller, assignment, view, now_s)
+    assignment = _move_shards(controller, assignment, view, now_s)
+    return _move_keys(controller, assignment, view, now_s)
+
+
+def _clear_moves(
+    controller: control_state.Controller,
+    assignment: placement.Assignment,
+    view: control_state.View,
+    now_s: float,
+) -> placement.Assignment:
+    shards = {
+        shard: old
+        for shard, old in assignment.moving_shards.items()
+        if not control_state.is_given_up(controller, view, shard, old, now_s)
+    }
+    keys = {
+        key: old
+        for key, old in assignment.moving_keys.items()
+        if not control_state.is_given_up(controller, view, key, old, now_s)
+    }
+    gateways = {
+        upstream: old
+        for upstream, old in assignment.moving_gateways.items()
+        if not control_state.is_role_given_up(controller, upstream, old, now_s)
+    }
+    return dataclasses.replace(
+        assignment,
+        moving_shards=shards,
+        moving_keys=keys,
+        moving_gateways=gateways,
+    )
+
+
+def _change_electorate(
+    assignment: placement.Assignment, view: control_state.View
+) -> placement.Assignment:
+    if assignment.electorate_before:
+        # The change in force includes the old majority; now that it is
+        # committed the old one is no longer needed.
+        return dataclasses.replace(assignment, electorate_before=())
+    if not view.electorate or assignment.electorate == view.electorate:
+        return assignment
+    return dataclasses.replace(
+        assignment,
+        electorate=view.electorate,
+        electorate_before=assignment.electorate,
+    )
+
+
+def usable_upstreams(
+    controller: control_state.Controller, view: control_state.View, now_s: float
+) -> dict[str, float]:
+    """Returns the weight of each upstream that may own keys.
+
+    One that was just started begins with a tenth of its share, and the rest
+    follows in steps, since it is cold and the moved keys are cold as well.
+    """
+    timing = controller.timing
+    weights: dict[str, float] = {}
+    for name, upstream in view.upstreams.items():
+        holder = controller.holders.get(grants.Target(name))
+        if upstream.out or holder is None:
+            continue
+        if not grants.is_answering(holder, now_s, timing.suspect_s):
+            continue
+        age_s = now_s - controller.known_since_s.get(name, now_s)
+        share = WARM_STEP * (1 + int(min(1.0, age_s / timing.warm_s) * 10))
+        weights[name] = min(1.0, share)
+    return weights
+
+
+def owning_upstreams(assignment: placement.Assignment | None) -> list[str]:
+    """Returns the upstreams that own at least one shard."""
+    if assignment is None:
+        return []
+    indexes = {owner for owner in assignment.owners if owner >= 0}
+    return [assignment.upstreams[index] for index in indexes]
+
+
+def _gone_upstreams(
+    controller: control_state.Controller,
+    assignment: placement.Assignment,
+    view: control_state.View,
+    now_s: float,
+) -> frozenset[str]:
+    """Returns owners that do not answer, so that no release can be had."""
+    gone = set()
+    for name in assignment.upstreams:
+        holder = controller.holders.get(grants.Target(name))
+        if holder is None or not grants.is_answering(
+            holder, now_s, controller.timing.suspect_s
+        ):
+            gone.add(name)
+    return frozenset(gone)
+
+
+def _move_shards(
+    controller: control_state.Controller,
+    assignment: placement.Assignment,
+    view: control_state.View,
+    now_s: float,
+) -> placement.Assignment:
+    waiting = _unheard_upstreams(controller, assignment, view, now_s)
+    gone = _gone_upstreams(controller, assignment, view, now_s) - waiting
+    usable = usable_upstreams(controller, view, now_s)
+    owners = [
+        assignment.upstreams[owner] if owner >= 0 else None
+        for owner in assignment.owners
+    ]
+    pinned = set(assignment.moving_shards)
+    pinned.update(
+        shard for shard, owner in enumerate(owners) if owner in waiting
+    )
+    if not any(owners) and _unasked(controller, view):
+        # The first to answer would be given everything, only to lose most
+        # of it again a moment later.
+        return assignment
+    idle = not assignment.moving_shards
+    moves = balancing.plan(
+        balancing.Problem(
+            owners=owners,
+            loads=[
+                view.shard_loads.get(shard, 1.0) for shard in range(len(owners))
+            ],
+            weights=usable,
+            pinned=frozenset(pinned),
+            extra_loads=_key_loads(assignment, view),
+            budget=LEVEL_BUDGET_SHARDS if idle else 0,
+            orphan_budget=DRAIN_BUDGET_SHARDS if idle else 0,
+            gone=gone,
+        )
+    )
+    return _apply(assignment, moves, owners)
+
+
+def _unheard_upstreams(
+    controller: control_state.Controller,
+    assignment: placement.Assignment,
+    view: control_state.View,
+    now_s: float,
+) -> frozenset[str]:
+    """Returns owners that were not asked for long enough to be judged."""
+    waiting = set()
+    for name in assignment.upstreams:
+        holder = controller.holders.get(grants.Target(name))
+        asked = holder is not None and holder.lost >= 2
+        heard = holder is not None and holder.answered_s is not None
+        known = name in view.upstreams and not view.upstreams[name].out
+        if known and not asked and not heard:
+            waiting.add(name)
+    return frozenset(waiting)
+
+
+def _unasked(
+    controller: control_state.Controller, view: control_state.View
+) -> bool:
+    """Tells whether an upstream has neither answered nor failed to."""
+    holders = (
+        controller.holders.get(grants.Target(name))
+        for name, upstream in view.upstreams.items()
+        if not upstream.out
+    )
+    return any(
+        holder is None or (holder.answered_s is None and holder.lost < 2)
+        for holder in holders
+    )
+
+
+def _key_loads(
+    assignment: placement.Assignment, view: control_state.View
+) -> dict[str, float]:
+    loads: dict[str, float] = {}
+    for key, owner in assignment.hot_owners.items():
+        loads[owner] = loads.get(owner, 0.0) + view.hot_keys.get(key, 0.0)
+    return loads
+
+
+def _apply(
+    assignment: placement.Assignment,
+    moves: dict[int, str],
+    owners: list[str | None],
+) -> placement.Assignment:
+    if not moves:
+        return assignment
+    moving = dict(assignment.moving_shards)
+    for shard, new in moves.items():
+        old = owners[shard]
+        if old is not None:
+            moving[shard] = old
+        owners[shard] = new
+    used = {owner for owner in owners if owner is not None}
+    names = tuple(
+        [name for name in assignment.upstreams if name in used]
+        + sorted(used.difference(assignment.upstreams))
+    )
+    index_of = {name: index for index, name in enumerate(names)}
+    return dataclasses.replace(
+        assignment,
+        upstreams=names,
+        owners=tuple(
+            -1 if owner is None else index_of[owner] for owner in owners
+        ),
+        moving_shards=moving,
+    )
+
+
+def _move_keys(
+    controller: control_state.Controller,
+    assignment: placement.Assignment,
+    view: control_state.View,
+    now_s: float,
+) -> placement.Assignment:
+    usable = usable_upstreams(controller, view, now_s)
+    hot = dict(assignment.hot_owners)
+    moving = dict(assignment.moving_keys)
+    bearing = _bearing(assignment, view, usable)
+    shard_count = view.shard_count
+    for key in sorted(set(hot) | set(view.hot_keys)):
+        shard = placement.shard_of(key, shard_count)
+        if key in moving or shard in assignment.moving_shards:
+            continue
+        home = _owner_name(assignment, shard)
+        owner = hot.get(key, home)
+        if key not in view.hot_keys and owner == home:
+            hot.pop(key, None)
+            continue
+        new = _key_owner(key, owner, home, view, usable, bearing)
+        if new is None or new == owner:
+            continue
+        load = view.hot_keys.get(key, 0.0)
+        bearing[new] = bearing.get(new, 0.0) + load
+        if owner in bearing:
+            bearing[owner] -= load
+        hot[key] = new
+        if owner is not None:
+            moving[key] = owner
+    return dataclasses.replace(assignment, hot_owners=hot, moving_keys=moving)
+
+
+def _key_owner(
+    key: str,
+    owner: str | None,
+    home: str | None,
+    view: control_state.View,
+    usable: Mapping[str, float],
+    bearing: Mapping[str, float],
+) -> str | None:
+    """Returns where a key should be; where it is, if that is good enough."""
+    if key not in view.hot_keys:
+        return home
+    if not usable:
+        return None
+    load = view.hot_keys[key]
+    best = min(usable, key=lambda name: (bearing[name] / usable[name], name))
+    if owner is None or owner not in usable:
+        return best
+    # The key's own load goes along with it, so a move pays only when the
+    # receiver ends below where the present owner is now.
+    if bearing[best] + load < bearing[owner] * (
+        1.0 - balancing.HYSTERESIS_RATIO
+    ):
+        return best
+    return owner
+
+
+def _bearing(
+    assignment: placement.Assignment,
+    view: control_state.View,
+    usable: Mapping[str, float],
+) -> dict[str, float]:
+    bearing = dict.fromkeys(usable, 0.0)
+    for shard, owner in enumerate(assignment.owners):
+        name = assignment.upstreams[owner] if owner >= 0 else ""
+        if name in bearing:
+            bearing[name] += view.shard_loads.get(shard, 1.0)
+    for name, load in _key_loads(assignment, view).items():
+        if name in bearing:
+            bearing[name] += load
+    return bearing
+
+
+def _owner_name(assignment: placement.Assignment, shard: int) -> str | None:
+    owner = assignment.owners[shard]
+    return assignment.upstreams[owner] if owner >= 0 else None
+
+
+def _change_gateways(
+    controller: control_state.Controller,
+    assignment: placement.Assignment,
+    view: control_state.View,
+    now_s: float,
+) -> placement.Assignment:
+    gateways = dict(assignment.gateways)
+    moving = dict(assignment.moving_gateways)
+    usable = {
+        name: daemon
+        for name, daemon in view.daemons.items()
+        if daemon.alive and not daemon.out and name not in controller.suspects
+    }
+    counts = dict.fromkeys(usable, 0)
+    for daemon in gateways.values():
+        if daemon in counts:
+            counts[daemon] += 1
+    for upstream, upstream_view in sorted(view.upstreams.items()):
+        if upstream in moving:
+            continue
+        old = gateways.get(upstream)
+        zone = upstream_view.availability_zone
+        new = choose_gateway(upstream, old, zone, usable, counts)
+        if new is None or new == old:
+            continue
+        gateways[upstream] = new
+        counts[new] += 1
+        if old is not None:
+            moving[upstream] = old
+            counts[old] = counts.get(old, 0) - 1
+    for upstream in sorted(set(gateways) - set(view.upstreams)):
+        if upstream not in moving and upstream not in assignment.upstreams:
+            moving[upstream] = gateways.pop(upstream)
+    return dataclasses.replace(
+        assignment, gateways=gateways, moving_gateways=moving
+    )
+
+
+def choose_gateway(
+    upstream: str,
+    old: str | None,
+    zone: str,
+    usable: Mapping[str, control_state.DaemonView],
+    counts: Mapping[str, int],
+) -> str | None:
+    """Returns the daemon that should be an upstream's gateway.
+
+    One in the upstream's zone saves a hop between zones. It changes only
+    when it must or when it has two more than another of its zone, since each
+    change costs the upstream's keys a moment.
+    """
+    near = [
+        name
+        for name, daemon in usable.items()
+        if daemon.availability_zone == zone
+    ]
+    candidates = near or list(usable)
+    if not candidates:
+        return None
+    fewest = min(counts[name] for name in candidates)
+    if old in candidates and counts[old] <= fewest + 1:
+        return old
+    return placement.rendezvous(
+        upstream, [name for name in candidates if counts[name] == fewest]
+    )
--- a/src/sardinehill/core/controlling.py
+++ b/src/sardinehill/core/controlling.py
@@ -12,6 +12,7 @@
 
 import xxhash
 
+from sardinehill.core import control_state
 from sardinehill.core import grants
 from sardinehill.core import lease
 from sardinehill.core import licence
@@ -29,7 +30,7 @@
 
     of_lease: lease.LeaseTiming = lease.LeaseTiming()
     of_vouches: licence.LicenceTiming = licence.LicenceTiming()
-    of_grants: ownership.OwnershipTiming = ownership.OwnershipTiming()
+    of_grants: control_state.OwnershipTiming = control_state.OwnershipTiming()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -41,7 +42,7 @@
     asked_s: float
 
 
-Command = lease.LeaseCommand | ownership.Command | Ask
+Command = lease.LeaseCommand | control_state.Command | Ask
 
 
 @dataclasses.dataclass
@@ -68,7 +69,7 @@
     lease: lease.Lease
     member: licence.Member
     licence: licence.Licence
-    controller: ownership.Controller
+    controller: control_state.Controller
     popularity: popularity.Popularity
     known: placement.Assignment | None = None
     asked_s: float = float("-inf")
@@ -91,7 +92,7 @@
         lease=lease.Lease(me, timing.of_lease),
         member=licence.Member(started_s=now_s),
         licence=licence.Licence(),
-        controller=ownership.Controller(service, me, timing.of_grants),
+        controller=control_state.Controller(service, me, timing.of_grants),
         popularity=popularity.Popularity(shard_count),
     )
 
@@ -148,11 +149,7 @@
 def is_moving(duty: Duty) -> bool:
     """Tells whether a move is on its way, so that answers are urgent."""
     committed = duty.controller.committed
-    return committed is not None and bool(
-        committed.moving_shards
-        or committed.moving_keys
-        or committed.moving_gateways
-    )
+    return committed is not None and control_state.is_moving(committed)
 
 
 def resign(duty: Duty) -> lease.WriteLease | None:
@@ -181,7 +178,7 @@
 
 
 def step(
-    duty: Duty, view: ownership.View, now_s: float, rank: int
+    duty: Duty, view: control_state.View, now_s: float, rank: int
 ) -> list[Command]:
     """Returns what to do now.
 
@@ -222,10 +219,10 @@
 
 
 def _electorate(duty: Duty) -> licence.Electorate:
-    return ownership.electorate_of(duty.controller.committed)
+    return control_state.electorate_of(duty.controller.committed)
 
 
-def _settle(duty: Duty, view: ownership.View, now_s: float) -> None:
+def _settle(duty: Duty, view: control_state.View, now_s: float) -> None:
     if duty.controller.committed is None:
         return
     if _electorate(duty).everyone:
@@ -277,7 +274,7 @@
         return []
     duty.asked_s = now_s
     query = licence.VouchQuery(duty.controller.service, 0, False)
-    everyone = ownership.electorate_of(duty.known).everyone
+    everyone = control_state.electorate_of(duty.known).everyone
     return [
         Ask(name, query, now_s) for name in sorted(everyone) if name != duty.me
     ]
@@ -307,7 +304,7 @@
     controller.newest_term = max(controller.newest_term, answer.highest_term)
     if ask.query.term == 0:
         if answer.primed and duty.known is not None:
-            electorate = ownership.electorate_of(duty.known)
+            electorate = control_state.electorate_of(duty.known)
             licence.on_report(
                 duty.member, ask.member, electorate, answer.highest_term
             )
--- a/src/sardinehill/daemon/controller.py
+++ b/src/sardinehill/daemon/controller.py
@@ -16,6 +16,7 @@
 from sardinehill.adapters import platform
 from sardinehill.adapters import records
 from sardinehill.adapters import upstream
+from sardinehill.core import control_state
 from sardinehill.core import controlling
 from sardinehill.core import fleet
 from sardinehill.core import grants
@@ -139,7 +140,7 @@
         for command in commands:
             self._call(self._carry_out(duty, service, command))
 
-    def _look(self, service: fleet.Service) -> ownership.View:
+    def _look(self, service: fleet.Service) -> control_state.View:
         members = self._view.members
         taken_out = self._view.taken_out
         current: tuple[str, ...] = ()
@@ -150,18 +151,18 @@
         zones = {
             name: member.availability_zone for name, member in members.items()
         }
-        return ownership.View(
+        return control_state.View(
             shard_count=service.shard_count,
             checks_fencing=service.checks_fencing,
             upstreams={
-                host.name: ownership.UpstreamView(
+                host.name: control_state.UpstreamView(
                     host.availability_zone, self._view.is_out(host)
                 )
                 for host in self._view.upstreams.values()
                 if host.service == service.name
             },
             daemons={
-                name: ownership.DaemonView(
+                name: control_state.DaemonView(
                     zone,
                     name in taken_out.hosts_out or zone in taken_out.zones_out,
                 )
@@ -190,11 +191,11 @@
                 await self._read_lease(duty)
             case lease.WriteLease():
                 await self._write_lease(duty, command)
-            case ownership.ReadAssignment():
+            case control_state.ReadAssignment():
                 await self._read_assignment(duty, service)
-            case ownership.WriteAssignment():
+            case control_state.WriteAssignment():
                 await self._write_assignment(duty, command)
-            case ownership.SendGrant():
+            case control_state.SendGrant():
                 await self._send_grant(duty, command.grant)
             case controlling.Ask():
                 await self._ask(duty, command)
@@ -247,7 +248,9 @@
         try:
             found = await self._client.get("assignment", service.name)
             assignment = (
-                ownership.empty_assignment(service.name, service.shard_count)
+                control_state.empty_assignment(
+                    service.name, service.shard_count
+                )
                 if found is None
                 else records.read_assignment(
                     service.name, found.version, found.value
@@ -262,7 +265,7 @@
         self._wake.set()
 
     async def _write_assignment(
-        self, duty: controlling.Duty, command: ownership.WriteAssignment
+        self, duty: controlling.Duty, command: control_state.WriteAssignment
     ) -> None:
         assignment = command.assignment
         try:
--- a/tests/common/ownership_world.py
+++ b/tests/common/ownership_world.py
@@ -12,6 +12,7 @@
 import itertools
 import random
 
+from sardinehill.core import control_state
 from sardinehill.core import controlling
 from sardinehill.core import grants
 from sardinehill.core import lease
@@ -275,17 +276,17 @@
 
     # A daemon's step.
 
-    def view(self) -> ownership.View:
+    def view(self) -> control_state.View:
         """Returns the world as every daemon sees it."""
-        return ownership.View(
+        return control_state.View(
             shard_count=SHARD_COUNT,
             checks_fencing=self.fencing,
             upstreams={
-                name: ownership.UpstreamView("z", name in self.out)
+                name: control_state.UpstreamView("z", name in self.out)
                 for name in self.upstreams
             },
             daemons={
-                name: ownership.DaemonView("z", name in self.out)
+                name: control_state.DaemonView("z", name in self.out)
                 for name in self.daemons
             },
             electorate=self.electorate,
@@ -313,11 +314,11 @@
                 self._read_lease(daemon)
             case lease.WriteLease():
                 self._write_lease(daemon, command)
-            case ownership.ReadAssignment():
+            case control_state.ReadAssignment():
                 self._read_assignment(daemon)
-            case ownership.WriteAssignment():
+            case control_state.WriteAssignment():
                 self._write_assignment(daemon, command)
-            case ownership.SendGrant():
+            case control_state.SendGrant():
                 self._send_grant(daemon, command.grant)
             case controlling.Ask():
                 self._ask(daemon, command)
@@ -383,7 +384,7 @@
 
         def serve(reply: Callable[[Callable[[], None]], None]) -> None:
             if self.store_up:
-                found = self.assignment or ownership.empty_assignment(
+                found = self.assignment or control_state.empty_assignment(
                     "s", SHARD_COUNT
                 )
                 reply(
@@ -401,7 +402,7 @@
         )
 
     def _write_assignment(
-        self, daemon: Daemon, command: ownership.WriteAssignment
+        self, daemon: Daemon, command: control_state.WriteAssignment
     ) -> None:
         duty = daemon.duty
 
--- a/tests/slow/test_popularity.py
+++ b/tests/slow/test_popularity.py
@@ -4,9 +4,10 @@
 import random
 import statistics
 
+from sardinehill.core import assigning
+from sardinehill.core import control_state
 from sardinehill.core import controlling
 from sardinehill.core import grants
-from sardinehill.core import ownership
 from sardinehill.core import placement
 from sardinehill.core import popularity
 
@@ -31,13 +32,13 @@
     return max(served.values()) * len(UPSTREAMS) / total
 
 
-def view_of(known: popularity.Popularity) -> ownership.View:
+def view_of(known: popularity.Popularity) -> control_state.View:
     """Returns the controller's view, every upstream up."""
-    return ownership.View(
+    return control_state.View(
         shard_count=SHARD_COUNT,
         checks_fencing=True,
         upstreams={
-            name: ownership.UpstreamView("z", False) for name in UPSTREAMS
+            name: control_state.UpstreamView("z", False) for name in UPSTREAMS
         },
         daemons={},
         electorate=(),
@@ -47,7 +48,7 @@
 
 
 def settle(
-    controller: ownership.Controller,
+    controller: control_state.Controller,
     known: popularity.Popularity,
     now_s: float,
 ) -> int:
@@ -56,7 +57,7 @@
     for _ in range(100):
         before = controller.committed
         assert before is not None
-        after = ownership.next_assignment(controller, view_of(known), now_s)
+        after = assigning.next_assignment(controller, view_of(known), now_s)
         if after == before:
             return moved
         moved += len(after.moving_shards)
@@ -64,10 +65,12 @@
     raise AssertionError("the moves never end")
 
 
-def made_controller() -> ownership.Controller:
+def made_controller() -> control_state.Controller:
     """Returns a controller to which every upstream answers."""
-    controller = ownership.Controller("s", "d", ownership.OwnershipTiming())
-    controller.committed = ownership.empty_assignment("s", SHARD_COUNT)
+    controller = control_state.Controller(
+        "s", "d", control_state.OwnershipTiming()
+    )
+    controller.committed = control_state.empty_assignment("s", SHARD_COUNT)
     for name in UPSTREAMS:
         target = grants.Target(name)
         controller.holders[target] = grants.Holder(target, answered_s=0.0)
@@ -102,7 +105,7 @@
 def play(
     source: random.Random,
     ranks: list[str],
-    controller: ownership.Controller,
+    controller: control_state.Controller,
     known: popularity.Popularity,
 ) -> tuple[collections.Counter[str], collections.Counter[str]]:
     """Sends one window's requests, and counts as the gateways do."""
