Drive the fleet by a command line and show each daemon's state

Cause: a text in force was only to be had by writing to the store by hand, and nothing told whether daemons had taken it in. Change: typer commands with documented exit codes; changes are conditional updates settled by a nonce, wait until every member says that it has the version in force, and tell the loser of a race what changed. A daemon serves health, status, owners, events and metrics on its operators' address and writes that address to the store once. The store client no longer lets aiohttp repeat a PUT by itself: its first effect came back as a conflict. News.versions and PlatformClient.is_reachable are new for the status; the announced lines are callers, then operators.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 check: venv
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy
+	$(BIN)/mypy -p sardinehill -p standins
 
 format: venv
 	$(BIN)/ruff format .
@@ -31,7 +31,7 @@
 
 binary: venv
 	mkdir -p dist
-	$(BIN)/shiv -q -c sardinehill -p '/usr/bin/env python3.11' --compressed -o dist/sardinehill -c sardinehill -- -c constraints.txt .
+	$(BIN)/shiv -q -p '/usr/bin/env python3.11' --compressed -o dist/sardinehill -c sardinehill -- -c constraints.txt .
 
 clean:
 	rm -rf dist build .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/bench/binary.py
@@ -0,0 +1,80 @@
+"""Measures the binary: `python -m bench.binary dist/sardinehill`.
+
+Prints size, start times with an empty and a filled unpack directory, memory,
+and what the kernel says about children, io_uring and shared memory.
+"""
+
+import argparse
+import asyncio
+import json
+import pathlib
+import sys
+import tempfile
+import time
+from typing import Any
+
+from bench import inspect_process
+from bench import usage
+from standins import deployment as deployment_module
+from standins import processes
+
+SETTLE_S = 2.0
+
+
+async def _measure(
+    binary: pathlib.Path, directory: pathlib.Path
+) -> dict[str, Any]:
+    deployment = deployment_module.Deployment(
+        directory, deployment_module.SMALL
+    )
+    await deployment.store.start()
+    settings_file = directory / "host.ini"
+    settings_file.write_text(deployment.host_text("entry-1", "pa-1"))
+    environment = {"SHIV_ROOT": str(directory / "unpacked")}
+    arguments = [str(binary), "daemon", str(settings_file)]
+    report: dict[str, Any] = {}
+    try:
+        for name in ("first_start_s", "next_start_s"):
+            daemon = processes.Process(name, arguments, directory / name)
+            started_s = time.monotonic()
+            await daemon.start("listening operators", environment)
+            report[name] = round(time.monotonic() - started_s, 2)
+            await asyncio.sleep(SETTLE_S)
+            report.update(_inspect(daemon.pid))
+            report["stop_s"] = round(await daemon.stop(), 2)
+    finally:
+        await deployment.store.kill()
+    return report
+
+
+def _inspect(pid: int) -> dict[str, Any]:
+    used = usage.read(pid)
+    return {
+        "resident_bytes": used.resident_bytes if used else 0,
+        "threads": inspect_process.threads(pid),
+        "children": len(inspect_process.children(pid)),
+        "io_uring": len(inspect_process.io_uring_descriptors(pid)),
+        "shared_memory": len(inspect_process.shared_memory(pid)),
+    }
+
+
+def main() -> int:
+    """Measures a binary and fails when it breaks a rule of the hosts."""
+    parser = argparse.ArgumentParser(prog="bench.binary")
+    parser.add_argument("binary", type=pathlib.Path)
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as temporary:
+        directory = pathlib.Path(temporary)
+        report = asyncio.run(_measure(options.binary.resolve(), directory))
+        unpacked = (directory / "unpacked").rglob("*")
+        report["unpacked_bytes"] = sum(
+            path.stat().st_size for path in unpacked if path.is_file()
+        )
+    report["size_bytes"] = options.binary.stat().st_size
+    print(json.dumps(report, indent=2))
+    broken = report["children"] + report["io_uring"] + report["shared_memory"]
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/inspect_process.py
@@ -0,0 +1,42 @@
+"""What the kernel says that a process holds and has started."""
+
+import pathlib
+
+_PROC = pathlib.Path("/proc")
+
+
+def io_uring_descriptors(pid: int) -> list[str]:
+    """Returns descriptors of io_uring that a process has open."""
+    found = []
+    for link in (_PROC / str(pid) / "fd").iterdir():
+        try:
+            target = str(link.readlink())
+        except OSError:
+            continue
+        if "io_uring" in target:
+            found.append(target)
+    return found
+
+
+def children(pid: int) -> list[int]:
+    """Returns the ids of processes that a process has started."""
+    found = []
+    for task in (_PROC / str(pid) / "task").iterdir():
+        found += [int(one) for one in (task / "children").read_text().split()]
+    return found
+
+
+def shared_memory(pid: int) -> list[str]:
+    """Returns mappings that another process can write into as well."""
+    found = []
+    for line in (_PROC / str(pid) / "maps").read_text().splitlines():
+        parts = line.split(maxsplit=5)
+        is_shared = parts[1].endswith("s") and "w" in parts[1]
+        if is_shared or "/dev/shm" in line or "SYSV" in line:
+            found.append(line)
+    return found
+
+
+def threads(pid: int) -> int:
+    """Returns how many threads a process has."""
+    return sum(1 for _ in (_PROC / str(pid) / "task").iterdir())
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,110 @@
+"""`python -m bench.report A.json B.json ...` prints the reports as a page.
+
+Reports of one workload and deployment stand side by side, so that each
+figure of a policy has the plain router's beside it.
+"""
+
+import argparse
+import json
+import pathlib
+import sys
+from typing import Any
+
+Report = dict[str, Any]
+
+COLUMNS = (
+    "run",
+    "requests",
+    "served",
+    "p50 / p99 / p99.9 ms",
+    "imbalance",
+    "moves",
+    "unavailable s per key (mean, longest)",
+    "worst account (served, p99 ms)",
+    "refused within rate",
+    "tokens over",
+    "violations",
+    "core share, MB, B/s per daemon",
+    "store calls/s",
+)
+
+
+def row(report: Report) -> list[str]:
+    """Returns the cells of one report."""
+    run = report["run"]
+    latency = report["latency_ms"]
+    worst = report["worst_account"]
+    missing = report["unavailable_s"]
+    used = report["daemon_usage"]
+    imbalance = ", ".join(
+        f"{service} {ratio}"
+        for service, ratio in sorted(report["load_imbalance"].items())
+    )
+    moves = sum(one["moves"] for one in report["ownership_churn"].values())
+    return [
+        f"{run['name']}, {run['deployment']}, {run['policy']}, seed"
+        f" {run['seed']}, {run['seconds']:g} s",
+        str(report["requests"]),
+        f"{report['served_share']:.2%}",
+        f"{latency['p50']} / {latency['p99']} / {latency['p99.9']}",
+        imbalance,
+        str(moves),
+        f"{missing['mean_per_key']}, {missing['longest']}",
+        f"{worst.get('served_share', 0):.2%}, {worst.get('p99_ms', 0)}",
+        str(report["refused_within_rate"]),
+        str(_tokens_over(report)),
+        str(sum(one["violations"] for one in report["promises"].values())),
+        f"{used['processor_share_of_core']}, {used['resident_mb']},"
+        f" {used['moved_bytes_per_s']}",
+        f"{sum(report['store_calls_per_s'].values()):.1f}",
+    ]
+
+
+def _tokens_over(report: Report) -> int:
+    rate = "no client account gets more than its rate"
+    lines = report["promises"][rate]["first"]
+    return sum(int(line.split(": ")[1].split()[0]) for line in lines)
+
+
+def _violated(report: Report) -> list[str]:
+    return [
+        f"{one['violations']} x {promise}"
+        for promise, one in report["promises"].items()
+        if one["violations"]
+    ]
+
+
+def page(reports: list[Report]) -> str:
+    """Returns a table of the reports, and what each violated."""
+    lines = [
+        f"| {' | '.join(COLUMNS)} |",
+        f"|{' --- |' * len(COLUMNS)}",
+    ]
+    lines += [f"| {' | '.join(row(report))} |" for report in reports]
+    lines.append("")
+    for report in reports:
+        violated = _violated(report)
+        if violated:
+            lines.append(f"- {row(report)[0]}: {'; '.join(violated)}")
+    return "\n".join(lines) + "\n"
+
+
+def main() -> int:
+    """Reads reports and prints the page."""
+    parser = argparse.ArgumentParser(prog="bench.report")
+    parser.add_argument("reports", nargs="+", type=pathlib.Path)
+    options = parser.parse_args()
+    reports = [json.loads(path.read_text()) for path in options.reports]
+    reports.sort(
+        key=lambda one: (
+            one["run"]["deployment"],
+            one["run"]["name"],
+            one["run"]["policy"],
+        )
+    )
+    sys.stdout.write(page(reports))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/sardinehill/adapters/platform.py
+++ b/src/sardinehill/adapters/platform.py
@@ -58,6 +58,7 @@
         self._base_url = base_url.rstrip("/")
         self._timeout_s = timeout_s
         self._session: aiohttp.ClientSession | None = None
+        self.is_reachable = False
 
     async def close(self) -> None:
         """Closes the connections."""
@@ -168,6 +169,10 @@
     ) -> tuple[int, Any]:
         if self._session is None:
             self._session = aiohttp.ClientSession()
+            # aiohttp repeats idempotent calls by itself when a connection
+            # breaks. A PUT whose reply was lost would meet its own effect as
+            # a conflict, and somebody else would seem to have written.
+            self._session._retry_connection = False
         timeout = aiohttp.ClientTimeout(total=timeout_s or self._timeout_s)
         data = None if value is None else json.dumps({"value": value}).encode()
         try:
@@ -181,7 +186,9 @@
                 raw = await response.read()
                 status = response.status
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            self.is_reachable = False
             raise errors.StoreUnavailableError(f"{path}: {error!r}") from error
+        self.is_reachable = status < 500
         if status >= 500:
             raise errors.StoreUnavailableError(f"{path}: status {status}")
         if status not in _JSON_STATUSES:
--- /dev/null
+++ b/src/sardinehill/cli/accounts.py
@@ -0,0 +1,315 @@
+"""`sardinehill account` and `sardinehill key`: client accounts and keys."""
+
+import secrets
+import time
+from typing import Annotated
+from typing import Any
+import uuid
+
+import typer
+
+from sardinehill import errors
+from sardinehill import settings
+from sardinehill.adapters import platform
+from sardinehill.cli import console
+from sardinehill.cli import exits
+from sardinehill.cli import fleet_status
+from sardinehill.core import account_keys
+from sardinehill.core import fleet
+
+KIND = "account-keys"
+SECRET_BYTES = 32
+KEY_ID_LENGTH = 16
+WRITE_ATTEMPTS = 8
+
+account_commands = typer.Typer(no_args_is_help=True, help="Client accounts.")
+key_commands = typer.Typer(no_args_is_help=True, help="Account keys.")
+
+AccountName = Annotated[str, typer.Argument(help="The client account.")]
+KeyId = Annotated[str, typer.Argument(help="The identifier in `key list`.")]
+
+Records = dict[str, dict[str, Any]]
+
+
+async def _read_accounts(
+    client: platform.PlatformClient,
+) -> dict[str, fleet.ClientAccount]:
+    stored = await client.get("config", "fleet")
+    if stored is None:
+        return {}
+    config = settings.read_fleet_config(
+        str(stored.value["text"]), "the text in force", stored.version
+    )
+    return config.accounts
+
+
+def _check_account(
+    accounts: dict[str, fleet.ClientAccount], account: str
+) -> None:
+    if account not in accounts:
+        known = ", ".join(sorted(accounts)) or "none"
+        raise errors.CommandFailedError(
+            f"{account!r} is not a client account of the configuration in"
+            f" force ({known}); nothing was changed",
+            exits.REFUSED,
+        )
+
+
+async def _read_bucket(
+    client: platform.PlatformClient, account: str
+) -> tuple[int, Records]:
+    found = await client.get(KIND, account_keys.bucket_of(account))
+    if found is None:
+        return 0, {}
+    return found.version, dict(found.value.get("keys", {}))
+
+
+async def _write_bucket(
+    client: platform.PlatformClient,
+    account: str,
+    version: int,
+    records: Records,
+) -> int:
+    value = {"keys": records, "nonce": uuid.uuid4().hex}
+    bucket = account_keys.bucket_of(account)
+    return await platform.settle_write(client, KIND, bucket, value, version)
+
+
+def _row(digest: str, record: dict[str, Any]) -> dict[str, Any]:
+    return {
+        "key_id": digest[:KEY_ID_LENGTH],
+        "account": record["account"],
+        "issued_at_s": record.get("issued_at_s"),
+        "revoked_at_s": record.get("revoked_at_s"),
+    }
+
+
+@account_commands.command("list")
+def account_list(context: typer.Context, as_json: console.Json = False) -> None:
+    """Lists the client accounts of the configuration in force."""
+
+    async def work(client: platform.PlatformClient) -> None:
+        accounts = await _read_accounts(client)
+        rows = [
+            {
+                "account": one.name,
+                "rate_per_s": one.rate_per_s,
+                "burst_requests": one.burst_requests,
+                "weight": one.weight,
+            }
+            for one in accounts.values()
+        ]
+        if as_json:
+            console.show_json({"accounts": rows})
+            return
+        console.show_table(
+            ("account", "rate_per_s", "burst_requests", "weight"),
+            [tuple(row.values()) for row in rows],
+        )
+
+    console.run(context, work)
+
+
+@account_commands.command("show")
+def account_show(
+    context: typer.Context, account: AccountName, as_json: console.Json = False
+) -> None:
+    """Shows one client account and its keys."""
+
+    async def work(client: platform.PlatformClient) -> None:
+        accounts = await _read_accounts(client)
+        _check_account(accounts, account)
+        one = accounts[account]
+        _, records = await _read_bucket(client, account)
+        keys = _rows_of(records, account)
+        active = sum(row["revoked_at_s"] is None for row in keys)
+        console.show(
+            {
+                "account": account,
+                "rate_per_s": one.rate_per_s,
+                "burst_requests": one.burst_requests,
+                "weight": one.weight,
+                "keys": keys,
+            },
+            as_json,
+            f"{account}: {one.rate_per_s} requests a second, bursts of"
+            f" {one.burst_requests}, weight {one.weight}; {active} of"
+            f" {len(keys)} account keys are active",
+        )
+
+    console.run(context, work)
+
+
+def _rows_of(records: Records, account: str) -> list[dict[str, Any]]:
+    return [
+        _row(digest, record)
+        for digest, record in records.items()
+        if record["account"] == account
+    ]
+
+
+@key_commands.command("list")
+def key_list(
+    context: typer.Context, account: AccountName, as_json: console.Json = False
+) -> None:
+    """Lists a client account's keys by identifier."""
+
+    async def work(client: platform.PlatformClient) -> None:
+        _, records = await _read_bucket(client, account)
+        rows = _rows_of(records, account)
+        if as_json:
+            console.show_json({"keys": rows})
+            return
+        console.show_table(
+            ("key", "issued", "revoked"),
+            [
+                (
+                    row["key_id"],
+                    _time_text(row["issued_at_s"]),
+                    _time_text(row["revoked_at_s"]),
+                )
+                for row in rows
+            ],
+        )
+
+    console.run(context, work)
+
+
+def _time_text(time_s: float | None) -> str:
+    if time_s is None:
+        return "-"
+    return time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(time_s))
+
+
+@key_commands.command("issue")
+def key_issue(
+    context: typer.Context,
+    account: AccountName,
+    wait_s: console.WaitSeconds = console.DEFAULT_WAIT_S,
+    as_json: console.Json = False,
+) -> None:
+    """Issues an account key and shows it, once."""
+
+    async def work(client: platform.PlatformClient) -> None:
+        _check_account(await _read_accounts(client), account)
+        hash_secret = console.settings_of(context).account_key_secret
+        if not hash_secret:
+            raise errors.CommandFailedError(
+                "SARDINEHILL_ACCOUNT_KEY_SECRET must be the hosts'"
+                " account_key_secret; nothing was changed",
+                exits.REFUSED,
+            )
+        account_key = f"{account}.{secrets.token_urlsafe(SECRET_BYTES)}"
+        digest = account_keys.digest_of(account_key, hash_secret)
+        record = {
+            "account": account,
+            "issued_at_s": time.time(),
+            "revoked_at_s": None,
+        }
+        version = await _add_record(client, account, digest, record)
+        found = await _wait(client, account, version, wait_s)
+        console.show(
+            {
+                "account_key": account_key,
+                "key_id": digest[:KEY_ID_LENGTH],
+                **found.as_json(),
+            },
+            as_json,
+            f"{account_key}\nThis account key is shown once; its identifier"
+            f" is {digest[:KEY_ID_LENGTH]}, {found.sentence()}",
+        )
+        fleet_status.end_with(found)
+
+    console.run(context, work)
+
+
+async def _add_record(
+    client: platform.PlatformClient,
+    account: str,
+    digest: str,
+    record: dict[str, Any],
+) -> int:
+    """Adds a key's record beside those that others add meanwhile."""
+    for _ in range(WRITE_ATTEMPTS):
+        version, records = await _read_bucket(client, account)
+        try:
+            return await _write_bucket(
+                client, account, version, {**records, digest: record}
+            )
+        except errors.StoreConflictError:
+            continue
+    raise errors.CommandFailedError(
+        "other operators keep changing keys; nothing of yours was applied",
+        exits.CONFLICT,
+    )
+
+
+@key_commands.command("revoke")
+def key_revoke(
+    context: typer.Context,
+    account: AccountName,
+    key_id: KeyId,
+    wait_s: console.WaitSeconds = console.DEFAULT_WAIT_S,
+    as_json: console.Json = False,
+) -> None:
+    """Revokes an account key, and waits until every daemon knows."""
+
+    async def work(client: platform.PlatformClient) -> None:
+        version = await _revoke(client, account, key_id)
+        found = await _wait(client, account, version, wait_s)
+        console.show(
+            {"key_id": key_id, **found.as_json()},
+            as_json,
+            f"the account key {key_id} of {account} is revoked,"
+            f" {found.sentence()}",
+        )
+        fleet_status.end_with(found)
+
+    console.run(context, work)
+
+
+async def _revoke(
+    client: platform.PlatformClient, account: str, key_id: str
+) -> int:
+    for _ in range(WRITE_ATTEMPTS):
+        version, records = await _read_bucket(client, account)
+        digest = _find(records, account, key_id)
+        record = records[digest]
+        if record["revoked_at_s"] is not None:
+            return version
+        changed = {**record, "revoked_at_s": time.time()}
+        try:
+            return await _write_bucket(
+                client, account, version, {**records, digest: changed}
+            )
+        except errors.StoreConflictError:
+            continue
+    raise errors.CommandFailedError(
+        "other operators keep changing keys; nothing of yours was applied",
+        exits.CONFLICT,
+    )
+
+
+def _find(records: Records, account: str, key_id: str) -> str:
+    found = [
+        digest
+        for digest, record in records.items()
+        if record["account"] == account and digest.startswith(key_id)
+    ]
+    if len(found) != 1 or len(key_id) < KEY_ID_LENGTH:
+        raise errors.CommandFailedError(
+            f"{key_id!r} is not the identifier of an account key of"
+            f" {account}; see `key list {account}`; nothing was changed",
+            exits.REFUSED,
+        )
+    return found[0]
+
+
+async def _wait(
+    client: platform.PlatformClient,
+    account: str,
+    version: int,
+    wait_s: float,
+) -> fleet_status.InForce:
+    place = f"{KIND}/{account_keys.bucket_of(account)}"
+    return await fleet_status.wait_in_force(client, place, version, wait_s)
--- a/src/sardinehill/daemon/application.py
+++ b/src/sardinehill/daemon/application.py
@@ -10,6 +10,8 @@
 import aiomisc
 
 from sardinehill import errors
+from sardinehill import events
+from sardinehill import metrics
 from sardinehill.adapters import platform
 from sardinehill.adapters import upstream
 from sardinehill.core import fleet
@@ -17,6 +19,7 @@
 from sardinehill.daemon import entry
 from sardinehill.daemon import gateway
 from sardinehill.daemon import news
+from sardinehill.daemon import operators
 from sardinehill.daemon import peers
 from sardinehill.daemon import view
 
@@ -29,7 +32,10 @@
 class Application:
     """One daemon: every part of it, started and stopped in order."""
 
-    def __init__(self, settings: fleet.HostSettings) -> None:
+    def __init__(
+        self, settings: fleet.HostSettings, recent: events.Recent
+    ) -> None:
+        self.metrics = metrics.Metrics()
         self.view = view.View(settings)
         self.platform = platform.PlatformClient(settings.platform_url)
         self.upstreams = upstream.UpstreamClient(CONNECTIONS_PER_UPSTREAM)
@@ -40,30 +46,50 @@
             self.view, self.platform, self.upstreams
         )
         self.entry = entry.Entry(self.view, self.bus)
+        self.operators = operators.Operators(
+            operators.Sources(
+                self.view, self.platform, self.news.versions, self._is_ready
+            ),
+            self.metrics,
+            recent,
+        )
+        self.news.subscribe(self.operators.on_news)
 
     async def start(self) -> None:
         """Binds every address, joins the fleet and begins to serve."""
         settings = self.view.settings
         peers_address = await self.bus.listen(settings.peers_address)
         self.news.start()
+        operators_address = await self.operators.listen(
+            settings.operators_address
+        )
         callers_address = await self.entry.listen(settings.callers_address)
         self.view.settings = dataclasses.replace(
             settings,
             peers_address=peers_address,
             callers_address=callers_address,
+            operators_address=operators_address,
         )
         await self._join()
         self.controller.start()
         _announce("callers", callers_address)
+        _announce("operators", operators_address)
+        events.log(events.DAEMON_STARTED, daemon=settings.name)
 
     async def stop(self) -> None:
         """Finishes what is in flight, then ends every part."""
+        events.log(events.DAEMON_STOPPING, daemon=self.view.settings.name)
         await self.entry.close()
         await self.controller.close()
+        await self.operators.close()
         await self.news.close()
         await self.bus.close()
         await self.upstreams.close()
         await self.platform.close()
+        events.log(events.DAEMON_STOPPED, daemon=self.view.settings.name)
+
+    def _is_ready(self) -> bool:
+        return self.view.config is not None
 
     async def _join(self) -> None:
         settings = self.view.settings
@@ -88,12 +114,13 @@
 
 def run(settings: fleet.HostSettings) -> None:
     """Runs a daemon until it is told to stop by SIGTERM or SIGINT."""
+    recent = events.configure_logging()
     with aiomisc.entrypoint(pool_size=1, log_config=False) as loop:
-        loop.run_until_complete(_run(settings))
+        loop.run_until_complete(_run(settings, recent))
 
 
-async def _run(settings: fleet.HostSettings) -> None:
-    application = Application(settings)
+async def _run(settings: fleet.HostSettings, recent: events.Recent) -> None:
+    application = Application(settings, recent)
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/src/sardinehill/daemon/news.py
+++ b/src/sardinehill/daemon/news.py
@@ -35,6 +35,13 @@
         """Calls `listener(kind, name)` after each change of the view."""
         self._listeners.append(listener)
 
+    def versions(self) -> dict[str, int]:
+        """Returns the version in force of each object, by kind/name."""
+        return {
+            f"{kind}/{name}": version
+            for (kind, name), version in self._versions.items()
+        }
+
     def start(self) -> None:
         """Begins to watch."""
         for kind in WATCHED_KINDS:
--- /dev/null
+++ b/src/sardinehill/daemon/operators.py
@@ -0,0 +1,183 @@
+"""The operators' address of a daemon: health, status, metrics, events."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
+import dataclasses
+import time
+from typing import Any
+import uuid
+
+from aiohttp import web
+
+from sardinehill import errors
+from sardinehill import events
+from sardinehill import metrics as metrics_module
+from sardinehill.adapters import platform
+from sardinehill.core import fleet
+from sardinehill.core import owner_times
+from sardinehill.daemon import view
+
+STATUS_KIND = "status"
+PUBLISH_RETRY_S = 1.0
+METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+Facts = Callable[[], dict[str, Any]]
+
+
+@dataclasses.dataclass(frozen=True)
+class Sources:
+    """Where the status is read from.
+
+    Attributes:
+      knowledge: what this daemon knows of the fleet.
+      client: the platform's object API.
+      versions: the version in force of each object, by kind/name.
+      is_ready: whether callers can be served.
+    """
+
+    knowledge: view.View
+    client: platform.PlatformClient
+    versions: Callable[[], Mapping[str, int]]
+    is_ready: Callable[[], bool]
+
+
+class Operators:
+    """Answers operators, and tells the store where this daemon does so."""
+
+    def __init__(
+        self,
+        sources: Sources,
+        counts: metrics_module.Metrics,
+        recent: events.Recent,
+    ):
+        self._sources = sources
+        self._view = sources.knowledge
+        self._client = sources.client
+        self._metrics = counts
+        self._recent = recent
+        self._owners = owner_times.OwnerTimes()
+        self._facts: dict[str, Facts] = {}
+        self._runner: web.AppRunner | None = None
+        self._publishing: asyncio.Task[None] | None = None
+        self._published_version = 0
+
+    def add_facts(self, name: str, facts: Facts) -> None:
+        """Adds a part's own facts to the status, under its name."""
+        self._facts[name] = facts
+
+    def on_news(self, kind: str, name: str) -> None:
+        """Notes when a shard or a hot key got another owner."""
+        assignment = self._view.assignments.get(name)
+        if kind == "assignment" and assignment is not None:
+            self._owners.observe(assignment, time.time())
+
+    async def listen(self, address: fleet.Address) -> fleet.Address:
+        """Begins to answer, and returns the address as bound."""
+        application = web.Application()
+        routes = application.router
+        routes.add_get("/-/health", self._health)
+        routes.add_get("/-/ready", self._ready)
+        routes.add_get("/-/status", self._status)
+        routes.add_get("/-/owner", self._owner)
+        routes.add_get("/-/events", self._events)
+        routes.add_get("/metrics", self._metrics_text)
+        self._runner = web.AppRunner(application, access_log=None)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, address.ip, address.port)
+        await site.start()
+        ip, port = self._runner.addresses[0][:2]
+        bound = fleet.Address(ip, port)
+        self._publishing = asyncio.ensure_future(self._publish(bound))
+        return bound
+
+    async def close(self) -> None:
+        """Takes the address back from the store, and stops answering."""
+        if self._publishing is not None:
+            self._publishing.cancel()
+            await asyncio.gather(self._publishing, return_exceptions=True)
+        if self._published_version:
+            await self._withdraw()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _publish(self, address: fleet.Address) -> None:
+        """Writes once where operators reach this daemon.
+
+        What is in force changes often and is asked for there: a write for
+        each change would grow with the fleet, and the store counts it.
+        """
+        name = self._view.settings.name
+        while True:
+            value = {
+                "operators_address": str(address),
+                "availability_zone": self._view.settings.availability_zone,
+                "started_at_s": time.time(),
+                "nonce": uuid.uuid4().hex,
+            }
+            try:
+                found = await self._client.get(STATUS_KIND, name)
+                version = 0 if found is None else found.version
+                self._published_version = await platform.settle_write(
+                    self._client, STATUS_KIND, name, value, version
+                )
+            except errors.StoreError:
+                await asyncio.sleep(PUBLISH_RETRY_S)
+                continue
+            return
+
+    async def _withdraw(self) -> None:
+        try:
+            await self._client.delete(
+                STATUS_KIND, self._view.settings.name, self._published_version
+            )
+        except errors.StoreError:
+            # The next daemon of this name writes over it.
+            return
+
+    async def _health(self, _request: web.Request) -> web.Response:
+        return web.json_response({"alive": True})
+
+    async def _ready(self, _request: web.Request) -> web.Response:
+        ready = self._sources.is_ready()
+        return web.json_response({"ready": ready}, status=200 if ready else 503)
+
+    async def _status(self, _request: web.Request) -> web.Response:
+        return web.json_response(self._status_value())
+
+    def _status_value(self) -> dict[str, Any]:
+        knowledge = self._view
+        return {
+            "name": knowledge.settings.name,
+            "availability_zone": knowledge.settings.availability_zone,
+            "ready": self._sources.is_ready(),
+            "versions": dict(self._sources.versions()),
+            "members": sorted(knowledge.members),
+            "upstreams": len(knowledge.upstreams),
+            "store_reachable": self._client.is_reachable,
+            **{name: facts() for name, facts in self._facts.items()},
+        }
+
+    async def _owner(self, request: web.Request) -> web.Response:
+        found = self._owners.find(
+            request.query.get("service", ""), request.query.get("key", "")
+        )
+        if found is None:
+            raise web.HTTPNotFound(text="{}", content_type="application/json")
+        return web.json_response(dataclasses.asdict(found))
+
+    async def _events(self, request: web.Request) -> web.Response:
+        try:
+            since_s = float(request.query.get("since_s", "0"))
+        except ValueError:
+            raise web.HTTPBadRequest(text="since_s: a wall time") from None
+        return web.json_response(
+            {"events": self._recent.since(since_s)},
+            dumps=events.dump_json,
+        )
+
+    async def _metrics_text(self, _request: web.Request) -> web.Response:
+        return web.Response(
+            body=self._metrics.text(),
+            headers={"Content-Type": METRICS_CONTENT_TYPE},
+        )
--- a/src/sardinehill/errors.py
+++ b/src/sardinehill/errors.py
@@ -162,3 +162,15 @@
         self.verdict = verdict
         self.detail = detail
         self.retry_after_s = retry_after_s
+
+
+class CommandFailedError(SardinehillError):
+    """Raised when a command cannot do what the operator asked for.
+
+    Attributes:
+      exit_status: the status that the command ends with.
+    """
+
+    def __init__(self, message: str, exit_status: int):
+        super().__init__(message)
+        self.exit_status = exit_status
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -276,13 +276,14 @@
             arguments, ready = self._baseline_arguments(), "listening"
         else:
             settings_file = self.directory / f"{name}.ini"
-            settings_file.write_text(self._host_text(name, zone))
+            settings_file.write_text(self.host_text(name, zone))
             arguments = ["-m", "sardinehill", "daemon", str(settings_file)]
-            ready = "listening callers"
+            ready = "listening operators"
         process = self._process(name, arguments)
         self.daemons[name] = process
         await process.start(ready)
-        self.driver.add_entry(name, process.addresses[ready])
+        callers = "listening" if self.is_baseline else "listening callers"
+        self.driver.add_entry(name, process.addresses[callers])
 
     def _baseline_arguments(self) -> list[str]:
         plan = {
@@ -302,7 +303,8 @@
             *("--plan", str(path)),
         ]
 
-    def _host_text(self, name: str, zone: str) -> str:
+    def host_text(self, name: str, zone: str) -> str:
+        """Returns the settings file of one daemon, on free ports."""
         return "\n".join(
             [
                 "[host]",
--- a/standins/operations.py
+++ b/standins/operations.py
@@ -48,7 +48,7 @@
         self, session: aiohttp.ClientSession, daemon: str
     ) -> None:
         status = await self.status(session, daemon)
-        version = status.get("versions", {}).get("config", 0)
+        version = status.get("versions", {}).get("config/fleet", 0)
         # A daemon that has just started has no configuration yet, and says
         # that it is not ready.
         if version:
--- a/standins/store.py
+++ b/standins/store.py
@@ -257,12 +257,15 @@
         store.set_host(host["name"], host)
     if "delete_host" in command:
         store.set_host(command.pop("delete_host"), None)
-    if command.get("stale_list"):
-        store.stale_hosts = store.shown_hosts()
     known = {field.name for field in dataclasses.fields(Faults)}
     if not known.issuperset(command):
         raise web.HTTPBadRequest(text=f"known fields: {sorted(known)}")
+    was_stale = store.faults.stale_list
     store.faults = dataclasses.replace(store.faults, **command)
+    if store.faults.stale_list and not was_stale:
+        store.faults.stale_list = False
+        store.stale_hosts = store.shown_hosts()
+        store.faults.stale_list = True
     if command:
         store.journal.write("fault", **command)
         store.wake_watches()
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -168,10 +168,10 @@
         warmth = self.work_done / WORK_TO_WARM_REQUESTS
         return cold + int(warmth * max(0, self.options.slots - cold))
 
-    def is_new_connection(self, protocol: object) -> bool:
-        """Returns True the first time that a connection is seen."""
+    def takes_connection(self, protocol: object) -> bool | None:
+        """Returns whether a new connection is taken, None for a known one."""
         if id(protocol) in self.known_connections:
-            return False
+            return None
         server = self.runner.server if self.runner else None
         # Connections that closed are forgotten here, so that the set stays
         # as small as the limit on connections.
@@ -179,6 +179,8 @@
             {id(one) for one in server.connections} if server else set()
         )
         self.known_connections &= still_open
+        if len(self.known_connections) >= self.options.connections:
+            return False
         self.known_connections.add(id(protocol))
         return True
 
@@ -670,10 +672,11 @@
 ) -> web.StreamResponse:
     """Takes 1 ms for a new connection and refuses one too many."""
     upstream = request.app[UPSTREAM]
-    if upstream.is_new_connection(request.protocol):
-        if upstream.open_connections() > upstream.options.connections:
-            upstream.journal.write("connection-refused")
-            return _drop(request)
+    taken = upstream.takes_connection(request.protocol)
+    if taken is False:
+        upstream.journal.write("connection-refused")
+        return _drop(request)
+    if taken:
         await asyncio.sleep(CONNECT_S)
     return await handler(request)
 
