--- a/src/sardinehill/cli/accounts.py
+++ b/src/sardinehill/cli/accounts.py
@@ -11,6 +11,7 @@
 from sardinehill import errors
 from sardinehill import settings
 from sardinehill.adapters import platform
+from sardinehill.adapters import records
 from sardinehill.cli import console
 from sardinehill.cli import exits
 from sardinehill.cli import fleet_status
@@ -18,8 +19,6 @@
 from sardinehill.core import fleet
 
 KIND = "account-keys"
-SECRET_BYTES = 32
-KEY_ID_LENGTH = 16
 WRITE_ATTEMPTS = 8
 
 account_commands = typer.Typer(no_args_is_help=True, help="Client accounts.")
@@ -28,8 +27,6 @@
 AccountName = Annotated[str, typer.Argument(help="The client account.")]
 KeyId = Annotated[str, typer.Argument(help="The identifier in `key list`.")]
 
-Records = dict[str, dict[str, Any]]
-
 
 async def _read_accounts(
     client: platform.PlatformClient,
@@ -57,31 +54,36 @@
 
 async def _read_bucket(
     client: platform.PlatformClient, account: str
-) -> tuple[int, Records]:
-    found = await client.get(KIND, account_keys.bucket_of(account))
+) -> tuple[int, account_keys.KeyBucket]:
+    found = await client.get(KIND, account_keys.bucket_name(account))
     if found is None:
-        return 0, {}
-    return found.version, dict(found.value.get("keys", {}))
+        return 0, account_keys.KeyBucket()
+    return found.version, records.read_key_bucket(found.name, found.value)
 
 
 async def _write_bucket(
     client: platform.PlatformClient,
     account: str,
     version: int,
-    records: Records,
+    bucket: account_keys.KeyBucket,
 ) -> int:
-    value = {"keys": records, "nonce": uuid.uuid4().hex}
-    bucket = account_keys.bucket_of(account)
-    return await platform.settle_write(client, KIND, bucket, value, version)
+    value = {**records.key_bucket_value(bucket), "nonce": uuid.uuid4().hex}
+    name = account_keys.bucket_name(account)
+    return await platform.settle_write(client, KIND, name, value, version)
 
 
-def _row(digest: str, record: dict[str, Any]) -> dict[str, Any]:
-    return {
-        "key_id": digest[:KEY_ID_LENGTH],
-        "account": record["account"],
-        "issued_at_s": record.get("issued_at_s"),
-        "revoked_at_s": record.get("revoked_at_s"),
-    }
+def _rows_of(
+    bucket: account_keys.KeyBucket, account: str
+) -> list[dict[str, Any]]:
+    return [
+        {
+            "key_id": record.key_id,
+            "account": record.account,
+            "issued_at_s": record.issued_at_s,
+            "revoked_at_s": record.revoked_at_s,
+        }
+        for record in account_keys.records_of(bucket, account)
+    ]
 
 
 @account_commands.command("list")
@@ -120,8 +122,8 @@
         accounts = await _read_accounts(client)
         _check_account(accounts, account)
         one = accounts[account]
-        _, records = await _read_bucket(client, account)
-        keys = _rows_of(records, account)
+        _, bucket = await _read_bucket(client, account)
+        keys = _rows_of(bucket, account)
         active = sum(row["revoked_at_s"] is None for row in keys)
         console.show(
             {
@@ -140,14 +142,6 @@
     console.run(context, work)
 
 
-def _rows_of(records: Records, account: str) -> list[dict[str, Any]]:
-    return [
-        _row(digest, record)
-        for digest, record in records.items()
-        if record["account"] == account
-    ]
-
-
 @key_commands.command("list")
 def key_list(
     context: typer.Context, account: AccountName, as_json: console.Json = False
@@ -155,8 +149,8 @@
     """Lists a client account's keys by identifier."""
 
     async def work(client: platform.PlatformClient) -> None:
-        _, records = await _read_bucket(client, account)
-        rows = _rows_of(records, account)
+        _, bucket = await _read_bucket(client, account)
+        rows = _rows_of(bucket, account)
         if as_json:
             console.show_json({"keys": rows})
             return
@@ -199,46 +193,43 @@
                 " account_key_secret; nothing was changed",
                 exits.REFUSED,
             )
-        account_key = f"{account}.{secrets.token_urlsafe(SECRET_BYTES)}"
-        digest = account_keys.digest_of(account_key, hash_secret)
-        record = {
-            "account": account,
-            "issued_at_s": time.time(),
-            "revoked_at_s": None,
-        }
-        version = await _add_record(client, account, digest, record)
+        version, key, record = await _issue(client, account, hash_secret)
         found = await _wait(client, account, version, wait_s)
         console.show(
             {
-                "account_key": account_key,
-                "key_id": digest[:KEY_ID_LENGTH],
+                "account_key": key.text,
+                "key_id": record.key_id,
                 **found.as_json(),
             },
             as_json,
-            f"{account_key}\nThis account key is shown once; its identifier"
-            f" is {digest[:KEY_ID_LENGTH]}, {found.sentence()}",
+            f"{key.text}\nThis account key is shown once; its identifier is"
+            f" {record.key_id}, {found.sentence()}",
         )
         fleet_status.end_with(found)
 
     console.run(context, work)
 
 
-async def _add_record(
-    client: platform.PlatformClient,
-    account: str,
-    digest: str,
-    record: dict[str, Any],
-) -> int:
+async def _issue(
+    client: platform.PlatformClient, account: str, hash_secret: str
+) -> tuple[int, account_keys.AccountKey, account_keys.KeyRecord]:
     """Adds a key's record beside those that others add meanwhile."""
+    random_text = secrets.token_urlsafe(account_keys.RANDOM_BYTES)
     for _ in range(WRITE_ATTEMPTS):
-        version, records = await _read_bucket(client, account)
+        version, bucket = await _read_bucket(client, account)
+        changed, key, record = account_keys.issue(
+            bucket, account, hash_secret, random_text, time.time()
+        )
         try:
-            return await _write_bucket(
-                client, account, version, {**records, digest: record}
-            )
+            version = await _write_bucket(client, account, version, changed)
         except errors.StoreConflictError:
             continue
-    raise errors.CommandFailedError(
+        return version, key, record
+    raise _keeps_changing()
+
+
+def _keeps_changing() -> errors.CommandFailedError:
+    return errors.CommandFailedError(
         "other operators keep changing keys; nothing of yours was applied",
         exits.CONFLICT,
     )
@@ -272,37 +263,28 @@
     client: platform.PlatformClient, account: str, key_id: str
 ) -> int:
     for _ in range(WRITE_ATTEMPTS):
-        version, records = await _read_bucket(client, account)
-        digest = _find(records, account, key_id)
-        record = records[digest]
-        if record["revoked_at_s"] is not None:
+        version, bucket = await _read_bucket(client, account)
+        _check_key_id(bucket, account, key_id)
+        changed = account_keys.revoke(bucket, key_id, time.time())
+        if changed == bucket:
             return version
-        changed = {**record, "revoked_at_s": time.time()}
         try:
-            return await _write_bucket(
-                client, account, version, {**records, digest: changed}
-            )
+            return await _write_bucket(client, account, version, changed)
         except errors.StoreConflictError:
             continue
-    raise errors.CommandFailedError(
-        "other operators keep changing keys; nothing of yours was applied",
-        exits.CONFLICT,
-    )
+    raise _keeps_changing()
 
 
-def _find(records: Records, account: str, key_id: str) -> str:
-    found = [
-        digest
-        for digest, record in records.items()
-        if record["account"] == account and digest.startswith(key_id)
-    ]
-    if len(found) != 1 or len(key_id) < KEY_ID_LENGTH:
+def _check_key_id(
+    bucket: account_keys.KeyBucket, account: str, key_id: str
+) -> None:
+    known = account_keys.records_of(bucket, account)
+    if key_id not in {record.key_id for record in known}:
         raise errors.CommandFailedError(
             f"{key_id!r} is not the identifier of an account key of"
             f" {account}; see `key list {account}`; nothing was changed",
             exits.REFUSED,
         )
-    return found[0]
 
 
 async def _wait(
@@ -311,5 +293,5 @@
     version: int,
     wait_s: float,
 ) -> fleet_status.InForce:
-    place = f"{KIND}/{account_keys.bucket_of(account)}"
+    place = f"{KIND}/{account_keys.bucket_name(account)}"
     return await fleet_status.wait_in_force(client, place, version, wait_s)
