--- a/src/sardinehill/daemon/application.py
+++ b/src/sardinehill/daemon/application.py
@@ -9,6 +9,8 @@
 
 import aiomisc
 
+from sardinehill import events
+from sardinehill import metrics
 from sardinehill.adapters import platform
 from sardinehill.adapters import upstream
 from sardinehill.core import account_keys
@@ -18,6 +20,7 @@
 from sardinehill.daemon import gateway
 from sardinehill.daemon import gateway_leases
 from sardinehill.daemon import news
+from sardinehill.daemon import operators
 from sardinehill.daemon import peers
 from sardinehill.daemon import undivided
 from sardinehill.daemon import view
@@ -30,7 +33,10 @@
 class Application:
     """One daemon: every part of it, started and stopped in order."""
 
-    def __init__(self, settings: fleet.HostSettings) -> None:
+    def __init__(
+        self, settings: fleet.HostSettings, recent: events.Recent
+    ) -> None:
+        self.metrics = metrics.Metrics()
         self.view = view.View(
             settings, account_keys.KeyRing(settings.account_key_secret)
         )
@@ -49,33 +55,68 @@
         )
         self.undivided = undivided.UndividedSender(self.view, self.bus)
         self.entry = entry.Entry(self.view, self.bus, self.undivided)
+        self.operators = operators.Operators(
+            operators.Sources(
+                self.view,
+                self.platform,
+                self._versions_in_force,
+                self._is_ready,
+            ),
+            self.metrics,
+            recent,
+        )
+        self.operators.add_facts(
+            "news", lambda: dataclasses.asdict(self.news.status())
+        )
         self.news.subscribe(self.gateway.on_news)
+        self.news.subscribe(self.operators.on_news)
 
     async def start(self) -> None:
         """Binds every address, joins the fleet and begins to serve."""
         settings = self.view.settings
         peers_address = await self.bus.listen(settings.peers_address)
         self.news.start(_member(settings, peers_address))
+        operators_address = await self.operators.listen(
+            settings.operators_address
+        )
         callers_address = await self.entry.listen(settings.callers_address)
         self.view.settings = dataclasses.replace(
             settings,
             peers_address=peers_address,
             callers_address=callers_address,
+            operators_address=operators_address,
         )
         self.controller.start()
         _announce("callers", callers_address)
+        _announce("operators", operators_address)
+        events.log(events.DAEMON_STARTED, daemon=settings.name)
 
     async def stop(self) -> None:
         """Finishes what is in flight, then ends every part."""
+        events.log(events.DAEMON_STOPPING, daemon=self.view.settings.name)
         await self.news.leave()
         await self.entry.close()
         await self.gateway.close()
         await self.undivided.close()
         await self.controller.close()
+        await self.operators.close()
         await self.news.close()
         await self.bus.close()
         await self.upstreams.close()
         await self.platform.close()
+        events.log(events.DAEMON_STOPPED, daemon=self.view.settings.name)
+
+    def _versions_in_force(self) -> dict[str, int]:
+        # What this daemon has heard of and cannot read is not in force.
+        status = self.news.status()
+        return {
+            place: version
+            for place, version in status.versions.items()
+            if place not in status.problems
+        }
+
+    def _is_ready(self) -> bool:
+        return self.view.config is not None
 
     def _locate(self, name: str) -> fleet.Address | None:
         member = self.view.members.get(name)
@@ -96,12 +137,13 @@
 
 def run(settings: fleet.HostSettings) -> None:
     """Runs a daemon until it is told to stop by SIGTERM or SIGINT."""
+    recent = events.configure_logging()
     with aiomisc.entrypoint(pool_size=1, log_config=False) as loop:
-        loop.run_until_complete(_run(settings))
+        loop.run_until_complete(_run(settings, recent))
 
 
-async def _run(settings: fleet.HostSettings) -> None:
-    application = Application(settings)
+async def _run(settings: fleet.HostSettings, recent: events.Recent) -> None:
+    application = Application(settings, recent)
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
