Keep numbered events apart from other log lines

Cause: the memory of the last events also took the lines of libraries, and a repeated warning pushed the daemon's start out of it. Change: only numbered events are kept; an Application without a memory of events makes its own.

--- a/src/sardinehill/daemon/application.py
+++ b/src/sardinehill/daemon/application.py
@@ -34,7 +34,7 @@
     """One daemon: every part of it, started and stopped in order."""
 
     def __init__(
-        self, settings: fleet.HostSettings, recent: events.Recent
+        self, settings: fleet.HostSettings, recent: events.Recent | None = None
     ) -> None:
         self.metrics = metrics.Metrics()
         self.view = view.View(
@@ -63,7 +63,7 @@
                 self._is_ready,
             ),
             self.metrics,
-            recent,
+            recent or events.Recent(),
         )
         self.operators.add_facts(
             "news", lambda: dataclasses.asdict(self.news.status())
--- a/src/sardinehill/events.py
+++ b/src/sardinehill/events.py
@@ -142,8 +142,13 @@
         )
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Keeps a record, dropping the oldest when there are too many."""
-        self._lines.append(as_json(record))
+        """Keeps a numbered event, dropping the oldest when there are too many.
+
+        Other lines are left to the log: a library that repeats a warning
+        would push out the events that an operator asks for.
+        """
+        if isinstance(getattr(record, "ev", None), Event):
+            self._lines.append(as_json(record))
 
     def since(self, time_s: float) -> list[dict[str, Any]]:
         """Returns the events logged after a wall time, oldest first."""
