--- a/src/sardinehill/daemon/entry.py
+++ b/src/sardinehill/daemon/entry.py
@@ -35,6 +35,7 @@
 _STATUS_OF_REASON = {
     errors.Reason.ACCOUNT_KEY_MISSING: 401,
     errors.Reason.ACCOUNT_KEY_UNKNOWN: 401,
+    errors.Reason.ACCOUNT_KEY_REVOKED: 401,
     errors.Reason.KEY_MISSING: 400,
     errors.Reason.MALFORMED: 400,
     errors.Reason.SERVICE_UNKNOWN: 404,
