Forget slow moments and overloads once they are over

Cause: process tests found three states that outlived their cause. An upstream that had been frozen was never chosen again (0 of 299 requests), since its lane's latency is learnt from answers alone. After five times the load an upstream refused every request of a divided service with queue-full (0 of 409 served at a rate it bears), by the same latency. And an upstream whose requests grew ten times heavier during its ramp stayed at a trickle. Change: a lane's latency falls back to the usual one after a second of silence, an idle upstream is always tried, and a lasting slowness becomes usual by the evidence of a first start. Process tests of cold, silent cold, frozen, lying, dropped and full fleets; claims of core/lane.py.

--- a/src/sardinehill/core/lane.py
+++ b/src/sardinehill/core/lane.py
@@ -24,6 +24,9 @@
 WAY_HOME_S = 0.01
 CANCEL_SETTLES_S = 1.0
 SENDINGS_MAX = 3
+FORGET_LATENCY_S = 1.0
+# Time kept for an answer, over the latency of late, before it is too late.
+SERVICE_MARGIN = 1.5
 
 
 class Fate(enum.Enum):
@@ -97,6 +100,7 @@
         )
         self._in_flight = limits.InFlight(orphan_s=CANCEL_SETTLES_S)
         self._recent_latency_s = 0.0
+        self._answered_s = now_s
         self._open = True
         self.ramp = ramp.Ramp(ramp_policy(service), now_s, handover)
 
@@ -122,9 +126,31 @@
         return self._in_flight.count(now_s)
 
     def latency_s(self, now_s: float) -> float:
-        """Returns the latency of late; a frozen upstream's grows by itself."""
+        """Returns the latency of late; a frozen upstream's grows by itself.
+
+        A slow moment is forgotten after a silence: an upstream that nobody
+        chooses for its latency gives no answers by which it could show that
+        the moment is over.
+        """
         oldest_s = self._in_flight.oldest_age_s(now_s)
-        return max(self._recent_latency_s, oldest_s)
+        return max(self._latency_lately_s(now_s), oldest_s)
+
+    def _latency_lately_s(self, now_s: float) -> float:
+        recent_s = self._recent_latency_s
+        if now_s - self._answered_s > FORGET_LATENCY_S:
+            return min(recent_s, self.ramp.usual_latency_s or recent_s)
+        return recent_s
+
+    def _service_s(self, now_s: float) -> float:
+        """Returns the time to keep for an answer once a request is sent.
+
+        It is 0 at an idle upstream: latency is learnt from answers alone, so
+        a latency over every deadline would refuse each request that could
+        show that it has fallen, and go on after the overload that caused it.
+        """
+        if self._in_flight.count(now_s) == 0:
+            return 0.0
+        return self._latency_lately_s(now_s) * SERVICE_MARGIN
 
     def push(
         self,
@@ -148,7 +174,7 @@
             deadline_s - WAY_HOME_S,
             now_s,
             interval_s=latency_s / max(1, self.allowed(now_s)),
-            service_s=self._recent_latency_s,
+            service_s=self._service_s(now_s),
         )
 
     def take(
@@ -158,7 +184,7 @@
         room = self.allowed(now_s) - self._in_flight.count(now_s)
         if not self._open or room <= 0:
             return None, self._queue.expire(now_s)
-        return self._queue.pop(now_s, self._recent_latency_s)
+        return self._queue.pop(now_s, self._service_s(now_s))
 
     def remove(self, place: fair_queue.Waiting[T]) -> bool:
         """Removes a cancelled request; True proves that it was not sent."""
@@ -184,6 +210,7 @@
             usual_s = self.ramp.usual_latency_s
             self._limit.answered(latency_s, usual_s, in_flight)
             self._learn_latency(latency_s)
+            self._answered_s = now_s
         elif fate is Fate.SHED:
             self._limit.shed(now_s)
             restarted = self.ramp.refused(now_s, incarnation)
--- a/src/sardinehill/core/ramp.py
+++ b/src/sardinehill/core/ramp.py
@@ -35,8 +35,6 @@
       jump_floor_s: latency under which nothing counts as a jump.
       cold_ratio: latency of a cold upstream over the usual one, at most, while
         no cold start was seen.
-      jump_accepted_s: time in which a lasting slowness doubles the usual
-        latency.
       steady_ratio: latency over that of the stretch before, under which the
         upstream is still warming.
       veto_s: how long a health report that says cold holds a step back.
@@ -57,7 +55,6 @@
     jump_answers: int = 3
     jump_floor_s: float = 0.01
     cold_ratio: float = 5.0
-    jump_accepted_s: float = 5.0
     steady_ratio: float = 0.7
     veto_s: float = 2.5
     veto_max_s: float = 30.0
@@ -122,8 +119,8 @@
         self._veto_until_s = now_s
         self._ramp_began_s = now_s
         self._lost_s: list[float] = []
-        self._slow_in_row = 0
-        self._slow_least_s = math.inf
+        self._slow_latencies_s: list[float] = []
+        self._slow_since_s = now_s
         self._seen_cold_ratio = 0.0
         self._usual_latency_s = 0.0
         self._previous_step_s: float | None = None
@@ -181,11 +178,10 @@
         if incarnation in self._past_incarnations:
             return False
         restarted = self._learn_incarnation(now_s, incarnation)
-        silence_s = now_s - self._last_answer_s
         self._last_answer_s = now_s
         if restarted:
             return True
-        if self._jumped(now_s, latency_s, silence_s):
+        if self._jumped(now_s, latency_s):
             return False
         sent_s = now_s - latency_s
         self._settle_suspicion(sent_s)
@@ -239,7 +235,7 @@
         self._limit = self._policy.cold_start_requests
         self._ramp_began_s = now_s
         self._suspect = False
-        self._slow_in_row = 0
+        self._slow_latencies_s.clear()
         self._lost_s.clear()
         self._previous_step_s = None
         self._begin_step(now_s)
@@ -305,30 +301,58 @@
         self._suspect_s = now_s
         self._suspicion_good = 0
 
-    def _jumped(self, now_s: float, latency_s: float, silence_s: float) -> bool:
+    def _jumped(self, now_s: float, latency_s: float) -> bool:
         usual_s = self._usual_latency_s
         threshold_s = max(
             self._policy.jump_floor_s, usual_s * self._policy.jump_ratio
         )
         if usual_s <= 0 or latency_s <= threshold_s:
-            self._slow_in_row = 0
-            self._slow_least_s = math.inf
+            self._slow_latencies_s.clear()
             return False
-        self._slow_in_row += 1
-        self._slow_least_s = min(self._slow_least_s, latency_s)
+        if not self._slow_latencies_s:
+            self._slow_since_s = now_s
+        self._slow_latencies_s.append(latency_s)
         self._learn_cold_ratio(latency_s / usual_s)
-        if self._slow_in_row < self._policy.jump_answers:
+        if len(self._slow_latencies_s) < self._policy.jump_answers:
             return True
-        if self._slow_least_s <= usual_s * self._cold_ratio():
-            self._raise_suspicion(now_s)
-        # A lasting slowness has to become the usual latency in the end, or
-        # an upstream that has grown slower would stay at a trickle. It does
-        # so by time: counted by answers, a cold upstream would be called
-        # usual after its first few.
-        share = min(silence_s, 1.0) / self._policy.jump_accepted_s
-        self._usual_latency_s *= 2**share
+        if min(self._slow_latencies_s) <= usual_s * self._cold_ratio():
+            self._suspect_a_fall(now_s)
+        self._try_accept_slowness(now_s)
         return True
 
+    def _suspect_a_fall(self, now_s: float) -> None:
+        if not self._suspect:
+            self._raise_suspicion(now_s)
+            # What was in flight at the fall tells nothing of the trickle.
+            self._slow_latencies_s.clear()
+            self._slow_since_s = now_s
+        self._suspicion_good = 0
+
+    def _try_accept_slowness(self, now_s: float) -> None:
+        """Takes a lasting slowness for the usual latency, by evidence.
+
+        The evidence is that of a first start: two stretches of answers of
+        which the second is no faster. Without it an upstream whose requests
+        have grown heavier would stay at a trickle; with fewer answers a cold
+        one would be called usual.
+        """
+        stretch = self._policy.good_answers * self._policy.cold_start_requests
+        seen = self._slow_latencies_s
+        if len(seen) < 2 * stretch:
+            return
+        if now_s - self._slow_since_s < 2 * self._policy.step_min_s:
+            return
+        half = len(seen) // 2
+        earlier_s = statistics.median(seen[:half])
+        later_s = statistics.median(seen[half:])
+        seen.clear()
+        self._slow_since_s = now_s
+        if later_s < earlier_s * self._policy.steady_ratio:
+            return
+        self._usual_latency_s = later_s
+        self._previous_step_s = later_s
+        self._suspect = False
+
     def _cold_ratio(self) -> float:
         """Returns the slowness up to which an upstream may be cold.
 
--- /dev/null
+++ b/tests/process/test_load.py
@@ -0,0 +1,220 @@
+"""Claims about load on real processes: cold, slow, frozen, taken out, full."""
+
+import asyncio
+import collections
+from collections.abc import Iterator
+import signal
+import time
+
+import pytest
+
+from standins import deployment as deployment_module
+from tests.common import direct_fleet
+
+BOOKINGS = deployment_module.ServiceShape(
+    "prenota", "/bookings", True, 4, shard_count=64
+)
+STOCK = deployment_module.ServiceShape("conti", "/stock", False, 4)
+SHAPE = deployment_module.Shape(
+    "load",
+    ("pa-1", "pa-2"),
+    3,
+    (BOOKINGS, STOCK),
+    (
+        deployment_module.AccountShape("venue-1", 20000.0, 20000.0, 2.0),
+        deployment_module.AccountShape("venue-2", 20000.0, 20000.0),
+    ),
+)
+NEW_WORK_STOPS_S = 3.0
+
+
+@pytest.fixture(scope="module")
+def warm_fleet(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[direct_fleet.DirectFleet]:
+    """Yields a fleet whose upstreams are warm, up and serving."""
+    fleet = direct_fleet.DirectFleet(tmp_path_factory.mktemp("warm"), SHAPE)
+    try:
+        fleet.start()
+        yield fleet
+    finally:
+        fleet.close()
+
+
+@pytest.fixture
+def cold_fleet(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[direct_fleet.DirectFleet]:
+    """Yields a fleet whose upstreams have all just started."""
+    fleet = direct_fleet.DirectFleet(
+        tmp_path_factory.mktemp("cold"), SHAPE, upstreams_cold=True
+    )
+    try:
+        fleet.start()
+        yield fleet
+    finally:
+        fleet.close()
+
+
+def _upstreams(fleet, service):
+    names = fleet.deployment.upstream_services
+    return [name for name in names if names[name] == service.name]
+
+
+def test_cold_upstreams_are_warmed_without_a_collapse(cold_fleet):
+    async def load():
+        return await asyncio.gather(
+            cold_fleet.send_at_rate(BOOKINGS, 100.0, 4.0),
+            cold_fleet.send_at_rate(STOCK, 100.0, 4.0),
+        )
+
+    answers = cold_fleet.run(load())
+    runs = cold_fleet.upstream_events("started")
+    assert any(run["cold"] for run in runs)
+    assert not cold_fleet.upstream_events("collapsed")
+    assert any(run["in_flight"] > 1 for run in runs if not run["cold"])
+    served = [one.status == 200 for some in answers for one in some]
+    assert sum(served) > 0.9 * len(served)
+
+
+def test_an_upstream_that_falls_cold_silently_does_not_collapse(warm_fleet):
+    name = _upstreams(warm_fleet, BOOKINGS)[0]
+
+    async def load():
+        sending = asyncio.ensure_future(
+            warm_fleet.send_at_rate(BOOKINGS, 150.0, 4.0)
+        )
+        await asyncio.sleep(1.0)
+        await warm_fleet.deployment.control_upstream(
+            name, fall_cold_grace_ms=500, health_lies=True
+        )
+        await sending
+        await warm_fleet.deployment.control_upstream(name, health_lies=False)
+
+    warm_fleet.run(load())
+    fell_s = next(
+        record["monotonic_s"]
+        for record in warm_fleet.journal(name)
+        if record["event"] == "fell-cold"
+    )
+    cold_runs = [
+        record
+        for record in warm_fleet.journal(name)
+        if record["event"] == "started"
+        and record["cold"]
+        and record["monotonic_s"] > fell_s
+    ]
+    assert cold_runs
+    assert not warm_fleet.upstream_events("collapsed")
+
+
+def test_a_service_goes_on_while_one_upstream_is_frozen(warm_fleet):
+    name = _upstreams(warm_fleet, STOCK)[0]
+    process = warm_fleet.deployment.upstreams[name]
+
+    async def load():
+        sending = asyncio.ensure_future(
+            warm_fleet.send_at_rate(STOCK, 100.0, 3.0)
+        )
+        await asyncio.sleep(0.5)
+        process.signal(signal.SIGSTOP)
+        await asyncio.sleep(1.5)
+        process.signal(signal.SIGCONT)
+        return await sending
+
+    shed_before = len(warm_fleet.upstream_events("not-run"))
+    answers = warm_fleet.run(load())
+    assert all(answer.status == 200 for answer in answers)
+    served = collections.Counter(answer.upstream for answer in answers)
+    assert served[name] < len(answers) / 4
+    # Nothing was heaped up at the frozen upstream for its return.
+    assert len(warm_fleet.upstream_events("not-run")) == shed_before
+
+
+def test_a_straggler_whose_reports_lie_gets_less_than_its_share(warm_fleet):
+    name = _upstreams(warm_fleet, STOCK)[1]
+
+    async def load():
+        await warm_fleet.deployment.control_upstream(
+            name, slowdown=20.0, load_lies=True, health_lies=True
+        )
+        answers = await warm_fleet.send_at_rate(STOCK, 100.0, 3.0)
+        await warm_fleet.deployment.control_upstream(
+            name, slowdown=1.0, load_lies=False, health_lies=False
+        )
+        return answers
+
+    answers = warm_fleet.run(load())
+    assert all(answer.status == 200 for answer in answers)
+    served = collections.Counter(answer.upstream for answer in answers)
+    fair = len(answers) / STOCK.upstreams
+    assert served[name] < fair / 2
+    # One that was slow or frozen earlier is not forgotten for ever.
+    assert all(served[one] for one in _upstreams(warm_fleet, STOCK))
+
+
+def test_a_zone_dropped_twice_in_a_row_is_left_alone_and_cuts_nothing(
+    warm_fleet,
+):
+    deployment = warm_fleet.deployment
+    zone = SHAPE.zones[0]
+    out: list[tuple[float, float]] = []
+
+    async def drop():
+        for _ in range(2):
+            await deployment.expect_command("zone", "out", zone)
+            out_s = time.monotonic()
+            await asyncio.sleep(NEW_WORK_STOPS_S + 0.5)
+            out.append((out_s + NEW_WORK_STOPS_S, time.monotonic()))
+            await deployment.expect_command("zone", "in", zone)
+            await asyncio.sleep(0.3)
+
+    async def load():
+        sending = asyncio.gather(
+            warm_fleet.send_at_rate(BOOKINGS, 60.0, 8.5),
+            warm_fleet.send_at_rate(STOCK, 60.0, 8.5),
+        )
+        await asyncio.sleep(0.5)
+        await drop()
+        return await sending
+
+    bookings, stock = warm_fleet.run(load())
+    assert not [
+        run
+        for run in warm_fleet.upstream_events("started")
+        if run["availability_zone"] == zone
+        and any(since <= run["monotonic_s"] < until for since, until in out)
+    ]
+    for answer in [*bookings, *stock]:
+        assert answer.status == 200 or answer.verdict == "not-run"
+    served = [answer.status == 200 for answer in stock]
+    assert sum(served) > 0.95 * len(served)
+
+
+@pytest.mark.parametrize("service", [BOOKINGS, STOCK])
+def test_more_than_the_fleet_bears_is_refused_early_and_truly(
+    warm_fleet, service
+):
+    # Four upstreams with three slots serve 240 requests of 50 ms a second.
+    fields = {"service_time_ms": 50.0, "deadline_ms": 500}
+
+    async def load():
+        await warm_fleet.send_at_rate(service, 100.0, 3.0, **fields)
+        calm = await warm_fleet.send_at_rate(service, 150.0, 2.0, **fields)
+        full = await warm_fleet.send_at_rate(service, 1200.0, 3.0, **fields)
+        after = await warm_fleet.send_at_rate(service, 100.0, 2.0, **fields)
+        return calm, full, after
+
+    calm, full, after = warm_fleet.run(load())
+    refused = [answer for answer in full if answer.status != 200]
+    assert len(refused) > len(full) / 2
+    assert {answer.verdict for answer in refused} <= {"not-run", "may-have-run"}
+    not_run = [one for one in refused if one.verdict == "not-run"]
+    assert len(not_run) > 0.99 * len(refused)
+    assert all(one.retry_after for one in not_run)
+    calm_per_s = sum(one.status == 200 for one in calm) / 2.0
+    full_per_s = sum(one.status == 200 for one in full) / 3.0
+    assert full_per_s > 0.5 * calm_per_s
+    # Nothing of the overload is left behind once it is over.
+    late = [answer.status == 200 for answer in after[len(after) // 2 :]]
+    assert sum(late) > 0.95 * len(late)
