--- a/src/sardinehill/core/balancing.py
+++ b/src/sardinehill/core/balancing.py
@@ -12,7 +12,7 @@
 
 # An upstream must be this much above its share before anything leaves it,
 # and a move must leave the receiver below that share by the same measure.
-HYSTERESIS_RATIO = 0.08
+HYSTERESIS_RATIO = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -109,7 +109,7 @@
             deficit <= slack * problem.weights[low]
         ):
             return
-        best = _best_shard(held[high], problem.loads, surplus, deficit)
+        best = _best_shard(held[high], problem.loads, surplus, deficit, slack)
         if best is None:
             return
         held[high].remove(best)
@@ -123,10 +123,12 @@
     loads: Sequence[float],
     surplus: float,
     deficit: float,
+    slack: float,
 ) -> int | None:
-    """Returns the largest shard whose move overshoots neither side."""
-    room = min(max(surplus, 0.0), max(deficit, 0.0))
-    # A move of a shard larger than the room would only swap who is above.
+    """Returns the largest shard whose move makes the two more alike."""
+    # The receiver must not end above its share. The giver may end a little
+    # below: when each upstream has few shards none would ever leave else.
+    room = min(deficit, surplus + slack, (surplus + deficit) / 1.5)
     fitting = [shard for shard in shards if loads[shard] <= room]
     if not fitting:
         return None
@@ -164,6 +166,11 @@
             if count >= 1.0
         }
 
+    def most(self, limit: int = 32) -> list[tuple[str, float]]:
+        """Returns the keys counted most, and their counts."""
+        ordered = sorted(self._counts, key=self._counts.__getitem__)
+        return [(key, self._counts[key]) for key in ordered[-limit:]]
+
     def shares(self) -> dict[str, float]:
         """Returns each key's share of all requests, never too low."""
         if self.total <= 0.0:
--- a/src/sardinehill/core/controlling.py
+++ b/src/sardinehill/core/controlling.py
@@ -17,6 +17,7 @@
 from sardinehill.core import licence
 from sardinehill.core import ownership
 from sardinehill.core import placement
+from sardinehill.core import popularity
 
 # Two of five may be lost at once while the store is down.
 ELECTORATE_SIZE = 5
@@ -55,8 +56,10 @@
       member: this daemon's own memory as one that vouches.
       licence: what it collected as a controller.
       controller: the ownership it controls.
+      popularity: how much shards and keys are used.
       known: the newest assignment known from anywhere.
       asked_s: own clock of the last round of questions.
+      term_began_s: own clock when the present term began here.
     """
 
     me: str
@@ -66,12 +69,15 @@
     member: licence.Member
     licence: licence.Licence
     controller: ownership.Controller
+    popularity: popularity.Popularity
     known: placement.Assignment | None = None
     asked_s: float = float("-inf")
+    term_began_s: float = float("-inf")
 
 
 def new_duty(
     service: str,
+    shard_count: int,
     me: str,
     timing: Timing,
     new_nonce: Callable[[], str],
@@ -86,6 +92,7 @@
         member=licence.Member(started_s=now_s),
         licence=licence.Licence(),
         controller=ownership.Controller(service, me, timing.of_grants),
+        popularity=popularity.Popularity(shard_count),
     )
 
 
@@ -191,12 +198,17 @@
     lease_command = lease.tick(duty.lease, now_s, rank, duty.new_nonce())
     if lease_command is not None:
         commands.append(lease_command)
+    if duty.lease.term != duty.controller.term:
+        duty.term_began_s = now_s
     ownership.begin_term(duty.controller, duty.lease.term)
     licence.begin(duty.licence, duty.lease.term)
     commands.extend(_questions(duty, now_s))
     if not is_licensed(duty, now_s):
         return commands
-    _settle(duty, now_s)
+    _settle(duty, view, now_s)
+    committed = duty.controller.committed
+    split = committed.hot_owners if committed is not None else ()
+    duty.popularity.update(now_s, len(view.upstreams), split)
     commands.extend(
         ownership.tick(
             duty.controller,
@@ -213,11 +225,20 @@
     return ownership.electorate_of(duty.controller.committed)
 
 
-def _settle(duty: Duty, now_s: float) -> None:
+def _settle(duty: Duty, view: ownership.View, now_s: float) -> None:
     if duty.controller.committed is None:
         return
-    nobody = not _electorate(duty).everyone
-    if nobody or now_s >= licence.settled_s(duty.licence):
+    if _electorate(duty).everyone:
+        settled = now_s >= licence.settled_s(duty.licence)
+    else:
+        # There is no assignment: either this is a new service, or operators
+        # deleted it, and what a predecessor granted must lapse unseen.
+        timing = duty.timing.of_grants
+        wait_s = duty.timing.of_lease.ttl_s + timing.grant_ttl_s
+        wait_s *= 1.0 + 2.0 * timing.drift_ratio
+        settled = now_s >= duty.term_began_s + wait_s
+        settled = settled or ownership.is_new_service(duty.controller, view)
+    if settled:
         ownership.on_settled(duty.controller, now_s)
 
 
@@ -347,3 +368,8 @@
 ) -> None:
     """Takes in a holder's answer to a grant."""
     ownership.on_grant_answer(duty.controller, grant, answer, now_s)
+
+
+def on_report(duty: Duty, report: popularity.Report) -> None:
+    """Takes in what a gateway counted."""
+    duty.popularity.add(report)
--- a/src/sardinehill/core/grants.py
+++ b/src/sardinehill/core/grants.py
@@ -120,6 +120,7 @@
       lost: calls without an answer since then.
       accepted: the newest grant that it accepted.
       refused: whether it refused the newest.
+      earlier_term: the highest term that it knew when it was first asked.
     """
 
     target: Target
@@ -136,6 +137,7 @@
     lost: int = 0
     accepted: Grant | None = None
     refused: bool = False
+    earlier_term: int | None = None
 
 
 def may_hold(
@@ -165,6 +167,10 @@
     if not grant.units and not holder.sent:
         return
     holder.sent.append(grant)
+    if not grant.units:
+        # It gives nothing that could lapse. Counting it kept the role of a
+        # dead gateway for as long as anybody asked after it.
+        return
     # A holder that names no clock counts from the receipt. What a grant may
     # wait on its way is then not covered; its gateway's grant is the guard.
     begin_s = holder.stamp_s if holder.stamp_ms else now_s
@@ -187,6 +193,8 @@
     holder.answered_sequence = grant.sequence
     holder.lost = 0
     holder.answered_s = now_s
+    if holder.earlier_term is None:
+        holder.earlier_term = answer.term
     if holder.incarnation not in ("", answer.incarnation):
         holder.sent = [
             one for one in holder.sent if one.incarnation == answer.incarnation
