Keep a bucket over lists that were not seen, while licensed

Cause: epochs of the member list are versions of the store, which skip numbers, so a holder cannot tell whether a list came between two others. Change: a holder keeps its bucket when it was licensed until it heard of the newer list, since whoever held the bucket in between still waits. A bucket is handed over only between lists that tell their predecessor. Ids without a time are taken for fresh after 30 s in charge instead of 300 s. Buckets of account keys have their form in the store.

--- a/src/sardinehill/core/account_keys.py
+++ b/src/sardinehill/core/account_keys.py
@@ -9,9 +9,11 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import hashlib
 import hmac
+from typing import Any
 
 import xxhash
 
@@ -97,16 +99,16 @@
     key_id: str
 
 
-def bucket_name(account: str) -> str:
+def bucket_of(account: str) -> str:
     """Returns the name of the object that holds an account's records."""
     # A header may hold bytes that are no UTF-8; those come as surrogates.
     data = account.encode("utf-8", "surrogatepass")
-    return str(xxhash.xxh3_64_intdigest(data) % BUCKET_COUNT)
+    return f"bucket-{xxhash.xxh3_64_intdigest(data) % BUCKET_COUNT}"
 
 
 def all_bucket_names() -> list[str]:
     """Returns the names of all objects that may hold records."""
-    return [str(number) for number in range(BUCKET_COUNT)]
+    return [f"bucket-{number}" for number in range(BUCKET_COUNT)]
 
 
 def account_of(text: str) -> str:
@@ -132,6 +134,48 @@
     return hasher.hexdigest()
 
 
+def bucket_value(bucket: KeyBucket) -> dict[str, Any]:
+    """Returns the store's value of a bucket."""
+    return {
+        "keys": {
+            record.digest: {
+                "account": record.account,
+                "issued_at_s": record.issued_at_s,
+                "revoked_at_s": record.revoked_at_s,
+            }
+            for record in bucket.records
+        }
+    }
+
+
+def read_bucket(value: Mapping[str, Any]) -> KeyBucket:
+    """Returns a bucket as read from the store.
+
+    Raises:
+      StoreReplyError: a field is missing or makes no sense.
+    """
+    try:
+        return KeyBucket(
+            tuple(
+                _read_record(str(digest), fields)
+                for digest, fields in value.get("keys", {}).items()
+            )
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise errors.StoreReplyError(f"account-keys: {error!r}") from error
+
+
+def _read_record(digest: str, fields: Mapping[str, Any]) -> KeyRecord:
+    revoked_at_s = fields["revoked_at_s"]
+    return KeyRecord(
+        account=str(fields["account"]),
+        digest=digest,
+        issued_at_s=float(fields.get("issued_at_s") or 0.0),
+        # Anything but the word for none counts as revoked.
+        revoked_at_s=None if revoked_at_s is None else float(revoked_at_s),
+    )
+
+
 def issue(
     bucket: KeyBucket,
     account: str,
@@ -142,7 +186,7 @@
     """Adds a new key to a bucket.
 
     Args:
-      bucket: the records read from `bucket_name(account)`.
+      bucket: the records read from `bucket_of(account)`.
       account: the client account that the key is for.
       secret: the hosts' secret for digests.
       random_text: `RANDOM_BYTES` from the system's source, without dots.
@@ -283,7 +327,7 @@
         return Caller(found.account, found.key_id)
 
     def _records_of(self, account: str) -> list[KeyRecord]:
-        bucket = self._records.get(bucket_name(account), {})
+        bucket = self._records.get(bucket_of(account), {})
         return bucket.get(account, [])
 
     def _find(
--- a/src/sardinehill/core/duplicates.py
+++ b/src/sardinehill/core/duplicates.py
@@ -34,8 +34,11 @@
 
 A = TypeVar("A")
 
-# A caller may repeat a request for this long after its first attempt.
+# A request is remembered for this long after its first attempt.
 REMEMBER_S = 300.0
+# A caller may repeat a request for this long under an id without a time. It
+# bounds how long a daemon that took over from a lost one must refuse such ids.
+REPEAT_S = 30.0
 # How far ahead of a daemon's clock the time in an id may lie.
 CALLER_AHEAD_S = 1.0
 # How far the wall clocks of two daemons may lie apart.
@@ -344,7 +347,7 @@
             return made_s > max(began_s + MARGIN_S, self._forgotten_made_s)
         # An id without a time is fresh once its repeats must have come here.
         began_s = max(since_s, self._forgotten_seen_s)
-        return now_s - began_s >= self._remember_s + FLEET_SKEW_S
+        return now_s - began_s >= REPEAT_S + FLEET_SKEW_S
 
     def _reaches_back_to_s(self, since_s: float, now_s: float) -> float:
         return max(
--- a/src/sardinehill/core/tokens.py
+++ b/src/sardinehill/core/tokens.py
@@ -14,8 +14,9 @@
   counted from the beginning of the read. A holder under a newer list waits
   until every older one's licence has lapsed, and then begins with an empty
   bucket. Or the old holder hands its bucket over and lends no more.
-- A holder that stays the same from one list to the next keeps its bucket only
-  when it saw both lists; otherwise somebody else may have lent in between.
+- A holder that stays the same from one list to another keeps its bucket only
+  when no list came between, or when it was licensed until it heard of the
+  newer one: whoever became the holder in between is still waiting then.
 - Rates of two clocks differ by at most `CLOCK_DRIFT`; every wait, life and
   rate is on the safe side by that much.
 """
@@ -221,23 +222,44 @@
         """The members of that list."""
         return self._members
 
-    def adopt(self, epoch: int, members: list[str], now_s: float) -> None:
-        """Goes over to a newer member list."""
+    def adopt(
+        self,
+        epoch: int,
+        members: list[str],
+        now_s: float,
+        previous_epoch: int | None = None,
+    ) -> None:
+        """Goes over to a newer member list.
+
+        Args:
+          epoch: the list's epoch; epochs only grow.
+          members: the members' names.
+          now_s: the time now.
+          previous_epoch: the epoch of the list just before, if that is known.
+            Without it no bucket is handed over: another daemon may have held
+            it under a list that neither side has seen.
+        """
         if epoch <= self._epoch:
             return
-        consecutive = epoch == self._epoch + 1
-        previous_buckets = self._buckets if consecutive else {}
+        consecutive = previous_epoch == self._epoch
+        kept = self._buckets if consecutive or self.is_licensed(now_s) else {}
+        released = self._buckets if consecutive else {}
         self._previous_members = self._members if consecutive else []
         self._epoch = epoch
         self._members = members
         self._adopted_s = now_s
         # The confirmation was of the old list; one of the new list follows.
         self._confirmed_s = float("-inf")
-        self._buckets = {}
-        self._released = {}
-        for account, bucket in previous_buckets.items():
-            kept = holder_of(account, members) == self._name
-            (self._buckets if kept else self._released)[account] = bucket
+        self._buckets = {
+            account: bucket
+            for account, bucket in kept.items()
+            if holder_of(account, members) == self._name
+        }
+        self._released = {
+            account: bucket
+            for account, bucket in released.items()
+            if holder_of(account, members) != self._name
+        }
 
     def confirm(self, epoch: int, began_s: float) -> None:
         """Notes that a member list was the newest.
@@ -302,7 +324,9 @@
         previous = holder_of(account, self._previous_members)
         return None if previous == self._name else previous
 
-    def hand_over(self, account: str, epoch: int, now_s: float) -> float | None:
+    def hand_over(
+        self, account: str, epoch: int, previous_epoch: int, now_s: float
+    ) -> float | None:
         """Gives a bucket away to the holder under the next member list.
 
         It is given once. When the answer is lost, the new holder waits until
@@ -311,6 +335,7 @@
         Args:
           account: the client account.
           epoch: the epoch by which the asking daemon is the holder.
+          previous_epoch: the epoch of the list just before that.
           now_s: the time now.
 
         Returns:
@@ -318,10 +343,11 @@
         """
         if epoch == self._epoch:
             bucket = self._released.pop(account, None)
-        elif epoch == self._epoch + 1:
+        elif previous_epoch == self._epoch:
             bucket = self._buckets.pop(account, None)
             # The next list makes another daemon the holder. Until this one
             # has learnt that list it must not open the bucket anew.
+            self._adopted_s = now_s
             self._confirmed_s = float("-inf")
         else:
             return None
