Admit callers by key, route and rate, and run repeats once

Cause: the thin path knew no revocation, no rate, no retry and no repeat, and passed on any header by which a caller could pose as an account. The entry authenticates first and again after the body, reads bodies within a bound, takes a token, and leaves every retry to the one rule. Tokens are lent between daemons, and members vouch for the list while the store is down. Forwarded requests pass a memory of repeats in front of the gateway, shard by shard, and key by key for keys out of their shard. Conclusion: the path is whole for services divided by key.

--- a/src/sardinehill/core/duplicates.py
+++ b/src/sardinehill/core/duplicates.py
@@ -126,7 +126,6 @@
 
 @dataclasses.dataclass
 class _Entry(Generic[A]):
-    scope: str
     fingerprint: bytes
     first_seen_s: float
     state: _State = _State.IN_FLIGHT
@@ -225,6 +224,16 @@
         if charge is not None:
             self._past_charges[scope] = charge.since_s
 
+    def split(self, scope: str, part: str) -> None:
+        """Treats a part of a scope as a scope of its own from now on.
+
+        Whoever is in charge of the whole was in charge of the part.
+        """
+        charge = self._charges.get(scope)
+        if charge is not None and part not in self._charges:
+            self._past_charges.pop(part, None)
+            self._charges[part] = dataclasses.replace(charge)
+
     def in_charge(self, scope: str) -> bool:
         """Returns whether this daemon is in charge of a scope."""
         return scope in self._charges
@@ -251,13 +260,13 @@
             return Arrival(Finding.NOT_IN_CHARGE)
         entry = self._entries.get(name)
         if entry is not None:
-            return self._repeated(entry, scope, fingerprint)
+            return self._repeated(entry, fingerprint)
         if self._is_fresh(name, charge.since_s, now_s):
-            self._remember(scope, name, fingerprint, now_s)
+            self._remember(name, fingerprint, now_s)
             return Arrival(Finding.RUN)
         if charge.previous is None:
             return Arrival(Finding.UNKNOWN)
-        self._remember(scope, name, fingerprint, now_s)
+        self._remember(name, fingerprint, now_s)
         return Arrival(Finding.ASK)
 
     def resolve(
@@ -327,10 +336,8 @@
             return Recollection(Seen.RAN, since_s, entry.answer)
         return Recollection(Seen.MAY_HAVE_RUN, since_s)
 
-    def _repeated(
-        self, entry: _Entry[A], scope: str, fingerprint: bytes
-    ) -> Arrival[A]:
-        if entry.fingerprint != fingerprint or entry.scope != scope:
+    def _repeated(self, entry: _Entry[A], fingerprint: bytes) -> Arrival[A]:
+        if entry.fingerprint != fingerprint:
             return Arrival(Finding.MISMATCH)
         if entry.state is _State.IN_FLIGHT:
             return Arrival(Finding.JOIN)
@@ -358,9 +365,9 @@
         )
 
     def _remember(
-        self, scope: str, name: RequestName, fingerprint: bytes, now_s: float
+        self, name: RequestName, fingerprint: bytes, now_s: float
     ) -> None:
-        self._entries[name] = _Entry(scope, fingerprint, now_s)
+        self._entries[name] = _Entry(fingerprint, now_s)
         self._size_bytes += ENTRY_OVERHEAD_BYTES
         self._make_room()
 
--- /dev/null
+++ b/src/sardinehill/daemon/accounts.py
@@ -0,0 +1,363 @@
+"""Authenticates callers and admits them within their account's rate.
+
+What is decided stands in `core.account_keys` and `core.tokens`; this module
+keeps them up to date from the view, and asks other daemons.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import dataclasses
+import logging
+from typing import Any
+
+import xxhash
+
+from sardinehill import errors
+from sardinehill.core import account_keys
+from sardinehill.core import fleet
+from sardinehill.core import tokens
+from sardinehill.daemon import peers
+from sardinehill.daemon import view
+from sardinehill.wire import accounts as accounts_wire
+from sardinehill.wire import kinds
+
+TICK_S = 0.1
+# News older than this and peers are asked to vouch that there is no newer.
+VOUCH_AGE_S = 0.5
+ASK_TIMEOUT_S = 0.25
+# Time between two questions to a holder that is lost or not ready.
+HOLDER_RETRY_S = 0.05
+# A request within its rate is refused only when no token comes in this time.
+SHORTAGE_WAIT_S = 0.1
+# How long a request waits while nobody can count its account's tokens. It
+# outlasts one licence, so that the loss of a holder refuses nobody.
+HOLDER_WAIT_S = 3.0
+# Requests of one account that wait for tokens at one daemon.
+WAITING_LIMIT_REQUESTS = 512
+
+_log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(eq=False)
+class _Waiter:
+    """A request that waits for a token.
+
+    Attributes:
+      admitted: set to None, or to the refusal.
+      since_s: when it arrived.
+      give_up_s: when its deadline ends the wait.
+    """
+
+    admitted: asyncio.Future[None]
+    since_s: float
+    give_up_s: float
+
+
+@dataclasses.dataclass
+class _Account:
+    """One account at this daemon."""
+
+    borrower: tokens.Borrower = dataclasses.field(
+        default_factory=tokens.Borrower
+    )
+    waiting: collections.deque[_Waiter] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    asking: bool = False
+
+
+class Accounts:
+    """The client accounts as one daemon knows them."""
+
+    def __init__(
+        self,
+        knowledge: view.View,
+        bus: peers.PeerBus,
+        age_s: Callable[[], float],
+    ) -> None:
+        """Makes an idle part; `start` begins its timer.
+
+        Args:
+          knowledge: the daemon's view.
+          bus: asks other daemons.
+          age_s: for how long the store may have had something newer than the
+            view.
+        """
+        self._view = knowledge
+        self._bus = bus
+        self._age_s = age_s
+        self._ring = account_keys.KeyRing(knowledge.settings.account_key_secret)
+        self._buckets: dict[str, Any] = {}
+        self._holder = tokens.Holder(knowledge.settings.name)
+        self._list: tuple[tuple[str, int], ...] = ()
+        self._list_id = 0
+        self._accounts: dict[str, _Account] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.Task[None] | None = None
+        self._vouching = False
+        bus.register(kinds.Kind.LEND_TOKENS, self._handle)
+
+    def start(self) -> None:
+        """Begins to follow the view."""
+        self._timer = asyncio.ensure_future(self._tick_forever())
+
+    async def close(self) -> None:
+        """Ends the timer and all questions."""
+        tasks = list(self._tasks)
+        if self._timer is not None:
+            tasks.append(self._timer)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def authenticate(self, account_key: str | None) -> account_keys.Caller:
+        """Returns who presents an account key.
+
+        Raises:
+          RequestRefusedError: nobody that is known; nothing was run.
+        """
+        now_s = _now_s()
+        self._ring.confirm(now_s - self._age_s())
+        if account_key:
+            self._follow_bucket(account_keys.account_of(account_key))
+        return self._ring.check(account_key, now_s)
+
+    async def admit(
+        self, account: fleet.ClientAccount, deadline_s: float
+    ) -> None:
+        """Takes one token of an account, and waits for it a little.
+
+        Raises:
+          RequestRefusedError: there is none in time; nothing was run.
+        """
+        now_s = _now_s()
+        own = self._accounts.setdefault(account.name, _Account())
+        own.borrower.arrived(now_s)
+        if not own.waiting and own.borrower.take(now_s):
+            self._ask_when_needed(account.name, own)
+            return
+        if len(own.waiting) >= WAITING_LIMIT_REQUESTS:
+            raise _refusal(errors.Reason.OVER_RATE, SHORTAGE_WAIT_S)
+        waiter = _Waiter(
+            asyncio.get_running_loop().create_future(),
+            now_s,
+            min(deadline_s, now_s + HOLDER_WAIT_S),
+        )
+        own.waiting.append(waiter)
+        self._ask_when_needed(account.name, own)
+        try:
+            await waiter.admitted
+        finally:
+            if waiter in own.waiting:
+                own.waiting.remove(waiter)
+
+    def _follow_bucket(self, account: str) -> None:
+        name = account_keys.bucket_of(account)
+        value = self._view.account_keys.get(name)
+        if value is None or value is self._buckets.get(name):
+            return
+        # The view only moves forward and replaces the value with each change.
+        self._buckets[name] = value
+        version = self._ring.version(name) + 1
+        bucket = account_keys.read_bucket(value)
+        self._ring.replace_bucket(name, version, bucket)
+
+    def _follow_members(self, now_s: float) -> None:
+        members = tuple(
+            sorted(
+                (name, member.incarnation)
+                for name, member in self._view.members.items()
+            )
+        )
+        if members != self._list:
+            self._list = members
+            self._list_id = xxhash.xxh3_64_intdigest(repr(members).encode())
+            names = [name for name, _ in members]
+            self._holder.adopt(self._holder.epoch + 1, names, now_s)
+        self._holder.confirm(self._holder.epoch, now_s - self._age_s())
+
+    def _ask_when_needed(self, name: str, own: _Account) -> None:
+        if own.asking:
+            return
+        terms = self._terms(name)
+        wish = own.borrower.wish(terms, len(own.waiting), _now_s())
+        if wish is not None:
+            own.asking = True
+            self._spawn(self._borrow(name, own))
+
+    async def _borrow(self, name: str, own: _Account) -> None:
+        try:
+            while True:
+                terms = self._terms(name)
+                wish = own.borrower.wish(terms, len(own.waiting), _now_s())
+                if wish is None:
+                    return
+                pause_s = await self._borrow_once(name, own, terms, wish)
+                if not own.waiting:
+                    return
+                await asyncio.sleep(pause_s)
+        finally:
+            own.asking = False
+
+    async def _borrow_once(
+        self, name: str, own: _Account, terms: tokens.Terms, wish: tokens.Wish
+    ) -> float:
+        """Asks once, serves who waits, and returns the pause until the next."""
+        asked_s = _now_s()
+        answer = await self._ask_holder(name, wish)
+        now_s = _now_s()
+        if answer is None or answer.ruling is not tokens.Ruling.LENT:
+            self._refuse_overdue(own, now_s)
+            return HOLDER_RETRY_S
+        own.borrower.receive(terms, answer.tokens, asked_s)
+        self._serve_waiting(own, now_s)
+        self._refuse_short(own, answer.retry_after_s, now_s)
+        return min(answer.retry_after_s, HOLDER_RETRY_S)
+
+    async def _ask_holder(
+        self, name: str, wish: tokens.Wish
+    ) -> accounts_wire.LendAnswer | None:
+        self._follow_members(_now_s())
+        holder = tokens.holder_of(name, self._holder.members)
+        if holder is None:
+            return None
+        request = accounts_wire.LendRequest(name, self._list_id, wish)
+        try:
+            payload = await self._bus.ask(
+                holder,
+                kinds.Kind.LEND_TOKENS,
+                accounts_wire.encode_lend_request(request),
+                ASK_TIMEOUT_S,
+            )
+            return accounts_wire.decode_lend_answer(payload)
+        except errors.PeerError:
+            return None
+
+    def _serve_waiting(self, own: _Account, now_s: float) -> None:
+        while own.waiting:
+            if own.waiting[0].admitted.done():
+                own.waiting.popleft()
+                continue
+            if not own.borrower.take(now_s):
+                return
+            own.waiting.popleft().admitted.set_result(None)
+
+    def _refuse_short(
+        self, own: _Account, retry_after_s: float, now_s: float
+    ) -> None:
+        for waiter in list(own.waiting):
+            waited_s = now_s - waiter.since_s
+            if waited_s + retry_after_s > SHORTAGE_WAIT_S:
+                self._refuse(
+                    own, waiter, errors.Reason.OVER_RATE, retry_after_s
+                )
+
+    def _refuse_overdue(self, own: _Account, now_s: float) -> None:
+        for waiter in list(own.waiting):
+            if now_s >= waiter.give_up_s:
+                reason = errors.Reason.RATE_UNKNOWN
+                self._refuse(own, waiter, reason, tokens.LICENCE_S)
+
+    def _refuse(
+        self,
+        own: _Account,
+        waiter: _Waiter,
+        reason: errors.Reason,
+        retry_after_s: float,
+    ) -> None:
+        own.waiting.remove(waiter)
+        if not waiter.admitted.done():
+            waiter.admitted.set_exception(_refusal(reason, retry_after_s))
+
+    def _terms(self, name: str) -> tokens.Terms:
+        config = self._view.config
+        account = config.accounts.get(name) if config else None
+        if account is None:
+            return tokens.Terms(0.0, 0.0, tokens.LEAST_LIFE_S)
+        return tokens.terms_of(account)
+
+    def _handle(self, sender: str, payload: bytes) -> bytes:
+        request = accounts_wire.decode_lend_request(payload)
+        now_s = _now_s()
+        self._follow_members(now_s)
+        epoch = self._holder.epoch
+        if request.list_id != self._list_id:
+            epoch = -1
+        loan = self._holder.lend(
+            request.account,
+            self._terms(request.account),
+            epoch,
+            request.wish,
+            now_s,
+        )
+        return accounts_wire.encode_lend_answer(
+            accounts_wire.LendAnswer(
+                loan.ruling, loan.tokens, loan.retry_after_s, self._list_id
+            )
+        )
+
+    async def _tick_forever(self) -> None:
+        while True:
+            now_s = _now_s()
+            self._follow_members(now_s)
+            config = self._view.config
+            for account in config.accounts.values() if config else ():
+                self._holder.keep(account.name, tokens.terms_of(account))
+            if self._age_s() > VOUCH_AGE_S and not self._vouching:
+                self._vouching = True
+                self._spawn(self._ask_to_vouch())
+            await asyncio.sleep(TICK_S)
+
+    async def _ask_to_vouch(self) -> None:
+        """Asks all members whether they know anything newer.
+
+        While the store is down the view grows old everywhere, and nothing can
+        be changed. A majority of the list that knows the same list tells that
+        case from the one where only this daemon is cut off.
+        """
+        try:
+            asked_s = _now_s()
+            epoch, list_id = self._holder.epoch, self._list_id
+            members = self._holder.members
+            answers = await asyncio.gather(
+                *(self._vouched(name, list_id) for name in members)
+            )
+            if 2 * sum(answers) > len(members):
+                self._holder.confirm(epoch, asked_s)
+                self._ring.confirm(asked_s)
+        finally:
+            self._vouching = False
+
+    async def _vouched(self, name: str, list_id: int) -> bool:
+        if name == self._view.settings.name:
+            return True
+        request = accounts_wire.LendRequest("", list_id, tokens.Wish(0, 0))
+        try:
+            payload = await self._bus.ask(
+                name,
+                kinds.Kind.LEND_TOKENS,
+                accounts_wire.encode_lend_request(request),
+                ASK_TIMEOUT_S,
+            )
+            answer = accounts_wire.decode_lend_answer(payload)
+        except errors.PeerError:
+            return False
+        return answer.list_id == list_id
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _refusal(
+    reason: errors.Reason, retry_after_s: float
+) -> errors.RequestRefusedError:
+    return errors.RequestRefusedError(
+        reason, errors.Verdict.NOT_RUN, retry_after_s=retry_after_s
+    )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/sardinehill/daemon/application.py
+++ b/src/sardinehill/daemon/application.py
@@ -13,7 +13,9 @@
 from sardinehill.adapters import platform
 from sardinehill.adapters import upstream
 from sardinehill.core import fleet
+from sardinehill.daemon import accounts
 from sardinehill.daemon import controller
+from sardinehill.daemon import duplicates
 from sardinehill.daemon import entry
 from sardinehill.daemon import gateway
 from sardinehill.daemon import news
@@ -39,7 +41,12 @@
         self.controller = controller.Controller(
             self.view, self.platform, self.upstreams
         )
-        self.entry = entry.Entry(self.view, self.bus)
+        self.duplicates = duplicates.Duplicates(
+            self.view, self.bus, self.gateway.forward
+        )
+        self.news.subscribe(self.duplicates.on_news)
+        self.accounts = accounts.Accounts(self.view, self.bus, lambda: 0.0)
+        self.entry = entry.Entry(self.view, self.bus, self.accounts)
 
     async def start(self) -> None:
         """Binds every address, joins the fleet and begins to serve."""
@@ -53,12 +60,14 @@
             callers_address=callers_address,
         )
         await self._join()
+        self.accounts.start()
         self.controller.start()
         _announce("callers", callers_address)
 
     async def stop(self) -> None:
         """Finishes what is in flight, then ends every part."""
         await self.entry.close()
+        await self.accounts.close()
         await self.controller.close()
         await self.news.close()
         await self.bus.close()
--- /dev/null
+++ b/src/sardinehill/daemon/duplicates.py
@@ -0,0 +1,296 @@
+"""Keeps a repeated request from running twice, in front of the gateway.
+
+What is decided stands in `core.duplicates`; this module knows which scopes
+this daemon is in charge of, asks the daemon before, and lets repeats wait.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import hashlib
+
+from sardinehill import errors
+from sardinehill.core import duplicates
+from sardinehill.core import messages
+from sardinehill.core import placement
+from sardinehill.core import retries
+from sardinehill.daemon import peers
+from sardinehill.daemon import view
+from sardinehill.daemon import wall_clock
+from sardinehill.wire import accounts as accounts_wire
+from sardinehill.wire import forwards
+from sardinehill.wire import kinds
+
+ASK_TIMEOUT_S = 0.5
+# What a kept answer takes besides its body.
+ANSWER_OVERHEAD_BYTES = 1024
+
+Send = Callable[[messages.ForwardRequest], Awaitable[messages.ForwardAnswer]]
+
+_RETRY_DETAIL = (
+    "this Idempotency-Key may belong to a request that ran before; nothing"
+    " was sent now"
+)
+
+
+class Duplicates:
+    """Stands between the other daemons' requests and this one's gateway."""
+
+    def __init__(
+        self, knowledge: view.View, bus: peers.PeerBus, send: Send
+    ) -> None:
+        """Takes over the handling of forwarded requests.
+
+        Args:
+          knowledge: the daemon's view.
+          bus: brings forwarded requests and asks other daemons.
+          send: hands a request to this daemon's gateway.
+        """
+        self._view = knowledge
+        self._bus = bus
+        self._send = send
+        self._clock = wall_clock.WallClock()
+        self._memory: duplicates.DuplicateMemory[messages.ForwardAnswer] = (
+            duplicates.DuplicateMemory()
+        )
+        self._flights: dict[
+            duplicates.RequestName, asyncio.Future[messages.ForwardAnswer]
+        ] = {}
+        self._split_keys: dict[str, dict[str, float]] = {}
+        self._assignments: dict[str, placement.Assignment] = {}
+        self._tasks: set[asyncio.Future[messages.ForwardAnswer]] = set()
+        bus.register(kinds.Kind.FORWARD, self._handle_forward)
+        bus.register(kinds.Kind.DUPLICATE_LOOKUP, self._handle_question)
+
+    async def run(
+        self, request: messages.ForwardRequest
+    ) -> messages.ForwardAnswer:
+        """Runs a request unless it is the repeat of another."""
+        if not request.idempotency_key or retries.is_idempotent(request.method):
+            return await self._send(request)
+        assignment = self._follow_assignment(request.service)
+        scope = self._scope(assignment, request)
+        if scope is None:
+            return await self._send(request)
+        name = duplicates.RequestName(request.account, request.idempotency_key)
+        arrival = self._memory.arrive(
+            scope, name, _fingerprint(request), self._clock.now_s()
+        )
+        if arrival.finding is duplicates.Finding.JOIN:
+            return await self._join(name, request)
+        if arrival.finding in (
+            duplicates.Finding.RUN,
+            duplicates.Finding.ASK,
+        ):
+            return await self._fly(scope, name, request, arrival)
+        return _settled(arrival, request)
+
+    async def _join(
+        self, name: duplicates.RequestName, request: messages.ForwardRequest
+    ) -> messages.ForwardAnswer:
+        answer = await asyncio.shield(self._flights[name])
+        return dataclasses.replace(answer, request_id=request.request_id)
+
+    async def _fly(
+        self,
+        scope: str,
+        name: duplicates.RequestName,
+        request: messages.ForwardRequest,
+        arrival: duplicates.Arrival[messages.ForwardAnswer],
+    ) -> messages.ForwardAnswer:
+        # A task of its own: the caller may leave, and its repeat must still
+        # find the request in flight and then its answer.
+        flight = asyncio.ensure_future(
+            self._resolve_and_send(scope, name, request, arrival)
+        )
+        self._flights[name] = flight
+        self._tasks.add(flight)
+        flight.add_done_callback(self._tasks.discard)
+        flight.add_done_callback(lambda _: self._flights.pop(name, None))
+        return await asyncio.shield(flight)
+
+    async def _resolve_and_send(
+        self,
+        scope: str,
+        name: duplicates.RequestName,
+        request: messages.ForwardRequest,
+        arrival: duplicates.Arrival[messages.ForwardAnswer],
+    ) -> messages.ForwardAnswer:
+        if arrival.finding is duplicates.Finding.ASK:
+            recollection = await self._ask_previous(scope, name)
+            arrival = self._memory.resolve(
+                name, recollection, self._clock.now_s()
+            )
+            if arrival.finding is not duplicates.Finding.RUN:
+                return _settled(arrival, request)
+        verdict = errors.Verdict.MAY_HAVE_RUN
+        answer = None
+        try:
+            answer = await self._send(request)
+            verdict = answer.verdict
+            return answer
+        finally:
+            size_bytes = ANSWER_OVERHEAD_BYTES
+            if answer is not None:
+                size_bytes += len(answer.body)
+            self._memory.finish(name, verdict, answer, size_bytes)
+
+    async def _ask_previous(
+        self, scope: str, name: duplicates.RequestName
+    ) -> accounts_wire.Recollection | None:
+        previous = self._memory.previous(scope)
+        if previous is None:
+            return None
+        question = accounts_wire.DuplicateQuestion(scope, name)
+        try:
+            payload = await self._bus.ask(
+                previous,
+                kinds.Kind.DUPLICATE_LOOKUP,
+                accounts_wire.encode_question(question),
+                ASK_TIMEOUT_S,
+            )
+            return accounts_wire.decode_recollection(payload)
+        except errors.PeerError:
+            return None
+
+    async def _handle_forward(self, sender: str, payload: bytes) -> bytes:
+        request = forwards.decode_request(payload)
+        return forwards.encode_answer(await self.run(request))
+
+    def _handle_question(self, sender: str, payload: bytes) -> bytes:
+        question = accounts_wire.decode_question(payload)
+        service = question.scope.partition("/")[0]
+        self._follow_assignment(service)
+        found = self._memory.recollect(
+            question.scope, question.name, self._clock.now_s()
+        )
+        return accounts_wire.encode_recollection(found)
+
+    def on_news(self, kind: str, name: str) -> None:
+        """Follows the view at once, so that no assignment is missed."""
+        if kind == "assignment":
+            self._follow_assignment(name)
+
+    def _scope(
+        self,
+        assignment: placement.Assignment | None,
+        request: messages.ForwardRequest,
+    ) -> str | None:
+        """Returns the scope, or None where no single daemon sees them all."""
+        if assignment is None or not request.key:
+            return None
+        split_keys = self._split_keys.get(request.service, {})
+        if request.key in split_keys:
+            return _key_scope(request.service, request.key)
+        shard = placement.shard_of(request.key, len(assignment.owners))
+        return _shard_scope(request.service, shard)
+
+    def _follow_assignment(self, service: str) -> placement.Assignment | None:
+        newest = self._view.assignments.get(service)
+        known = self._assignments.get(service)
+        if newest is None or newest is known:
+            return newest
+        self._assignments[service] = newest
+        now_s = self._clock.now_s()
+        split_keys = self._follow_split_keys(newest, now_s)
+        before = _gateways_by_scope(known, split_keys) if known else {}
+        after = _gateways_by_scope(newest, split_keys)
+        own_name = self._view.settings.name
+        for scope in before.keys() | after.keys():
+            if after.get(scope) != own_name:
+                self._memory.give_up(scope)
+            elif before.get(scope) != own_name:
+                previous = before.get(scope)
+                self._memory.take_charge(scope, now_s, previous)
+        return newest
+
+    def _follow_split_keys(
+        self, assignment: placement.Assignment, now_s: float
+    ) -> list[str]:
+        """Returns the keys that are, or lately were, out of their shard.
+
+        A key that is put back into its shard stays a scope of its own until
+        every request that ran elsewhere is forgotten: the shard's gateway
+        was in charge of the shard all the time, but not of this key.
+        """
+        service = assignment.service
+        kept_until_s = self._split_keys.setdefault(service, {})
+        for key in assignment.hot_owners:
+            if key not in kept_until_s:
+                shard = placement.shard_of(key, len(assignment.owners))
+                self._memory.split(
+                    _shard_scope(service, shard), _key_scope(service, key)
+                )
+            kept_until_s[key] = now_s + duplicates.REMEMBER_S
+        for key in [
+            k for k, until_s in kept_until_s.items() if until_s < now_s
+        ]:
+            del kept_until_s[key]
+            self._memory.give_up(_key_scope(service, key))
+        return list(kept_until_s)
+
+
+def _gateways_by_scope(
+    assignment: placement.Assignment, split_keys: list[str]
+) -> dict[str, str | None]:
+    """Returns the daemon in charge of each scope."""
+    service = assignment.service
+    gateways = [assignment.gateways.get(name) for name in assignment.upstreams]
+    found: dict[str, str | None] = {
+        _shard_scope(service, shard): gateways[owner]
+        for shard, owner in enumerate(assignment.owners)
+        if owner >= 0
+    }
+    for key in split_keys:
+        owner_name = placement.owner_of(assignment, key)
+        gateway = assignment.gateways.get(owner_name) if owner_name else None
+        found[_key_scope(service, key)] = gateway
+    return found
+
+
+def _key_scope(service: str, key: str) -> str:
+    return f"{service}/key/{key}"
+
+
+def _shard_scope(service: str, shard: int) -> str:
+    return f"{service}/{shard}"
+
+
+def _fingerprint(request: messages.ForwardRequest) -> bytes:
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (request.service, request.key, request.method, request.path):
+        digest.update(part.encode("utf-8", "surrogatepass") + b"\0")
+    digest.update(request.body)
+    return digest.digest()
+
+
+def _settled(
+    arrival: duplicates.Arrival[messages.ForwardAnswer],
+    request: messages.ForwardRequest,
+) -> messages.ForwardAnswer:
+    """Returns the answer where nothing is sent."""
+    finding = arrival.finding
+    if finding is duplicates.Finding.REPLAY and arrival.answer is not None:
+        return dataclasses.replace(
+            arrival.answer, request_id=request.request_id
+        )
+    if finding is duplicates.Finding.MISMATCH:
+        return messages.refusal(
+            request.request_id,
+            errors.Reason.MALFORMED,
+            errors.Verdict.NOT_RUN,
+            "this Idempotency-Key was used for a different request",
+        )
+    if finding is duplicates.Finding.NOT_IN_CHARGE:
+        return messages.refusal(
+            request.request_id,
+            errors.Reason.NOT_GATEWAY,
+            errors.Verdict.NOT_RUN,
+        )
+    return messages.refusal(
+        request.request_id,
+        errors.Reason.DUPLICATE_UNKNOWN,
+        errors.Verdict.MAY_HAVE_RUN,
+        _RETRY_DETAIL,
+    )
--- a/src/sardinehill/daemon/entry.py
+++ b/src/sardinehill/daemon/entry.py
@@ -1,58 +1,122 @@
-"""Takes callers' requests and answers them."""
+"""Takes callers' requests and answers them.
 
-import json
+The order of the steps is the promise: who is it, may it, is it whole, is it
+within its rate; only then is anything sent.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import logging
+import random
+import time
 import uuid
 
+import aiohttp
 from aiohttp import web
 
 from sardinehill import errors
-from sardinehill.core import account_keys
+from sardinehill import metrics
+from sardinehill.adapters import callers
+from sardinehill.core import duplicates
 from sardinehill.core import fleet
 from sardinehill.core import messages
 from sardinehill.core import placement
+from sardinehill.core import retries
+from sardinehill.daemon import accounts
 from sardinehill.daemon import peers
 from sardinehill.daemon import view
 from sardinehill.wire import forwards
 from sardinehill.wire import kinds
 
+# An answer that is on its way when the deadline passes is still of use.
 PEER_GRACE_S = 0.25
+# Bytes of bodies that callers may have on their way through one daemon.
+BODIES_LIMIT_BYTES = 64 * 1024 * 1024
+# How long a leaving daemon says so before it stops accepting.
+LEAVE_NOTICE_S = 1.0
+# How long a leaving daemon waits for requests in flight.
+LEAVE_LIMIT_S = 130.0
+# How long a connection may be open without having sent a whole header.
+HEADER_LIMIT_S = 10.0
+KEEPALIVE_S = 75.0
+# Requests that no service was found for are counted under this name.
+NO_SERVICE = "none"
+
+Undivided = Callable[
+    [messages.ForwardRequest, float], Awaitable[messages.ForwardAnswer]
+]
+
+_log = logging.getLogger(__name__)
+
 
-_REMOVED_HEADERS = frozenset(
-    {
-        "authorization",
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-_STATUS_OF_REASON = {
-    errors.Reason.ACCOUNT_KEY_MISSING: 401,
-    errors.Reason.ACCOUNT_KEY_UNKNOWN: 401,
-    errors.Reason.KEY_MISSING: 400,
-    errors.Reason.MALFORMED: 400,
-    errors.Reason.SERVICE_UNKNOWN: 404,
-    errors.Reason.OVER_RATE: 429,
-    errors.Reason.BODY_TOO_LARGE: 413,
-}
+@dataclasses.dataclass
+class _Passage:
+    """One request of a caller on its way.
+
+    Attributes:
+      request_id: the id that every hop and the answer carry.
+      began_s: when it arrived.
+      deadline_s: by when it is to be answered.
+      service: the service's name, once it is known.
+      held_bytes: bytes of its body that count against the limit.
+    """
+
+    request_id: str
+    began_s: float
+    deadline_s: float
+    service: str = NO_SERVICE
+    held_bytes: int = 0
 
 
 class Entry:
     """The callers' side of a daemon."""
 
-    def __init__(self, knowledge: view.View, bus: peers.PeerBus) -> None:
+    def __init__(
+        self,
+        knowledge: view.View,
+        bus: peers.PeerBus,
+        admission: accounts.Accounts,
+        counters: metrics.Metrics | None = None,
+        undivided: Undivided | None = None,
+        seed: int | None = None,
+    ) -> None:
+        """Makes a part that does not listen yet.
+
+        Args:
+          knowledge: the daemon's view.
+          bus: asks gateways.
+          admission: authenticates and admits callers.
+          counters: counts refusals, retries and answers.
+          undivided: sends requests of services that are not divided by key.
+          seed: makes the waits between attempts repeatable.
+        """
         self._view = knowledge
         self._bus = bus
+        self._admission = admission
+        self._counters = counters or metrics.Metrics()
+        self._undivided = undivided
+        self._rng = random.Random(seed)
+        self._policy = retries.RetryPolicy()
+        self._budgets: dict[str, retries.RetryBudget] = {}
         self._runner: web.ServerRunner | None = None
+        self._in_flight = 0
+        self._held_bytes = 0
+        self._idle = asyncio.Event()
+        self._leaving = False
 
     async def listen(self, address: fleet.Address) -> fleet.Address:
         """Accepts callers, and returns the address as bound."""
-        self._runner = web.ServerRunner(web.Server(self._serve))
+        limit_bytes = self._view.settings.header_limit_bytes
+        server = web.Server(
+            self._serve,
+            max_line_size=limit_bytes,
+            max_field_size=limit_bytes,
+            keepalive_timeout=KEEPALIVE_S,
+            access_log=None,
+        )
+        self._runner = web.ServerRunner(server)
         await self._runner.setup()
         site = web.TCPSite(self._runner, address.ip, address.port)
         await site.start()
@@ -60,100 +124,257 @@
         return fleet.Address(ip, port)
 
     async def close(self) -> None:
-        """Stops accepting and waits for requests in flight."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        """Leaves the balancer, lets every request end, then stops."""
+        self._leaving = True
+        if self._runner is None:
+            return
+        # Requests are served until the balancer has had time to see it; a
+        # socket that closed at once would cut off those on their way here.
+        await asyncio.sleep(LEAVE_NOTICE_S)
+        for site in list(self._runner.sites):
+            await site.stop()
+        try:
+            async with asyncio.timeout(LEAVE_LIMIT_S):
+                while self._in_flight:
+                    self._idle.clear()
+                    await self._idle.wait()
+        except TimeoutError:
+            _log.warning("%d requests outlast the stop", self._in_flight)
+        await self._runner.cleanup()
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        if request.path == "/-/ready":
-            ready = self._view.config is not None
-            return web.Response(status=200 if ready else 503)
-        request_id = str(uuid.uuid4())
+        if request.path == callers.READY_PATH:
+            return self._ready()
+        now_s = _now_s()
+        passage = _Passage(
+            str(uuid.uuid4()), now_s, now_s + callers.DEADLINE_LIMIT_MS / 1000
+        )
+        self._in_flight += 1
+        try:
+            answer = await self._answer(request, passage)
+        finally:
+            self._in_flight -= 1
+            self._held_bytes -= passage.held_bytes
+            self._idle.set()
+        latency_s = _now_s() - passage.began_s
+        self._counters.count_request(passage.service, answer.verdict, latency_s)
+        if answer.reason is not None:
+            self._counters.count_refusal(answer.reason)
+        # What is left of an unread body would be taken for the next request.
+        close = self._leaving or not request.content.is_eof()
+        return callers.response_of(answer, close)
+
+    def _ready(self) -> web.Response:
+        ready = self._view.config is not None and not self._leaving
+        return web.Response(status=200 if ready else 503)
+
+    async def _answer(
+        self, request: web.BaseRequest, passage: _Passage
+    ) -> messages.ForwardAnswer:
         try:
-            forward = await self._admit(request, request_id)
-            answer = await self._send(forward)
+            forward = await self._admit(request, passage)
+            return await self._send(forward, passage)
         except errors.RequestRefusedError as error:
-            answer = messages.refusal(
-                request_id, error.reason, error.verdict, error.detail
+            return _refused(passage, error)
+        except Exception:
+            # Where it broke is not known here, so what ran is not either.
+            _log.exception("request %s broke", passage.request_id)
+            return messages.refusal(
+                passage.request_id,
+                errors.Reason.INTERNAL,
+                errors.Verdict.MAY_HAVE_RUN,
             )
-        return _response(answer)
 
     async def _admit(
-        self, request: web.BaseRequest, request_id: str
+        self, request: web.BaseRequest, passage: _Passage
     ) -> messages.ForwardRequest:
         config = self._view.config
         if config is None:
             raise _refusal(errors.Reason.CONFIGURATION_MISSING)
-        account = self._authenticate(request)
-        route = _route(config, request.path)
-        service = config.services[route.service]
-        key = request.headers.get("Sardinehill-Key", "")
-        if service.divided_by_key and not key:
-            raise _refusal(errors.Reason.KEY_MISSING)
-        if not route.open_to_all_callers and account not in route.accounts:
+        asked = callers.read_request(request.raw_path, request.headers)
+        caller = self._admission.authenticate(asked.account_key)
+        account = config.accounts.get(caller.account)
+        if account is None:
             raise _refusal(errors.Reason.ACCOUNT_KEY_UNKNOWN)
-        deadline_ms = request.headers.get("Sardinehill-Deadline-Ms", "")
-        if not deadline_ms.isdigit():
-            deadline_ms = str(service.default_deadline_ms)
+        route = _route(config, asked.path)
+        if not route.open_to_all_callers and account.name not in route.accounts:
+            raise _refusal(errors.Reason.ROUTE_FORBIDDEN)
+        service = config.services[route.service]
+        passage.service = service.name
+        _check(service, asked)
+        deadline_ms = asked.deadline_ms
+        if deadline_ms is None:
+            deadline_ms = service.default_deadline_ms
+        passage.deadline_s = passage.began_s + deadline_ms / 1000
+        body = await self._read_body(request, passage)
+        await self._admission.admit(account, passage.deadline_s)
+        # The key may have been revoked while the body was on its way.
+        self._admission.authenticate(asked.account_key)
         return messages.ForwardRequest(
-            request_id=request_id,
+            request_id=passage.request_id,
             service=service.name,
-            key=key,
-            account=account,
+            key=asked.key,
+            account=account.name,
             method=request.method,
-            path=request.raw_path,
-            headers=_passed_on(request),
-            body=await request.read(),
-            deadline_ms=int(deadline_ms),
+            path=asked.target,
+            headers=asked.headers,
+            body=body,
+            deadline_ms=deadline_ms,
             upstream="",
             assignment_version=0,
-            idempotency_key=request.headers.get("Idempotency-Key", ""),
+            idempotency_key=asked.idempotency_key,
         )
 
-    def _authenticate(self, request: web.BaseRequest) -> str:
-        scheme, _, account_key = request.headers.get(
-            "Authorization", ""
-        ).partition(" ")
-        if scheme.lower() != "bearer" or not account_key:
-            raise _refusal(errors.Reason.ACCOUNT_KEY_MISSING)
-        account = account_keys.account_of(account_key)
-        name = account_keys.bucket_of(account)
-        value = self._view.account_keys.get(name, {})
-        ring = account_keys.KeyRing(self._view.settings.account_key_secret)
-        ring.replace_bucket(name, 0, account_keys.read_bucket(value))
-        ring.confirm(0.0)
-        return ring.check(account_key, 0.0).account
+    async def _read_body(
+        self, request: web.BaseRequest, passage: _Passage
+    ) -> bytes:
+        limit_bytes = self._view.settings.body_limit_bytes
+        if (request.content_length or 0) > limit_bytes:
+            raise _refusal(errors.Reason.BODY_TOO_LARGE)
+        chunks: list[bytes] = []
+        try:
+            async with asyncio.timeout_at(passage.deadline_s):
+                async for chunk in request.content.iter_any():
+                    chunks.append(chunk)
+                    self._hold(passage, len(chunk), limit_bytes)
+        except TimeoutError:
+            raise _refusal(errors.Reason.DEADLINE_PASSED) from None
+        except (aiohttp.ClientError, aiohttp.http.HttpProcessingError, OSError):
+            raise _refusal(errors.Reason.BODY_CUT_SHORT) from None
+        return b"".join(chunks)
+
+    def _hold(
+        self, passage: _Passage, size_bytes: int, limit_bytes: int
+    ) -> None:
+        passage.held_bytes += size_bytes
+        self._held_bytes += size_bytes
+        if passage.held_bytes > limit_bytes:
+            raise _refusal(errors.Reason.BODY_TOO_LARGE)
+        if self._held_bytes > BODIES_LIMIT_BYTES:
+            raise _refusal(errors.Reason.OVER_LIMIT)
 
     async def _send(
-        self, forward: messages.ForwardRequest
+        self, forward: messages.ForwardRequest, passage: _Passage
+    ) -> messages.ForwardAnswer:
+        budget = self._budgets.setdefault(
+            forward.service, retries.RetryBudget()
+        )
+        budget.earn()
+        attempts = routing_attempts = 0
+        while True:
+            left_s = passage.deadline_s - _now_s()
+            if left_s <= 0:
+                raise _refusal(errors.Reason.DEADLINE_PASSED)
+            left_ms = max(1, int(left_s * 1000))
+            answer = await self._attempt(
+                dataclasses.replace(forward, deadline_ms=left_ms), left_s
+            )
+            if answer.reason is None:
+                return answer
+            if retries.cause_of(answer.reason) is retries.Cause.ROUTING:
+                routing_attempts += 1
+            else:
+                attempts += 1
+            decision = retries.decide(
+                retries.Outcome(
+                    answer.verdict,
+                    answer.reason,
+                    forward.method,
+                    attempts,
+                    routing_attempts,
+                    _now_s(),
+                    passage.deadline_s,
+                ),
+                self._policy,
+                budget,
+                self._rng,
+            )
+            if not decision.retry:
+                return dataclasses.replace(answer, reason=decision.reason)
+            self._counters.count_retry(answer.reason)
+            await asyncio.sleep(decision.wait_s)
+
+    async def _attempt(
+        self, forward: messages.ForwardRequest, left_s: float
+    ) -> messages.ForwardAnswer:
+        """Tries once; whatever fails comes back as an answer."""
+        try:
+            if not self._is_divided(forward.service) and self._undivided:
+                return await self._undivided(forward, left_s)
+            return await self._ask_gateway(forward, left_s)
+        except errors.RequestRefusedError as error:
+            return messages.refusal(
+                forward.request_id, error.reason, error.verdict, error.detail
+            )
+        except errors.PeerNotSentError:
+            verdict = errors.Verdict.NOT_RUN
+        except errors.PeerError:
+            verdict = errors.Verdict.MAY_HAVE_RUN
+        return messages.refusal(
+            forward.request_id, errors.Reason.GATEWAY_LOST, verdict
+        )
+
+    async def _ask_gateway(
+        self, forward: messages.ForwardRequest, left_s: float
     ) -> messages.ForwardAnswer:
         assignment = self._view.assignments.get(forward.service)
         if assignment is None:
             raise _refusal(errors.Reason.UNOWNED)
         owner = placement.owner_of(assignment, forward.key)
-        gateway = assignment.gateways.get(owner) if owner else None
+        if owner is None:
+            raise _refusal(errors.Reason.UNOWNED)
+        gateway = assignment.gateways.get(owner)
         if gateway is None:
             raise _refusal(errors.Reason.GATEWAY_UNKNOWN)
-        try:
-            payload = await self._bus.ask(
-                gateway,
-                kinds.Kind.FORWARD,
-                forwards.encode_request(forward),
-                forward.deadline_ms / 1000 + PEER_GRACE_S,
-            )
-            return forwards.decode_answer(payload)
-        except errors.PeerNotSentError:
-            raise _refusal(errors.Reason.GATEWAY_LOST) from None
-        except errors.PeerError:
-            raise errors.RequestRefusedError(
-                errors.Reason.GATEWAY_LOST, errors.Verdict.MAY_HAVE_RUN
-            ) from None
+        sent = dataclasses.replace(
+            forward, upstream=owner, assignment_version=assignment.version
+        )
+        payload = await self._bus.ask(
+            gateway,
+            kinds.Kind.FORWARD,
+            forwards.encode_request(sent),
+            left_s + PEER_GRACE_S,
+        )
+        answer = forwards.decode_answer(payload)
+        if answer.request_id != forward.request_id:
+            # Another request's answer; what became of this one is unknown.
+            raise errors.PeerLostError("an answer to another request")
+        return answer
+
+    def _is_divided(self, service: str) -> bool:
+        config = self._view.config
+        found = config.services.get(service) if config else None
+        return found is None or found.divided_by_key
+
+
+def _check(service: fleet.Service, asked: callers.CallerRequest) -> None:
+    if service.divided_by_key and not asked.key:
+        raise _refusal(errors.Reason.KEY_MISSING)
+    if duplicates.is_from_the_future(asked.idempotency_key, time.time()):
+        raise errors.RequestRefusedError(
+            errors.Reason.MALFORMED,
+            errors.Verdict.NOT_RUN,
+            "the Idempotency-Key's time lies more than"
+            f" {duplicates.CALLER_AHEAD_S:g} s ahead of this daemon's clock",
+        )
 
 
 def _refusal(reason: errors.Reason) -> errors.RequestRefusedError:
     return errors.RequestRefusedError(reason, errors.Verdict.NOT_RUN)
 
 
+def _refused(
+    passage: _Passage, error: errors.RequestRefusedError
+) -> messages.ForwardAnswer:
+    return messages.refusal(
+        passage.request_id,
+        error.reason,
+        error.verdict,
+        error.detail,
+        int((error.retry_after_s or 0.0) * 1000),
+    )
+
+
 def _route(config: fleet.FleetConfig, path: str) -> fleet.Route:
     matching = [
         route
@@ -165,40 +386,5 @@
     return max(matching, key=lambda route: len(route.path_prefix))
 
 
-def _passed_on(request: web.BaseRequest) -> messages.Headers:
-    return tuple(
-        (name, value)
-        for name, value in request.headers.items()
-        if name.lower() not in _REMOVED_HEADERS
-        and not name.lower().startswith("sardinehill-")
-    )
-
-
-def _response(answer: messages.ForwardAnswer) -> web.Response:
-    if answer.reason is None:
-        response = web.Response(status=answer.status, body=answer.body)
-        for name, value in answer.headers:
-            if name.lower() == "content-type":
-                response.headers[name] = value
-            else:
-                response.headers.add(name, value)
-    else:
-        status = _STATUS_OF_REASON.get(answer.reason, 503)
-        problem = {
-            "title": answer.reason.value,
-            "status": status,
-            "detail": answer.detail,
-            "verdict": answer.verdict.value,
-        }
-        response = web.Response(
-            status=status,
-            body=json.dumps(problem).encode(),
-            content_type="application/problem+json",
-        )
-        response.headers["Sardinehill-Reason"] = answer.reason.value
-        if answer.retry_after_ms:
-            retry_after_s = -(-answer.retry_after_ms // 1000)
-            response.headers["Retry-After"] = str(retry_after_s)
-    response.headers["Sardinehill-Verdict"] = answer.verdict.value
-    response.headers["Sardinehill-Request-Id"] = answer.request_id
-    return response
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/sardinehill/wire/accounts.capnp
@@ -0,0 +1,32 @@
+@0x9f6c3a17be42d085;
+
+# A borrower's wish for tokens of an account. With an empty account it only
+# asks whether the receiver knows the same member list and nothing newer.
+struct LendRequest {
+  account @0 :Text;
+  listId @1 :UInt64;
+  urgentTokens @2 :UInt32;
+  aheadTokens @3 :UInt32;
+}
+
+struct LendAnswer {
+  ruling @0 :Text;
+  tokens @1 :UInt32;
+  retryAfterS @2 :Float64;
+  listId @3 :UInt64;
+}
+
+# Asks the daemon that was in charge of a scope before about one request.
+struct DuplicateQuestion {
+  scope @0 :Text;
+  account @1 :Text;
+  idempotencyKey @2 :Text;
+}
+
+struct DuplicateAnswer {
+  seen @0 :Text;
+  proves @1 :Bool;
+  sinceS @2 :Float64;
+  # A ForwardAnswer, or nothing.
+  answer @3 :Data;
+}
