--- /dev/null
+++ b/tests/process/test_accounts.py
@@ -0,0 +1,328 @@
+"""Claims about callers, by real processes; the upstream's journal decides."""
+
+from collections.abc import Iterator
+import http.client
+import pathlib
+import socket
+import threading
+import time
+
+import pytest
+
+from tests.process import account_fleet
+
+
+@pytest.fixture(scope="module")
+def fleet(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[account_fleet.AccountFleet]:
+    made = account_fleet.AccountFleet(tmp_path_factory.mktemp("accounts"))
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def own_fleet(
+    tmp_path: pathlib.Path,
+) -> Iterator[account_fleet.AccountFleet]:
+    """Yields a fleet whose daemons the test may kill."""
+    made = account_fleet.AccountFleet(tmp_path)
+    yield made
+    made.close()
+
+
+def test_a_revoked_key_stops_on_a_connection_that_stays_open(
+    fleet: account_fleet.AccountFleet,
+) -> None:
+    links = [fleet.connect(daemon) for daemon in fleet.daemons]
+    for link in links:
+        answer = fleet.send(account="doomed", connection=link)
+        assert (answer.status, answer.verdict) == (200, "ran")
+    fleet.revoke("doomed")
+    for number, link in enumerate(links):
+        for _ in range(3000):
+            answer = fleet.send(account="doomed", connection=link)
+            if answer.status != 200:
+                break
+        assert (answer.status, answer.reason) == (401, "account-key-revoked")
+        marker = f"after-revocation-{number}"
+        for _ in range(20):
+            fleet.send(account="doomed", marker=marker, connection=link)
+        assert not fleet.started(marker)
+
+
+def test_no_header_of_a_caller_names_its_account(
+    fleet: account_fleet.AccountFleet,
+) -> None:
+    answer = fleet.send(
+        account="small",
+        marker="poser",
+        headers={
+            "Sardinehill-Account": "large",
+            "Sardinehill_Account": "large",
+            "X-Forwarded-User": "large",
+            "Proxy-Authorization": "Basic eDp5",
+            "Sardinehill-Verdict": "not-run",
+        },
+    )
+    assert answer.verdict == "ran"
+    (run,) = fleet.started("poser")
+    assert run["account"] == "small"
+    assert "Authorization" not in run["secrets_seen"]
+    assert "Proxy-Authorization" not in run["secrets_seen"]
+
+
+@pytest.mark.parametrize(
+    ("path", "status"),
+    [
+        ("/-/grant", 400),
+        ("/bookings/../-/release", 400),
+        ("/bookings/%2e%2e/-/release", 400),
+        ("//-/grant", 400),
+        ("/bookings/closed", 403),
+        ("/bookings/%63losed", 403),
+        ("/elsewhere", 404),
+    ],
+)
+def test_no_path_leads_past_the_routes(
+    fleet: account_fleet.AccountFleet, path: str, status: int
+) -> None:
+    answer = fleet.send(account="small", path=path, marker=f"path-{path}")
+    assert (answer.status, answer.verdict) == (status, "not-run")
+    assert not fleet.started(f"path-{path}")
+
+
+SMUGGLED = [
+    b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nhello",
+    b"Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+    b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\nhello",
+    b"Transfer-Encoding: \x0bchunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    b"Transfer-Encoding: chunked\r\n\r\n-5\r\nhello\r\n0\r\n\r\n",
+    b"Transfer-Encoding: chunked\r\n\r\n5x\r\nhello\r\n0\r\n\r\n",
+    b"Content-Length: +5\r\n\r\nhello",
+    b"Authorization: Bearer other\r\nContent-Length: 5\r\n\r\nhello",
+    b"Sardinehill-Key: other\r\nContent-Length: 5\r\n\r\nhello",
+    b"X-One: a\r\n Sardinehill-Key: b\r\nContent-Length: 5\r\n\r\nhello",
+]
+
+
+@pytest.mark.parametrize("number", range(len(SMUGGLED)))
+def test_a_request_that_can_be_read_in_two_ways_runs_nothing(
+    fleet: account_fleet.AccountFleet, number: int
+) -> None:
+    marker = f"smuggled-{number}"
+    head = (
+        f"POST /bookings?marker={marker} HTTP/1.1\r\nHost: callers\r\n"
+        f"Authorization: Bearer {fleet.keys['large']}\r\n"
+        "Sardinehill-Key: table-1\r\n"
+    ).encode()
+    with socket.create_connection(fleet.callers["entry-1"], 30) as link:
+        link.sendall(head + SMUGGLED[number])
+        link.shutdown(socket.SHUT_WR)
+        while link.recv(65536):
+            pass
+    assert not fleet.started(marker)
+
+
+def test_a_body_that_was_cut_short_runs_nothing(
+    fleet: account_fleet.AccountFleet,
+) -> None:
+    head = (
+        "POST /bookings?marker=cut-body HTTP/1.1\r\nHost: callers\r\n"
+        f"Authorization: Bearer {fleet.keys['large']}\r\n"
+        "Sardinehill-Key: table-1\r\nContent-Length: 100\r\n\r\n"
+    ).encode()
+    with socket.create_connection(fleet.callers["entry-1"], 30) as link:
+        link.sendall(head + b"half")
+        link.shutdown(socket.SHUT_WR)
+        while link.recv(65536):
+            pass
+    assert not fleet.started("cut-body")
+
+
+def test_a_body_over_the_limit_is_refused_before_it_is_read(
+    fleet: account_fleet.AccountFleet,
+) -> None:
+    link = fleet.connect("entry-1")
+    link.putrequest("POST", "/bookings?marker=huge")
+    link.putheader("Authorization", f"Bearer {fleet.keys['large']}")
+    link.putheader("Sardinehill-Key", "table-1")
+    link.putheader("Content-Length", str(1 << 40))
+    link.endheaders()
+    reply = link.getresponse()
+    assert reply.status == 413
+    assert reply.headers["Sardinehill-Verdict"] == "not-run"
+    link.close()
+
+
+def test_one_request_that_is_submitted_eight_times_at_once_runs_once(
+    fleet: account_fleet.AccountFleet,
+) -> None:
+    for number in range(5):
+        marker = f"together-{number}"
+        headers = {"Idempotency-Key": account_fleet.time_ordered_id()}
+        answers = fleet.send_together(
+            [
+                {
+                    "daemon": daemon,
+                    "marker": marker,
+                    "headers": headers,
+                    "path": "/bookings?service_time_ms=30",
+                }
+                for daemon in list(fleet.daemons) * 4
+            ]
+        )
+        assert {answer.verdict for answer in answers} == {"ran"}
+        assert len({answer.body for answer in answers}) == 1
+        assert len(fleet.started(marker)) == 1
+
+
+def test_an_id_that_is_used_for_another_request_runs_nothing(
+    fleet: account_fleet.AccountFleet,
+) -> None:
+    headers = {"Idempotency-Key": account_fleet.time_ordered_id()}
+    assert fleet.send(headers=headers, marker="first-use").verdict == "ran"
+    answer = fleet.send(headers=headers, marker="second-use", body=b"other")
+    assert (answer.status, answer.verdict) == (400, "not-run")
+    assert not fleet.started("second-use")
+
+
+FAULTS = [
+    {"reset_after_to_target_bytes": 0},
+    {"reset_after_to_target_bytes": 40},
+    {"reset_after_to_target_bytes": 350},
+    {"reset_after_to_client_bytes": 0},
+    {"reset_after_to_client_bytes": 20},
+    {"reset_after_to_client_bytes": 250},
+    {"refuse": True},
+]
+NO_FAULTS = {
+    "reset_after_to_target_bytes": -1,
+    "reset_after_to_client_bytes": -1,
+    "refuse": False,
+}
+
+
+@pytest.mark.parametrize("number", range(len(FAULTS)))
+def test_a_reset_at_any_byte_neither_doubles_a_request_nor_denies_it(
+    own_fleet_of_module: account_fleet.AccountFleet, number: int
+) -> None:
+    fleet = own_fleet_of_module
+    orders = []
+    fleet.set_faults(reset_all=True, **{**NO_FAULTS, **FAULTS[number]})
+    for attempt in range(3):
+        marker = f"reset-{number}-{attempt}"
+        headers = {"Idempotency-Key": account_fleet.time_ordered_id()}
+        headers["Sardinehill-Deadline-Ms"] = "700"
+        answer = fleet.send(marker=marker, headers=headers)
+        orders.append((marker, headers, answer))
+    fleet.set_faults(reset_all=True, **NO_FAULTS)
+    fleet.wait_served()
+    for marker, headers, answer in orders:
+        runs = len(fleet.started(marker))
+        assert runs <= 1
+        if answer.verdict == "not-run":
+            assert runs == 0
+        if answer.verdict == "ran":
+            assert runs == 1
+        repeated = fleet.send("entry-2", marker=marker, headers=headers)
+        assert len(fleet.started(marker)) <= 1
+        if repeated.verdict == "ran":
+            assert len(fleet.started(marker)) == 1
+
+
+@pytest.fixture(scope="module")
+def own_fleet_of_module(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[account_fleet.AccountFleet]:
+    made = account_fleet.AccountFleet(tmp_path_factory.mktemp("resets"))
+    yield made
+    made.close()
+
+
+@pytest.mark.parametrize("killed", ["entry-1", "entry-2"])
+def test_a_daemon_killed_between_forward_and_answer_doubles_nothing(
+    own_fleet: account_fleet.AccountFleet, killed: str
+) -> None:
+    fleet = own_fleet
+    orders = [
+        {
+            "daemon": daemon,
+            "marker": f"killed-{daemon}-{number}",
+            "headers": {"Idempotency-Key": account_fleet.time_ordered_id()},
+            "path": "/bookings?service_time_ms=400",
+            "key": f"table-{number}",
+        }
+        for daemon in fleet.daemons
+        for number in range(4)
+    ]
+    timer = threading.Timer(0.2, fleet.daemons[killed].kill)
+    timer.start()
+    answers = fleet.send_together(orders)
+    timer.join()
+    (survivor,) = set(fleet.daemons) - {killed}
+    repeats = [{**order, "daemon": survivor} for order in orders]
+    again = fleet.send_together(repeats)
+    for order, first, second in zip(orders, answers, again, strict=True):
+        runs = len(fleet.started(str(order["marker"])))
+        assert runs <= 1
+        # A verdict speaks of its own submission, so the second one's refusal
+        # says nothing of the first.
+        if first.verdict == "not-run" and second.verdict == "not-run":
+            assert runs == 0
+        if "ran" in (first.verdict, second.verdict):
+            assert runs == 1
+
+
+def test_an_account_gets_no_more_than_its_rate_and_burst_from_two_daemons(
+    fleet: account_fleet.AccountFleet,
+) -> None:
+    began_s = time.monotonic()
+    answers = []
+    for _ in range(12):
+        answers += fleet.send_together(
+            [
+                {"daemon": daemon, "account": "small", "marker": "rate"}
+                for daemon in list(fleet.daemons) * 8
+            ]
+        )
+    window_s = time.monotonic() - began_s
+    ran = len(fleet.started("rate"))
+    assert ran == sum(answer.verdict == "ran" for answer in answers)
+    assert 0 < ran <= 20 + 20 * window_s
+    refused = [answer for answer in answers if answer.verdict != "ran"]
+    assert {answer.reason for answer in refused} == {"over-rate"}
+    assert {answer.status for answer in refused} == {429}
+
+
+def test_a_stopped_daemon_cuts_off_no_request_in_flight(
+    own_fleet: account_fleet.AccountFleet,
+) -> None:
+    fleet = own_fleet
+    timer = threading.Timer(0.1, fleet.daemons["entry-1"].terminate)
+    timer.start()
+    answers = fleet.send_together(
+        [
+            {
+                "daemon": "entry-1",
+                "path": "/bookings?service_time_ms=400",
+                "marker": f"stopped-{number}",
+            }
+            for number in range(8)
+        ]
+    )
+    timer.join()
+    assert {answer.verdict for answer in answers} == {"ran"}
+
+
+def test_a_refusal_is_a_problem_document(
+    fleet: account_fleet.AccountFleet,
+) -> None:
+    link = http.client.HTTPConnection(*fleet.callers["entry-1"], timeout=30)
+    link.request("GET", "/bookings")
+    reply = link.getresponse()
+    assert reply.status == 401
+    assert reply.headers["Content-Type"].startswith("application/problem+json")
+    assert reply.headers["Sardinehill-Reason"] == "account-key-missing"
+    assert reply.headers["WWW-Authenticate"] == "Bearer"
+    link.close()
