Run deposits on undivided services at most once

Cause: on a service that is not divided by key two submits of one request can go through two gateways, and neither sees the other. Change: a request with an Idempotency-Key that changes something first goes to one daemon, its home, spread by name under the rule by which an account's holder is. That daemon joins, replays, and then chooses the upstream. Figures: 5 deposits submitted six times at once by two daemons each ran once. Conclusion: costs one hop for such requests, and a wait of a licence when their home changes.

--- a/src/sardinehill/core/duplicates.py
+++ b/src/sardinehill/core/duplicates.py
@@ -31,6 +31,7 @@
 import uuid
 
 from sardinehill import errors
+from sardinehill.core import placement
 
 A = TypeVar("A")
 
@@ -139,6 +140,20 @@
     previous: str | None
 
 
+# Scopes of a service that is not divided by key, spread over all daemons.
+HOME_SCOPES = 32
+
+
+def home_scope(service: str, name: RequestName) -> str:
+    """Returns the scope of a request on a service not divided by key.
+
+    No upstream's gateway sees all of them, so one daemon for each scope does:
+    the holder of the duty of this name.
+    """
+    text = f"{name.account}\0{name.idempotency_key}"
+    return f"{service}/home/{placement.shard_of(text, HOME_SCOPES)}"
+
+
 def created_s(idempotency_key: str) -> float | None:
     """Returns the time within a UUID of version 7, or None for other ids."""
     if len(idempotency_key) != 36:
--- a/src/sardinehill/core/tokens.py
+++ b/src/sardinehill/core/tokens.py
@@ -65,6 +65,9 @@
     loan_life_s: float
 
 
+_NO_TERMS = Terms(0.0, 0.0, LEAST_LIFE_S)
+
+
 class Ruling(enum.Enum):
     """What a holder answers to a borrower.
 
@@ -147,6 +150,11 @@
         self._tokens = min(tokens, terms.capacity_tokens)
         self._counted_s = opens_at_s
 
+    @property
+    def opens_at_s(self) -> float:
+        """When it began, or begins, to earn and to lend."""
+        return self._opens_at_s
+
     def is_open(self, now_s: float) -> bool:
         """Returns whether the bucket may lend."""
         return now_s >= self._opens_at_s
@@ -301,6 +309,22 @@
         wait_s = bucket.next_token_in_s(now_s)
         return Loan(Ruling.LENT, tokens, wait_s, self._epoch)
 
+    def held_since_s(self, duty: str, now_s: float) -> float | None:
+        """Returns since when no other daemon can hold a duty.
+
+        The same rule that makes one daemon an account's holder makes one
+        daemon the holder of any other duty that is spread by its name.
+
+        Returns:
+          The time, or None while another daemon holds it or still may.
+        """
+        if holder_of(duty, self._members) != self._name:
+            return None
+        bucket = self._bucket(duty, _NO_TERMS)
+        if not self.is_licensed(now_s) or not bucket.is_open(now_s):
+            return None
+        return bucket.opens_at_s
+
     def keep(self, account: str, terms: Terms) -> None:
         """Makes the bucket of an account held here, if it has none yet.
 
--- a/src/sardinehill/daemon/accounts.py
+++ b/src/sardinehill/daemon/accounts.py
@@ -152,6 +152,18 @@
             if waiter in own.waiting:
                 own.waiting.remove(waiter)
 
+    def members(self) -> list[str]:
+        """Returns the members by which duties are spread."""
+        self._follow_members(_now_s())
+        return self._holder.members
+
+    def held_for_s(self, duty: str) -> float | None:
+        """Returns for how long this daemon alone has held a duty, or None."""
+        now_s = _now_s()
+        self._follow_members(now_s)
+        since_s = self._holder.held_since_s(duty, now_s)
+        return None if since_s is None else now_s - since_s
+
     def _follow_bucket(self, account: str) -> None:
         name = account_keys.bucket_of(account)
         value = self._view.account_keys.get(name)
--- a/src/sardinehill/daemon/application.py
+++ b/src/sardinehill/daemon/application.py
@@ -41,12 +41,16 @@
         self.controller = controller.Controller(
             self.view, self.platform, self.upstreams
         )
+        self.accounts = accounts.Accounts(self.view, self.bus, lambda: 0.0)
+        self.entry = entry.Entry(self.view, self.bus, self.accounts)
         self.duplicates = duplicates.Duplicates(
-            self.view, self.bus, self.gateway.forward
+            self.view,
+            self.bus,
+            self.gateway.forward,
+            self.entry.send_undivided,
+            self.accounts.held_for_s,
         )
         self.news.subscribe(self.duplicates.on_news)
-        self.accounts = accounts.Accounts(self.view, self.bus, lambda: 0.0)
-        self.entry = entry.Entry(self.view, self.bus, self.accounts)
 
     async def start(self) -> None:
         """Binds every address, joins the fleet and begins to serve."""
--- a/src/sardinehill/daemon/duplicates.py
+++ b/src/sardinehill/daemon/duplicates.py
@@ -23,6 +23,8 @@
 from sardinehill.wire import kinds
 
 ASK_TIMEOUT_S = 0.5
+# A home's beginning that moves by more than this is another beginning.
+HOME_CHANGE_S = 0.5
 # What a kept answer takes besides its body.
 ANSWER_OVERHEAD_BYTES = 1024
 
@@ -34,11 +36,28 @@
 )
 
 
+def needs_memory(request: messages.ForwardRequest) -> bool:
+    """Returns whether a repeat of a request must not run again."""
+    return bool(request.idempotency_key) and not retries.is_idempotent(
+        request.method
+    )
+
+
+def at_home(request: messages.ForwardRequest) -> bool:
+    """Returns whether a request was sent to its home, not to a gateway."""
+    return not request.key and not request.upstream
+
+
 class Duplicates:
     """Stands between the other daemons' requests and this one's gateway."""
 
     def __init__(
-        self, knowledge: view.View, bus: peers.PeerBus, send: Send
+        self,
+        knowledge: view.View,
+        bus: peers.PeerBus,
+        send: Send,
+        send_undivided: Send,
+        held_for_s: Callable[[str], float | None],
     ) -> None:
         """Takes over the handling of forwarded requests.
 
@@ -46,10 +65,15 @@
           knowledge: the daemon's view.
           bus: brings forwarded requests and asks other daemons.
           send: hands a request to this daemon's gateway.
+          send_undivided: sends a request of a service not divided by key.
+          held_for_s: tells for how long this daemon alone has held a duty.
         """
         self._view = knowledge
         self._bus = bus
         self._send = send
+        self._send_undivided = send_undivided
+        self._held_for_s = held_for_s
+        self._home_since_s: dict[str, float] = {}
         self._clock = wall_clock.WallClock()
         self._memory: duplicates.DuplicateMemory[messages.ForwardAnswer] = (
             duplicates.DuplicateMemory()
@@ -67,13 +91,16 @@
         self, request: messages.ForwardRequest
     ) -> messages.ForwardAnswer:
         """Runs a request unless it is the repeat of another."""
-        if not request.idempotency_key or retries.is_idempotent(request.method):
-            return await self._send(request)
-        assignment = self._follow_assignment(request.service)
-        scope = self._scope(assignment, request)
-        if scope is None:
+        # A request of an undivided service that names its upstream comes from
+        # its home or needs none.
+        if not needs_memory(request) or not (request.key or at_home(request)):
             return await self._send(request)
         name = duplicates.RequestName(request.account, request.idempotency_key)
+        if request.key:
+            scope = self._scope(request)
+        else:
+            scope = duplicates.home_scope(request.service, name)
+            self._follow_home(scope)
         arrival = self._memory.arrive(
             scope, name, _fingerprint(request), self._clock.now_s()
         )
@@ -127,7 +154,8 @@
         verdict = errors.Verdict.MAY_HAVE_RUN
         answer = None
         try:
-            answer = await self._send(request)
+            send = self._send_undivided if at_home(request) else self._send
+            answer = await send(request)
             verdict = answer.verdict
             return answer
         finally:
@@ -172,14 +200,26 @@
         if kind == "assignment":
             self._follow_assignment(name)
 
-    def _scope(
-        self,
-        assignment: placement.Assignment | None,
-        request: messages.ForwardRequest,
-    ) -> str | None:
-        """Returns the scope, or None where no single daemon sees them all."""
-        if assignment is None or not request.key:
-            return None
+    def _follow_home(self, scope: str) -> None:
+        held_for_s = self._held_for_s(scope)
+        if held_for_s is None:
+            self._home_since_s.pop(scope, None)
+            self._memory.give_up(scope)
+            return
+        since_s = self._clock.now_s() - held_for_s
+        # The two clocks are read one after the other; a duty that was lost
+        # and came back begins at least a licence later.
+        known_s = self._home_since_s.get(scope)
+        if known_s is None or since_s > known_s + HOME_CHANGE_S:
+            self._memory.give_up(scope)
+            self._memory.take_charge(scope, since_s)
+            self._home_since_s[scope] = since_s
+
+    def _scope(self, request: messages.ForwardRequest) -> str:
+        """Returns the scope of a request on a service divided by key."""
+        assignment = self._follow_assignment(request.service)
+        if assignment is None:
+            return _shard_scope(request.service, 0)
         split_keys = self._split_keys.get(request.service, {})
         if request.key in split_keys:
             return _key_scope(request.service, request.key)
--- a/src/sardinehill/daemon/entry.py
+++ b/src/sardinehill/daemon/entry.py
@@ -24,7 +24,9 @@
 from sardinehill.core import messages
 from sardinehill.core import placement
 from sardinehill.core import retries
+from sardinehill.core import tokens
 from sardinehill.daemon import accounts
+from sardinehill.daemon import duplicates as repeats
 from sardinehill.daemon import peers
 from sardinehill.daemon import view
 from sardinehill.wire import forwards
@@ -78,8 +80,8 @@
         knowledge: view.View,
         bus: peers.PeerBus,
         admission: accounts.Accounts,
-        counters: metrics.Metrics | None = None,
         undivided: Undivided | None = None,
+        counters: metrics.Metrics | None = None,
         seed: int | None = None,
     ) -> None:
         """Makes a part that does not listen yet.
@@ -88,8 +90,8 @@
           knowledge: the daemon's view.
           bus: asks gateways.
           admission: authenticates and admits callers.
-          counters: counts refusals, retries and answers.
           undivided: sends requests of services that are not divided by key.
+          counters: counts refusals, retries and answers.
           seed: makes the waits between attempts repeatable.
         """
         self._view = knowledge
@@ -294,25 +296,23 @@
             self._counters.count_retry(answer.reason)
             await asyncio.sleep(decision.wait_s)
 
+    async def send_undivided(
+        self, forward: messages.ForwardRequest
+    ) -> messages.ForwardAnswer:
+        """Sends a request of a service not divided by key, once."""
+        left_s = forward.deadline_ms / 1000
+        send = self._undivided or self._ask_gateway
+        return await _as_answer(forward, send(forward, left_s))
+
     async def _attempt(
         self, forward: messages.ForwardRequest, left_s: float
     ) -> messages.ForwardAnswer:
         """Tries once; whatever fails comes back as an answer."""
-        try:
-            if not self._is_divided(forward.service) and self._undivided:
-                return await self._undivided(forward, left_s)
-            return await self._ask_gateway(forward, left_s)
-        except errors.RequestRefusedError as error:
-            return messages.refusal(
-                forward.request_id, error.reason, error.verdict, error.detail
-            )
-        except errors.PeerNotSentError:
-            verdict = errors.Verdict.NOT_RUN
-        except errors.PeerError:
-            verdict = errors.Verdict.MAY_HAVE_RUN
-        return messages.refusal(
-            forward.request_id, errors.Reason.GATEWAY_LOST, verdict
-        )
+        if self._is_divided(forward.service):
+            return await _as_answer(forward, self._ask_gateway(forward, left_s))
+        if repeats.needs_memory(forward):
+            return await _as_answer(forward, self._ask_home(forward, left_s))
+        return await self.send_undivided(forward)
 
     async def _ask_gateway(
         self, forward: messages.ForwardRequest, left_s: float
@@ -329,10 +329,27 @@
         sent = dataclasses.replace(
             forward, upstream=owner, assignment_version=assignment.version
         )
+        return await self._ask_daemon(gateway, sent, left_s)
+
+    async def _ask_home(
+        self, forward: messages.ForwardRequest, left_s: float
+    ) -> messages.ForwardAnswer:
+        """Sends a request to the one daemon that knows of its repeats."""
+        name = duplicates.RequestName(forward.account, forward.idempotency_key)
+        scope = duplicates.home_scope(forward.service, name)
+        home = tokens.holder_of(scope, self._admission.members())
+        if home is None:
+            raise _refusal(errors.Reason.GATEWAY_UNKNOWN)
+        sent = dataclasses.replace(forward, key="", upstream="")
+        return await self._ask_daemon(home, sent, left_s)
+
+    async def _ask_daemon(
+        self, daemon: str, forward: messages.ForwardRequest, left_s: float
+    ) -> messages.ForwardAnswer:
         payload = await self._bus.ask(
-            gateway,
+            daemon,
             kinds.Kind.FORWARD,
-            forwards.encode_request(sent),
+            forwards.encode_request(forward),
             left_s + PEER_GRACE_S,
         )
         answer = forwards.decode_answer(payload)
@@ -375,6 +392,25 @@
     )
 
 
+async def _as_answer(
+    forward: messages.ForwardRequest,
+    sending: Awaitable[messages.ForwardAnswer],
+) -> messages.ForwardAnswer:
+    try:
+        return await sending
+    except errors.RequestRefusedError as error:
+        return messages.refusal(
+            forward.request_id, error.reason, error.verdict, error.detail
+        )
+    except errors.PeerNotSentError:
+        verdict = errors.Verdict.NOT_RUN
+    except errors.PeerError:
+        verdict = errors.Verdict.MAY_HAVE_RUN
+    return messages.refusal(
+        forward.request_id, errors.Reason.GATEWAY_LOST, verdict
+    )
+
+
 def _route(config: fleet.FleetConfig, path: str) -> fleet.Route:
     matching = [
         route
--- a/tests/process/account_fleet.py
+++ b/tests/process/account_fleet.py
@@ -25,6 +25,13 @@
 divided_by_key = yes
 shard_count = 16
 
+[service conti]
+divided_by_key = no
+
+[route invoices]
+path_prefix = /invoices
+service = conti
+
 [route bookings]
 path_prefix = /bookings
 service = prenota
@@ -99,6 +106,13 @@
             *("--slots", "16", "--queue-requests", "64"),
             *("--journal", str(self.journal)),
         )
+        for number in range(2):
+            self._start(
+                *("standins.upstream", "--name", f"conti-{number}"),
+                *("--service", "conti", "--availability-zone", "pa-1"),
+                *("--store", self.store_url, "--warm", "--no-fencing"),
+                *("--journal", str(directory / f"conti-{number}")),
+            )
         self._start_proxy(upstream)
         for name in ("entry-1", "entry-2"):
             self._start_daemon(name)
@@ -166,9 +180,11 @@
 
     def started(self, marker: str) -> list[dict[str, Any]]:
         """Returns the runs that the upstream noted for a marker."""
+        journals = [self.journal, *self.directory.glob("conti-*")]
         return [
             event
-            for event in map(json.loads, self.journal.read_text().splitlines())
+            for journal in journals
+            for event in map(json.loads, journal.read_text().splitlines())
             if event["event"] == "started" and event.get("marker") == marker
         ]
 
--- a/tests/process/test_accounts.py
+++ b/tests/process/test_accounts.py
@@ -177,6 +177,32 @@
         assert len(fleet.started(marker)) == 1
 
 
+def test_a_deposit_submitted_everywhere_at_once_runs_on_one_upstream(
+    fleet: account_fleet.AccountFleet,
+) -> None:
+    for number in range(5):
+        marker = f"deposit-{number}"
+        order = {
+            "path": "/invoices?service_time_ms=30",
+            "marker": marker,
+            "key": "",
+        }
+        for _ in range(200):
+            headers = {"Idempotency-Key": account_fleet.time_ordered_id()}
+            answers = fleet.send_together(
+                [
+                    {**order, "daemon": daemon, "headers": headers}
+                    for daemon in list(fleet.daemons) * 3
+                ]
+            )
+            verdicts = {answer.verdict for answer in answers}
+            assert len(fleet.started(marker)) <= 1
+            if verdicts == {"ran"}:
+                break
+        assert verdicts == {"ran"}
+        assert len(fleet.started(marker)) == 1
+
+
 def test_an_id_that_is_used_for_another_request_runs_nothing(
     fleet: account_fleet.AccountFleet,
 ) -> None:
