Turn the HTTP library's silent retries off and prove it

Cause: aiohttp's client sends GET, PUT and DELETE again by itself when a kept connection breaks; found by a server that drops the second request of each connection, which then counted three requests where two were submitted. Change: the session's retry is off, and four methods prove it. Only the adapter of the upstreams is touched. The callers' border and the frames about accounts are fuzzed.

--- a/src/sardinehill/adapters/upstream.py
+++ b/src/sardinehill/adapters/upstream.py
@@ -218,6 +218,12 @@
             self._session = aiohttp.ClientSession(
                 connector=connector, auto_decompress=False
             )
+            # The client sends idempotent requests again by itself when a
+            # kept connection turns out closed. The lane would count one
+            # request in flight where there are two, and not learn of the
+            # lost connection, which may be a restart. There is no public
+            # switch for it.
+            self._session._retry_connection = False
         return self._session
 
 
--- /dev/null
+++ b/tests/cover/test_callers.py
@@ -0,0 +1,139 @@
+"""Claims about the callers' border, and a bounded fuzz of it."""
+
+import json
+import os
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import multidict
+import pytest
+
+from sardinehill import errors
+from sardinehill.adapters import callers
+from sardinehill.core import messages
+from sardinehill.wire import accounts as accounts_wire
+
+# A longer fuzz: SARDINEHILL_FUZZ_EXAMPLES=100000 pytest tests/cover/...
+FUZZ = settings(
+    max_examples=int(os.environ.get("SARDINEHILL_FUZZ_EXAMPLES", "400")),
+    derandomize=True,
+    deadline=None,
+)
+
+TOKENS = st.text(
+    st.characters(codec="ascii", categories=("L", "N")) | st.sampled_from("-_"),
+    min_size=1,
+    max_size=20,
+)
+NAMES = TOKENS | st.sampled_from(
+    [
+        "Authorization",
+        "Connection",
+        "Content-Length",
+        "Idempotency-Key",
+        "SARDINEHILL_ACCOUNT",
+        "Sardinehill-Account",
+        "Sardinehill-Deadline-Ms",
+        "Sardinehill-Key",
+        "Transfer-Encoding",
+        "Upstream-Not-Run",
+        "X-Forwarded-For",
+    ]
+)
+VALUES = st.text(max_size=40) | st.sampled_from(
+    ["Bearer hotel.x", "5", "chunked", "x-secret, close", "0", "9" * 12]
+)
+HEADERS = st.lists(st.tuples(NAMES, VALUES), max_size=8)
+TARGETS = st.one_of(
+    st.text(max_size=40),
+    st.lists(
+        st.sampled_from(
+            ["", ".", "..", "-", "%2e", "%2E%2e", "%2d", "a", "b?c", "%00"]
+        )
+    ).map(lambda parts: "/" + "/".join(parts)),
+)
+
+
+def proxy(
+    headers: list[tuple[str, str]],
+) -> "multidict.CIMultiDictProxy[str]":
+    return multidict.CIMultiDictProxy(multidict.CIMultiDict(headers))
+
+
+@given(TARGETS, HEADERS)
+@FUZZ
+def test_any_request_is_read_or_refused_and_poses_as_nobody(
+    target: str, headers: list[tuple[str, str]]
+) -> None:
+    try:
+        asked = callers.read_request(target, proxy(headers))
+    except errors.RequestRefusedError as error:
+        refusal: errors.RequestRefusedError | None = error
+    else:
+        refusal = None
+    if refusal is not None:
+        assert refusal.verdict is errors.Verdict.NOT_RUN
+        return
+    assert asked.path.startswith("/")
+    assert not {"", ".", "..", "-"} & set(asked.path.split("/")[1:-1])
+    for name, _ in asked.headers:
+        folded = name.lower().replace("_", "-")
+        assert not folded.startswith(("sardinehill-", "upstream-"))
+        assert folded not in ("authorization", "connection", "content-length")
+    if asked.account_key is not None:
+        assert f"account_key={asked.account_key!r}" not in repr(asked)
+
+
+@given(HEADERS, st.integers(min_value=200, max_value=599), st.binary())
+@FUZZ
+def test_no_upstream_speaks_for_sardinehill(
+    headers: list[tuple[str, str]], status: int, body: bytes
+) -> None:
+    clean = tuple((n, v) for n, v in headers if v.isprintable())
+    answer = messages.ForwardAnswer(
+        "id-1", errors.Verdict.RAN, None, status, clean, body
+    )
+    response = callers.response_of(answer, close=False)
+    assert response.headers.getall("Sardinehill-Verdict") == ["ran"]
+    assert response.headers.getall("Sardinehill-Request-Id") == ["id-1"]
+    assert "Sardinehill-Reason" not in response.headers
+    assert "Sardinehill_Account" not in response.headers
+
+
+@pytest.mark.parametrize("reason", list(errors.Reason))
+def test_every_reason_has_a_whole_problem_document(
+    reason: errors.Reason,
+) -> None:
+    answer = messages.refusal(
+        "id-1", reason, errors.Verdict.NOT_RUN, "why", retry_after_ms=1200
+    )
+    response = callers.response_of(answer, close=True)
+    assert isinstance(response.body, bytes)
+    problem = json.loads(response.body)
+    assert problem["title"] == reason.value
+    assert problem["status"] == response.status >= 400
+    assert problem["verdict"] == "not-run"
+    assert response.headers["Retry-After"] == "2"
+
+
+def test_headers_named_by_connection_end_here() -> None:
+    headers = proxy(
+        [("Connection", "X-Hop, close"), ("x-hop", "1"), ("X-Stays", "2")]
+    )
+    assert callers.passed_on(headers) == (("X-Stays", "2"),)
+
+
+@given(st.binary(max_size=200))
+@FUZZ
+def test_garbage_from_a_peer_is_told_as_such(data: bytes) -> None:
+    for decode in (
+        accounts_wire.decode_lend_request,
+        accounts_wire.decode_lend_answer,
+        accounts_wire.decode_question,
+        accounts_wire.decode_recollection,
+    ):
+        try:
+            decode(data)
+        except errors.PeerFrameError:
+            continue
--- /dev/null
+++ b/tests/process/test_silent_retries.py
@@ -0,0 +1,74 @@
+"""Claims about what the HTTP library does by itself."""
+
+import asyncio
+
+import pytest
+
+from sardinehill import errors
+from sardinehill.adapters import upstream
+from sardinehill.core import fleet
+from sardinehill.core import messages
+
+
+class ForgetfulServer:
+    """Answers the first request of a connection and drops the second."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection."""
+        for number in range(2):
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.requests += 1
+            if number == 0:
+                request_id = _header(head, b"sardinehill-request-id")
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+                    b"Upstream-Request-Id: " + request_id + b"\r\n\r\n"
+                )
+        writer.close()
+
+
+def _header(head: bytes, name: bytes) -> bytes:
+    for line in head.split(b"\r\n"):
+        found, _, value = line.partition(b": ")
+        if found.lower() == name:
+            return value
+    raise AssertionError(f"{name!r} is missing")
+
+
+async def _send_twice(method: str) -> tuple[int, messages.ForwardAnswer]:
+    forgetful = ForgetfulServer()
+    server = await asyncio.start_server(forgetful.serve, "127.0.0.1", 0)
+    ip, port = server.sockets[0].getsockname()[:2]
+    client = upstream.UpstreamClient(1)
+    host = fleet.UpstreamHost("up-1", "conti", fleet.Address(ip, port), "pa-1")
+    for number in range(2):
+        request = messages.ForwardRequest(
+            request_id=f"id-{number}",
+            service="conti",
+            key="k",
+            account="hotel",
+            method=method,
+            path="/x",
+            headers=(),
+            body=b"",
+            deadline_ms=2000,
+            upstream="up-1",
+            assignment_version=1,
+            idempotency_key="",
+        )
+        answer = await client.run(host, request, {}, 2.0)
+    await client.close()
+    server.close()
+    return forgetful.requests, answer
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
+def test_the_library_sends_no_request_twice_by_itself(method: str) -> None:
+    requests, answer = asyncio.run(_send_twice(method))
+    assert requests == 2
+    assert answer.verdict is errors.Verdict.MAY_HAVE_RUN
