Weigh three ways to count tokens, and wait out the loss of a holder

Change: bench/token_ways.py tells both errors of each way for the same arrivals. After a gap requests wait up to 3 s for a token instead of 0.1 s. Conclusion: lent tokens stay; what is left is the gap after a loss.

--- /dev/null
+++ b/bench/token_ways.py
@@ -0,0 +1,211 @@
+"""Weighs three ways to count an account's tokens over all hosts.
+
+Run as `python -m bench.token_ways --seed 1`. Requests of one account arrive
+at random hosts; the ways see the same arrivals. Each way is a plain function
+from arrivals to the times of the requests it admitted. Two errors are told:
+the most by which any window exceeds rate and burst, and the share of requests
+refused though one bucket that sees everything at once would admit them.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import math
+import random
+from typing import Annotated
+
+import typer
+
+from sardinehill.core import fleet
+from sardinehill.core import tokens
+
+HOSTS = 11
+DURATION_S = 60.0
+# One way between two hosts.
+HOP_S = 0.001
+ASK_INTERVAL_S = 0.005
+# When the holder is lost, until the member list says so.
+DETECTION_S = 1.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """One request: when, and at which host."""
+
+    at_s: float
+    host: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Story:
+    """Arrivals at a share of the rate, and what is lost.
+
+    Attributes:
+      name: what is told.
+      load: mean arrivals as a share of the rate.
+      skew: how much the first hosts get more than the others.
+      lost_at_s: when the holder is lost; 0 for never.
+    """
+
+    name: str
+    load: float
+    skew: float = 0.0
+    lost_at_s: float = 0.0
+
+
+Way = Callable[[fleet.ClientAccount, list[Arrival], Story], list[float]]
+
+
+def arrivals_of(
+    account: fleet.ClientAccount, story: Story, rng: random.Random
+) -> list[Arrival]:
+    """Returns Poisson arrivals, spread over the hosts."""
+    weights = [math.exp(-story.skew * host) for host in range(HOSTS)]
+    found, now_s = [], 0.0
+    while now_s < DURATION_S:
+        now_s += rng.expovariate(account.rate_per_s * story.load)
+        host = rng.choices(range(HOSTS), weights)[0]
+        found.append(Arrival(now_s, host))
+    return found
+
+
+def one_bucket(
+    account: fleet.ClientAccount, arrivals: list[Arrival], story: Story
+) -> list[float]:
+    """The measure: a bucket that sees everything at once and is never lost."""
+    terms = tokens.Terms(account.rate_per_s, account.burst_requests, 0.0)
+    bucket = tokens.Bucket(terms, 0.0, account.burst_requests)
+    return [
+        one.at_s for one in arrivals if bucket.lend(tokens.Wish(1, 0), one.at_s)
+    ]
+
+
+def static_split(
+    account: fleet.ClientAccount, arrivals: list[Arrival], story: Story
+) -> list[float]:
+    """Each host has its share of rate and burst for itself."""
+    share = tokens.Terms(
+        account.rate_per_s / HOSTS, account.burst_requests / HOSTS, 0.0
+    )
+    buckets = [
+        tokens.Bucket(share, 0.0, share.capacity_tokens) for _ in range(HOSTS)
+    ]
+    return [
+        one.at_s
+        for one in arrivals
+        if buckets[one.host].lend(tokens.Wish(1, 0), one.at_s)
+    ]
+
+
+def central_bucket(
+    account: fleet.ClientAccount, arrivals: list[Arrival], story: Story
+) -> list[float]:
+    """Each request asks one host; a new holder begins with a full bucket.
+
+    A full beginning is what a central counter without a licence does: it
+    knows nothing of what its predecessor gave.
+    """
+    terms = tokens.Terms(account.rate_per_s, account.burst_requests, 0.0)
+    bucket = tokens.Bucket(terms, 0.0, account.burst_requests)
+    back_s = story.lost_at_s + DETECTION_S
+    replaced = False
+    admitted = []
+    for one in arrivals:
+        if story.lost_at_s and story.lost_at_s <= one.at_s < back_s:
+            continue
+        if story.lost_at_s and one.at_s >= back_s and not replaced:
+            replaced = True
+            bucket = tokens.Bucket(terms, back_s, account.burst_requests)
+        if bucket.lend(tokens.Wish(1, 0), one.at_s + HOP_S):
+            admitted.append(one.at_s + 2 * HOP_S)
+    return admitted
+
+
+def lent_tokens(
+    account: fleet.ClientAccount, arrivals: list[Arrival], story: Story
+) -> list[float]:
+    """One holder lends ahead of demand; the way that was built."""
+    terms = tokens.terms_of(account)
+    bucket = tokens.Bucket(terms, 0.0, terms.capacity_tokens)
+    back_s = story.lost_at_s + DETECTION_S + tokens.TAKEOVER_S
+    borrowers = [tokens.Borrower() for _ in range(HOSTS)]
+    waiting: list[list[float]] = [[] for _ in range(HOSTS)]
+    admitted: list[float] = []
+    queue = list(reversed(arrivals))
+    replaced = False
+    for tick in range(int((DURATION_S + 5) / ASK_INTERVAL_S)):
+        now_s = tick * ASK_INTERVAL_S
+        while queue and queue[-1].at_s <= now_s:
+            one = queue.pop()
+            borrowers[one.host].arrived(one.at_s)
+            waiting[one.host].append(one.at_s)
+        lost = story.lost_at_s and story.lost_at_s <= now_s < back_s
+        if story.lost_at_s and now_s >= back_s and not replaced:
+            replaced = True
+            bucket = tokens.Bucket(terms, back_s)
+        for host, borrower in enumerate(borrowers):
+            wish = borrower.wish(terms, len(waiting[host]), now_s)
+            if wish is not None and lost:
+                borrower.found_no_holder(now_s)
+            elif wish is not None:
+                lent = bucket.lend(wish, now_s)
+                borrower.receive(terms, lent, now_s - HOP_S)
+            patience_s = borrower.patience_s(now_s)
+            waiting[host] = [
+                at_s for at_s in waiting[host] if now_s - at_s <= patience_s
+            ]
+            while waiting[host] and borrower.take(now_s):
+                waiting[host].pop(0)
+                admitted.append(now_s)
+    return sorted(admitted)
+
+
+def over_rate(account: fleet.ClientAccount, admitted: list[float]) -> float:
+    """Returns by how many requests the worst window exceeds its bound."""
+    worst = 0.0
+    lowest = math.inf
+    for count, at_s in enumerate(admitted):
+        # Used in a window from i to j: (j - i + 1) - rate * (t_j - t_i).
+        lowest = min(lowest, count - account.rate_per_s * at_s)
+        used = count + 1 - account.rate_per_s * at_s - lowest
+        worst = max(worst, used - account.burst_requests)
+    return worst
+
+
+STORIES = [
+    Story("half the rate, even", 0.5),
+    Story("half the rate, uneven", 0.5, skew=0.5),
+    Story("nine tenths, even", 0.9),
+    Story("nine tenths, uneven", 0.9, skew=0.5),
+    Story("half the rate, holder lost", 0.5, lost_at_s=20.0),
+    Story("ten times, holder lost", 10.0, lost_at_s=20.0),
+]
+WAYS: dict[str, Way] = {
+    "static split": static_split,
+    "central bucket": central_bucket,
+    "lent tokens": lent_tokens,
+}
+ACCOUNTS = [
+    fleet.ClientAccount("large", 80.0, 80.0),
+    fleet.ClientAccount("small", 20.0, 20.0),
+    fleet.ClientAccount("bursty", 20.0, 200.0),
+]
+
+
+def main(seed: Annotated[int, typer.Option()] = 1) -> None:
+    """Prints one line for each account, story and way."""
+    typer.echo("account story way over_requests refused_within_rate")
+    for account in ACCOUNTS:
+        for story in STORIES:
+            arrivals = arrivals_of(account, story, random.Random(seed))
+            best = len(one_bucket(account, arrivals, story))
+            for name, way in WAYS.items():
+                admitted = way(account, arrivals, story)
+                refused = max(0.0, 1 - len(admitted) / best)
+                typer.echo(
+                    f"{account.name:6} {story.name:27} {name:15}"
+                    f" {over_rate(account, admitted):8.2f} {refused:8.2%}"
+                )
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/src/sardinehill/core/tokens.py
+++ b/src/sardinehill/core/tokens.py
@@ -46,6 +46,11 @@
 # A holder lends at most this share of its level ahead of demand, so that the
 # first borrower does not lock up what the next one needs at once.
 AHEAD_LEVEL_SHARE = 0.25
+# A request within its rate is refused only when no token comes in this time.
+SHORTAGE_WAIT_S = 0.1
+# How long a request waits while nobody can count its account's tokens. It
+# outlasts the detection of a loss and one licence.
+HOLDER_WAIT_S = 3.0
 # The time over which a borrower's demand is averaged.
 DEMAND_TIME_S = 0.5
 
@@ -417,6 +422,7 @@
     def __init__(self) -> None:
         self._loans: collections.deque[tuple[float, int]] = collections.deque()
         self._demand_per_s = 0.0
+        self._gap_s = float("-inf")
         self._counted_s: float | None = None
 
     def held(self, now_s: float) -> int:
@@ -439,6 +445,21 @@
         self._decay(now_s)
         self._demand_per_s += 1 / DEMAND_TIME_S
 
+    def found_no_holder(self, now_s: float) -> None:
+        """Notes that nobody could lend."""
+        self._gap_s = now_s
+
+    def patience_s(self, now_s: float) -> float:
+        """Returns how long a request waits for a token.
+
+        After a gap the new bucket is empty and those who waited through the
+        gap come all at once. They wait on: their account is within its rate,
+        and the bucket earns faster than new ones arrive.
+        """
+        if now_s - self._gap_s <= HOLDER_WAIT_S:
+            return HOLDER_WAIT_S
+        return SHORTAGE_WAIT_S
+
     def wish(self, terms: Terms, waiting: int, now_s: float) -> Wish | None:
         """Returns what to ask for, or None while there is enough.
 
--- a/src/sardinehill/daemon/accounts.py
+++ b/src/sardinehill/daemon/accounts.py
@@ -28,11 +28,6 @@
 ASK_TIMEOUT_S = 0.25
 # Time between two questions to a holder that is lost or not ready.
 HOLDER_RETRY_S = 0.05
-# A request within its rate is refused only when no token comes in this time.
-SHORTAGE_WAIT_S = 0.1
-# How long a request waits while nobody can count its account's tokens. It
-# outlasts one licence, so that the loss of a holder refuses nobody.
-HOLDER_WAIT_S = 3.0
 # Requests of one account that wait for tokens at one daemon.
 WAITING_LIMIT_REQUESTS = 512
 
@@ -138,11 +133,11 @@
             self._ask_when_needed(account.name, own)
             return
         if len(own.waiting) >= WAITING_LIMIT_REQUESTS:
-            raise _refusal(errors.Reason.OVER_RATE, SHORTAGE_WAIT_S)
+            raise _refusal(errors.Reason.OVER_RATE, tokens.SHORTAGE_WAIT_S)
         waiter = _Waiter(
             asyncio.get_running_loop().create_future(),
             now_s,
-            min(deadline_s, now_s + HOLDER_WAIT_S),
+            min(deadline_s, now_s + tokens.HOLDER_WAIT_S),
         )
         own.waiting.append(waiter)
         self._ask_when_needed(account.name, own)
@@ -220,10 +215,12 @@
         answer = await self._ask_holder(name, wish)
         now_s = _now_s()
         if answer is None or answer.ruling is not tokens.Ruling.LENT:
+            own.borrower.found_no_holder(now_s)
             self._refuse_overdue(own, now_s)
             return HOLDER_RETRY_S
         own.borrower.receive(terms, answer.tokens, asked_s)
         self._serve_waiting(own, now_s)
+        self._refuse_overdue(own, now_s)
         self._refuse_short(own, answer.retry_after_s, now_s)
         return min(answer.retry_after_s, HOLDER_RETRY_S)
 
@@ -258,9 +255,10 @@
     def _refuse_short(
         self, own: _Account, retry_after_s: float, now_s: float
     ) -> None:
+        patience_s = own.borrower.patience_s(now_s)
         for waiter in list(own.waiting):
             waited_s = now_s - waiter.since_s
-            if waited_s + retry_after_s > SHORTAGE_WAIT_S:
+            if waited_s + retry_after_s > patience_s:
                 self._refuse(
                     own, waiter, errors.Reason.OVER_RATE, retry_after_s
                 )
