--- a/src/sardinehill/daemon/accounts.py
+++ b/src/sardinehill/daemon/accounts.py
@@ -82,8 +82,7 @@
         self._view = knowledge
         self._bus = bus
         self._age_s = age_s
-        self._ring = account_keys.KeyRing(knowledge.settings.account_key_secret)
-        self._buckets: dict[str, Any] = {}
+        self._ring = knowledge.key_ring
         self._holder = tokens.Holder(knowledge.settings.name)
         self._list: tuple[tuple[str, int], ...] = ()
         self._list_id = 0
@@ -114,8 +113,6 @@
         """
         now_s = _now_s()
         self._ring.confirm(now_s - self._age_s())
-        if account_key:
-            self._follow_bucket(account_keys.account_of(account_key))
         return self._ring.check(account_key, now_s)
 
     async def admit(
@@ -159,17 +156,6 @@
         since_s = self._holder.held_since_s(duty, now_s)
         return None if since_s is None else now_s - since_s
 
-    def _follow_bucket(self, account: str) -> None:
-        name = account_keys.bucket_of(account)
-        value = self._view.account_keys.get(name)
-        if value is None or value is self._buckets.get(name):
-            return
-        # The view only moves forward and replaces the value with each change.
-        self._buckets[name] = value
-        version = self._ring.version(name) + 1
-        bucket = account_keys.read_bucket(value)
-        self._ring.replace_bucket(name, version, bucket)
-
     def _follow_members(self, now_s: float) -> None:
         members = tuple(
             sorted(
--- a/src/sardinehill/daemon/application.py
+++ b/src/sardinehill/daemon/application.py
@@ -12,12 +12,14 @@
 from sardinehill import errors
 from sardinehill.adapters import platform
 from sardinehill.adapters import upstream
+from sardinehill.core import account_keys
 from sardinehill.core import fleet
 from sardinehill.daemon import accounts
 from sardinehill.daemon import controller
 from sardinehill.daemon import duplicates
 from sardinehill.daemon import entry
 from sardinehill.daemon import gateway
+from sardinehill.daemon import gateway_leases
 from sardinehill.daemon import news
 from sardinehill.daemon import peers
 from sardinehill.daemon import view
@@ -32,14 +34,19 @@
     """One daemon: every part of it, started and stopped in order."""
 
     def __init__(self, settings: fleet.HostSettings) -> None:
-        self.view = view.View(settings)
+        self.view = view.View(
+            settings, account_keys.KeyRing(settings.account_key_secret)
+        )
         self.platform = platform.PlatformClient(settings.platform_url)
         self.upstreams = upstream.UpstreamClient(CONNECTIONS_PER_UPSTREAM)
         self.bus = peers.PeerBus(settings.name, self._locate)
         self.news = news.News(self.platform, self.view)
-        self.gateway = gateway.Gateway(self.view, self.upstreams, self.bus)
+        self.gateway_leases = gateway_leases.GatewayLeases(self.bus)
+        self.gateway = gateway.Gateway(
+            self.view, self.upstreams, self.bus, self.gateway_leases
+        )
         self.controller = controller.Controller(
-            self.view, self.platform, self.upstreams
+            self.view, self.platform, self.upstreams, self.bus
         )
         self.accounts = accounts.Accounts(self.view, self.bus, lambda: 0.0)
         self.entry = entry.Entry(self.view, self.bus, self.accounts)
@@ -48,6 +55,7 @@
             self.bus,
             self.gateway.forward,
             self.entry.send_undivided,
+            self.gateway_leases.covers,
             self.accounts.held_for_s,
         )
         self.news.subscribe(self.duplicates.on_news)
@@ -65,12 +73,14 @@
         )
         await self._join()
         self.accounts.start()
+        self.duplicates.start()
         self.controller.start()
         _announce("callers", callers_address)
 
     async def stop(self) -> None:
         """Finishes what is in flight, then ends every part."""
         await self.entry.close()
+        await self.duplicates.close()
         await self.accounts.close()
         await self.controller.close()
         await self.news.close()
--- a/src/sardinehill/daemon/duplicates.py
+++ b/src/sardinehill/daemon/duplicates.py
@@ -23,11 +23,16 @@
 from sardinehill.wire import kinds
 
 ASK_TIMEOUT_S = 0.5
+# How often it is looked whether an awaited grant has come.
+GRANT_POLL_S = 0.05
+# How long a request waits for the grant of its shard.
+GRANT_WAIT_S = 0.3
 # A home's beginning that moves by more than this is another beginning.
 HOME_CHANGE_S = 0.5
 # What a kept answer takes besides its body.
 ANSWER_OVERHEAD_BYTES = 1024
 
+Covers = Callable[[str, str, int, str], bool]
 Send = Callable[[messages.ForwardRequest], Awaitable[messages.ForwardAnswer]]
 
 _RETRY_DETAIL = (
@@ -48,6 +53,25 @@
     return not request.key and not request.upstream
 
 
+@dataclasses.dataclass(frozen=True)
+class _Awaited:
+    """A scope that this daemon is to be in charge of once it has the grant.
+
+    Attributes:
+      service: the service's name.
+      upstream: the upstream that owns the scope.
+      shard: the shard, or that of the key.
+      key: the key when it is a scope of its own, else empty.
+      previous: the daemon that was in charge before, if that is known.
+    """
+
+    service: str
+    upstream: str
+    shard: int
+    key: str
+    previous: str | None
+
+
 class Duplicates:
     """Stands between the other daemons' requests and this one's gateway."""
 
@@ -57,6 +81,7 @@
         bus: peers.PeerBus,
         send: Send,
         send_undivided: Send,
+        covers: Covers,
         held_for_s: Callable[[str], float | None],
     ) -> None:
         """Takes over the handling of forwarded requests.
@@ -66,13 +91,17 @@
           bus: brings forwarded requests and asks other daemons.
           send: hands a request to this daemon's gateway.
           send_undivided: sends a request of a service not divided by key.
+          covers: tells whether this daemon may send for a shard or a key now.
           held_for_s: tells for how long this daemon alone has held a duty.
         """
         self._view = knowledge
         self._bus = bus
         self._send = send
         self._send_undivided = send_undivided
+        self._covers = covers
         self._held_for_s = held_for_s
+        self._awaited: dict[str, _Awaited] = {}
+        self._timer: asyncio.Task[None] | None = None
         self._home_since_s: dict[str, float] = {}
         self._clock = wall_clock.WallClock()
         self._memory: duplicates.DuplicateMemory[messages.ForwardAnswer] = (
@@ -87,6 +116,16 @@
         bus.register(kinds.Kind.FORWARD, self._handle_forward)
         bus.register(kinds.Kind.DUPLICATE_LOOKUP, self._handle_question)
 
+    def start(self) -> None:
+        """Begins to look for awaited grants."""
+        self._timer = asyncio.ensure_future(self._poll_forever())
+
+    async def close(self) -> None:
+        """Lets every request in flight end."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._timer is not None:
+            self._timer.cancel()
+
     async def run(
         self, request: messages.ForwardRequest
     ) -> messages.ForwardAnswer:
@@ -98,6 +137,7 @@
         name = duplicates.RequestName(request.account, request.idempotency_key)
         if request.key:
             scope = self._scope(request)
+            await self._wait_for_charge(scope)
         else:
             scope = duplicates.home_scope(request.service, name)
             self._follow_home(scope)
@@ -234,17 +274,54 @@
         self._assignments[service] = newest
         now_s = self._clock.now_s()
         split_keys = self._follow_split_keys(newest, now_s)
-        before = _gateways_by_scope(known, split_keys) if known else {}
-        after = _gateways_by_scope(newest, split_keys)
+        before = _scopes_of(known, split_keys) if known else {}
+        after = _scopes_of(newest, split_keys)
         own_name = self._view.settings.name
-        for scope in before.keys() | after.keys():
-            if after.get(scope) != own_name:
-                self._memory.give_up(scope)
-            elif before.get(scope) != own_name:
-                previous = before.get(scope)
-                self._memory.take_charge(scope, now_s, previous)
+        for scope in before.keys() - after.keys():
+            self._lose(scope)
+        for scope, (gateway, awaited) in after.items():
+            if gateway != own_name:
+                self._lose(scope)
+                continue
+            previous = before[scope][0] if scope in before else None
+            if not self._memory.in_charge(scope):
+                if previous == own_name:
+                    previous = None
+                self._awaited[scope] = dataclasses.replace(
+                    awaited, previous=previous
+                )
+        self._take_granted()
         return newest
 
+    def _lose(self, scope: str) -> None:
+        self._awaited.pop(scope, None)
+        self._memory.give_up(scope)
+
+    def _take_granted(self) -> None:
+        """Begins to be in charge where the grant has come.
+
+        Not with the assignment: until the grant the daemon before may still
+        run requests, and ids that it saw would be taken for fresh.
+        """
+        now_s = self._clock.now_s()
+        for scope, awaited in list(self._awaited.items()):
+            if self._covers(
+                awaited.service, awaited.upstream, awaited.shard, awaited.key
+            ):
+                del self._awaited[scope]
+                self._memory.take_charge(scope, now_s, awaited.previous)
+
+    async def _wait_for_charge(self, scope: str) -> None:
+        waited_s = 0.0
+        while scope in self._awaited and waited_s < GRANT_WAIT_S:
+            await asyncio.sleep(GRANT_POLL_S)
+            waited_s += GRANT_POLL_S
+
+    async def _poll_forever(self) -> None:
+        while True:
+            self._take_granted()
+            await asyncio.sleep(GRANT_POLL_S)
+
     def _follow_split_keys(
         self, assignment: placement.Assignment, now_s: float
     ) -> list[str]:
@@ -271,21 +348,27 @@
         return list(kept_until_s)
 
 
-def _gateways_by_scope(
+def _scopes_of(
     assignment: placement.Assignment, split_keys: list[str]
-) -> dict[str, str | None]:
-    """Returns the daemon in charge of each scope."""
+) -> dict[str, tuple[str | None, _Awaited]]:
+    """Returns each scope with its gateway and what makes it in charge."""
     service = assignment.service
-    gateways = [assignment.gateways.get(name) for name in assignment.upstreams]
-    found: dict[str, str | None] = {
-        _shard_scope(service, shard): gateways[owner]
-        for shard, owner in enumerate(assignment.owners)
-        if owner >= 0
-    }
+    found: dict[str, tuple[str | None, _Awaited]] = {}
+    for shard, owner in enumerate(assignment.owners):
+        if owner >= 0:
+            name = assignment.upstreams[owner]
+            found[_shard_scope(service, shard)] = (
+                assignment.gateways.get(name),
+                _Awaited(service, name, shard, "", None),
+            )
     for key in split_keys:
         owner_name = placement.owner_of(assignment, key)
-        gateway = assignment.gateways.get(owner_name) if owner_name else None
-        found[_key_scope(service, key)] = gateway
+        if owner_name is not None:
+            shard = placement.shard_of(key, len(assignment.owners))
+            found[_key_scope(service, key)] = (
+                assignment.gateways.get(owner_name),
+                _Awaited(service, owner_name, shard, key, None),
+            )
     return found
 
 
--- a/src/sardinehill/daemon/news.py
+++ b/src/sardinehill/daemon/news.py
@@ -11,7 +11,7 @@
 from sardinehill.core import fleet
 from sardinehill.daemon import view
 
-WATCH_WAIT_S = 10.0
+WATCH_WAIT_S = 1.0
 HOSTS_INTERVAL_S = 0.5
 RETRY_DELAY_S = 0.2
 WATCHED_KINDS = ("config", "placement", "account-keys", "assignment", "members")
@@ -73,7 +73,8 @@
                 item.version, item.value
             )
         elif item.kind == "account-keys":
-            self._view.account_keys[item.name] = item.value
+            bucket = records.read_key_bucket(item.name, item.value)
+            self._view.key_ring.replace_bucket(item.name, item.version, bucket)
         elif item.kind == "assignment":
             self._view.assignments[item.name] = records.read_assignment(
                 item.name, item.version, item.value
@@ -84,6 +85,7 @@
     async def _watch(self, kind: str) -> None:
         revision = -1
         while True:
+            began_s = asyncio.get_running_loop().time()
             try:
                 if revision < 0:
                     changes = await self._client.list_kind(kind)
@@ -97,6 +99,8 @@
             for item in changes.objects:
                 self.apply(item)
             revision = changes.revision
+            if kind == "account-keys":
+                self._view.key_ring.confirm(began_s)
 
     async def _poll_hosts(self) -> None:
         while True:
--- a/tests/cover/test_account_keys.py
+++ b/tests/cover/test_account_keys.py
@@ -9,6 +9,7 @@
 import pytest
 
 from sardinehill import errors
+from sardinehill.adapters import records
 from sardinehill.core import account_keys
 
 SECRET = "a secret of the hosts"
@@ -30,7 +31,7 @@
     account: str, bucket: account_keys.KeyBucket, version: int = 1
 ) -> account_keys.KeyRing:
     ring = account_keys.KeyRing(SECRET)
-    ring.replace_bucket(account_keys.bucket_of(account), version, bucket)
+    ring.replace_bucket(account_keys.bucket_name(account), version, bucket)
     ring.confirm(0.0)
     return ring
 
@@ -78,7 +79,7 @@
 
 def test_a_revoked_key_stays_revoked_though_old_news_comes_late() -> None:
     bucket, text, record = issued("hotel")
-    name = account_keys.bucket_of("hotel")
+    name = account_keys.bucket_name("hotel")
     ring = ring_with("hotel", bucket, version=5)
     revoked = account_keys.revoke(bucket, record.key_id, 20.0)
     assert ring.replace_bucket(name, 6, revoked)
@@ -139,7 +140,7 @@
         )
         texts.append(key.text)
     ring = account_keys.KeyRing(SECRET, compare)
-    ring.replace_bucket(account_keys.bucket_of("hotel"), 1, bucket)
+    ring.replace_bucket(account_keys.bucket_name("hotel"), 1, bucket)
     ring.confirm(0.0)
     ring.check(texts[0], 1.0)
     assert len(compared) == 5
@@ -173,15 +174,15 @@
     bucket, _, record = issued("hotel")
     revoked = account_keys.revoke(bucket, record.key_id, 20.0)
     for one in (bucket, revoked, account_keys.KeyBucket()):
-        value = account_keys.bucket_value(one)
-        assert account_keys.read_bucket(value) == one
+        value = records.key_bucket_value(one)
+        assert records.read_key_bucket("0", value) == one
 
 
 @pytest.mark.parametrize(
-    "value", [{"keys": []}, {"keys": {"d": {}}}, {"keys": {"d": None}}]
+    "value", [{}, {"records": 5}, {"records": [{}]}, {"records": [{"d": 1}]}]
 )
 def test_a_bucket_that_makes_no_sense_is_refused(
     value: dict[str, object],
 ) -> None:
     with pytest.raises(errors.StoreReplyError):
-        account_keys.read_bucket(value)
+        records.read_key_bucket("0", value)
--- a/tests/process/account_fleet.py
+++ b/tests/process/account_fleet.py
@@ -14,6 +14,7 @@
 import uuid
 
 from sardinehill.adapters import platform
+from sardinehill.adapters import records
 from sardinehill.core import account_keys
 
 HASH_SECRET = "hash-secret-of-the-test"
@@ -254,14 +255,14 @@
         client = platform.PlatformClient(self.store_url)
         buckets: dict[str, account_keys.KeyBucket] = {}
         for account in ("large", "small", "doomed"):
-            name = account_keys.bucket_of(account)
+            name = account_keys.bucket_name(account)
             bucket = buckets.get(name, account_keys.KeyBucket())
             buckets[name], key, _ = account_keys.issue(
                 bucket, account, HASH_SECRET, uuid.uuid4().hex, time.time()
             )
             self.keys[account] = key.text
         for name, bucket in buckets.items():
-            value = account_keys.bucket_value(bucket)
+            value = records.key_bucket_value(bucket)
             await client.put("account-keys", name, value, 0)
         text = FLEET_TEXT + (
             "[account doomed]\nrate_per_s = 500\nburst_requests = 500\n"
@@ -271,12 +272,12 @@
 
     async def _revoke(self, account: str) -> None:
         client = platform.PlatformClient(self.store_url)
-        name = account_keys.bucket_of(account)
+        name = account_keys.bucket_name(account)
         found = await client.get("account-keys", name)
         assert found is not None
-        bucket = account_keys.read_bucket(found.value)
+        bucket = records.read_key_bucket("0", found.value)
         for record in account_keys.records_of(bucket, account):
             bucket = account_keys.revoke(bucket, record.key_id, time.time())
-        value = account_keys.bucket_value(bucket)
+        value = records.key_bucket_value(bucket)
         await client.put("account-keys", name, value, found.version)
         await client.close()
--- a/tests/slow/test_ownership_machine.py
+++ b/tests/slow/test_ownership_machine.py
@@ -107,6 +107,36 @@
         for other in others:
             self.world.cut.update([(name, other), (other, name)])
 
+    @stateful.rule(
+        names=st.sets(PROCESSES, min_size=1, max_size=4),
+        seconds=st.sampled_from([0.0, 1.0, 3.0]),
+    )
+    def partition(self, names: set[str], seconds: float) -> None:
+        """Cuts some processes off from all others and from the store."""
+        everyone = {"store", *self.world.daemons, *self.world.upstreams}
+        for name in names:
+            for other in everyone - names:
+                self.world.cut.update([(name, other), (other, name)])
+        self.world.advance(seconds)
+
+    @stateful.rule(
+        companions=st.sets(PROCESSES, max_size=3),
+        seconds=st.sampled_from([1.0, 3.0, 6.0]),
+    )
+    def partition_controller(
+        self, companions: set[str], seconds: float
+    ) -> None:
+        """Cuts the controller off, with some others on its side."""
+        holder = self.world.lease.holder or "d0"
+        self.partition(names={holder, *companions}, seconds=seconds)
+
+    @stateful.rule(name=PROCESSES, seconds=st.sampled_from([0.5, 1.5, 3.0]))
+    def freeze_for(self, name: str, seconds: float) -> None:
+        """Stops a process for a while without its noticing."""
+        self.process(name).frozen = True
+        self.world.advance(seconds)
+        self.process(name).thaw()
+
     @stateful.rule()
     def mend_network(self) -> None:
         """Ends all cuts."""
