--- a/src/sardinehill/daemon/application.py
+++ b/src/sardinehill/daemon/application.py
@@ -9,7 +9,6 @@
 
 import aiomisc
 
-from sardinehill import errors
 from sardinehill.adapters import platform
 from sardinehill.adapters import upstream
 from sardinehill.core import account_keys
@@ -22,9 +21,9 @@
 from sardinehill.daemon import gateway_leases
 from sardinehill.daemon import news
 from sardinehill.daemon import peers
+from sardinehill.daemon import undivided
 from sardinehill.daemon import view
 
-JOIN_RETRY_S = 0.5
 CONNECTIONS_PER_UPSTREAM = 8
 
 _log = logging.getLogger(__name__)
@@ -39,8 +38,10 @@
         )
         self.platform = platform.PlatformClient(settings.platform_url)
         self.upstreams = upstream.UpstreamClient(CONNECTIONS_PER_UPSTREAM)
-        self.bus = peers.PeerBus(settings.name, self._locate)
-        self.news = news.News(self.platform, self.view)
+        self.bus = peers.PeerBus(
+            settings.name, self._locate, settings.peer_secrets
+        )
+        self.news = news.News(self.platform, self.view, self.bus)
         self.gateway_leases = gateway_leases.GatewayLeases(self.bus)
         self.gateway = gateway.Gateway(
             self.view, self.upstreams, self.bus, self.gateway_leases
@@ -48,8 +49,11 @@
         self.controller = controller.Controller(
             self.view, self.platform, self.upstreams, self.bus
         )
-        self.accounts = accounts.Accounts(self.view, self.bus, lambda: 0.0)
-        self.entry = entry.Entry(self.view, self.bus, self.accounts)
+        self.undivided = undivided.UndividedSender(self.view, self.bus)
+        self.accounts = accounts.Accounts(self.view, self.bus, self._age_s)
+        self.entry = entry.Entry(
+            self.view, self.bus, self.accounts, self.undivided.forward
+        )
         self.duplicates = duplicates.Duplicates(
             self.view,
             self.bus,
@@ -58,20 +62,20 @@
             self.gateway_leases.covers,
             self.accounts.held_for_s,
         )
+        self.news.subscribe(self.gateway.on_news)
         self.news.subscribe(self.duplicates.on_news)
 
     async def start(self) -> None:
         """Binds every address, joins the fleet and begins to serve."""
         settings = self.view.settings
         peers_address = await self.bus.listen(settings.peers_address)
-        self.news.start()
+        self.news.start(_member(settings, peers_address))
         callers_address = await self.entry.listen(settings.callers_address)
         self.view.settings = dataclasses.replace(
             settings,
             peers_address=peers_address,
             callers_address=callers_address,
         )
-        await self._join()
         self.accounts.start()
         self.duplicates.start()
         self.controller.start()
@@ -79,8 +83,11 @@
 
     async def stop(self) -> None:
         """Finishes what is in flight, then ends every part."""
+        await self.news.leave()
         await self.entry.close()
         await self.duplicates.close()
+        await self.gateway.close()
+        await self.undivided.close()
         await self.accounts.close()
         await self.controller.close()
         await self.news.close()
@@ -88,27 +95,27 @@
         await self.upstreams.close()
         await self.platform.close()
 
-    async def _join(self) -> None:
-        settings = self.view.settings
-        member = fleet.DaemonHost(
-            settings.name,
-            settings.peers_address,
-            settings.availability_zone,
-            settings.region,
-            incarnation=time.time_ns(),
-        )
-        while True:
-            try:
-                return await news.join(self.platform, member)
-            except errors.StoreError as error:
-                _log.warning("cannot join yet: %s", error)
-                await asyncio.sleep(JOIN_RETRY_S)
+    def _age_s(self) -> float:
+        now_s = asyncio.get_running_loop().time()
+        return self.news.member.news.age_s(now_s)
 
     def _locate(self, name: str) -> fleet.Address | None:
         member = self.view.members.get(name)
         return None if member is None else member.peer_address
 
 
+def _member(
+    settings: fleet.HostSettings, peers_address: fleet.Address
+) -> fleet.DaemonHost:
+    return fleet.DaemonHost(
+        settings.name,
+        peers_address,
+        settings.availability_zone,
+        settings.region,
+        incarnation=time.time_ns(),
+    )
+
+
 def run(settings: fleet.HostSettings) -> None:
     """Runs a daemon until it is told to stop by SIGTERM or SIGINT."""
     with aiomisc.entrypoint(pool_size=1, log_config=False) as loop:
--- a/src/sardinehill/daemon/entry.py
+++ b/src/sardinehill/daemon/entry.py
@@ -215,7 +215,7 @@
         return messages.ForwardRequest(
             request_id=passage.request_id,
             service=service.name,
-            key=asked.key,
+            key=asked.key if service.divided_by_key else "",
             account=account.name,
             method=request.method,
             path=asked.target,
--- a/src/sardinehill/wire/kinds.py
+++ b/src/sardinehill/wire/kinds.py
@@ -9,9 +9,12 @@
     HELLO = 1
     HEARTBEAT = 2
     MEMBERS = 3
+    STORE_QUESTION = 4
     FORWARD = 10
     FORWARD_CHUNK = 11
     CANCEL = 12
+    LANE_HANDOVER = 13
+    LANE_REPORT = 14
     LEND_TOKENS = 20
     DUPLICATE_LOOKUP = 21
     VOUCH = 30
