--- a/src/sardinehill/adapters/platform.py
+++ b/src/sardinehill/adapters/platform.py
@@ -74,6 +74,7 @@
         self._base_url = base_url.rstrip("/")
         self._timeout_s = timeout_s
         self._session: aiohttp.ClientSession | None = None
+        self.is_reachable = False
 
     async def close(self) -> None:
         """Closes the connections."""
@@ -204,7 +205,9 @@
                 raw = await response.read()
                 status = response.status
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            self.is_reachable = False
             raise errors.StoreUnavailableError(f"{path}: {error!r}") from error
+        self.is_reachable = status < 500
         if status >= 500:
             raise errors.StoreUnavailableError(f"{path}: status {status}")
         if status not in _JSON_STATUSES:
--- a/tests/process/test_silent_retries.py
+++ b/tests/process/test_silent_retries.py
@@ -7,6 +7,7 @@
 from sardinehill import errors
 from sardinehill.adapters import upstream
 from sardinehill.core import fleet
+from sardinehill.core import lane
 from sardinehill.core import messages
 
 
@@ -40,7 +41,7 @@
     raise AssertionError(f"{name!r} is missing")
 
 
-async def _send_twice(method: str) -> tuple[int, upstream.Outcome]:
+async def _send_twice(method: str) -> tuple[int, lane.Outcome]:
     forgetful = ForgetfulServer()
     server = await asyncio.start_server(forgetful.serve, "127.0.0.1", 0)
     ip, port = server.sockets[0].getsockname()[:2]
