--- a/src/sardinehill/adapters/callers.py
+++ b/src/sardinehill/adapters/callers.py
@@ -118,6 +118,8 @@
             raise _malformed(f"more than one {name} header")
     if "Content-Length" in headers and "Transfer-Encoding" in headers:
         raise _malformed("both Content-Length and Transfer-Encoding")
+    for text in (target, *headers.values()):
+        _check_is_text(text)
     return CallerRequest(
         account_key=_account_key(headers.get("Authorization", "")),
         path=_path(target),
@@ -252,12 +254,20 @@
     value = headers.get(header, "")
     if len(value) > NAME_LIMIT_CHARS:
         raise _malformed(f"{header} is longer than {NAME_LIMIT_CHARS}")
-    # Bytes that are no text would not survive the way to the gateway.
     if not value.isprintable():
         raise _malformed(f"{header} has a character that is not printable")
     return value
 
 
+def _check_is_text(text: str) -> None:
+    # Bytes that are no UTF-8 come as lone surrogates, and no message between
+    # daemons can hold those.
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        raise _malformed("a header or the target is not UTF-8") from None
+
+
 def _deadline_ms(value: str | None) -> int | None:
     if value is None:
         return None
--- a/src/sardinehill/daemon/accounts.py
+++ b/src/sardinehill/daemon/accounts.py
@@ -8,7 +8,6 @@
 import collections
 from collections.abc import Callable
 import dataclasses
-import logging
 from typing import Any
 
 import xxhash
@@ -31,8 +30,6 @@
 # Requests of one account that wait for tokens at one daemon.
 WAITING_LIMIT_REQUESTS = 512
 
-_log = logging.getLogger(__name__)
-
 
 @dataclasses.dataclass(eq=False)
 class _Waiter:
--- a/src/sardinehill/daemon/entry.py
+++ b/src/sardinehill/daemon/entry.py
@@ -8,15 +8,17 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
-import logging
 import random
 import time
+import traceback
+from typing import Any
 import uuid
 
 import aiohttp
 from aiohttp import web
 
 from sardinehill import errors
+from sardinehill import events
 from sardinehill import metrics
 from sardinehill.adapters import callers
 from sardinehill.core import duplicates
@@ -50,8 +52,6 @@
     [messages.ForwardRequest, float], Awaitable[messages.ForwardAnswer]
 ]
 
-_log = logging.getLogger(__name__)
-
 
 @dataclasses.dataclass
 class _Passage:
@@ -72,6 +72,36 @@
     held_bytes: int = 0
 
 
+class _Server(web.Server):
+    """Ends connections that send no whole header in time.
+
+    The library bounds the time between two requests of a connection, but not
+    the time until the first one.
+    """
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._silent: set[asyncio.BaseProtocol] = set()
+
+    def __call__(self) -> web.RequestHandler:
+        handler = super().__call__()
+        self._silent.add(handler)
+        loop = asyncio.get_running_loop()
+        loop.call_later(HEADER_LIMIT_S, self._end_if_silent, handler)
+        return handler
+
+    def heard(self, handler: asyncio.BaseProtocol) -> None:
+        """Notes that a connection has sent a whole header."""
+        self._silent.discard(handler)
+
+    def _end_if_silent(self, handler: web.RequestHandler) -> None:
+        if handler not in self._silent:
+            return
+        self._silent.discard(handler)
+        if handler.transport is not None:
+            handler.transport.abort()
+
+
 class Entry:
     """The callers' side of a daemon."""
 
@@ -103,6 +133,7 @@
         self._policy = retries.RetryPolicy()
         self._budgets: dict[str, retries.RetryBudget] = {}
         self._runner: web.ServerRunner | None = None
+        self._server: _Server | None = None
         self._in_flight = 0
         self._held_bytes = 0
         self._idle = asyncio.Event()
@@ -111,14 +142,14 @@
     async def listen(self, address: fleet.Address) -> fleet.Address:
         """Accepts callers, and returns the address as bound."""
         limit_bytes = self._view.settings.header_limit_bytes
-        server = web.Server(
+        self._server = _Server(
             self._serve,
             max_line_size=limit_bytes,
             max_field_size=limit_bytes,
             keepalive_timeout=KEEPALIVE_S,
             access_log=None,
         )
-        self._runner = web.ServerRunner(server)
+        self._runner = web.ServerRunner(self._server)
         await self._runner.setup()
         site = web.TCPSite(self._runner, address.ip, address.port)
         await site.start()
@@ -141,10 +172,12 @@
                     self._idle.clear()
                     await self._idle.wait()
         except TimeoutError:
-            _log.warning("%d requests outlast the stop", self._in_flight)
+            events.log(events.TASK_FAILED, outlasting=self._in_flight)
         await self._runner.cleanup()
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        if self._server is not None:
+            self._server.heard(request.protocol)
         if request.path == callers.READY_PATH:
             return self._ready()
         now_s = _now_s()
@@ -162,10 +195,26 @@
         self._counters.count_request(passage.service, answer.verdict, latency_s)
         if answer.reason is not None:
             self._counters.count_refusal(answer.reason)
+            self._log_refusal(passage, request.method, answer)
         # What is left of an unread body would be taken for the next request.
         close = self._leaving or not request.content.is_eof()
         return callers.response_of(answer, close)
 
+    def _log_refusal(
+        self, passage: _Passage, method: str, answer: messages.ForwardAnswer
+    ) -> None:
+        uncertain = answer.verdict is errors.Verdict.MAY_HAVE_RUN
+        event = events.REQUEST_REFUSED
+        if uncertain and not retries.is_idempotent(method):
+            event = events.REQUEST_UNCERTAIN
+        events.log(
+            event,
+            request_id=passage.request_id,
+            service=passage.service,
+            reason=answer.reason.value if answer.reason else "",
+            verdict=answer.verdict.value,
+        )
+
     def _ready(self) -> web.Response:
         ready = self._view.config is not None and not self._leaving
         return web.Response(status=200 if ready else 503)
@@ -180,7 +229,11 @@
             return _refused(passage, error)
         except Exception:
             # Where it broke is not known here, so what ran is not either.
-            _log.exception("request %s broke", passage.request_id)
+            events.log(
+                events.REQUEST_FAILED_INSIDE,
+                request_id=passage.request_id,
+                traceback=traceback.format_exc(),
+            )
             return messages.refusal(
                 passage.request_id,
                 errors.Reason.INTERNAL,
--- a/standins/driver.py
+++ b/standins/driver.py
@@ -17,6 +17,17 @@
 CLIENT_TIMEOUT_S = 10.0
 
 
+def time_ordered_id() -> str:
+    """Returns a fresh UUID of version 7.
+
+    An id that tells when it was made is known to be fresh soon after a
+    gateway has changed; one without a time is refused for half a minute.
+    """
+    random_bits = uuid.uuid4().int & ((1 << 62) - 1)
+    now_ms = time.time_ns() // 1_000_000
+    return str(uuid.UUID(int=now_ms << 80 | 7 << 76 | 2 << 62 | random_bits))
+
+
 @dataclasses.dataclass(frozen=True)
 class Order:
     """One action of a client.
@@ -40,7 +51,7 @@
     size_bytes: int = 0
     service_time_ms: float = 0.0
     deadline_ms: int = 0
-    marker: str = dataclasses.field(default_factory=lambda: uuid.uuid4().hex)
+    marker: str = dataclasses.field(default_factory=time_ordered_id)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/cover/test_callers.py
+++ b/tests/cover/test_callers.py
@@ -117,6 +117,18 @@
     assert response.headers["Retry-After"] == "2"
 
 
+@pytest.mark.parametrize(
+    ("target", "value"), [("/a?\udcff", "x"), ("/a", "\udcff")]
+)
+def test_bytes_that_are_no_text_are_refused_as_malformed(
+    target: str, value: str
+) -> None:
+    with pytest.raises(errors.RequestRefusedError) as caught:
+        callers.read_request(target, proxy([("X-One", value)]))
+    assert caught.value.reason is errors.Reason.MALFORMED
+    assert caught.value.verdict is errors.Verdict.NOT_RUN
+
+
 def test_headers_named_by_connection_end_here() -> None:
     headers = proxy(
         [("Connection", "X-Hop, close"), ("x-hop", "1"), ("X-Stays", "2")]
