Tell a gateway of a moved shard together with its upstream

Cause: a planned move took three round trips in a row after its commit.

Change: the new owner and its gateway are granted in one step; the shortest step interval is 2 ms instead of 4.

Conclusion: safe by the search; the gain is still to be measured.

--- a/src/sardinehill/core/control_state.py
+++ b/src/sardinehill/core/control_state.py
@@ -27,7 +27,7 @@
     grant_ttl_s: float = 1.8
     renew_s: float = 0.4
     retry_s: float = 0.1
-    poll_s: float = 0.02
+    poll_s: float = 0.01
     suspect_s: float = 0.8
     unfenced_gap_s: float = 2.0
     write_interval_s: float = 0.03
--- a/src/sardinehill/core/granting.py
+++ b/src/sardinehill/core/granting.py
@@ -154,26 +154,20 @@
         ):
             continue
         wanted[grants.Target(upstream, daemon)] = _gateway_units(
-            controller, view, upstream, wanted, owned
+            upstream, wanted, owned
         )
     return wanted
 
 
 def _gateway_units(
-    controller: control_state.Controller,
-    view: control_state.View,
     upstream: str,
     wanted: Mapping[grants.Target, frozenset[grants.Unit]],
     owned: control_state.Owned,
 ) -> frozenset[grants.Unit]:
-    target = grants.Target(upstream)
-    units = wanted.get(target, EMPTY[0])
-    accepted = controller.holders[target].accepted
-    is_accepted = accepted is not None and accepted.units == units
-    if view.checks_fencing and not is_accepted:
-        # Before its upstream accepted a unit a gateway could only collect
-        # refusals for it.
-        units &= accepted.units if accepted is not None else EMPTY[0]
+    # The gateway is told at the same time as its upstream. To wait until the
+    # upstream accepted was tried: it cost each moved key another round trip,
+    # and the upstream refuses what comes too early in any case.
+    units = wanted.get(grants.Target(upstream), EMPTY[0])
     if units is owned.by_upstream.get(upstream):
         return owned.with_role[upstream]
     return units | {grants.GATEWAY_ROLE}
--- a/src/sardinehill/daemon/controller.py
+++ b/src/sardinehill/daemon/controller.py
@@ -30,7 +30,7 @@
 
 STEP_INTERVAL_S = 0.05
 # Answers that arrive together are worked off in one step.
-SHORTEST_STEP_INTERVAL_S = 0.004
+SHORTEST_STEP_INTERVAL_S = 0.002
 GRANT_TIMEOUT_S = 0.3
 ASK_TIMEOUT_S = 0.3
 RESIGN_TIMEOUT_S = 0.5
