Count the calls of a fleet without requests

Cause: the requests of the watch went through one gateway and hid what control costs.

Change: bench.ownership calls ends the watch first.

--- a/bench/ownership.py
+++ b/bench/ownership.py
@@ -126,6 +126,8 @@
     del rounds
 
     async def work(fleet: ownership_fleet.Fleet) -> None:
+        await fleet.end_watch()
+        controller = await fleet.deployment.controller()
         before = await fleet.deployment.store_stats()
         used_s = {
             name: _processor_s(process.pid)
@@ -133,7 +135,7 @@
         }
         await asyncio.sleep(CALLS_S)
         after = await fleet.deployment.store_stats()
-        controller = await fleet.deployment.controller()
+        assert controller == await fleet.deployment.controller()
         print(f"store before {before}\nstore after {after}")
         for name, process in fleet.deployment.daemons.items():
             share = (_processor_s(process.pid) - used_s[name]) / CALLS_S
--- a/tests/common/ownership_fleet.py
+++ b/tests/common/ownership_fleet.py
@@ -162,10 +162,14 @@
 
     async def close(self) -> None:
         """Ends the watch and all processes."""
+        await self.end_watch()
+        await self.deployment.close()
+
+    async def end_watch(self) -> None:
+        """Sends no more requests."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self.deployment.close()
 
     async def _probe(self, key: str) -> None:
         sender = self.deployment.driver
