Keep an electorate odd, so that a loss on top of a loss is borne

Cause: a frozen daemon left the member list, which made the electorate two of three; when the controller was killed 1.4 s later one of two was left, and no successor could move anything.

Change: of two daemons the one that does not control counts alone, and an even electorate keeps one lost member or gives one up.

--- a/src/sardinehill/core/assigning.py
+++ b/src/sardinehill/core/assigning.py
@@ -88,6 +88,21 @@
     )
 
 
+def note_taken_out(
+    controller: control_state.Controller,
+    view: control_state.View,
+    now_s: float,
+) -> None:
+    """Lets an upstream that comes back begin with a small share again.
+
+    While it was out it saw no requests, so its caches are as cold as those of
+    one that was just started.
+    """
+    for name, upstream in view.upstreams.items():
+        if upstream.out:
+            controller.known_since_s[name] = now_s
+
+
 def usable_upstreams(
     controller: control_state.Controller, view: control_state.View, now_s: float
 ) -> dict[str, float]:
--- a/src/sardinehill/core/controlling.py
+++ b/src/sardinehill/core/controlling.py
@@ -113,7 +113,10 @@
 
 
 def choose_electorate(
-    service: str, current: Sequence[str], zones: Mapping[str, str]
+    service: str,
+    current: Sequence[str],
+    zones: Mapping[str, str],
+    me: str,
 ) -> tuple[str, ...]:
     """Returns the daemons that should vouch for a service's controller.
 
@@ -125,6 +128,7 @@
       service: the service's name.
       current: the present electorate.
       zones: each member's availability zone.
+      me: the controller's daemon.
     """
     chosen: list[str] = []
     in_zone = dict.fromkeys(zones.values(), 0)
@@ -140,12 +144,29 @@
         candidates.remove(name)
         in_zone[zones[name]] += 1
         chosen.append(name)
-    if len(chosen) % 2 == 0 and len(chosen) > 2:
-        # An even number bears no more losses than one less.
-        chosen.pop()
+    if len(chosen) % 2 == 0:
+        _make_odd(chosen, current, zones, me)
     return tuple(sorted(chosen))
 
 
+def _make_odd(
+    chosen: list[str], current: Sequence[str], zones: Mapping[str, str], me: str
+) -> None:
+    """Makes an even electorate odd, which never needs more to agree."""
+    absent = [name for name in current if name not in zones]
+    if len(chosen) == 2 and me in chosen:
+        # Of two the other one alone counts: if it is lost the controller
+        # replaces it, and if the controller is lost it can seal. Both were
+        # tried first: a frozen daemon and a killed controller, seconds apart,
+        # left one of two, and nobody could move anything.
+        chosen.remove(me)
+    elif absent:
+        # One that was lost a moment ago is often back the next.
+        chosen.append(absent[0])
+    elif len(chosen) > 2:
+        chosen.pop()
+
+
 def is_moving(duty: Duty) -> bool:
     """Tells whether a move is on its way, so that answers are urgent."""
     committed = duty.controller.committed
--- a/src/sardinehill/core/ownership.py
+++ b/src/sardinehill/core/ownership.py
@@ -204,6 +204,7 @@
     if controller.committed is None:
         return _read(controller, by_store)
     granting.judge_daemons(controller, now_s)
+    assigning.note_taken_out(controller, view, now_s)
     commands: list[control_state.Command] = []
     if by_store:
         commands.extend(_change(controller, view, now_s, nonce))
--- a/src/sardinehill/daemon/controller.py
+++ b/src/sardinehill/daemon/controller.py
@@ -57,6 +57,7 @@
         self._duties: dict[str, controlling.Duty] = {}
         self._main: asyncio.Task[None] | None = None
         self._calls: set[asyncio.Task[None]] = set()
+        self._last_seen: dict[str, fleet.UpstreamHost] = {}
         self._wake = asyncio.Event()
         self._nonces = map(f"{uuid.uuid4()}/{{}}".format, itertools.count())
         bus.register(kinds.Kind.VOUCH, self._handle_question)
@@ -169,7 +170,7 @@
                 for name, zone in zones.items()
             },
             electorate=controlling.choose_electorate(
-                service.name, current, zones
+                service.name, current, zones, duty.me
             ),
             shard_loads=duty.popularity.shard_loads,
             hot_keys=duty.popularity.hot_keys,
@@ -320,9 +321,13 @@
                 return None
             controlling.on_report(duty, report)
             return answer
+        # An upstream that has vanished from the platform's list can still
+        # give its keys up by itself, which is faster than to wait for lapses.
         host = self._view.upstreams.get(target.upstream)
+        host = host or self._last_seen.get(target.upstream)
         if host is None:
             return None
+        self._last_seen[host.name] = host
         return await self._upstreams.grant(
             host, service, grant, self._view.settings.name, GRANT_TIMEOUT_S
         )
