Name a time in every refusal that may pass

Change: the callers' adapter names at least one second in each 429, 503 and 504 that did not run. Conclusion: no part can forget it any more.

--- a/src/sardinehill/adapters/callers.py
+++ b/src/sardinehill/adapters/callers.py
@@ -30,6 +30,8 @@
 NAME_LIMIT_CHARS = 256
 # The longest time that a caller may ask a daemon to wait.
 DEADLINE_LIMIT_MS = 120_000
+# Seconds named in a refusal that names no time of its own.
+SHORTEST_RETRY_AFTER_S = 1
 
 # A second one of these could be read differently here and by an upstream.
 _SINGLE_HEADERS = (
@@ -78,6 +80,8 @@
     errors.Reason.ROUTE_FORBIDDEN: 403,
     errors.Reason.SERVICE_UNKNOWN: 404,
 }
+# Statuses of a state that may be over when the caller tries again.
+_PASSING_STATUSES = frozenset({429, 503, 504})
 _DEFAULT_STATUS = 503
 
 
@@ -207,12 +211,25 @@
     response.headers[REASON_HEADER] = reason.value
     if status == 401:
         response.headers["WWW-Authenticate"] = "Bearer"
-    if answer.retry_after_ms:
-        retry_after_s = -(-answer.retry_after_ms // 1000)
+    retry_after_s = _retry_after_s(answer, status)
+    if retry_after_s:
         response.headers["Retry-After"] = str(retry_after_s)
     return response
 
 
+def _retry_after_s(answer: messages.ForwardAnswer, status: int) -> int:
+    """Returns whole seconds, at least one where another try may help.
+
+    Refusals come from many parts, and one that forgot the time would be read
+    by callers as leave to try again at once.
+    """
+    told_s = -(-answer.retry_after_ms // 1000)
+    is_passing = status in _PASSING_STATUSES
+    if is_passing and answer.verdict is errors.Verdict.NOT_RUN:
+        return max(told_s, SHORTEST_RETRY_AFTER_S)
+    return told_s
+
+
 def _may_pass(name: str, named: set[str]) -> bool:
     folded = _folded(name)
     return not (
--- a/tests/cover/test_callers.py
+++ b/tests/cover/test_callers.py
@@ -149,3 +149,15 @@
             decode(data)
         except errors.PeerFrameError:
             continue
+
+
+@pytest.mark.parametrize("reason", list(errors.Reason))
+def test_a_refusal_that_may_pass_says_when_to_try_again(
+    reason: errors.Reason,
+) -> None:
+    answer = messages.refusal("id", reason, errors.Verdict.NOT_RUN)
+    response = callers.response_of(answer, close=False)
+    if response.status in (429, 503, 504):
+        assert int(response.headers["Retry-After"]) >= 1
+    else:
+        assert "Retry-After" not in response.headers
