--- a/src/sardinehill/core/duplicates.py
+++ b/src/sardinehill/core/duplicates.py
@@ -31,11 +31,15 @@
 import uuid
 
 from sardinehill import errors
+from sardinehill.core import placement
 
 A = TypeVar("A")
 
-# A caller may repeat a request for this long after its first attempt.
+# A request is remembered for this long after its first attempt.
 REMEMBER_S = 300.0
+# A caller may repeat a request for this long under an id without a time. It
+# bounds how long a daemon that took over from a lost one must refuse such ids.
+REPEAT_S = 30.0
 # How far ahead of a daemon's clock the time in an id may lie.
 CALLER_AHEAD_S = 1.0
 # How far the wall clocks of two daemons may lie apart.
@@ -123,7 +127,6 @@
 
 @dataclasses.dataclass
 class _Entry(Generic[A]):
-    scope: str
     fingerprint: bytes
     first_seen_s: float
     state: _State = _State.IN_FLIGHT
@@ -137,6 +140,20 @@
     previous: str | None
 
 
+# Scopes of a service that is not divided by key, spread over all daemons.
+HOME_SCOPES = 32
+
+
+def home_scope(service: str, name: RequestName) -> str:
+    """Returns the scope of a request on a service not divided by key.
+
+    No upstream's gateway sees all of them, so one daemon for each scope does:
+    the holder of the duty of this name.
+    """
+    text = f"{name.account}\0{name.idempotency_key}"
+    return f"{service}/home/{placement.shard_of(text, HOME_SCOPES)}"
+
+
 def created_s(idempotency_key: str) -> float | None:
     """Returns the time within a UUID of version 7, or None for other ids."""
     if len(idempotency_key) != 36:
@@ -222,6 +239,16 @@
         if charge is not None:
             self._past_charges[scope] = charge.since_s
 
+    def split(self, scope: str, part: str) -> None:
+        """Treats a part of a scope as a scope of its own from now on.
+
+        Whoever is in charge of the whole was in charge of the part.
+        """
+        charge = self._charges.get(scope)
+        if charge is not None and part not in self._charges:
+            self._past_charges.pop(part, None)
+            self._charges[part] = dataclasses.replace(charge)
+
     def in_charge(self, scope: str) -> bool:
         """Returns whether this daemon is in charge of a scope."""
         return scope in self._charges
@@ -248,13 +275,13 @@
             return Arrival(Finding.NOT_IN_CHARGE)
         entry = self._entries.get(name)
         if entry is not None:
-            return self._repeated(entry, scope, fingerprint)
+            return self._repeated(entry, fingerprint)
         if self._is_fresh(name, charge.since_s, now_s):
-            self._remember(scope, name, fingerprint, now_s)
+            self._remember(name, fingerprint, now_s)
             return Arrival(Finding.RUN)
         if charge.previous is None:
             return Arrival(Finding.UNKNOWN)
-        self._remember(scope, name, fingerprint, now_s)
+        self._remember(name, fingerprint, now_s)
         return Arrival(Finding.ASK)
 
     def resolve(
@@ -324,10 +351,8 @@
             return Recollection(Seen.RAN, since_s, entry.answer)
         return Recollection(Seen.MAY_HAVE_RUN, since_s)
 
-    def _repeated(
-        self, entry: _Entry[A], scope: str, fingerprint: bytes
-    ) -> Arrival[A]:
-        if entry.fingerprint != fingerprint or entry.scope != scope:
+    def _repeated(self, entry: _Entry[A], fingerprint: bytes) -> Arrival[A]:
+        if entry.fingerprint != fingerprint:
             return Arrival(Finding.MISMATCH)
         if entry.state is _State.IN_FLIGHT:
             return Arrival(Finding.JOIN)
@@ -344,7 +369,7 @@
             return made_s > max(began_s + MARGIN_S, self._forgotten_made_s)
         # An id without a time is fresh once its repeats must have come here.
         began_s = max(since_s, self._forgotten_seen_s)
-        return now_s - began_s >= self._remember_s + FLEET_SKEW_S
+        return now_s - began_s >= REPEAT_S + FLEET_SKEW_S
 
     def _reaches_back_to_s(self, since_s: float, now_s: float) -> float:
         return max(
@@ -355,9 +380,9 @@
         )
 
     def _remember(
-        self, scope: str, name: RequestName, fingerprint: bytes, now_s: float
+        self, name: RequestName, fingerprint: bytes, now_s: float
     ) -> None:
-        self._entries[name] = _Entry(scope, fingerprint, now_s)
+        self._entries[name] = _Entry(fingerprint, now_s)
         self._size_bytes += ENTRY_OVERHEAD_BYTES
         self._make_room()
 
--- a/src/sardinehill/core/gateway_book.py
+++ b/src/sardinehill/core/gateway_book.py
@@ -81,6 +81,22 @@
             return None
         return Fence(shard, grant.term, grant.sequence)
 
+    def covers(
+        self,
+        service: str,
+        upstream: str,
+        shard: int,
+        key: str,
+        clock_ms: int,
+    ) -> bool:
+        """Tells whether a grant covers a shard, or a key out of its shard."""
+        held = self._held.get((service, upstream))
+        if held is None or held.grant is None:
+            return False
+        if clock_ms >= grants.lapses_ms(held.grant):
+            return False
+        return _allows(held.grant, shard, key)
+
     def is_gateway(self, service: str, upstream: str, clock_ms: int) -> bool:
         """Tells whether this daemon is an upstream's gateway now."""
         held = self._held.get((service, upstream))
--- a/src/sardinehill/core/tokens.py
+++ b/src/sardinehill/core/tokens.py
@@ -14,8 +14,9 @@
   counted from the beginning of the read. A holder under a newer list waits
   until every older one's licence has lapsed, and then begins with an empty
   bucket. Or the old holder hands its bucket over and lends no more.
-- A holder that stays the same from one list to the next keeps its bucket only
-  when it saw both lists; otherwise somebody else may have lent in between.
+- A holder that stays the same from one list to another keeps its bucket only
+  when no list came between, or when it was licensed until it heard of the
+  newer one: whoever became the holder in between is still waiting then.
 - Rates of two clocks differ by at most `CLOCK_DRIFT`; every wait, life and
   rate is on the safe side by that much.
 """
@@ -45,6 +46,11 @@
 # A holder lends at most this share of its level ahead of demand, so that the
 # first borrower does not lock up what the next one needs at once.
 AHEAD_LEVEL_SHARE = 0.25
+# A request within its rate is refused only when no token comes in this time.
+SHORTAGE_WAIT_S = 0.1
+# How long a request waits while nobody can count its account's tokens. It
+# outlasts the detection of a loss and one licence.
+HOLDER_WAIT_S = 3.0
 # The time over which a borrower's demand is averaged.
 DEMAND_TIME_S = 0.5
 
@@ -64,6 +70,9 @@
     loan_life_s: float
 
 
+_NO_TERMS = Terms(0.0, 0.0, LEAST_LIFE_S)
+
+
 class Ruling(enum.Enum):
     """What a holder answers to a borrower.
 
@@ -146,6 +155,11 @@
         self._tokens = min(tokens, terms.capacity_tokens)
         self._counted_s = opens_at_s
 
+    @property
+    def opens_at_s(self) -> float:
+        """When it began, or begins, to earn and to lend."""
+        return self._opens_at_s
+
     def is_open(self, now_s: float) -> bool:
         """Returns whether the bucket may lend."""
         return now_s >= self._opens_at_s
@@ -221,23 +235,44 @@
         """The members of that list."""
         return self._members
 
-    def adopt(self, epoch: int, members: list[str], now_s: float) -> None:
-        """Goes over to a newer member list."""
+    def adopt(
+        self,
+        epoch: int,
+        members: list[str],
+        now_s: float,
+        previous_epoch: int | None = None,
+    ) -> None:
+        """Goes over to a newer member list.
+
+        Args:
+          epoch: the list's epoch; epochs only grow.
+          members: the members' names.
+          now_s: the time now.
+          previous_epoch: the epoch of the list just before, if that is known.
+            Without it no bucket is handed over: another daemon may have held
+            it under a list that neither side has seen.
+        """
         if epoch <= self._epoch:
             return
-        consecutive = epoch == self._epoch + 1
-        previous_buckets = self._buckets if consecutive else {}
+        consecutive = previous_epoch == self._epoch
+        kept = self._buckets if consecutive or self.is_licensed(now_s) else {}
+        released = self._buckets if consecutive else {}
         self._previous_members = self._members if consecutive else []
         self._epoch = epoch
         self._members = members
         self._adopted_s = now_s
         # The confirmation was of the old list; one of the new list follows.
         self._confirmed_s = float("-inf")
-        self._buckets = {}
-        self._released = {}
-        for account, bucket in previous_buckets.items():
-            kept = holder_of(account, members) == self._name
-            (self._buckets if kept else self._released)[account] = bucket
+        self._buckets = {
+            account: bucket
+            for account, bucket in kept.items()
+            if holder_of(account, members) == self._name
+        }
+        self._released = {
+            account: bucket
+            for account, bucket in released.items()
+            if holder_of(account, members) != self._name
+        }
 
     def confirm(self, epoch: int, began_s: float) -> None:
         """Notes that a member list was the newest.
@@ -279,6 +314,22 @@
         wait_s = bucket.next_token_in_s(now_s)
         return Loan(Ruling.LENT, tokens, wait_s, self._epoch)
 
+    def held_since_s(self, duty: str, now_s: float) -> float | None:
+        """Returns since when no other daemon can hold a duty.
+
+        The same rule that makes one daemon an account's holder makes one
+        daemon the holder of any other duty that is spread by its name.
+
+        Returns:
+          The time, or None while another daemon holds it or still may.
+        """
+        if holder_of(duty, self._members) != self._name:
+            return None
+        bucket = self._bucket(duty, _NO_TERMS)
+        if not self.is_licensed(now_s) or not bucket.is_open(now_s):
+            return None
+        return bucket.opens_at_s
+
     def keep(self, account: str, terms: Terms) -> None:
         """Makes the bucket of an account held here, if it has none yet.
 
@@ -302,7 +353,9 @@
         previous = holder_of(account, self._previous_members)
         return None if previous == self._name else previous
 
-    def hand_over(self, account: str, epoch: int, now_s: float) -> float | None:
+    def hand_over(
+        self, account: str, epoch: int, previous_epoch: int, now_s: float
+    ) -> float | None:
         """Gives a bucket away to the holder under the next member list.
 
         It is given once. When the answer is lost, the new holder waits until
@@ -311,6 +364,7 @@
         Args:
           account: the client account.
           epoch: the epoch by which the asking daemon is the holder.
+          previous_epoch: the epoch of the list just before that.
           now_s: the time now.
 
         Returns:
@@ -318,10 +372,11 @@
         """
         if epoch == self._epoch:
             bucket = self._released.pop(account, None)
-        elif epoch == self._epoch + 1:
+        elif previous_epoch == self._epoch:
             bucket = self._buckets.pop(account, None)
             # The next list makes another daemon the holder. Until this one
             # has learnt that list it must not open the bucket anew.
+            self._adopted_s = now_s
             self._confirmed_s = float("-inf")
         else:
             return None
@@ -367,6 +422,7 @@
     def __init__(self) -> None:
         self._loans: collections.deque[tuple[float, int]] = collections.deque()
         self._demand_per_s = 0.0
+        self._gap_s = float("-inf")
         self._counted_s: float | None = None
 
     def held(self, now_s: float) -> int:
@@ -389,6 +445,21 @@
         self._decay(now_s)
         self._demand_per_s += 1 / DEMAND_TIME_S
 
+    def found_no_holder(self, now_s: float) -> None:
+        """Notes that nobody could lend."""
+        self._gap_s = now_s
+
+    def patience_s(self, now_s: float) -> float:
+        """Returns how long a request waits for a token.
+
+        After a gap the new bucket is empty and those who waited through the
+        gap come all at once. They wait on: their account is within its rate,
+        and the bucket earns faster than new ones arrive.
+        """
+        if now_s - self._gap_s <= HOLDER_WAIT_S:
+            return HOLDER_WAIT_S
+        return SHORTAGE_WAIT_S
+
     def wish(self, terms: Terms, waiting: int, now_s: float) -> Wish | None:
         """Returns what to ask for, or None while there is enough.
 
--- a/src/sardinehill/daemon/application.py
+++ b/src/sardinehill/daemon/application.py
@@ -15,7 +15,9 @@
 from sardinehill.adapters import upstream
 from sardinehill.core import account_keys
 from sardinehill.core import fleet
+from sardinehill.daemon import accounts
 from sardinehill.daemon import controller
+from sardinehill.daemon import duplicates
 from sardinehill.daemon import entry
 from sardinehill.daemon import gateway
 from sardinehill.daemon import gateway_leases
@@ -54,7 +56,22 @@
             self.view, self.platform, self.upstreams, self.bus
         )
         self.undivided = undivided.UndividedSender(self.view, self.bus)
-        self.entry = entry.Entry(self.view, self.bus, self.undivided)
+        self.accounts = accounts.Accounts(self.view, self.bus, self._age_s)
+        self.entry = entry.Entry(
+            self.view,
+            self.bus,
+            self.accounts,
+            self.undivided.forward,
+            self.metrics,
+        )
+        self.duplicates = duplicates.Duplicates(
+            self.view,
+            self.bus,
+            self.gateway.forward,
+            self.entry.send_undivided,
+            self.gateway_leases.covers,
+            self.accounts.held_for_s,
+        )
         self.operators = operators.Operators(
             operators.Sources(
                 self.view,
@@ -70,6 +87,7 @@
         )
         self.news.subscribe(self.gateway.on_news)
         self.news.subscribe(self.operators.on_news)
+        self.news.subscribe(self.duplicates.on_news)
 
     async def start(self) -> None:
         """Binds every address, joins the fleet and begins to serve."""
@@ -86,6 +104,8 @@
             callers_address=callers_address,
             operators_address=operators_address,
         )
+        self.accounts.start()
+        self.duplicates.start()
         self.controller.start()
         _announce("callers", callers_address)
         _announce("operators", operators_address)
@@ -96,8 +116,10 @@
         events.log(events.DAEMON_STOPPING, daemon=self.view.settings.name)
         await self.news.leave()
         await self.entry.close()
+        await self.duplicates.close()
         await self.gateway.close()
         await self.undivided.close()
+        await self.accounts.close()
         await self.controller.close()
         await self.operators.close()
         await self.news.close()
@@ -118,6 +140,10 @@
     def _is_ready(self) -> bool:
         return self.view.config is not None
 
+    def _age_s(self) -> float:
+        now_s = asyncio.get_running_loop().time()
+        return self.news.member.news.age_s(now_s)
+
     def _locate(self, name: str) -> fleet.Address | None:
         member = self.view.members.get(name)
         return None if member is None else member.peer_address
--- /dev/null
+++ b/src/sardinehill/daemon/duplicates.py
@@ -0,0 +1,419 @@
+"""Keeps a repeated request from running twice, in front of the gateway.
+
+What is decided stands in `core.duplicates`; this module knows which scopes
+this daemon is in charge of, asks the daemon before, and lets repeats wait.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import hashlib
+
+from sardinehill import errors
+from sardinehill.core import duplicates
+from sardinehill.core import messages
+from sardinehill.core import placement
+from sardinehill.core import retries
+from sardinehill.daemon import peers
+from sardinehill.daemon import view
+from sardinehill.daemon import wall_clock
+from sardinehill.wire import accounts as accounts_wire
+from sardinehill.wire import forwards
+from sardinehill.wire import kinds
+
+ASK_TIMEOUT_S = 0.5
+# How often it is looked whether an awaited grant has come.
+GRANT_POLL_S = 0.05
+# How long a request waits for the grant of its shard.
+GRANT_WAIT_S = 0.3
+# A home's beginning that moves by more than this is another beginning.
+HOME_CHANGE_S = 0.5
+# What a kept answer takes besides its body.
+ANSWER_OVERHEAD_BYTES = 1024
+
+Covers = Callable[[str, str, int, str], bool]
+Send = Callable[[messages.ForwardRequest], Awaitable[messages.ForwardAnswer]]
+
+_RETRY_DETAIL = (
+    "this Idempotency-Key may belong to a request that ran before; nothing"
+    " was sent now"
+)
+
+
+def needs_memory(request: messages.ForwardRequest) -> bool:
+    """Returns whether a repeat of a request must not run again."""
+    return bool(request.idempotency_key) and not retries.is_idempotent(
+        request.method
+    )
+
+
+def at_home(request: messages.ForwardRequest) -> bool:
+    """Returns whether a request was sent to its home, not to a gateway."""
+    return not request.key and not request.upstream
+
+
+@dataclasses.dataclass(frozen=True)
+class _Awaited:
+    """A scope that this daemon is to be in charge of once it has the grant.
+
+    Attributes:
+      service: the service's name.
+      upstream: the upstream that owns the scope.
+      shard: the shard, or that of the key.
+      key: the key when it is a scope of its own, else empty.
+      previous: the daemon that was in charge before, if that is known.
+    """
+
+    service: str
+    upstream: str
+    shard: int
+    key: str
+    previous: str | None
+
+
+class Duplicates:
+    """Stands between the other daemons' requests and this one's gateway."""
+
+    def __init__(
+        self,
+        knowledge: view.View,
+        bus: peers.PeerBus,
+        send: Send,
+        send_undivided: Send,
+        covers: Covers,
+        held_for_s: Callable[[str], float | None],
+    ) -> None:
+        """Takes over the handling of forwarded requests.
+
+        Args:
+          knowledge: the daemon's view.
+          bus: brings forwarded requests and asks other daemons.
+          send: hands a request to this daemon's gateway.
+          send_undivided: sends a request of a service not divided by key.
+          covers: tells whether this daemon may send for a shard or a key now.
+          held_for_s: tells for how long this daemon alone has held a duty.
+        """
+        self._view = knowledge
+        self._bus = bus
+        self._send = send
+        self._send_undivided = send_undivided
+        self._covers = covers
+        self._held_for_s = held_for_s
+        self._awaited: dict[str, _Awaited] = {}
+        self._timer: asyncio.Task[None] | None = None
+        self._home_since_s: dict[str, float] = {}
+        self._clock = wall_clock.WallClock()
+        self._memory: duplicates.DuplicateMemory[messages.ForwardAnswer] = (
+            duplicates.DuplicateMemory()
+        )
+        self._flights: dict[
+            duplicates.RequestName, asyncio.Future[messages.ForwardAnswer]
+        ] = {}
+        self._split_keys: dict[str, dict[str, float]] = {}
+        self._assignments: dict[str, placement.Assignment] = {}
+        self._tasks: set[asyncio.Future[messages.ForwardAnswer]] = set()
+        bus.register(kinds.Kind.FORWARD, self._handle_forward)
+        bus.register(kinds.Kind.DUPLICATE_LOOKUP, self._handle_question)
+
+    def start(self) -> None:
+        """Begins to look for awaited grants."""
+        self._timer = asyncio.ensure_future(self._poll_forever())
+
+    async def close(self) -> None:
+        """Lets every request in flight end."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._timer is not None:
+            self._timer.cancel()
+
+    async def run(
+        self, request: messages.ForwardRequest
+    ) -> messages.ForwardAnswer:
+        """Runs a request unless it is the repeat of another."""
+        # A request of an undivided service that names its upstream comes from
+        # its home or needs none.
+        if not needs_memory(request) or not (request.key or at_home(request)):
+            return await self._send(request)
+        name = duplicates.RequestName(request.account, request.idempotency_key)
+        if request.key:
+            scope = self._scope(request)
+            await self._wait_for_charge(scope)
+        else:
+            scope = duplicates.home_scope(request.service, name)
+            self._follow_home(scope)
+        arrival = self._memory.arrive(
+            scope, name, _fingerprint(request), self._clock.now_s()
+        )
+        if arrival.finding is duplicates.Finding.JOIN:
+            return await self._join(name, request)
+        if arrival.finding in (
+            duplicates.Finding.RUN,
+            duplicates.Finding.ASK,
+        ):
+            return await self._fly(scope, name, request, arrival)
+        return _settled(arrival, request)
+
+    async def _join(
+        self, name: duplicates.RequestName, request: messages.ForwardRequest
+    ) -> messages.ForwardAnswer:
+        answer = await asyncio.shield(self._flights[name])
+        return dataclasses.replace(answer, request_id=request.request_id)
+
+    async def _fly(
+        self,
+        scope: str,
+        name: duplicates.RequestName,
+        request: messages.ForwardRequest,
+        arrival: duplicates.Arrival[messages.ForwardAnswer],
+    ) -> messages.ForwardAnswer:
+        # A task of its own: the caller may leave, and its repeat must still
+        # find the request in flight and then its answer.
+        flight = asyncio.ensure_future(
+            self._resolve_and_send(scope, name, request, arrival)
+        )
+        self._flights[name] = flight
+        self._tasks.add(flight)
+        flight.add_done_callback(self._tasks.discard)
+        flight.add_done_callback(lambda _: self._flights.pop(name, None))
+        return await asyncio.shield(flight)
+
+    async def _resolve_and_send(
+        self,
+        scope: str,
+        name: duplicates.RequestName,
+        request: messages.ForwardRequest,
+        arrival: duplicates.Arrival[messages.ForwardAnswer],
+    ) -> messages.ForwardAnswer:
+        if arrival.finding is duplicates.Finding.ASK:
+            recollection = await self._ask_previous(scope, name)
+            arrival = self._memory.resolve(
+                name, recollection, self._clock.now_s()
+            )
+            if arrival.finding is not duplicates.Finding.RUN:
+                return _settled(arrival, request)
+        verdict = errors.Verdict.MAY_HAVE_RUN
+        answer = None
+        try:
+            send = self._send_undivided if at_home(request) else self._send
+            answer = await send(request)
+            verdict = answer.verdict
+            return answer
+        finally:
+            size_bytes = ANSWER_OVERHEAD_BYTES
+            if answer is not None:
+                size_bytes += len(answer.body)
+            self._memory.finish(name, verdict, answer, size_bytes)
+
+    async def _ask_previous(
+        self, scope: str, name: duplicates.RequestName
+    ) -> accounts_wire.Recollection | None:
+        previous = self._memory.previous(scope)
+        if previous is None:
+            return None
+        question = accounts_wire.DuplicateQuestion(scope, name)
+        try:
+            payload = await self._bus.ask(
+                previous,
+                kinds.Kind.DUPLICATE_LOOKUP,
+                accounts_wire.encode_question(question),
+                ASK_TIMEOUT_S,
+            )
+            return accounts_wire.decode_recollection(payload)
+        except errors.PeerError:
+            return None
+
+    async def _handle_forward(self, sender: str, payload: bytes) -> bytes:
+        request = forwards.decode_request(payload)
+        return forwards.encode_answer(await self.run(request))
+
+    def _handle_question(self, sender: str, payload: bytes) -> bytes:
+        question = accounts_wire.decode_question(payload)
+        service = question.scope.partition("/")[0]
+        self._follow_assignment(service)
+        found = self._memory.recollect(
+            question.scope, question.name, self._clock.now_s()
+        )
+        return accounts_wire.encode_recollection(found)
+
+    def on_news(self, kind: str, name: str) -> None:
+        """Follows the view at once, so that no assignment is missed."""
+        if kind == "assignment":
+            self._follow_assignment(name)
+
+    def _follow_home(self, scope: str) -> None:
+        held_for_s = self._held_for_s(scope)
+        if held_for_s is None:
+            self._home_since_s.pop(scope, None)
+            self._memory.give_up(scope)
+            return
+        since_s = self._clock.now_s() - held_for_s
+        # The two clocks are read one after the other; a duty that was lost
+        # and came back begins at least a licence later.
+        known_s = self._home_since_s.get(scope)
+        if known_s is None or since_s > known_s + HOME_CHANGE_S:
+            self._memory.give_up(scope)
+            self._memory.take_charge(scope, since_s)
+            self._home_since_s[scope] = since_s
+
+    def _scope(self, request: messages.ForwardRequest) -> str:
+        """Returns the scope of a request on a service divided by key."""
+        assignment = self._follow_assignment(request.service)
+        if assignment is None:
+            return _shard_scope(request.service, 0)
+        split_keys = self._split_keys.get(request.service, {})
+        if request.key in split_keys:
+            return _key_scope(request.service, request.key)
+        shard = placement.shard_of(request.key, len(assignment.owners))
+        return _shard_scope(request.service, shard)
+
+    def _follow_assignment(self, service: str) -> placement.Assignment | None:
+        newest = self._view.assignments.get(service)
+        known = self._assignments.get(service)
+        if newest is None or newest is known:
+            return newest
+        self._assignments[service] = newest
+        now_s = self._clock.now_s()
+        split_keys = self._follow_split_keys(newest, now_s)
+        before = _scopes_of(known, split_keys) if known else {}
+        after = _scopes_of(newest, split_keys)
+        own_name = self._view.settings.name
+        for scope in before.keys() - after.keys():
+            self._lose(scope)
+        for scope, (gateway, awaited) in after.items():
+            if gateway != own_name:
+                self._lose(scope)
+                continue
+            previous = before[scope][0] if scope in before else None
+            if not self._memory.in_charge(scope):
+                if previous == own_name:
+                    previous = None
+                self._awaited[scope] = dataclasses.replace(
+                    awaited, previous=previous
+                )
+        self._take_granted()
+        return newest
+
+    def _lose(self, scope: str) -> None:
+        self._awaited.pop(scope, None)
+        self._memory.give_up(scope)
+
+    def _take_granted(self) -> None:
+        """Begins to be in charge where the grant has come.
+
+        Not with the assignment: until the grant the daemon before may still
+        run requests, and ids that it saw would be taken for fresh.
+        """
+        now_s = self._clock.now_s()
+        for scope, awaited in list(self._awaited.items()):
+            if self._covers(
+                awaited.service, awaited.upstream, awaited.shard, awaited.key
+            ):
+                del self._awaited[scope]
+                self._memory.take_charge(scope, now_s, awaited.previous)
+
+    async def _wait_for_charge(self, scope: str) -> None:
+        waited_s = 0.0
+        while scope in self._awaited and waited_s < GRANT_WAIT_S:
+            await asyncio.sleep(GRANT_POLL_S)
+            waited_s += GRANT_POLL_S
+
+    async def _poll_forever(self) -> None:
+        while True:
+            self._take_granted()
+            await asyncio.sleep(GRANT_POLL_S)
+
+    def _follow_split_keys(
+        self, assignment: placement.Assignment, now_s: float
+    ) -> list[str]:
+        """Returns the keys that are, or lately were, out of their shard.
+
+        A key that is put back into its shard stays a scope of its own until
+        every request that ran elsewhere is forgotten: the shard's gateway
+        was in charge of the shard all the time, but not of this key.
+        """
+        service = assignment.service
+        kept_until_s = self._split_keys.setdefault(service, {})
+        for key in assignment.hot_owners:
+            if key not in kept_until_s:
+                shard = placement.shard_of(key, len(assignment.owners))
+                self._memory.split(
+                    _shard_scope(service, shard), _key_scope(service, key)
+                )
+            kept_until_s[key] = now_s + duplicates.REMEMBER_S
+        for key in [
+            k for k, until_s in kept_until_s.items() if until_s < now_s
+        ]:
+            del kept_until_s[key]
+            self._memory.give_up(_key_scope(service, key))
+        return list(kept_until_s)
+
+
+def _scopes_of(
+    assignment: placement.Assignment, split_keys: list[str]
+) -> dict[str, tuple[str | None, _Awaited]]:
+    """Returns each scope with its gateway and what makes it in charge."""
+    service = assignment.service
+    found: dict[str, tuple[str | None, _Awaited]] = {}
+    for shard, owner in enumerate(assignment.owners):
+        if owner >= 0:
+            name = assignment.upstreams[owner]
+            found[_shard_scope(service, shard)] = (
+                assignment.gateways.get(name),
+                _Awaited(service, name, shard, "", None),
+            )
+    for key in split_keys:
+        owner_name = placement.owner_of(assignment, key)
+        if owner_name is not None:
+            shard = placement.shard_of(key, len(assignment.owners))
+            found[_key_scope(service, key)] = (
+                assignment.gateways.get(owner_name),
+                _Awaited(service, owner_name, shard, key, None),
+            )
+    return found
+
+
+def _key_scope(service: str, key: str) -> str:
+    return f"{service}/key/{key}"
+
+
+def _shard_scope(service: str, shard: int) -> str:
+    return f"{service}/{shard}"
+
+
+def _fingerprint(request: messages.ForwardRequest) -> bytes:
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (request.service, request.key, request.method, request.path):
+        digest.update(part.encode("utf-8", "surrogatepass") + b"\0")
+    digest.update(request.body)
+    return digest.digest()
+
+
+def _settled(
+    arrival: duplicates.Arrival[messages.ForwardAnswer],
+    request: messages.ForwardRequest,
+) -> messages.ForwardAnswer:
+    """Returns the answer where nothing is sent."""
+    finding = arrival.finding
+    if finding is duplicates.Finding.REPLAY and arrival.answer is not None:
+        return dataclasses.replace(
+            arrival.answer, request_id=request.request_id
+        )
+    if finding is duplicates.Finding.MISMATCH:
+        return messages.refusal(
+            request.request_id,
+            errors.Reason.MALFORMED,
+            errors.Verdict.NOT_RUN,
+            "this Idempotency-Key was used for a different request",
+        )
+    if finding is duplicates.Finding.NOT_IN_CHARGE:
+        return messages.refusal(
+            request.request_id,
+            errors.Reason.NOT_GATEWAY,
+            errors.Verdict.NOT_RUN,
+        )
+    return messages.refusal(
+        request.request_id,
+        errors.Reason.DUPLICATE_UNKNOWN,
+        errors.Verdict.MAY_HAVE_RUN,
+        _RETRY_DETAIL,
+    )
--- a/src/sardinehill/daemon/gateway_leases.py
+++ b/src/sardinehill/daemon/gateway_leases.py
@@ -24,6 +24,12 @@
         """Tells whether this daemon is an upstream's gateway now."""
         return self._book.is_gateway(service, upstream, boot_clock.now_ms())
 
+    def covers(self, service: str, upstream: str, shard: int, key: str) -> bool:
+        """Tells whether a grant covers a shard, or a key out of its shard."""
+        return self._book.covers(
+            service, upstream, shard, key, boot_clock.now_ms()
+        )
+
     def fence(
         self, service: str, upstream: str, key: str, shard_count: int
     ) -> gateway_book.Fence | None:
--- a/tests/cover/test_account_keys.py
+++ b/tests/cover/test_account_keys.py
@@ -9,6 +9,7 @@
 import pytest
 
 from sardinehill import errors
+from sardinehill.adapters import records
 from sardinehill.core import account_keys
 
 SECRET = "a secret of the hosts"
@@ -167,3 +168,21 @@
         reason_of(lambda: ring.check(text, 1.0))
         is errors.Reason.ACCOUNT_KEY_UNKNOWN
     )
+
+
+def test_a_bucket_comes_back_from_the_store_as_it_was_written() -> None:
+    bucket, _, record = issued("hotel")
+    revoked = account_keys.revoke(bucket, record.key_id, 20.0)
+    for one in (bucket, revoked, account_keys.KeyBucket()):
+        value = records.key_bucket_value(one)
+        assert records.read_key_bucket("0", value) == one
+
+
+@pytest.mark.parametrize(
+    "value", [{}, {"records": 5}, {"records": [{}]}, {"records": [{"d": 1}]}]
+)
+def test_a_bucket_that_makes_no_sense_is_refused(
+    value: dict[str, object],
+) -> None:
+    with pytest.raises(errors.StoreReplyError):
+        records.read_key_bucket("0", value)
