Name actions by ids that carry their time

A daemon that took over cannot tell whether an id without a time repeats what it never saw, so it refuses it for 30 s, as docs/design/accounts.md says. Change: the driver's markers are UUIDs of version 7, and only requests that are not idempotent carry one.

--- a/standins/driver.py
+++ b/standins/driver.py
@@ -205,7 +205,7 @@
         target = _target(order)
         headers = {
             "Authorization": f"Bearer {secret}",
-            "Idempotency-Key": order.marker,
+            **_idempotency_key(order),
             **({"Sardinehill-Key": order.key} if order.key else {}),
             **extra,
         }
@@ -230,6 +230,26 @@
             return Answer("cut")
 
 
+def new_marker(random_bits: int) -> str:
+    """Returns a UUID of version 7: the time in milliseconds, then random bits.
+
+    The time tells a daemon that has just taken over whether an id can be the
+    repeat of a request that it never saw.
+    """
+    value = (time.time_ns() // 1_000_000) << 80
+    value |= 0x7 << 76 | (random_bits & (1 << 12) - 1) << 64
+    value |= 0x2 << 62 | (random_bits >> 12) & (1 << 62) - 1
+    return str(uuid.UUID(int=value))
+
+
+def _idempotency_key(order: Order) -> dict[str, str]:
+    # A request that may run twice needs no id, and memory of it would crowd
+    # out those that do.
+    if order.method == "GET":
+        return {}
+    return {"Idempotency-Key": order.marker}
+
+
 def key_id(secret: str) -> str:
     """Returns a name for an account key that does not tell the key."""
     return hashlib.sha256(secret.encode()).hexdigest()[:16]
