Ask about an outage later, and keep news younger

Cause: five daemons on a busy machine asked about the store now and then, since news of 1.4 s was close to what two watches and a hop allow. Change: the question waits for news of 1.6 s, and a member asks its freshest link from 0.9 s.

--- a/src/sardinehill/core/member.py
+++ b/src/sardinehill/core/member.py
@@ -24,7 +24,7 @@
 BODY_TIMEOUT_S = 0.4
 # With older news than this, a member asks the freshest of its links at once.
 # Heartbeats alone added up to a second of age for each hop from a watcher.
-PULL_AGE_S = 1.1
+PULL_AGE_S = 0.9
 # A wish to the stewards that is not granted is told to more of them.
 WIDER_AFTER_S = 5.0
 # Daemons a second that write themselves into the list without a steward.
--- a/src/sardinehill/core/outage.py
+++ b/src/sardinehill/core/outage.py
@@ -15,9 +15,9 @@
 from collections.abc import Iterable
 
 # A watcher's news is younger than this while the store answers.
-ASK_AGE_S = 1.4
+ASK_AGE_S = 1.6
 # A daemon further down asks later, in case those before it are gone.
-ASK_RANK_DELAY_S = 0.15
+ASK_RANK_DELAY_S = 0.1
 # A store that is this slow is down: news would grow too old otherwise.
 TRY_TIMEOUT_S = 0.6
 ANSWER_TIMEOUT_S = 0.8
