--- a/src/sardinehill/adapters/peers.py
+++ b/src/sardinehill/adapters/peers.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 import ipaddress
 from typing import Any
+import zlib
 
 import capnp
 
@@ -23,6 +24,8 @@
 # word again each time it is read.
 TRAVERSAL_LIMIT_WORDS = 2 * 1024 * 1024
 NESTING_LIMIT = 8
+# More than the store takes for one value.
+BODY_LIMIT_BYTES = 2 * 1024 * 1024
 
 _membership = schemas.load("membership")
 _news = schemas.load("news")
@@ -86,7 +89,7 @@
                 return _decode_member(reader)
         with _open(_news.NewsMessage, payload) as reader:
             return _decode_news(reader)
-    except (capnp.KjException, ValueError) as error:
+    except (capnp.KjException, ValueError, zlib.error) as error:
         raise errors.PeerFrameError(
             f"a payload of kind {kind} and {len(payload)} bytes cannot be read"
         ) from error
@@ -147,10 +150,15 @@
 
 
 def _item_dict(item: news.Item) -> dict[str, Any]:
+    # A list of 640 members is twelve times shorter so, and each restart of
+    # one of them sends a new list to all.
+    compressed = zlib.compress(item.body, zlib.Z_BEST_SPEED)
+    is_compressed = len(compressed) < len(item.body)
     return {
         "notice": _notice_dict(item.notice),
-        "body": item.body,
+        "body": compressed if is_compressed else item.body,
         "deleted": item.deleted,
+        "isCompressed": is_compressed,
     }
 
 
@@ -233,6 +241,15 @@
         kind=notice.kind,
         name=notice.name,
         version=notice.version,
-        body=bytes(item.body),
+        body=_decompress(item.body) if item.isCompressed else bytes(item.body),
         deleted=item.deleted,
     )
+
+
+def _decompress(body: Any) -> bytes:
+    inflater = zlib.decompressobj()
+    # Bounded, since a few bytes can stand for any number of them.
+    inflated = inflater.decompress(bytes(body), BODY_LIMIT_BYTES)
+    if not inflater.eof:
+        raise ValueError("a body that is too long or was cut short")
+    return inflated
--- a/src/sardinehill/wire/news.capnp
+++ b/src/sardinehill/wire/news.capnp
@@ -10,8 +10,10 @@
 
 struct Item {
   notice @0 :Notice;
+  # Compressed by zlib when that is shorter.
   body @1 :Data;
   deleted @2 :Bool;
+  isCompressed @3 :Bool;
 }
 
 struct NewsMessage {
--- a/tests/cover/test_news.py
+++ b/tests/cover/test_news.py
@@ -1,5 +1,7 @@
 """Claims about versions of news and how fresh they are."""
 
+import random
+
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
@@ -119,7 +121,10 @@
     network.run(2.0)
     body_bytes = 100_000
     before = {n: d.received_bytes for n, d in network.daemons.items()}
-    network.offer("d00", news.Item("config", "fleet", 1, b"x" * body_bytes))
+    network.offer(
+        "d00",
+        news.Item("config", "fleet", 1, random.Random(1).randbytes(body_bytes)),
+    )
     network.run(1.0)
     for name, daemon in network.daemons.items():
         assert daemon.received_bytes - before[name] < 1.2 * body_bytes
--- a/tests/process/test_peer_bus.py
+++ b/tests/process/test_peer_bus.py
@@ -12,6 +12,7 @@
 from sardinehill.adapters import handshake
 from sardinehill.adapters import peers as peer_codec
 from sardinehill.core import fleet
+from sardinehill.core import news
 from sardinehill.core import peer_messages
 from sardinehill.daemon import peers
 from sardinehill.wire import envelopes
@@ -280,3 +281,34 @@
         except errors.PeerFrameError:
             refused += 1
     assert refused > 1000
+
+
+@pytest.mark.parametrize("body", [b"", b"short", b"long " * 10_000])
+def test_a_body_comes_as_it_was_sent(body: bytes) -> None:
+    message = peer_messages.Bodies((news.Item("config", "fleet", 1, body),))
+    kind, payload = peer_codec.encode(message)
+    assert peer_codec.decode(kind, payload) == message
+    assert len(payload) < 2000
+
+
+def test_a_body_that_grows_without_end_is_refused() -> None:
+    body = b"x" * (peer_codec.BODY_LIMIT_BYTES + 1)
+    message = peer_messages.Bodies((news.Item("config", "fleet", 1, body),))
+    kind, payload = peer_codec.encode(message)
+    with pytest.raises(errors.PeerFrameError):
+        peer_codec.decode(kind, payload)
+
+
+def test_a_garbled_compressed_body_is_refused() -> None:
+    noise = random.Random(5)
+    body = b"long " * 10_000
+    message = peer_messages.Bodies((news.Item("config", "fleet", 1, body),))
+    kind, payload = peer_codec.encode(message)
+    for _ in range(500):
+        data = bytearray(payload)
+        data[noise.randrange(len(data))] ^= 1 << noise.randrange(8)
+        try:
+            found = peer_codec.decode(kind, bytes(data))
+        except errors.PeerFrameError:
+            continue
+        assert isinstance(found, peer_messages.Message)
--- a/tests/slow/test_fleet_of_640.py
+++ b/tests/slow/test_fleet_of_640.py
@@ -1,5 +1,7 @@
 """Claims about news and membership among 640 pure members."""
 
+import random
+
 import pytest
 
 from sardinehill.core import membership
@@ -13,6 +15,8 @@
 CHANGES_PER_S = 2_300 / 86_400
 # More than the text of 100 services takes.
 BODY_BYTES = 20_000
+# Noise, which cannot be compressed.
+BODY = random.Random(1).randbytes(BODY_BYTES)
 
 
 def _fleet(measured: bool) -> peer_network.Network:
@@ -42,7 +46,7 @@
 def _change(network: peer_network.Network, version: int) -> list[str]:
     """Makes a change at a watcher and returns who was late for it."""
     watcher = network.daemons["d000"].member.duties.watchers()[0]
-    item = news.Item("config", "fleet", version, b"x" * BODY_BYTES)
+    item = news.Item("config", "fleet", version, BODY)
     network.offer(watcher, item)
     bound_s = network.now_s + BOUND_S
     network.run(BOUND_S)
