--- /dev/null
+++ b/bench/overload.py
@@ -0,0 +1,78 @@
+"""`python -m bench.overload`: goodput at once, twice and five times capacity.
+
+Four upstreams with three slots and 100 ms a request serve 120 requests a
+second of a service; callers wait a second.
+"""
+
+import argparse
+import asyncio
+import collections
+import pathlib
+import tempfile
+
+from standins import deployment as deployment_module
+from tests.common import direct_fleet
+
+CAPACITY_PER_S = 120.0
+STEPS = (0.5, 0.9, 2.0, 5.0, 0.5)
+
+_ACCOUNT_RATE_PER_S = 20000.0
+
+
+def _shape() -> deployment_module.Shape:
+    return deployment_module.Shape(
+        "overload",
+        ("pa-1", "pa-2"),
+        3,
+        (
+            deployment_module.ServiceShape("prenota", "/bookings", True, 4),
+            deployment_module.ServiceShape("conti", "/stock", False, 4),
+        ),
+        tuple(
+            deployment_module.AccountShape(
+                name, _ACCOUNT_RATE_PER_S, _ACCOUNT_RATE_PER_S
+            )
+            for name in ("venue-1", "venue-2")
+        ),
+    )
+
+
+async def _measure(fleet: direct_fleet.DirectFleet, seconds: float) -> None:
+    fields = {"service_time_ms": 100.0, "deadline_ms": 1000}
+    for service in fleet.deployment.shape.services:
+        await fleet.send_at_rate(service, 60.0, 4.0, **fields)
+        for times in STEPS:
+            rate_per_s = CAPACITY_PER_S * times
+            answers = await fleet.send_at_rate(
+                service, rate_per_s, seconds, **fields
+            )
+            served = sum(one.status == 200 for one in answers)
+            verdicts = collections.Counter(
+                one.verdict or one.outcome
+                for one in answers
+                if one.status != 200
+            )
+            print(
+                f"| {service.name} | {times} | {len(answers) / seconds:.0f}"
+                f" | {served / seconds:.0f} | {dict(verdicts)} |",
+                flush=True,
+            )
+            await asyncio.sleep(1.0)
+
+
+def main() -> None:
+    """Prints one line for each service and load."""
+    parser = argparse.ArgumentParser(prog="bench.overload")
+    parser.add_argument("--seconds", type=float, default=5.0)
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as directory:
+        fleet = direct_fleet.DirectFleet(pathlib.Path(directory), _shape())
+        try:
+            fleet.start()
+            fleet.run(_measure(fleet, options.seconds))
+        finally:
+            fleet.close()
+
+
+if __name__ == "__main__":
+    main()
