Log what a daemon becomes for a service as catalogued events

Cause: takeovers, outage mode and lapsed licences could not be seen, and the one line there was named the version where it said term.

Change: events 301 to 304, 306 and 407 to 409 are logged by the controller.

Conclusion: events 305 and 307 to 309 are still not logged.

--- a/src/sardinehill/core/controlling.py
+++ b/src/sardinehill/core/controlling.py
@@ -198,6 +198,35 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class State:
+    """What a daemon is for a service, as operators are told.
+
+    Attributes:
+      term: the term it controls in, or 0.
+      is_licensed: whether it may act.
+      is_vouched: whether only peers say so, not the store.
+    """
+
+    term: int = 0
+    is_licensed: bool = False
+    is_vouched: bool = False
+
+
+def state_of(duty: Duty, now_s: float) -> State:
+    """Returns what this daemon is for the service now."""
+    licensed = is_licensed(duty, now_s)
+    return State(
+        duty.lease.term, licensed, licensed and not by_store(duty, now_s)
+    )
+
+
+def lost_calls(duty: Duty, grant: grants.Grant) -> int:
+    """Returns how many calls in a row a grant's target left unanswered."""
+    holder = duty.controller.holders.get(grant.target)
+    return 0 if holder is None else holder.lost
+
+
 def step(
     duty: Duty, view: control_state.View, now_s: float, rank: int
 ) -> list[Command]:
--- a/src/sardinehill/daemon/controller.py
+++ b/src/sardinehill/daemon/controller.py
@@ -13,6 +13,7 @@
 import uuid
 
 from sardinehill import errors
+from sardinehill import events
 from sardinehill.adapters import platform
 from sardinehill.adapters import records
 from sardinehill.adapters import upstream
@@ -34,6 +35,8 @@
 GRANT_TIMEOUT_S = 0.3
 ASK_TIMEOUT_S = 0.3
 RESIGN_TIMEOUT_S = 0.5
+# One lost call is no news; the second makes the holder a suspect.
+CALLS_BEFORE_TOLD = 2
 
 _log = logging.getLogger(__name__)
 
@@ -58,6 +61,7 @@
         self._main: asyncio.Task[None] | None = None
         self._calls: set[asyncio.Task[None]] = set()
         self._last_seen: dict[str, fleet.UpstreamHost] = {}
+        self._told: dict[str, controlling.State] = {}
         self._wake = asyncio.Event()
         self._nonces = map(f"{uuid.uuid4()}/{{}}".format, itertools.count())
         bus.register(kinds.Kind.VOUCH, self._handle_question)
@@ -140,6 +144,25 @@
         commands = controlling.step(duty, seen, boot_clock.now_s(), rank)
         for command in commands:
             self._call(self._carry_out(duty, service, command))
+        self._tell_state(duty)
+
+    def _tell_state(self, duty: controlling.Duty) -> None:
+        """Logs a change of what this daemon may do for a service."""
+        service = duty.controller.service
+        now = controlling.state_of(duty, boot_clock.now_s())
+        before = self._told.get(service, controlling.State())
+        self._told[service] = now
+        if now.term != before.term and now.term:
+            events.log(events.LEASE_TAKEN, service=service, term=now.term)
+        if before.term and now.term != before.term:
+            events.log(events.LEASE_LOST, service=service, term=before.term)
+        if now.is_vouched and not before.is_vouched:
+            events.log(events.OUTAGE_MODE_ENTERED, service=service)
+        if before.is_vouched and not now.is_vouched:
+            events.log(events.OUTAGE_MODE_LEFT, service=service)
+        same_term = now.term == before.term and now.term > 0
+        if same_term and before.is_licensed and not now.is_licensed:
+            events.log(events.LICENCE_LAPSED, service=service, term=now.term)
 
     def _look(self, service: fleet.Service) -> control_state.View:
         members = self._view.members
@@ -236,11 +259,7 @@
             lease.on_lost(duty.lease, boot_clock.now_s())
             return
         record = dataclasses.replace(command.record, version=version)
-        took_over = duty.lease.term != record.term
         controlling.on_lease_written(duty, record, boot_clock.now_s())
-        if took_over:
-            _log.info("controller of %s, term %d", _lease_name(duty), version)
-            self._wake.set()
 
     async def _read_assignment(
         self, duty: controlling.Duty, service: fleet.Service
@@ -276,14 +295,24 @@
                 records.assignment_value(assignment),
                 command.expected,
             )
-        except errors.StoreError:
+        except errors.StoreError as error:
             # Also after a conflict: the version found may be our own write,
             # of which the reply was lost.
             ownership.on_assignment_unknown(duty.controller)
+            if isinstance(error, errors.StoreConflictError):
+                events.log(
+                    events.ASSIGNMENT_CONFLICT, service=assignment.service
+                )
             self._wake.set()
             return
         written = dataclasses.replace(assignment, version=version)
         controlling.on_assignment_written(duty, written, boot_clock.now_s())
+        events.log(
+            events.ASSIGNMENT_WRITTEN,
+            service=assignment.service,
+            version=version,
+            moving_shards=len(assignment.moving_shards),
+        )
         self._wake.set()
 
     # Holders and members.
@@ -297,6 +326,13 @@
             answer = await self._offer(duty, grant)
         if answer is None:
             ownership.on_grant_lost(duty.controller, grant)
+            if controlling.lost_calls(duty, grant) == CALLS_BEFORE_TOLD:
+                events.log(
+                    events.GRANT_UNANSWERED,
+                    service=duty.controller.service,
+                    upstream=grant.target.upstream,
+                    gateway=grant.target.daemon,
+                )
             return
         controlling.on_grant_answer(duty, grant, answer, boot_clock.now_s())
         if not answer.accepted or controlling.is_moving(duty):
