Let noise raise the bar for a latency jump

Change: a jump must also pass the usual latency by four times the deviation, which learns from slow answers that a usual one followed.

--- a/src/sardinehill/core/ramp.py
+++ b/src/sardinehill/core/ramp.py
@@ -12,6 +12,7 @@
 
 _LATENCY_SAMPLES = 64
 _KNOWN_INCARNATIONS = 8
+_NOISE_DEVIATIONS = 4.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -121,6 +122,7 @@
         self._lost_s: list[float] = []
         self._slow_latencies_s: list[float] = []
         self._slow_since_s = now_s
+        self._deviation_s = 0.0
         self._seen_cold_ratio = 0.0
         self._usual_latency_s = 0.0
         self._previous_step_s: float | None = None
@@ -304,9 +306,12 @@
     def _jumped(self, now_s: float, latency_s: float) -> bool:
         usual_s = self._usual_latency_s
         threshold_s = max(
-            self._policy.jump_floor_s, usual_s * self._policy.jump_ratio
+            self._policy.jump_floor_s,
+            usual_s * self._policy.jump_ratio,
+            usual_s + _NOISE_DEVIATIONS * self._deviation_s,
         )
         if usual_s <= 0 or latency_s <= threshold_s:
+            self._learn_deviation(latency_s)
             self._slow_latencies_s.clear()
             return False
         if not self._slow_latencies_s:
@@ -320,6 +325,21 @@
         self._try_accept_slowness(now_s)
         return True
 
+    def _learn_deviation(self, latency_s: float) -> None:
+        """Learns how far answers stray when nothing has happened.
+
+        A few slow answers before a usual one were noise, and raise the bar
+        for the next ones: on a busy host every moment would else be a jump.
+        Only the first of a row count, or one straggling moment would hide a
+        fall that follows it.
+        """
+        usual_s = self._usual_latency_s
+        for slow_s in self._slow_latencies_s[: self._policy.jump_answers]:
+            strayed_s = slow_s - usual_s
+            self._deviation_s += 0.1 * (strayed_s - self._deviation_s)
+        strayed_s = abs(latency_s - usual_s)
+        self._deviation_s += 0.02 * (strayed_s - self._deviation_s)
+
     def _suspect_a_fall(self, now_s: float) -> None:
         if not self._suspect:
             self._raise_suspicion(now_s)
--- a/tests/cover/test_ramp.py
+++ b/tests/cover/test_ramp.py
@@ -118,6 +118,26 @@
     assert subject.allowance(now_s) == 4
 
 
+def test_noise_raises_the_bar_for_what_is_a_jump(warm):
+    subject, now_s = warm
+    for _ in range(30):
+        for latency_s in (0.04, 0.04, 0.01):
+            now_s += latency_s
+            subject.answered(now_s, "a", latency_s)
+    for _ in range(_POLICY.jump_answers):
+        now_s += 0.04
+        subject.answered(now_s, "a", 0.04)
+    assert subject.allowance(now_s) == 4
+
+
+def test_a_fall_soon_after_a_straggling_moment_is_seen(warm):
+    subject, now_s = warm
+    now_s = _serve(subject, now_s, 0.8, 0.1)
+    now_s = _serve(subject, now_s, 1.0, 0.01)
+    _serve(subject, now_s, 0.2, 0.035)
+    assert subject.allowance(now_s + 0.2) == 1
+
+
 def test_a_lasting_slowness_becomes_the_usual_latency(warm):
     subject, now_s = warm
     now_s = _serve(subject, now_s, 0.7, 0.04)
