Serve a new service's first requests, whatever their ids

Change: a daemon whose confirmed news showed a service without an assignment knows that nobody served it, so its first memories reach back to the start. Conclusion: ids without a time are refused only after a takeover.

--- a/bench/load.py
+++ b/bench/load.py
@@ -96,7 +96,7 @@
         divided = chance.random() < self.plan.divided_share
         service = next(s for s in services if s.divided_by_key == divided)
         acting = divided and chance.random() < self.plan.acting_share
-        marker = f"{chance.getrandbits(96):024x}"
+        marker = driver_module.time_ordered_id(chance.getrandbits(62))
         order = driver_module.Order(
             account=account,
             path=f"{service.path}/{chance.randrange(1000)}",
--- a/src/sardinehill/daemon/application.py
+++ b/src/sardinehill/daemon/application.py
@@ -71,6 +71,7 @@
             self.entry.send_undivided,
             self.gateway_leases.covers,
             self.accounts.held_for_s,
+            self._age_s,
         )
         self.operators = operators.Operators(
             operators.Sources(
--- a/src/sardinehill/daemon/duplicates.py
+++ b/src/sardinehill/daemon/duplicates.py
@@ -27,6 +27,8 @@
 GRANT_POLL_S = 0.05
 # How long a request waits for the grant of its shard.
 GRANT_WAIT_S = 0.3
+# News younger than this confirms that a service was never served.
+CONFIRMED_AGE_S = 1.0
 # A home's beginning that moves by more than this is another beginning.
 HOME_CHANGE_S = 0.5
 # What a kept answer takes besides its body.
@@ -63,13 +65,15 @@
       shard: the shard, or that of the key.
       key: the key when it is a scope of its own, else empty.
       previous: the daemon that was in charge before, if that is known.
+      is_first: whether nobody was ever in charge before.
     """
 
     service: str
     upstream: str
     shard: int
     key: str
-    previous: str | None
+    previous: str | None = None
+    is_first: bool = False
 
 
 class Duplicates:
@@ -83,6 +87,7 @@
         send_undivided: Send,
         covers: Covers,
         held_for_s: Callable[[str], float | None],
+        age_s: Callable[[], float],
     ) -> None:
         """Takes over the handling of forwarded requests.
 
@@ -93,6 +98,8 @@
           send_undivided: sends a request of a service not divided by key.
           covers: tells whether this daemon may send for a shard or a key now.
           held_for_s: tells for how long this daemon alone has held a duty.
+          age_s: for how long the store may have had something newer than the
+            view.
         """
         self._view = knowledge
         self._bus = bus
@@ -100,6 +107,9 @@
         self._send_undivided = send_undivided
         self._covers = covers
         self._held_for_s = held_for_s
+        self._age_s = age_s
+        self._unserved_s: dict[str, float] = {}
+        self._seen_scopes: dict[str, set[str]] = {}
         self._awaited: dict[str, _Awaited] = {}
         self._timer: asyncio.Task[None] | None = None
         self._home_since_s: dict[str, float] = {}
@@ -140,7 +150,7 @@
             await self._wait_for_charge(scope)
         else:
             scope = duplicates.home_scope(request.service, name)
-            self._follow_home(scope)
+            self._follow_home(request.service, scope)
         arrival = self._memory.arrive(
             scope, name, _fingerprint(request), self._clock.now_s()
         )
@@ -240,7 +250,7 @@
         if kind == "assignment":
             self._follow_assignment(name)
 
-    def _follow_home(self, scope: str) -> None:
+    def _follow_home(self, service: str, scope: str) -> None:
         held_for_s = self._held_for_s(scope)
         if held_for_s is None:
             self._home_since_s.pop(scope, None)
@@ -252,7 +262,10 @@
         known_s = self._home_since_s.get(scope)
         if known_s is None or since_s > known_s + HOME_CHANGE_S:
             self._memory.give_up(scope)
-            self._memory.take_charge(scope, since_s)
+            # Held since before the service was first served: it saw it all.
+            unserved_s = self._unserved_s.get(service, 0.0)
+            first = since_s <= unserved_s
+            self._memory.take_charge(scope, 0.0 if first else since_s)
             self._home_since_s[scope] = since_s
 
     def _scope(self, request: messages.ForwardRequest) -> str:
@@ -274,6 +287,7 @@
         self._assignments[service] = newest
         now_s = self._clock.now_s()
         split_keys = self._follow_split_keys(newest, now_s)
+        seen = self._seen_scopes.setdefault(service, set())
         before = _scopes_of(known, split_keys) if known else {}
         after = _scopes_of(newest, split_keys)
         own_name = self._view.settings.name
@@ -287,9 +301,11 @@
             if not self._memory.in_charge(scope):
                 if previous == own_name:
                     previous = None
+                is_first = service in self._unserved_s and scope not in seen
                 self._awaited[scope] = dataclasses.replace(
-                    awaited, previous=previous
+                    awaited, previous=previous, is_first=is_first
                 )
+        seen.update(after)
         self._take_granted()
         return newest
 
@@ -297,6 +313,18 @@
         self._awaited.pop(scope, None)
         self._memory.give_up(scope)
 
+    def _note_unserved(self) -> None:
+        """Notes the services that nobody has ever served, as is confirmed.
+
+        A memory of such a service knows of every request from the start, so
+        that a new service need not refuse its first requests.
+        """
+        if self._view.config is None or self._age_s() > CONFIRMED_AGE_S:
+            return
+        for service in self._view.config.services:
+            if service not in self._view.assignments:
+                self._unserved_s[service] = self._clock.now_s()
+
     def _take_granted(self) -> None:
         """Begins to be in charge where the grant has come.
 
@@ -309,7 +337,8 @@
                 awaited.service, awaited.upstream, awaited.shard, awaited.key
             ):
                 del self._awaited[scope]
-                self._memory.take_charge(scope, now_s, awaited.previous)
+                since_s = 0.0 if awaited.is_first else now_s
+                self._memory.take_charge(scope, since_s, awaited.previous)
 
     async def _wait_for_charge(self, scope: str) -> None:
         waited_s = 0.0
@@ -319,6 +348,7 @@
 
     async def _poll_forever(self) -> None:
         while True:
+            self._note_unserved()
             self._take_granted()
             await asyncio.sleep(GRANT_POLL_S)
 
@@ -359,7 +389,7 @@
             name = assignment.upstreams[owner]
             found[_shard_scope(service, shard)] = (
                 assignment.gateways.get(name),
-                _Awaited(service, name, shard, "", None),
+                _Awaited(service, name, shard, ""),
             )
     for key in split_keys:
         owner_name = placement.owner_of(assignment, key)
@@ -367,7 +397,7 @@
             shard = placement.shard_of(key, len(assignment.owners))
             found[_key_scope(service, key)] = (
                 assignment.gateways.get(owner_name),
-                _Awaited(service, owner_name, shard, key, None),
+                _Awaited(service, owner_name, shard, key),
             )
     return found
 
--- a/standins/driver.py
+++ b/standins/driver.py
@@ -17,13 +17,14 @@
 CLIENT_TIMEOUT_S = 10.0
 
 
-def time_ordered_id() -> str:
-    """Returns a fresh UUID of version 7.
+def time_ordered_id(random_bits: int | None = None) -> str:
+    """Returns a fresh UUID of version 7, with 62 random bits.
 
     An id that tells when it was made is known to be fresh soon after a
     gateway has changed; one without a time is refused for half a minute.
     """
-    random_bits = uuid.uuid4().int & ((1 << 62) - 1)
+    if random_bits is None:
+        random_bits = uuid.uuid4().int & ((1 << 62) - 1)
     now_ms = time.time_ns() // 1_000_000
     return str(uuid.UUID(int=now_ms << 80 | 7 << 76 | 2 << 62 | random_bits))
 
