Log no line for each write of an assignment

Cause: a small fleet wrote 76 assignments while tests took zones out and back, and the events command's default no longer reached back to the start of the daemons: test_events_of_all_daemons_are_shown_in_order failed.

Change: event 303 is not logged for each write.

--- a/src/sardinehill/daemon/controller.py
+++ b/src/sardinehill/daemon/controller.py
@@ -307,12 +307,6 @@
             return
         written = dataclasses.replace(assignment, version=version)
         controlling.on_assignment_written(duty, written, boot_clock.now_s())
-        events.log(
-            events.ASSIGNMENT_WRITTEN,
-            service=assignment.service,
-            version=version,
-            moving_shards=len(assignment.moving_shards),
-        )
         self._wake.set()
 
     # Holders and members.
