Ask to vouch only for duties in use, and log by numbered events

Cause: each idle daemon asked all others ten times a second to vouch for its member list: 70 of the 81 messages a second that one of 8 idle daemons sent. Beside that, an outage of the store filled the log with unnumbered lines, and 13 catalogued events were logged nowhere. Change: only a daemon whose buckets or duties were lately asked for renews its licence, and only when it is half gone. Unnumbered lines became events, logged on a change; events that nothing logs are gone, and a check holds that. Conclusion: messages of an idle fleet no longer grow with its square.

--- a/src/sardinehill/adapters/platform.py
+++ b/src/sardinehill/adapters/platform.py
@@ -13,6 +13,7 @@
 import aiohttp
 
 from sardinehill import errors
+from sardinehill import events
 from sardinehill.core import fleet
 from sardinehill.core import store_budget
 
@@ -212,9 +213,9 @@
                 raw = await response.read()
                 status = response.status
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            self.is_reachable = False
+            self._note_reachable(False, repr(error))
             raise errors.StoreUnavailableError(f"{path}: {error!r}") from error
-        self.is_reachable = status < 500
+        self._note_reachable(status < 500, f"status {status}")
         if status >= 500:
             raise errors.StoreUnavailableError(f"{path}: status {status}")
         if status not in _JSON_STATUSES:
@@ -222,6 +223,14 @@
             return status, {}
         return status, _json(raw, path)
 
+    def _note_reachable(self, reachable: bool, detail: str) -> None:
+        """Logs a change once, not each call of a long outage."""
+        if reachable and not self.is_reachable:
+            events.log(events.STORE_BACK)
+        elif self.is_reachable and not reachable:
+            events.log(events.STORE_LOST, detail=detail)
+        self.is_reachable = reachable
+
     async def _wait_for_budget(self, method: str, path: str) -> None:
         # The fourth part of a path names the kind; `/v1/hosts` has none.
         self.calls["/".join([method, *path.split("?")[0].split("/")[2:4]])] += 1
--- a/src/sardinehill/core/tokens.py
+++ b/src/sardinehill/core/tokens.py
@@ -284,9 +284,13 @@
         if epoch == self._epoch:
             self._confirmed_s = max(self._confirmed_s, began_s)
 
+    def confirmed_for_s(self, now_s: float) -> float:
+        """Returns for how long its member list has not been confirmed."""
+        return now_s - self._confirmed_s
+
     def is_licensed(self, now_s: float) -> bool:
         """Returns whether this daemon may lend at all."""
-        return now_s - self._confirmed_s < LICENCE_S
+        return self.confirmed_for_s(now_s) < LICENCE_S
 
     def lend(
         self, account: str, terms: Terms, epoch: int, wish: Wish, now_s: float
--- a/src/sardinehill/daemon/accounts.py
+++ b/src/sardinehill/daemon/accounts.py
@@ -25,6 +25,8 @@
 # News older than this and peers are asked to vouch that there is no newer.
 VOUCH_AGE_S = 0.5
 ASK_TIMEOUT_S = 0.25
+# How long after a wish or a look at a duty the licence is kept up.
+WANTED_S = 5.0
 # Time between two questions to a holder that is lost or not ready.
 HOLDER_RETRY_S = 0.05
 # Requests of one account that wait for tokens at one daemon.
@@ -87,6 +89,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.Task[None] | None = None
         self._vouching = False
+        self._wanted_until_s = float("-inf")
         bus.register(kinds.Kind.LEND_TOKENS, self._handle)
 
     def start(self) -> None:
@@ -150,6 +153,7 @@
         """Returns for how long this daemon alone has held a duty, or None."""
         now_s = _now_s()
         self._follow_members(now_s)
+        self._want_licence(now_s)
         since_s = self._holder.held_since_s(duty, now_s)
         return None if since_s is None else now_s - since_s
 
@@ -277,6 +281,8 @@
         epoch = self._holder.epoch
         if request.list_id != self._list_id:
             epoch = -1
+        elif request.account:
+            self._want_licence(now_s)
         loan = self._holder.lend(
             request.account,
             self._terms(request.account),
@@ -297,11 +303,26 @@
             config = self._view.config
             for account in config.accounts.values() if config else ():
                 self._holder.keep(account.name, tokens.terms_of(account))
-            if self._age_s() > VOUCH_AGE_S and not self._vouching:
-                self._vouching = True
-                self._spawn(self._ask_to_vouch())
+            if now_s < self._wanted_until_s:
+                self._renew_licence(now_s)
             await asyncio.sleep(TICK_S)
 
+    def _renew_licence(self, now_s: float) -> None:
+        """Asks to vouch when the licence is half gone.
+
+        Only a daemon whose buckets or duties were lately asked for does so:
+        when each did at all times, an idle fleet's messages grew with the
+        square of its size.
+        """
+        if self._vouching or self._holder.confirmed_for_s(now_s) < VOUCH_AGE_S:
+            return
+        self._vouching = True
+        self._spawn(self._ask_to_vouch())
+
+    def _want_licence(self, now_s: float) -> None:
+        self._wanted_until_s = now_s + WANTED_S
+        self._renew_licence(now_s)
+
     async def _ask_to_vouch(self) -> None:
         """Asks all members whether they know anything newer.
 
--- a/src/sardinehill/daemon/controller.py
+++ b/src/sardinehill/daemon/controller.py
@@ -8,7 +8,6 @@
 from collections.abc import Coroutine
 import dataclasses
 import itertools
-import logging
 from typing import Any
 import uuid
 
@@ -38,8 +37,6 @@
 # One lost call is no news; the second makes the holder a suspect.
 CALLS_BEFORE_TOLD = 2
 
-_log = logging.getLogger(__name__)
-
 
 class Controller:
     """This daemon's part in controlling every service."""
@@ -101,9 +98,11 @@
             for service in self._services():
                 try:
                     self._step(service)
-                except Exception:
+                except Exception as error:
                     # One service's fault must not end the others' control.
-                    _log.exception("control of %s failed", service.name)
+                    events.log_failure(
+                        events.TASK_FAILED, error, service=service.name
+                    )
             await asyncio.sleep(SHORTEST_STEP_INTERVAL_S)
             try:
                 async with asyncio.timeout(STEP_INTERVAL_S):
--- a/src/sardinehill/daemon/entry.py
+++ b/src/sardinehill/daemon/entry.py
@@ -172,7 +172,7 @@
                     self._idle.clear()
                     await self._idle.wait()
         except TimeoutError:
-            events.log(events.TASK_FAILED, outlasting=self._in_flight)
+            events.log(events.STOP_CUT_SHORT, in_flight=self._in_flight)
         await self._runner.cleanup()
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/src/sardinehill/daemon/news.py
+++ b/src/sardinehill/daemon/news.py
@@ -2,13 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 import contextlib
 import dataclasses
 import json
-import logging
 from typing import Any
 
 from sardinehill import errors
+from sardinehill import events
 from sardinehill import settings
 from sardinehill.adapters import peers as peer_codec
 from sardinehill.adapters import platform
@@ -30,7 +31,13 @@
 LEAVE_TIMEOUT_S = 3.0
 BOOTSTRAP_INTERVAL_S = 1.0
 
-_log = logging.getLogger(__name__)
+
+_ACCEPTED_EVENTS = {
+    "config": events.CONFIGURATION_ACCEPTED,
+    "placement": events.PLACEMENT_ACCEPTED,
+    "account-keys": events.ACCOUNT_KEYS_ACCEPTED,
+}
+_REFUSED_EVENTS = {"config": events.CONFIGURATION_REFUSED}
 
 
 @dataclasses.dataclass(frozen=True)
@@ -190,7 +197,11 @@
         try:
             await self._bus.meet(address)
         except errors.PeerError as error:
-            _log.info("no peer at %s: %s", address, error)
+            events.log(
+                events.PEER_UNREACHABLE,
+                address=str(address),
+                detail=str(error),
+            )
 
     def _accepted(self, item: news.Item) -> None:
         place = f"{item.kind}/{item.name}"
@@ -205,9 +216,17 @@
         ) as error:
             # The view keeps what it had: half of a text is never in force.
             self._problems[place] = f"version {item.version}: {error}"
-            _log.error("%s cannot be applied: %s", place, error)
+            events.log(
+                _REFUSED_EVENTS.get(item.kind, events.STORE_REPLY_BAD),
+                place=place,
+                version=item.version,
+                detail=str(error),
+            )
             return
         self._problems.pop(place, None)
+        accepted = _ACCEPTED_EVENTS.get(item.kind)
+        if accepted is not None:
+            events.log(accepted, place=place, version=item.version)
         for listener in self._listeners:
             listener(item.kind, item.name)
 
@@ -239,7 +258,14 @@
                 _set_or_drop(self._view.assignments, item.name, assignment)
             case "hosts" if value is not None:
                 hosts = platform.read_upstreams(value)
+                before = self._view.upstreams
                 self._view.upstreams = {host.name: host for host in hosts}
+                _log_changes(
+                    before,
+                    self._view.upstreams,
+                    events.UPSTREAM_FOUND,
+                    events.UPSTREAM_GONE,
+                )
             case "members" if value is not None:
                 self._take_members(item, value)
 
@@ -262,12 +288,27 @@
             writer_id=str(value.get("writer_id", "")),
             nonce=str(value.get("nonce", "")),
         )
+        _log_changes(
+            self._view.members, found, events.PEER_JOINED, events.PEER_LOST
+        )
         self._view.members = found
         self.member.set_members(members, _now_s())
         if self.member.leaving and self.member.host.name not in found:
             self._left.set()
 
 
+def _log_changes(
+    before: Mapping[str, Any],
+    after: Mapping[str, Any],
+    came: events.Event,
+    went: events.Event,
+) -> None:
+    for name in sorted(after.keys() - before.keys()):
+        events.log(came, name=name)
+    for name in sorted(before.keys() - after.keys()):
+        events.log(went, name=name)
+
+
 def _set_or_drop(mapping: dict[str, Any], name: str, value: Any) -> None:
     if value is None:
         mapping.pop(name, None)
--- a/src/sardinehill/daemon/peers.py
+++ b/src/sardinehill/daemon/peers.py
@@ -7,9 +7,9 @@
 import contextlib
 import inspect
 import itertools
-import logging
 
 from sardinehill import errors
+from sardinehill import events
 from sardinehill.adapters import handshake
 from sardinehill.core import fleet
 from sardinehill.daemon import connection
@@ -28,8 +28,6 @@
 Handler = Callable[[str, bytes], "bytes | None | Awaitable[bytes | None]"]
 Locate = Callable[[str], fleet.Address | None]
 
-_log = logging.getLogger(__name__)
-
 
 class PeerBus:
     """Asks and tells other daemons, and answers them.
@@ -263,7 +261,7 @@
 
     def _bad_frame(self, detail: str) -> None:
         self.bad_frames += 1
-        _log.warning("closing a peer's connection: %s", detail)
+        events.log(events.PEER_REFUSED, detail=detail)
 
     def _receive(
         self, one: connection.Connection, envelope: envelopes.Envelope
@@ -276,8 +274,7 @@
             outcome = handler(one.peer, envelope.payload)
         except errors.PeerFrameError as error:
             # The frame was whole, so the connection can go on.
-            self.bad_frames += 1
-            _log.warning("dropping a frame from %s: %s", one.peer, error)
+            self._bad_frame(f"from {one.peer}: {error}")
             return
         if inspect.isawaitable(outcome):
             self._spawn(self._answer_later(one, envelope, outcome))
@@ -293,8 +290,7 @@
         try:
             answer = await outcome
         except errors.PeerFrameError as error:
-            self.bad_frames += 1
-            _log.warning("dropping a frame from %s: %s", one.peer, error)
+            self._bad_frame(f"from {one.peer}: {error}")
             return
         self._answer(one, envelope, answer)
 
--- a/src/sardinehill/daemon/roster.py
+++ b/src/sardinehill/daemon/roster.py
@@ -1,12 +1,12 @@
 """Writes the member list when this daemon has a change to make."""
 
 import asyncio
-import logging
 from typing import Any
 from typing import TYPE_CHECKING
 import uuid
 
 from sardinehill import errors
+from sardinehill import events
 from sardinehill.adapters import platform
 from sardinehill.adapters import records
 from sardinehill.core import fleet
@@ -16,8 +16,6 @@
 if TYPE_CHECKING:
     from sardinehill.daemon import news
 
-_log = logging.getLogger(__name__)
-
 
 class Roster:
     """Turns the core's proposals into conditional updates."""
@@ -43,7 +41,7 @@
             except errors.StoreConflictError:
                 await self._read_again()
             except errors.StoreError as error:
-                _log.warning("the member list was not written: %s", error)
+                events.log(events.MEMBERS_NOT_WRITTEN, detail=str(error))
                 await asyncio.sleep(self._backoff.failed())
             else:
                 self._backoff.succeeded()
--- a/src/sardinehill/daemon/store_reader.py
+++ b/src/sardinehill/daemon/store_reader.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import logging
 from typing import Any
 from typing import TYPE_CHECKING
 import uuid
@@ -21,8 +20,6 @@
 HOSTS_WRITE_DELAY_S = 3.0
 HOSTS_PLACE = ("hosts", "fleet")
 
-_log = logging.getLogger(__name__)
-
 
 class StoreReader:
     """Watches while this daemon is a watcher, and else reads in need."""
@@ -133,8 +130,7 @@
                         kind, revision, self._wait_s()
                     )
                     self._take_changes(kind, changes)
-            except errors.StoreError as error:
-                _log.info("%s cannot be watched: %s", kind, error)
+            except errors.StoreError:
                 await asyncio.sleep(backoff.failed())
                 continue
             backoff.succeeded()
--- a/src/sardinehill/events.py
+++ b/src/sardinehill/events.py
@@ -38,23 +38,17 @@
 DAEMON_STARTED = Event(101, "daemon-started", logging.INFO)
 DAEMON_STOPPING = Event(102, "daemon-stopping", logging.INFO)
 DAEMON_STOPPED = Event(103, "daemon-stopped", logging.INFO)
-DAEMON_WAS_PAUSED = Event(104, "daemon-was-paused", logging.WARNING)
 TASK_FAILED = Event(105, "task-failed", logging.ERROR)
+STOP_CUT_SHORT = Event(106, "stop-cut-short", logging.ERROR)
 
 CONFIGURATION_ACCEPTED = Event(201, "configuration-accepted", logging.INFO)
 CONFIGURATION_REFUSED = Event(202, "configuration-refused", logging.ERROR)
 PLACEMENT_ACCEPTED = Event(203, "placement-accepted", logging.INFO)
-OLD_NEWS_IGNORED = Event(204, "old-news-ignored", logging.INFO)
 
 LEASE_TAKEN = Event(301, "lease-taken", logging.INFO)
 LEASE_LOST = Event(302, "lease-lost", logging.WARNING)
-ASSIGNMENT_WRITTEN = Event(303, "assignment-written", logging.INFO)
 ASSIGNMENT_CONFLICT = Event(304, "assignment-conflict", logging.WARNING)
-GRANT_REFUSED = Event(305, "grant-refused", logging.WARNING)
 GRANT_UNANSWERED = Event(306, "grant-unanswered", logging.WARNING)
-SHARDS_RELEASED = Event(307, "shards-released", logging.INFO)
-SHARDS_WAITED_OUT = Event(308, "shards-waited-out", logging.WARNING)
-REASSIGNMENT_HELD = Event(309, "reassignment-held", logging.WARNING)
 
 STORE_LOST = Event(401, "store-lost", logging.WARNING)
 STORE_BACK = Event(402, "store-back", logging.INFO)
@@ -65,17 +59,13 @@
 OUTAGE_MODE_ENTERED = Event(407, "outage-mode-entered", logging.WARNING)
 OUTAGE_MODE_LEFT = Event(408, "outage-mode-left", logging.INFO)
 LICENCE_LAPSED = Event(409, "licence-lapsed", logging.ERROR)
+PEER_UNREACHABLE = Event(410, "peer-unreachable", logging.INFO)
+MEMBERS_NOT_WRITTEN = Event(411, "members-not-written", logging.WARNING)
 
 UPSTREAM_FOUND = Event(501, "upstream-found", logging.INFO)
 UPSTREAM_GONE = Event(502, "upstream-gone", logging.INFO)
-UPSTREAM_RESTARTED = Event(503, "upstream-restarted", logging.WARNING)
-UPSTREAM_EJECTED = Event(504, "upstream-ejected", logging.WARNING)
-UPSTREAM_WARM = Event(505, "upstream-warm", logging.INFO)
-UPSTREAM_ANSWER_BAD = Event(506, "upstream-answer-bad", logging.ERROR)
 
 ACCOUNT_KEYS_ACCEPTED = Event(601, "account-keys-accepted", logging.INFO)
-ACCOUNT_OVER_RATE = Event(602, "account-over-rate", logging.INFO)
-TOKENS_HOLDER_CHANGED = Event(603, "tokens-holder-changed", logging.INFO)
 
 REQUEST_REFUSED = Event(701, "request-refused", logging.DEBUG)
 REQUEST_UNCERTAIN = Event(702, "request-uncertain", logging.WARNING)
@@ -100,6 +90,16 @@
         _log.log(event.level, event.name, extra={"ev": event, "fields": fields})
 
 
+def log_failure(event: Event, error: Exception, **fields: Any) -> None:
+    """Logs an event with the traceback of the error that led to it."""
+    _log.log(
+        event.level,
+        event.name,
+        extra={"ev": event, "fields": fields},
+        exc_info=error,
+    )
+
+
 class JsonFormatter(logging.Formatter):
     """Writes each record as one JSON object on one line."""
 
--- a/tests/quality/test_events_catalogue.py
+++ b/tests/quality/test_events_catalogue.py
@@ -39,3 +39,11 @@
                 and node.value.id == "events"
             ):
                 assert hasattr(events, node.attr), f"{path}: {node.attr}"
+
+
+def test_each_event_of_the_catalogue_is_logged_somewhere():
+    source = ROOT / "src" / "sardinehill"
+    text = "".join(path.read_text() for path in source.rglob("*.py"))
+    for name, value in vars(events).items():
+        if isinstance(value, events.Event):
+            assert f"events.{name}" in text, name
