Keep whom to ask about repeats while a grant is awaited

Cause: a daemon that was to take a shard or a split key over waits for the grant. When the assignment changed again meanwhile, it took itself for the daemon before and forgot whom to ask; fresh requests were then refused as may-have-run until their ids were younger than its memory. Found by noting the memory's charge at each such refusal: all had no daemon to ask. Ruled out: a lost answer of the daemon before; no question failed in that run. Change: who was in charge last is kept until the grant comes.

--- a/src/sardinehill/daemon/duplicates.py
+++ b/src/sardinehill/daemon/duplicates.py
@@ -297,18 +297,33 @@
             if gateway != own_name:
                 self._lose(scope)
                 continue
-            previous = before[scope][0] if scope in before else None
             if not self._memory.in_charge(scope):
-                if previous == own_name:
-                    previous = None
+                before_gateway = before[scope][0] if scope in before else None
                 is_first = service in self._unserved_s and scope not in seen
-                self._awaited[scope] = dataclasses.replace(
-                    awaited, previous=previous, is_first=is_first
-                )
+                self._await_grant(scope, awaited, before_gateway, is_first)
         seen.update(after)
         self._take_granted()
         return newest
 
+    def _await_grant(
+        self,
+        scope: str,
+        awaited: _Awaited,
+        before_gateway: str | None,
+        is_first: bool,
+    ) -> None:
+        previous = before_gateway
+        if before_gateway == self._view.settings.name:
+            # The assignment changed again before the grant came. Whoever was
+            # in charge last is still the one to ask: to forget it refused
+            # fresh requests for as long as a zone's moves lasted.
+            waiting = self._awaited.get(scope)
+            previous = waiting.previous if waiting else None
+            is_first = waiting.is_first if waiting else is_first
+        self._awaited[scope] = dataclasses.replace(
+            awaited, previous=previous, is_first=is_first
+        )
+
     def _lose(self, scope: str) -> None:
         self._awaited.pop(scope, None)
         self._memory.give_up(scope)
