--- a/tests/process/test_whole_path.py
+++ b/tests/process/test_whole_path.py
@@ -15,6 +15,7 @@
 from sardinehill.adapters import platform
 from sardinehill.adapters import records
 from sardinehill.core import account_keys
+from tests.process import account_fleet
 
 FLEET_TEXT = """
 [fleet]
@@ -33,24 +34,6 @@
 burst_requests = 1000
 """
 
-HOST_TEXT = """
-[host]
-name = {name}
-availability_zone = pa-1
-
-[addresses]
-callers = 127.0.0.1:0
-operators = 127.0.0.1:0
-peers = 127.0.0.1:0
-
-[platform]
-url = {store_url}
-account_key_secret = hash-secret-of-the-test
-
-[peers]
-secrets = peer-secret-of-the-test
-"""
-
 
 def _start(*arguments: str) -> tuple[subprocess.Popen[str], str]:
     process = subprocess.Popen(
@@ -99,7 +82,9 @@
     for number in range(2):
         settings_file = tmp_path / f"host-{number}.ini"
         settings_file.write_text(
-            HOST_TEXT.format(name=f"host-{number}", store_url=store_url)
+            account_fleet.HOST_TEXT.format(
+                name=f"host-{number}", store_url=store_url
+            )
         )
         process, address = _start("sardinehill", "daemon", str(settings_file))
         processes.append(process)
