--- a/src/sardinehill/daemon/accounts.py
+++ b/src/sardinehill/daemon/accounts.py
@@ -115,6 +115,16 @@
         self._ring.confirm(now_s - self._age_s())
         return self._ring.check(account_key, now_s)
 
+    def is_current(self) -> bool:
+        """Tells whether this daemon can learn of revoked account keys.
+
+        While it cannot, it refuses every caller, so the balancer had better
+        send them elsewhere.
+        """
+        now_s = _now_s()
+        self._ring.confirm(now_s - self._age_s())
+        return self._ring.is_confirmed(now_s)
+
     async def admit(
         self, account: fleet.ClientAccount, deadline_s: float
     ) -> None:
--- a/src/sardinehill/daemon/application.py
+++ b/src/sardinehill/daemon/application.py
@@ -139,7 +139,7 @@
         }
 
     def _is_ready(self) -> bool:
-        return self.view.config is not None
+        return self.entry.is_ready()
 
     def _age_s(self) -> float:
         now_s = asyncio.get_running_loop().time()
--- a/src/sardinehill/daemon/entry.py
+++ b/src/sardinehill/daemon/entry.py
@@ -216,8 +216,13 @@
         )
 
     def _ready(self) -> web.Response:
-        ready = self._view.config is not None and not self._leaving
-        return web.Response(status=200 if ready else 503)
+        return web.Response(status=200 if self.is_ready() else 503)
+
+    def is_ready(self) -> bool:
+        """Tells whether the balancer should send callers here."""
+        if self._view.config is None or self._leaving:
+            return False
+        return self._admission.is_current()
 
     async def _answer(
         self, request: web.BaseRequest, passage: _Passage
--- /dev/null
+++ b/tests/cover/test_readiness.py
@@ -0,0 +1,36 @@
+"""Claims about when the balancer should send callers to a daemon."""
+
+import asyncio
+
+import pytest
+
+from sardinehill.core import account_keys
+from sardinehill.core import fleet
+from sardinehill.daemon import accounts
+from sardinehill.daemon import entry
+from sardinehill.daemon import view
+from tests.cover import test_repeats_over_moves as moves
+
+CONFIG = fleet.FleetConfig(1, ("pa-1",), {}, {}, {})
+
+
+@pytest.mark.parametrize(
+    ("config", "age_s", "is_ready"),
+    [
+        (None, 0.0, False),
+        (CONFIG, 0.0, True),
+        (CONFIG, account_keys.CONFIRMED_WITHIN_S + 1.0, False),
+    ],
+)
+def test_a_daemon_that_would_refuse_all_callers_is_not_ready(
+    config: fleet.FleetConfig | None, age_s: float, is_ready: bool
+) -> None:
+    async def ask() -> bool:
+        knowledge = view.View(
+            moves.SETTINGS, account_keys.KeyRing("secret"), config
+        )
+        bus = moves.Bus()
+        admission = accounts.Accounts(knowledge, bus, lambda: age_s)
+        return entry.Entry(knowledge, bus, admission).is_ready()
+
+    assert asyncio.run(ask()) is is_ready
