--- a/bench/binary.py
+++ b/bench/binary.py
@@ -13,7 +13,7 @@
 import time
 from typing import Any
 
-from bench import inspect_process
+from tests.common import inspect_process
 from bench import usage
 from standins import deployment as deployment_module
 from standins import processes
--- /dev/null
+++ b/src/sardinehill/core/keyspace.py
@@ -0,0 +1,545 @@
+"""Which upstream of a divided service owns which keys.
+
+An assignment covers all keys with spans. A span that moves names the upstream
+that had it before, until that one has certainly given it up; only then may the
+new owner be granted it. Epochs only grow: each change of owner, and each
+change of leader, takes a higher one.
+"""
+
+import bisect
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import itertools
+from typing import Any
+
+KEY_COUNT = 65536
+# An upstream's clock may run this much slow while it measures a grant.
+CLOCK_DRIFT_RATIO = 0.02
+# How long an order may still be on its way once its connection is closed.
+IN_FLIGHT_MARGIN_S = 0.15
+
+Life = tuple[str, int]
+
+
+@dataclasses.dataclass(slots=True)
+class Former:
+    """Who had a span before, and may still hold it.
+
+    Attributes:
+      life: the upstream's id and start.
+      epoch: under which it had the span.
+      holds_until_s: by then it holds the span no more, whatever happens.
+      unanswered_until_s: until then an order that was sent may still give it
+        the span again.
+      released: whether it answered that it has given the span up.
+    """
+
+    life: Life
+    epoch: int
+    holds_until_s: float
+    unanswered_until_s: float = 0.0
+    released: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Span:
+    """Keys `first` to `last` and their owner.
+
+    Attributes:
+      first: the lowest key.
+      last: the highest key.
+      owner: the upstream's id and start, or None.
+      epoch: under which the owner is granted the span.
+      former: who must give it up first, or None.
+      handover: what the former owner left for the next.
+      live: whether the owner has confirmed the grant.
+      granted_until_s: until then the owner certainly holds the span.
+      holds_until_s: from then on the owner certainly does not hold it.
+      unanswered_until_s: until then an unanswered grant may still take effect.
+      next_order_s: when the next grant or release is due.
+      ordering: whether an order is on its way.
+    """
+
+    first: int
+    last: int
+    owner: Life | None
+    epoch: int
+    former: Former | None = None
+    handover: str | None = None
+    live: bool = False
+    granted_until_s: float = 0.0
+    holds_until_s: float = 0.0
+    unanswered_until_s: float = 0.0
+    next_order_s: float = 0.0
+    ordering: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Move:
+    """Keys that are to have another owner."""
+
+    first: int
+    last: int
+    to: Life
+
+
+@dataclasses.dataclass(slots=True)
+class Assignment:
+    """Who owns the keys of one service.
+
+    Attributes:
+      spans: in the order of their keys, covering all of them.
+      top_epoch: the highest epoch ever used.
+    """
+
+    spans: list[Span]
+    top_epoch: int
+
+    def next_epoch(self) -> int:
+        """Returns an epoch above all that were ever used."""
+        self.top_epoch += 1
+        return self.top_epoch
+
+
+def empty() -> Assignment:
+    """Returns an assignment in which nobody owns any key."""
+    return Assignment([Span(0, KEY_COUNT - 1, None, 0)], 0)
+
+
+def find(spans: Sequence[Span], key: int) -> Span:
+    """Returns the span that a key belongs to."""
+    index = bisect.bisect_right(spans, key, key=lambda span: span.first)
+    return spans[index - 1]
+
+
+def latest_end_s(sent_s: float, hold_s: float) -> float:
+    """Returns when a grant that was on its way until `sent_s` has lapsed."""
+    return sent_s + hold_s * (1 + CLOCK_DRIFT_RATIO) + IN_FLIGHT_MARGIN_S
+
+
+def to_document(assignment: Assignment) -> dict[str, Any]:
+    """Returns what the store keeps of an assignment."""
+    return {
+        "topEpoch": assignment.top_epoch,
+        "spans": [
+            [
+                span.first,
+                span.last,
+                span.epoch,
+                list(span.owner) if span.owner else None,
+                [*span.former.life, span.former.epoch] if span.former else None,
+            ]
+            for span in assignment.spans
+        ],
+    }
+
+
+def from_document(document: Any, holds_until_s: float) -> Assignment:
+    """Reads back what `to_document` returned.
+
+    Args:
+      document: the stored text.
+      holds_until_s: until then any owner or former owner may hold its spans,
+        since nobody knows what an earlier leader granted last.
+
+    Raises:
+      ValueError: it is not such a document.
+    """
+    try:
+        spans = [_span(row, holds_until_s) for row in document["spans"]]
+        assignment = Assignment(spans, int(document["topEpoch"]))
+    except (KeyError, TypeError, IndexError) as error:
+        raise ValueError(f"not an assignment: {error!r}") from error
+    expected = 0
+    for span in spans:
+        if span.first != expected or span.last < span.first:
+            raise ValueError(f"the spans leave a gap at key {expected}")
+        expected = span.last + 1
+    if expected != KEY_COUNT:
+        raise ValueError(f"the spans end at key {expected}")
+    return assignment
+
+
+def _span(row: Sequence[Any], holds_until_s: float) -> Span:
+    first, last, epoch, owner, former = row
+    span = Span(int(first), int(last), None, int(epoch))
+    if owner is not None:
+        span.owner = (str(owner[0]), int(owner[1]))
+        span.holds_until_s = holds_until_s
+        span.unanswered_until_s = holds_until_s
+    if former is not None:
+        span.former = Former(
+            (str(former[0]), int(former[1])),
+            int(former[2]),
+            holds_until_s,
+            holds_until_s,
+        )
+    return span
+
+
+def split_at(assignment: Assignment, key: int) -> None:
+    """Makes a span begin at `key`; both parts keep what is known of them."""
+    if key <= 0 or key >= KEY_COUNT:
+        return
+    span = find(assignment.spans, key)
+    if span.first == key:
+        return
+    index = assignment.spans.index(span)
+    former = dataclasses.replace(span.former) if span.former else None
+    tail = dataclasses.replace(span, first=key, former=former)
+    span.last = key - 1
+    assignment.spans.insert(index + 1, tail)
+
+
+def may_move(span: Span) -> bool:
+    """Returns whether a span's owner may be changed now.
+
+    One change at a time: a span that still waits for a former owner keeps its
+    new one until then, or there would be two former owners to wait for.
+    """
+    return span.former is None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Transfer:
+    """A move with the epoch that the new owner gets its keys under."""
+
+    first: int
+    last: int
+    to: Life
+    epoch: int
+
+
+def apply_moves(
+    assignment: Assignment, moves: Iterable[Move]
+) -> list[Transfer]:
+    """Changes owners as planned; returns what was changed."""
+    transfers = []
+    for move in moves:
+        split_at(assignment, move.first)
+        split_at(assignment, move.last + 1)
+        for span in assignment.spans:
+            if span.first < move.first or span.last > move.last:
+                continue
+            if span.owner == move.to or not may_move(span):
+                continue
+            transfer = Transfer(
+                span.first, span.last, move.to, assignment.next_epoch()
+            )
+            _change_owner(span, transfer.to, transfer.epoch)
+            transfers.append(transfer)
+    return transfers
+
+
+def apply_transfers(
+    assignment: Assignment, transfers: Iterable[Transfer]
+) -> None:
+    """Repeats changes that were made to a copy and then written down."""
+    for transfer in transfers:
+        split_at(assignment, transfer.first)
+        split_at(assignment, transfer.last + 1)
+        for span in assignment.spans:
+            if transfer.first <= span.first and span.last <= transfer.last:
+                _change_owner(span, transfer.to, transfer.epoch)
+        assignment.top_epoch = max(assignment.top_epoch, transfer.epoch)
+
+
+def _change_owner(span: Span, owner: Life, epoch: int) -> None:
+    if span.owner is not None and span.holds_until_s > 0:
+        span.former = Former(
+            span.owner,
+            span.epoch,
+            span.holds_until_s,
+            span.unanswered_until_s,
+        )
+    span.owner = owner
+    span.epoch = epoch
+    span.handover = None
+    span.live = False
+    span.granted_until_s = 0.0
+    span.holds_until_s = 0.0
+    span.unanswered_until_s = 0.0
+    span.next_order_s = 0.0
+    span.ordering = False
+
+
+def renew_epochs(assignment: Assignment) -> None:
+    """Gives every owned span a higher epoch, so that older orders fail."""
+    for span in assignment.spans:
+        if span.owner is not None:
+            span.epoch = assignment.next_epoch()
+
+
+def merge(assignment: Assignment) -> None:
+    """Joins neighbours of one owner that nothing is pending for."""
+    joined: list[Span] = []
+    for span in assignment.spans:
+        before = joined[-1] if joined else None
+        if before is not None and _may_join(before, span):
+            before.last = span.last
+            before.epoch = assignment.next_epoch()
+            before.granted_until_s = min(
+                before.granted_until_s, span.granted_until_s
+            )
+            before.holds_until_s = max(before.holds_until_s, span.holds_until_s)
+            before.unanswered_until_s = max(
+                before.unanswered_until_s, span.unanswered_until_s
+            )
+            before.next_order_s = 0.0
+        else:
+            joined.append(span)
+    assignment.spans[:] = joined
+
+
+def _may_join(before: Span, span: Span) -> bool:
+    return (
+        before.owner == span.owner
+        and before.live == span.live
+        and before.former is None
+        and span.former is None
+        and before.handover is None
+        and span.handover is None
+        and not before.ordering
+        and not span.ordering
+    )
+
+
+def former_is_gone(span: Span, now_s: float, is_dead: bool) -> bool:
+    """Returns whether a span's former owner holds it no more.
+
+    Args:
+      span: one that waits for a former owner.
+      now_s: the time by the clock that `holds_until_s` is in.
+      is_dead: whether that life of the upstream has certainly ended.
+    """
+    former = span.former
+    if former is None or is_dead or now_s >= former.holds_until_s:
+        return True
+    return former.released and now_s >= former.unanswered_until_s
+
+
+def settle(span: Span, handover: str | None) -> None:
+    """Notes that the former owner is gone: the owner may be granted."""
+    span.former = None
+    span.handover = handover
+    span.next_order_s = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlanPolicy:
+    """When keys are worth moving.
+
+    Attributes:
+      excess_ratio: an upstream with so many times the mean load gives keys.
+      least_load: no keys move from an upstream below this load, in requests
+        under way for each slot.
+      moves: how many moves are planned at once.
+      spans_limit: an upstream with so many spans gets no further one.
+    """
+
+    excess_ratio: float = 1.2
+    least_load: float = 0.25
+    moves: int = 6
+    spans_limit: int = 12
+
+
+class Weights:
+    """How much each key is used, with sums over any span of keys."""
+
+    def __init__(self, use: Mapping[int, float], base: float):
+        """Sums up the use of keys.
+
+        Args:
+          use: the load of the keys that are used at all.
+          base: what is added for each key.
+        """
+        self._keys = sorted(use)
+        self._sums = [
+            0.0,
+            *itertools.accumulate(use[key] for key in self._keys),
+        ]
+        self._base = base
+
+    def _below(self, key: int) -> float:
+        """Returns the load of all keys below one."""
+        return (
+            self._base * key + self._sums[bisect.bisect_left(self._keys, key)]
+        )
+
+    def of(self, first: int, last: int) -> float:
+        """Returns the load of keys `first` to `last`."""
+        return self._below(last + 1) - self._below(first)
+
+    def first_for(self, first: int, last: int, load: float) -> int:
+        """Returns where the tail of a span with at most `load` begins."""
+        wanted = self._below(last + 1) - load
+        key = bisect.bisect_left(
+            range(KEY_COUNT + 1), wanted, first, last + 1, key=self._below
+        )
+        return min(max(key, first), last)
+
+    def last_for(self, first: int, last: int, load: float) -> int:
+        """Returns where the head of a span with at most `load` ends."""
+        wanted = self._below(first) + load
+        end = bisect.bisect_right(
+            range(KEY_COUNT + 1), wanted, first + 1, last + 2, key=self._below
+        )
+        return min(max(end - 2, first), last)
+
+
+def plan(
+    assignment: Assignment,
+    capacities: Mapping[Life, float],
+    weights: Weights,
+    policy: PlanPolicy,
+) -> list[Move]:
+    """Returns the moves that give each key an owner and even the load out.
+
+    Args:
+      assignment: as it is; it is not changed.
+      capacities: the upstreams that may own keys, with what each bears.
+      weights: the load of each key in the capacities' unit.
+      policy: when keys are worth moving.
+    """
+    usable = {life: room for life, room in capacities.items() if room > 0}
+    if not usable:
+        return []
+    planner = _Planner(assignment, usable, weights, policy)
+    planner.place_orphans()
+    planner.even_out()
+    return planner.moves
+
+
+class _Planner:
+    """The loads as the moves planned so far would leave them."""
+
+    def __init__(
+        self,
+        assignment: Assignment,
+        capacities: Mapping[Life, float],
+        weights: Weights,
+        policy: PlanPolicy,
+    ):
+        self._capacities = capacities
+        self._weights = weights
+        self._policy = policy
+        self._loads = dict.fromkeys(capacities, 0.0)
+        self._spans: dict[Life, list[tuple[int, int]]]
+        self._spans = {life: [] for life in capacities}
+        self._orphans: list[tuple[int, int]] = []
+        self._total = weights.of(0, KEY_COUNT - 1)
+        self._mean = self._total / sum(capacities.values())
+        self.moves: list[Move] = []
+        for span in assignment.spans:
+            self._count(span)
+
+    def _count(self, span: Span) -> None:
+        if span.owner in self._capacities:
+            assert span.owner is not None
+            self._loads[span.owner] += self._weights.of(span.first, span.last)
+            if may_move(span):
+                self._spans[span.owner].append((span.first, span.last))
+        elif may_move(span):
+            self._orphans.append((span.first, span.last))
+
+    def _ratio(self, life: Life) -> float:
+        return self._loads[life] / self._capacities[life]
+
+    def place_orphans(self) -> None:
+        """Gives keys without a usable owner to the least loaded."""
+        for first, last in self._orphans:
+            while first <= last:
+                to = min(self._capacities, key=self._ratio)
+                room = self._mean * self._capacities[to] - self._loads[to]
+                end = last
+                if self._weights.of(first, last) > room * 1.25:
+                    end = self._weights.last_for(first, last, max(room, 0.0))
+                self._move(first, end, None, to)
+                first = end + 1
+
+    def even_out(self) -> None:
+        """Takes keys from the most loaded for the least loaded."""
+        given_up: set[Life] = set()
+        left = self._policy.moves
+        while left > 0:
+            candidates = [life for life in self._loads if life not in given_up]
+            if not candidates:
+                return
+            source = max(candidates, key=self._ratio)
+            floor = max(
+                self._mean * self._policy.excess_ratio, self._policy.least_load
+            )
+            if self._ratio(source) <= floor:
+                return
+            if self._give(source):
+                left -= 1
+            else:
+                given_up.add(source)
+
+    def _give(self, source: Life) -> bool:
+        targets = [
+            life
+            for life in self._loads
+            if life != source
+            and len(self._spans[life]) < self._policy.spans_limit
+        ]
+        if not targets or not self._spans[source]:
+            return False
+        to = min(targets, key=self._ratio)
+        surplus = self._loads[source] - self._mean * self._capacities[source]
+        room = self._mean * self._capacities[to] - self._loads[to]
+        wanted = min(surplus, room)
+        if wanted <= 0:
+            return False
+        piece = self._piece(source, wanted)
+        if piece is None:
+            return False
+        first, last = piece
+        moved = self._weights.of(first, last)
+        after = (self._loads[to] + moved) / self._capacities[to]
+        if after >= self._ratio(source):
+            return False
+        self._move(first, last, source, to)
+        return True
+
+    def _piece(self, source: Life, wanted: float) -> tuple[int, int] | None:
+        """Returns the part at a span's edge whose load is nearest `wanted`."""
+        best: tuple[int, int] | None = None
+        best_error = wanted
+        for first, last in self._spans[source]:
+            for piece in (
+                (self._weights.first_for(first, last, wanted), last),
+                (first, self._weights.last_for(first, last, wanted)),
+            ):
+                error = abs(self._weights.of(*piece) - wanted)
+                if error < best_error:
+                    best, best_error = piece, error
+        return best
+
+    def _move(
+        self, first: int, last: int, source: Life | None, to: Life
+    ) -> None:
+        load = self._weights.of(first, last)
+        self._loads[to] += load
+        self._spans[to].append((first, last))
+        if source is not None:
+            self._loads[source] -= load
+            self._spans[source] = _without(self._spans[source], first, last)
+        self.moves.append(Move(first, last, to))
+
+
+def _without(
+    spans: list[tuple[int, int]], first: int, last: int
+) -> list[tuple[int, int]]:
+    left = []
+    for low, high in spans:
+        if high < first or low > last:
+            left.append((low, high))
+            continue
+        if low < first:
+            left.append((low, first - 1))
+        if high > last:
+            left.append((last + 1, high))
+    return left
--- /dev/null
+++ b/src/sardinehill/core/room.py
@@ -0,0 +1,183 @@
+"""What one daemon knows of each upstream's room, and how it chooses.
+
+Every daemon sends to upstreams directly, so each counts only its own requests
+and learns of the others' from the load that upstreams tell in their answers.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+
+LATENCY_MEMORY = 0.85
+FAILURE_MEMORY = 0.8
+# An upstream's word on its load counts for so long, fading evenly.
+LOAD_FRESH_S = 0.4
+# How much worse an upstream is taken to be for each failed request.
+FAILURE_COST_FACTOR = 4.0
+FIRST_EJECTION_S = 0.4
+LONGEST_EJECTION_S = 3.0
+# After an upstream said that it is full, it gets nothing for so long.
+FULL_PAUSE_S = 0.03
+# Choices vary by so much, lest all daemons find the same upstream best.
+CHOICE_NOISE_RATIO = 0.25
+COLD_WINDOW_S = 1.05
+
+
+@dataclasses.dataclass(slots=True)
+class Room:
+    """One upstream's life, as one daemon sees it.
+
+    Attributes:
+      slots: how many requests the upstream runs at once.
+      in_flight: this daemon's requests that it has not answered.
+      slowness: its latency against the route's mean over all upstreams.
+      machine_slowness: what it last said of its machine.
+      failure_ratio: how many of its answers were failures, smoothed.
+      others: requests of other daemons that it last told of.
+      heard_s: when it last told of its load.
+      blocked_until_s: it gets nothing before.
+      cold_until_s: until then it is cold.
+      ejections: how often in a row it could not be reached.
+      cold_sent_s: when requests were sent to it while cold, newest last.
+    """
+
+    slots: int
+    in_flight: int = 0
+    slowness: float = 1.0
+    machine_slowness: float = 1.0
+    failure_ratio: float = 0.0
+    others: float = 0.0
+    heard_s: float = -LOAD_FRESH_S
+    blocked_until_s: float = 0.0
+    cold_until_s: float = 0.0
+    ejections: int = 0
+    cold_sent_s: list[float] = dataclasses.field(default_factory=list)
+
+    def sent(self, now_s: float) -> None:
+        """Notes that a request is on its way."""
+        self.in_flight += 1
+        if now_s < self.cold_until_s:
+            self.cold_sent_s.append(now_s)
+
+    def ended(self) -> None:
+        """Notes that a request is no longer under way."""
+        self.in_flight -= 1
+
+    def answered(self, latency_s: float, usual_s: float, ok: bool) -> None:
+        """Learns from an answer.
+
+        Args:
+          latency_s: from sending to the whole answer.
+          usual_s: the route's mean over all upstreams.
+          ok: whether it was no failure of the upstream.
+        """
+        self.ejections = 0
+        self.failure_ratio *= FAILURE_MEMORY
+        if not ok:
+            self.failure_ratio += 1 - FAILURE_MEMORY
+            return
+        ratio = min(latency_s / max(usual_s, 1e-4), 10.0)
+        self.slowness += (1 - LATENCY_MEMORY) * (ratio - self.slowness)
+
+    def told_load(
+        self, running: int, waiting: int, slowness: float, now_s: float
+    ) -> None:
+        """Learns what the upstream says of its load."""
+        self.others = max(0.0, running + waiting - self.in_flight)
+        self.machine_slowness = slowness
+        self.heard_s = now_s
+
+    def full(self, now_s: float) -> None:
+        """Notes that the upstream refused a request for want of room."""
+        self.blocked_until_s = max(self.blocked_until_s, now_s + FULL_PAUSE_S)
+
+    def unreachable(self, now_s: float) -> None:
+        """Notes that the upstream could not be reached."""
+        pause_s = min(FIRST_EJECTION_S * 2**self.ejections, LONGEST_EJECTION_S)
+        self.ejections += 1
+        self.blocked_until_s = max(self.blocked_until_s, now_s + pause_s)
+
+    def queue(self, now_s: float) -> float:
+        """Returns how many requests are likely at the upstream."""
+        age_s = now_s - self.heard_s
+        fading = max(0.0, 1.0 - age_s / LOAD_FRESH_S)
+        return self.in_flight + self.others * fading
+
+    def cost(self, now_s: float) -> float:
+        """Returns the expected latency of one more request, route's mean 1."""
+        excess = max(0.0, self.queue(now_s) + 1 - self.slots)
+        age_s = now_s - self.heard_s
+        machine = self.machine_slowness if age_s < LOAD_FRESH_S else 1.0
+        speed = self.slowness * (0.5 + 0.5 * machine)
+        failures = 1 + FAILURE_COST_FACTOR * self.failure_ratio
+        return speed * (1 + excess / self.slots) * failures
+
+    def may_send(self, now_s: float, limit: int, cold_limit: int) -> bool:
+        """Returns whether one more request may be sent now.
+
+        Args:
+          now_s: the time.
+          limit: how many requests this daemon may have there at once.
+          cold_limit: how many it may send there in a second while it is cold.
+        """
+        if now_s < self.blocked_until_s or self.in_flight >= limit:
+            return False
+        if now_s >= self.cold_until_s:
+            return True
+        oldest_s = now_s - COLD_WINDOW_S
+        self.cold_sent_s = [at for at in self.cold_sent_s if at > oldest_s]
+        return len(self.cold_sent_s) < cold_limit
+
+
+def cheapest(
+    rooms: Iterable[tuple[str, Room]],
+    now_s: float,
+    uniform: Callable[[], float],
+) -> str | None:
+    """Returns the upstream with the least expected latency, or None."""
+    best: str | None = None
+    best_cost = float("inf")
+    for name, room in rooms:
+        cost = room.cost(now_s) * (1 + CHOICE_NOISE_RATIO * uniform())
+        if cost < best_cost:
+            best, best_cost = name, cost
+    return best
+
+
+class RepeatBudget:
+    """Repeats that one daemon may send to one service's upstreams.
+
+    The fleet's bound counts requests in a sliding window. Each daemon keeps
+    to its own requests' part of it and an even part of the slack.
+    """
+
+    def __init__(self, ratio: float, slack: float, window_s: float):
+        self._ratio = ratio
+        self._slack = slack
+        self._window_s = window_s
+        self._requests: list[float] = []
+        self._repeats: list[float] = []
+
+    def requested(self, now_s: float) -> None:
+        """Notes a request for the service."""
+        self._requests.append(now_s)
+        if len(self._requests) > 4096:
+            self._trim(now_s)
+
+    def take(self, now_s: float, daemons: int) -> bool:
+        """Takes one repeat, if the budget has one."""
+        self._trim(now_s)
+        allowed = len(self._requests) * self._ratio
+        allowed += self._slack / max(daemons, 1)
+        if len(self._repeats) + 1 > allowed:
+            return False
+        self._repeats.append(now_s)
+        return True
+
+    def _trim(self, now_s: float) -> None:
+        oldest_s = now_s - self._window_s
+        for times in (self._requests, self._repeats):
+            index = 0
+            while index < len(times) and times[index] < oldest_s:
+                index += 1
+            del times[:index]
--- /dev/null
+++ b/src/sardinehill/front/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of an entry host that sends to upstreams directly."""
--- /dev/null
+++ b/src/sardinehill/front/__main__.py
@@ -0,0 +1,33 @@
+"""The entry point of a daemon on the users' platform."""
+
+import asyncio
+import os
+import sys
+
+# uvloop reads this when the loop is made; hosts forbid io_uring.
+os.environ["UV_USE_IO_URING"] = "0"
+
+import uvloop  # noqa: E402
+
+from sardinehill import errors  # noqa: E402
+from sardinehill.front import daemon  # noqa: E402
+from sardinehill.platform import settings  # noqa: E402
+
+BAD_SETTINGS_STATUS = 2
+
+
+def main() -> int:
+    """Runs the daemon until it is stopped; returns its exit status."""
+    try:
+        path = settings.path_from_environment()
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(daemon.run(path))
+    except errors.SettingsErrors as error:
+        for one in error.exceptions:
+            print(one, file=sys.stderr)
+        return BAD_SETTINGS_STATUS
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/sardinehill/front/daemon.py
@@ -0,0 +1,264 @@
+"""Puts the parts of a daemon together and runs them until it is stopped."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import pathlib
+import signal
+
+from sardinehill import errors
+from sardinehill import events
+from sardinehill.core import fleet_messages
+from sardinehill.core import routes
+from sardinehill.daemon import boot_clock
+from sardinehill.front import bus
+from sardinehill.front import directory as directory_module
+from sardinehill.front import leadership as leadership_module
+from sardinehill.front import log as log_module
+from sardinehill.front import relay as relay_module
+from sardinehill.front import server as server_module
+from sardinehill.front import stats as stats_module
+from sardinehill.front import view as view_module
+from sardinehill.platform import settings as settings_module
+from sardinehill.platform import store as store_module
+from sardinehill.wire import envelopes
+
+# The balancer asks once a second and gives up after two misses.
+UNREADY_BEFORE_CLOSE_S = 2.2
+STOP_MARGIN_S = 0.5
+STOP_POLL_S = 0.05
+LOG_SWEEP_S = 0.25
+LOG_REPORT_S = 5.0
+PART_RESTART_S = 0.1
+
+
+class Daemon:
+    """One entry host's process."""
+
+    def __init__(
+        self, settings: settings_module.HostSettings, output: log_module.Output
+    ):
+        loop = asyncio.get_running_loop()
+        self._settings = settings
+        self._output = output
+        self._stopping = asyncio.Event()
+        self._stats = stats_module.Stats()
+        self._request_log = log_module.RequestLog(loop.time)
+        self._store = store_module.Store(settings.store_address)
+        self._view = view_module.View(
+            self._store, loop.time, self._ask_for_news
+        )
+        self._directory = directory_module.Directory(
+            self._view,
+            settings.drain_limit_s,
+            settings.cold_ratio,
+            settings.cold_slack,
+            loop.time,
+        )
+        self._relay = relay_module.Relay(
+            self._directory,
+            self._stats,
+            self._request_log,
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window_s,
+        )
+        self._leadership = leadership_module.Leadership(
+            settings.daemon,
+            f"{settings.host_ip}:{settings.peer_port}",
+            self._store,
+            self._view,
+            boot_clock.now_s,
+            self._take_report,
+            self._directory.take_table,
+        )
+        self._server = server_module.Server(self._relay.serve, self._limits)
+        self._stats.add_gauges(self._gauges)
+
+    async def run(self) -> None:
+        """Serves until told to stop, then finishes what is under way."""
+        settings = self._settings
+        self._handle_signals()
+        host, _, port = settings.callers_address.rpartition(":")
+        callers = await self._server.listen(host, int(port))
+        host, _, port = settings.readiness_address.rpartition(":")
+        await server_module.Server(self._readiness, self._limits).listen(
+            host, int(port)
+        )
+        await server_module.Server(self._metrics, self._limits).listen(
+            settings.host_ip, settings.metrics_port
+        )
+        await bus.serve(
+            settings.host_ip,
+            settings.peer_port,
+            settings.daemon,
+            self._receive,
+            self._leadership.link_lost,
+        )
+        events.log(
+            events.DAEMON_STARTED,
+            daemon=settings.daemon,
+            zone=settings.zone,
+            settings=repr(settings),
+        )
+        parts = [
+            asyncio.create_task(self._keep_running(name, part))
+            for name, part in (
+                ("view", self._view.run),
+                ("leadership", self._leadership.run),
+                ("connections", self._directory.sweep),
+                ("callers", self._server.sweep),
+                ("logs", self._sweep_logs),
+            )
+        ]
+        await self._stopping.wait()
+        await self._finish(callers)
+        for part in parts:
+            part.cancel()
+
+    async def _keep_running(
+        self, name: str, part: Callable[[], Awaitable[None]]
+    ) -> None:
+        while True:
+            try:
+                await part()
+            except Exception as error:
+                # A part that fails must not end the others; it starts anew.
+                events.log_failure(events.TASK_FAILED, error, task=name)
+            await asyncio.sleep(PART_RESTART_S)
+
+    def _limits(self) -> routes.CallerLimits:
+        configuration = self._view.configuration
+        return configuration.limits if configuration else routes.CallerLimits()
+
+    def _take_report(self) -> fleet_messages.Report:
+        report = fleet_messages.Report(
+            self._settings.daemon,
+            f"{self._settings.host_ip}:{self._settings.peer_port}",
+            0,
+        )
+        self._relay.take_use(report)
+        return report
+
+    def _receive(self, link: bus.Link, envelope: envelopes.Envelope) -> None:
+        try:
+            self._leadership.receive(link, envelope)
+        except errors.PeerFrameError as error:
+            events.log(
+                events.PEER_REFUSED, peer=envelope.sender, error=str(error)
+            )
+            link.close()
+
+    async def _ask_for_news(
+        self, query: fleet_messages.NewsQuery
+    ) -> fleet_messages.News | None:
+        return await self._leadership.ask_for_news(query)
+
+    # what others ask
+
+    async def _readiness(
+        self, request: relay_module.Request
+    ) -> relay_module.Reply:
+        ready = (
+            self._view.configuration is not None and not self._stopping.is_set()
+        )
+        return relay_module.Reply(200 if ready else 503, b"")
+
+    async def _metrics(
+        self, request: relay_module.Request
+    ) -> relay_module.Reply:
+        return relay_module.Reply(
+            200,
+            b"content-type: text/plain; version=0.0.4\r\n",
+            self._stats.text().encode(),
+        )
+
+    def _gauges(self) -> dict[str, float]:
+        configuration = self._view.configuration
+        figures: dict[str, float] = {
+            "config_version": configuration.version if configuration else 0,
+            "store_lost_seconds": self._view.store_lost_for_s(),
+            "requests_in_flight": self._relay.in_flight,
+            "callers": len(self._server.callers),
+            "upstreams": len(self._view.upstreams),
+            "log_lines_dropped": self._output.dropped
+            + self._request_log.dropped,
+        }
+        figures.update(self._leadership.status())
+        for call, count in self._store.calls.items():
+            figures[f'store_calls_total{{call="{call}"}}'] = count
+        return figures
+
+    async def _sweep_logs(self) -> None:
+        reported = 0
+        due_s = 0.0
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(LOG_SWEEP_S)
+            self._output.drain()
+            dropped = self._output.dropped + self._request_log.dropped
+            if dropped > reported and loop.time() >= due_s:
+                events.log(events.LINES_DROPPED, lines=dropped - reported)
+                reported = dropped
+                due_s = loop.time() + LOG_REPORT_S
+
+    # the end
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop)
+        loop.add_signal_handler(signal.SIGINT, self._stop)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    def _stop(self) -> None:
+        if not self._stopping.is_set():
+            events.log(events.DAEMON_STOPPING, in_flight=self._relay.in_flight)
+        self._stopping.set()
+
+    def _reload(self) -> None:
+        """Reads the settings again; addresses stay as they are."""
+        try:
+            settings = settings_module.read(
+                settings_module.path_from_environment()
+            )
+        except errors.SettingsErrors as error:
+            events.log(
+                events.SETTINGS_REFUSED,
+                errors=[str(one) for one in error.exceptions],
+            )
+            return
+        events.log(
+            events.SETTINGS_READ_AGAIN, changed=settings != self._settings
+        )
+
+    async def _finish(self, callers: asyncio.Server) -> None:
+        """Serves on while the balancer turns away, then ends idle callers."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        self._leadership.stop()
+        self._server.draining = True
+        last_s = began_s + self._settings.stop_limit_s - STOP_MARGIN_S
+        while loop.time() < last_s:
+            await asyncio.sleep(STOP_POLL_S)
+            if loop.time() - began_s < UNREADY_BEFORE_CLOSE_S:
+                continue
+            callers.close()
+            self._server.close_idle()
+            if not self._server.callers:
+                break
+        if self._relay.in_flight:
+            events.log(events.STOP_CUT_SHORT, in_flight=self._relay.in_flight)
+        events.log(
+            events.DAEMON_STOPPED, took_s=round(loop.time() - began_s, 3)
+        )
+
+
+async def run(path: pathlib.Path) -> None:
+    """Runs a daemon by the settings in a file.
+
+    Raises:
+      SettingsErrors: the settings cannot be used.
+    """
+    output = log_module.configure()
+    await Daemon(settings_module.read(path), output).run()
+    output.drain()
--- /dev/null
+++ b/src/sardinehill/front/keeper.py
@@ -0,0 +1,695 @@
+"""The leader's duty for one divided service: who owns its keys.
+
+An assignment is written to the store before any order that follows from it.
+Owners are granted their keys for a short time, again and again; a former
+owner is asked to release its keys, and the next one is granted them when it
+has answered or when its last grant has lapsed.
+"""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import math
+import time
+from typing import Any
+
+from sardinehill import errors
+from sardinehill import events
+from sardinehill import http1
+from sardinehill.core import fleet_messages
+from sardinehill.core import keyspace
+from sardinehill.core import routes
+from sardinehill.platform import exchanges
+from sardinehill.platform import store as store_module
+
+ASSIGNMENTS_KIND = "sardinehill-assignments"
+# Short enough that the keys of an upstream that vanished are served again in
+# seconds, long enough for another leader to take over before they lapse.
+HOLD_S = 2.4
+RENEW_S = 0.65
+ORDER_TIMEOUT_S = 0.4
+RELEASE_TIMEOUT_S = 1.5
+ORDER_RETRY_S = 0.15
+CONNECT_TIMEOUT_S = 0.3
+TICK_S = 0.05
+PLAN_INTERVAL_S = 0.5
+# A leader that is replaced may send orders for so long after its last word
+# with the store or a majority of daemons.
+LICENCE_S = 1.6
+# An upstream that confirmed no grant for so long gets no keys.
+SILENT_OWNER_S = 1.1
+UNUSABLE_S = 2.0
+# How fast the use of a key is forgotten: the part kept after a second.
+KEY_MEMORY_PER_S = 0.8
+FORGOTTEN_USE = 1e-4
+# Spread over all keys, so that unused ones are divided evenly as well.
+BASE_LOAD_REQUESTS = 0.5
+SLOWNESS_MEMORY = 0.9
+SLOWNESS_LOWEST = 0.4
+SLOWNESS_HIGHEST = 8.0
+CLEAN_UP_S = 0.3
+CONFLICT_RETRY_S = 0.2
+FENCED_LEAP = 1000
+
+
+@dataclasses.dataclass
+class _Owner:
+    """One life of an upstream, as the leader knows it."""
+
+    life: keyspace.Life
+    address: str
+    slots: int
+    slowness: float = 1.0
+    confirmed_s: float = 0.0
+    failing_since_s: float | None = None
+    unusable_until_s: float = 0.0
+    connections: list[http1.Connection] = dataclasses.field(
+        default_factory=list
+    )
+
+
+class Keeper:
+    """Keeps one service's keys owned while this daemon leads."""
+
+    def __init__(
+        self,
+        service: str,
+        term: int,
+        store: store_module.Store,
+        upstreams: Callable[[], dict[str, routes.Upstream]],
+        zones_out: Callable[[], frozenset[str]],
+        is_licensed: Callable[[], bool],
+        is_settled: Callable[[], bool],
+        on_change: Callable[[], None],
+        on_deposed: Callable[[], None],
+        clock_s: Callable[[], float],
+    ):
+        self._service = service
+        self._term = term
+        self._store = store
+        self._upstreams = upstreams
+        self._zones_out = zones_out
+        self._is_licensed = is_licensed
+        self._is_settled = is_settled
+        self._on_change = on_change
+        self._on_deposed = on_deposed
+        self._clock_s = clock_s
+        self._assignment: keyspace.Assignment | None = None
+        self._revision = 0
+        self._owners: dict[keyspace.Life, _Owner] = {}
+        self._dead: set[keyspace.Life] = set()
+        self._use: dict[int, float] = {}
+        self._use_scale = 1.0
+        self._use_at_s = clock_s()
+        self._plan_due_s = 0.0
+        self._changed = asyncio.Event()
+        self._writing = asyncio.Lock()
+        self._clean_due_s: float | None = None
+        self._group: asyncio.TaskGroup | None = None
+        self.orders = 0
+        self.moved_keys = 0
+
+    # what the rest of the daemon asks
+
+    def table(self) -> list[fleet_messages.TableSpan]:
+        """Returns the spans as daemons route by them."""
+        if self._assignment is None:
+            return []
+        return [
+            fleet_messages.TableSpan(
+                span.first, span.last, span.owner[0], span.epoch, span.live
+            )
+            for span in self._assignment.spans
+            if span.owner is not None
+        ]
+
+    def note_use(self, use: fleet_messages.KeyUse) -> None:
+        """Takes in which keys were asked for."""
+        self._age_use()
+        amount = max(use.latency_s, 0.001) / self._use_scale
+        for key in use.keys:
+            self._use[key] = self._use.get(key, 0.0) + amount
+
+    def note_upstream(self, use: fleet_messages.UpstreamUse) -> None:
+        """Takes in how slow an upstream was, against the others."""
+        for life, owner in self._owners.items():
+            if life[0] == use.upstream and use.answers > 0:
+                mean = use.slowness_sum / use.answers
+                kept = SLOWNESS_MEMORY**use.answers
+                slowness = owner.slowness * kept + mean * (1 - kept)
+                owner.slowness = min(
+                    max(slowness, SLOWNESS_LOWEST), SLOWNESS_HIGHEST
+                )
+
+    def note_refused(self, refused: fleet_messages.RefusedSpan) -> None:
+        """Grants a span again that its owner says it does not hold."""
+        if self._assignment is None:
+            return
+        span = keyspace.find(self._assignment.spans, refused.key)
+        if span.live and span.epoch == refused.epoch and not span.ordering:
+            span.next_order_s = 0.0
+
+    def upstreams_changed(self) -> None:
+        """Has the plan made again at once."""
+        self._plan_due_s = 0.0
+        self._changed.set()
+
+    # the duty
+
+    async def run(self) -> None:
+        """Keeps the keys owned until cancelled."""
+        await self._load()
+        self._on_change()
+        try:
+            async with asyncio.TaskGroup() as group:
+                self._group = group
+                while True:
+                    self._changed.clear()
+                    await self._step()
+                    try:
+                        async with asyncio.timeout(TICK_S):
+                            await self._changed.wait()
+                    except TimeoutError:
+                        continue
+        finally:
+            self._group = None
+            for owner in self._owners.values():
+                for connection in owner.connections:
+                    connection.close()
+
+    async def _load(self) -> None:
+        """Reads the assignment and raises its epochs above any other's."""
+        while True:
+            try:
+                stored = await self._store.get(ASSIGNMENTS_KIND, self._service)
+                if stored is None:
+                    assignment = keyspace.empty()
+                    self._revision = 0
+                else:
+                    assignment = keyspace.from_document(
+                        stored.spec, self._first_end_s()
+                    )
+                    self._revision = stored.revision
+                keyspace.renew_epochs(assignment)
+                keyspace.merge(assignment)
+                if await self._write(assignment):
+                    self._assignment = assignment
+                    return
+            except (errors.StoreError, ValueError) as error:
+                events.log(
+                    events.ASSIGNMENT_CONFLICT,
+                    service=self._service,
+                    error=str(error)[:200],
+                )
+            await asyncio.sleep(CONFLICT_RETRY_S)
+
+    def _first_end_s(self) -> float:
+        sent_s = self._clock_s() + LICENCE_S
+        return keyspace.latest_end_s(sent_s, HOLD_S)
+
+    async def _step(self) -> None:
+        now_s = self._clock_s()
+        assignment = self._assignment
+        assert assignment is not None
+        self._learn_owners(now_s)
+        if now_s >= self._plan_due_s:
+            self._plan_due_s = now_s + PLAN_INTERVAL_S
+            async with self._writing:
+                await self._plan(now_s)
+        elif self._clean_due_s is not None and now_s >= self._clean_due_s:
+            async with self._writing:
+                await self._clean_up()
+        if not self._is_licensed():
+            return
+        assert self._group is not None
+        for span in assignment.spans:
+            self._serve_span(span, self._clock_s())
+
+    def _learn_owners(self, now_s: float) -> None:
+        for upstream in self._upstreams().values():
+            if upstream.service != self._service:
+                continue
+            owner = self._owners.get(upstream.life)
+            if owner is None:
+                self._owners[upstream.life] = _Owner(
+                    upstream.life, upstream.address, upstream.slots
+                )
+                # An earlier life of the same id has certainly ended.
+                self._dead.update(
+                    life
+                    for life in self._owners
+                    if life[0] == upstream.id and life[1] < upstream.born_ms
+                )
+            else:
+                owner.address = upstream.address
+
+    def _capacities(self, now_s: float) -> dict[keyspace.Life, float]:
+        """Returns what each upstream that may own keys can bear."""
+        zones_out = self._zones_out()
+        warm: dict[keyspace.Life, float] = {}
+        cold: dict[keyspace.Life, float] = {}
+        for upstream in self._upstreams().values():
+            owner = self._owners.get(upstream.life)
+            if owner is None or upstream.service != self._service:
+                continue
+            if upstream.is_draining or upstream.zone in zones_out:
+                continue
+            if now_s < owner.unusable_until_s or upstream.life in self._dead:
+                continue
+            room = owner.slots / owner.slowness
+            if upstream.cold_left_s > 0:
+                cold[upstream.life] = room
+            else:
+                warm[upstream.life] = room
+        return warm or cold
+
+    async def _plan(self, now_s: float) -> None:
+        assignment = self._assignment
+        assert assignment is not None
+        capacities = self._capacities(now_s)
+        moves = keyspace.plan(
+            assignment, capacities, self._weights(), keyspace.PlanPolicy()
+        )
+        if not moves:
+            return
+        planned = _copy(assignment)
+        transfers = keyspace.apply_moves(planned, moves)
+        if not transfers:
+            return
+        if await self._write(planned):
+            # Orders that were answered meanwhile are noted in the assignment
+            # that was not copied, so the changes are made there as well.
+            keyspace.apply_transfers(assignment, transfers)
+            self._clean_due_s = None
+            self._on_change()
+            self._log_moves(moves, capacities)
+
+    def _log_moves(
+        self,
+        moves: list[keyspace.Move],
+        capacities: dict[keyspace.Life, float],
+    ) -> None:
+        keys = sum(move.last - move.first + 1 for move in moves)
+        self.moved_keys += keys
+        events.log(
+            events.KEYS_MOVED,
+            service=self._service,
+            moves=[[move.first, move.last, move.to[0]] for move in moves[:8]],
+            keys=keys,
+            upstreams=len(capacities),
+            revision=self._revision,
+        )
+
+    async def _clean_up(self) -> None:
+        """Writes down that former owners are gone."""
+        self._clean_due_s = None
+        assignment = self._assignment
+        assert assignment is not None
+        if any(span.former is not None for span in assignment.spans):
+            self._clean_due_s = self._clock_s() + CLEAN_UP_S
+            return
+        await self._write(assignment)
+
+    def _weights(self) -> keyspace.Weights:
+        self._age_use()
+        # The counts are of some seconds past; this makes them a rate.
+        scale = self._use_scale * -math.log(KEY_MEMORY_PER_S)
+        return keyspace.Weights(
+            {key: use * scale for key, use in self._use.items()},
+            BASE_LOAD_REQUESTS / keyspace.KEY_COUNT,
+        )
+
+    def _age_use(self) -> None:
+        now_s = self._clock_s()
+        self._use_scale *= KEY_MEMORY_PER_S ** (now_s - self._use_at_s)
+        self._use_at_s = now_s
+        if self._use_scale < FORGOTTEN_USE:
+            self._use = {
+                key: use * self._use_scale
+                for key, use in self._use.items()
+                if use * self._use_scale > FORGOTTEN_USE
+            }
+            self._use_scale = 1.0
+
+    # the store
+
+    async def _write(self, assignment: keyspace.Assignment) -> bool:
+        """Writes an assignment; returns whether it certainly stands.
+
+        A write whose answer is lost is settled by reading the object back.
+        """
+        spec: dict[str, Any] = keyspace.to_document(assignment)
+        spec["term"] = self._term
+        spec["writer"] = f"{self._term}-{time.monotonic_ns()}"
+        try:
+            if self._revision == 0:
+                stored = await self._store.create(
+                    ASSIGNMENTS_KIND, self._service, spec
+                )
+            else:
+                stored = await self._store.replace(
+                    ASSIGNMENTS_KIND, self._service, spec, self._revision
+                )
+            self._revision = stored.revision
+        except errors.StoreConflictError as error:
+            events.log(
+                events.ASSIGNMENT_CONFLICT,
+                service=self._service,
+                error=str(error)[:200],
+            )
+            return await self._settle_write(spec)
+        except errors.StoreUnavailableError:
+            return await self._settle_write(spec)
+        except errors.StoreError as error:
+            events.log(
+                events.ASSIGNMENT_CONFLICT,
+                service=self._service,
+                error=str(error)[:200],
+            )
+            return False
+        events.log(
+            events.ASSIGNMENT_WRITTEN,
+            service=self._service,
+            revision=self._revision,
+            top_epoch=assignment.top_epoch,
+            spans=len(assignment.spans),
+        )
+        return True
+
+    async def _settle_write(self, spec: dict[str, Any]) -> bool:
+        """Reads the object back after a write without a clear outcome.
+
+        Such a write may still take effect later, so nothing else is written
+        at the same revision until a read shows that revision replaced.
+        """
+        while True:
+            try:
+                stored = await self._store.get(ASSIGNMENTS_KIND, self._service)
+            except errors.StoreError:
+                await asyncio.sleep(CONFLICT_RETRY_S)
+                continue
+            found = stored.spec if stored is not None else {}
+            if not isinstance(found, dict):
+                found = {}
+            self._revision = stored.revision if stored is not None else 0
+            if found.get("writer") == spec["writer"]:
+                return True
+            if int(found.get("term", 0)) > self._term:
+                self._on_deposed()
+            return False
+
+    # orders
+
+    def _serve_span(self, span: keyspace.Span, now_s: float) -> None:
+        if span.owner is None or span.ordering or now_s < span.next_order_s:
+            return
+        assert self._group is not None
+        if span.former is not None:
+            is_dead = span.former.life in self._dead
+            # While an earlier leader may still renew grants, only the former
+            # owner's own word counts.
+            judged_s = now_s if self._is_settled() else 0.0
+            if not keyspace.former_is_gone(span, judged_s, is_dead):
+                if not span.former.released:
+                    span.ordering = True
+                    self._group.create_task(self._release(span))
+                return
+            if not span.former.released:
+                events.log(
+                    events.KEYS_LAPSED,
+                    service=self._service,
+                    first=span.first,
+                    last=span.last,
+                    upstream=span.former.life[0],
+                    ended=is_dead,
+                )
+            keyspace.settle(span, span.handover)
+            self._clean_due_s = now_s + CLEAN_UP_S
+        if span.live and span.granted_until_s < now_s:
+            span.live = False
+            self._on_change()
+        if span.owner in self._dead:
+            return
+        span.ordering = True
+        self._group.create_task(self._grant(span))
+
+    async def _grant(self, span: keyspace.Span) -> None:
+        assert span.owner is not None
+        owner = self._owners.get(span.owner)
+        if owner is None:
+            span.ordering = False
+            span.next_order_s = self._clock_s() + ORDER_RETRY_S
+            return
+        life, epoch = span.owner, span.epoch
+        first, last = span.first, span.last
+        sent_s = self._clock_s()
+        before_s = span.unanswered_until_s
+        span.unanswered_until_s = span.holds_until_s = max(
+            span.holds_until_s,
+            keyspace.latest_end_s(sent_s + ORDER_TIMEOUT_S, HOLD_S),
+        )
+        request = exchanges.grant_request(
+            owner.address, life[0], first, last, epoch, HOLD_S, span.handover
+        )
+        status, failure, _ = await self._order(owner, request, ORDER_TIMEOUT_S)
+        arrived_s = self._clock_s()
+        is_certain = status is not None or not (failure and failure.written)
+        for part in self._parts(first, last, life, epoch):
+            part.ordering = False
+            if is_certain:
+                part.unanswered_until_s = before_s
+            if status == 200:
+                self._confirmed(part, owner, sent_s, arrived_s)
+            else:
+                part.next_order_s = arrived_s + ORDER_RETRY_S
+                if status == 409:
+                    # Not before its epoch has been raised in the store.
+                    part.next_order_s = arrived_s + 2 * CONFLICT_RETRY_S
+        for former in self._former_parts(first, last, life, epoch):
+            if is_certain:
+                former.unanswered_until_s = before_s
+        self._judge(owner, status, failure, first, last, epoch)
+
+    def _confirmed(
+        self,
+        span: keyspace.Span,
+        owner: _Owner,
+        sent_s: float,
+        arrived_s: float,
+    ) -> None:
+        span.granted_until_s = sent_s + HOLD_S
+        span.holds_until_s = keyspace.latest_end_s(arrived_s, HOLD_S)
+        span.next_order_s = sent_s + RENEW_S
+        span.handover = None
+        if not span.live:
+            span.live = True
+            self._on_change()
+            events.log(
+                events.KEYS_GRANTED,
+                service=self._service,
+                first=span.first,
+                last=span.last,
+                upstream=owner.life[0],
+                epoch=span.epoch,
+            )
+
+    def _parts(
+        self, first: int, last: int, life: keyspace.Life, epoch: int
+    ) -> list[keyspace.Span]:
+        """Returns what is left of a span that an order was sent for."""
+        assert self._assignment is not None
+        return [
+            span
+            for span in self._assignment.spans
+            if first <= span.first
+            and span.last <= last
+            and span.owner == life
+            and span.epoch == epoch
+        ]
+
+    def _former_parts(
+        self, first: int, last: int, life: keyspace.Life, epoch: int
+    ) -> list[keyspace.Former]:
+        assert self._assignment is not None
+        return [
+            span.former
+            for span in self._assignment.spans
+            if first <= span.first
+            and span.last <= last
+            and span.former is not None
+            and span.former.life == life
+            and span.former.epoch == epoch
+        ]
+
+    def _judge(
+        self,
+        owner: _Owner,
+        status: int | None,
+        failure: http1.ConnectionFailedError | None,
+        first: int,
+        last: int,
+        epoch: int,
+    ) -> None:
+        """Learns from an order's outcome whether the owner is any good."""
+        now_s = self._clock_s()
+        if status == 200:
+            if owner.failing_since_s is not None:
+                owner.failing_since_s = None
+                events.log(events.UPSTREAM_REACHED, upstream=owner.life[0])
+            owner.confirmed_s = now_s
+            return
+        if status == 409:
+            self._fenced(owner, first, last, epoch)
+            return
+        if status == 421:
+            # The address belongs to another upstream: this one has ended.
+            self._dead.add(owner.life)
+            self.upstreams_changed()
+            return
+        if owner.failing_since_s is None:
+            owner.failing_since_s = now_s
+            events.log(
+                events.GRANT_UNANSWERED,
+                service=self._service,
+                upstream=owner.life[0],
+                status=status,
+                error=str(failure),
+            )
+        elif now_s - owner.failing_since_s > SILENT_OWNER_S:
+            if now_s >= owner.unusable_until_s:
+                events.log(
+                    events.UPSTREAM_UNREACHABLE,
+                    upstream=owner.life[0],
+                    error=str(failure),
+                )
+                self._plan_due_s = 0.0
+            owner.unusable_until_s = now_s + UNUSABLE_S
+            owner.failing_since_s = now_s
+
+    def _fenced(self, owner: _Owner, first: int, last: int, epoch: int) -> None:
+        """Raises the epoch of a span whose owner has seen a higher one."""
+        events.log(
+            events.GRANT_FENCED,
+            service=self._service,
+            upstream=owner.life[0],
+            first=first,
+            last=last,
+            epoch=epoch,
+        )
+        assert self._group is not None
+        self._group.create_task(self._raise_epoch(first, last, owner, epoch))
+
+    async def _raise_epoch(
+        self, first: int, last: int, owner: _Owner, epoch: int
+    ) -> None:
+        assignment = self._assignment
+        assert assignment is not None
+        async with self._writing:
+            if not self._parts(first, last, owner.life, epoch):
+                return
+            raised = _copy(assignment)
+            raised.top_epoch += FENCED_LEAP
+            for span in raised.spans:
+                if first <= span.first and span.last <= last:
+                    span.epoch = raised.next_epoch()
+            if not await self._write(raised):
+                return
+            for part in self._parts(first, last, owner.life, epoch):
+                part.epoch = keyspace.find(raised.spans, part.first).epoch
+                part.next_order_s = 0.0
+            assignment.top_epoch = raised.top_epoch
+
+    async def _release(self, span: keyspace.Span) -> None:
+        former = span.former
+        assert former is not None
+        first, last, epoch = span.first, span.last, span.epoch
+        owner = self._owners.get(former.life)
+        if owner is None:
+            span.ordering = False
+            span.next_order_s = self._clock_s() + ORDER_RETRY_S
+            return
+        request = exchanges.release_request(
+            owner.address, former.life[0], first, last, former.epoch
+        )
+        status, failure, answer = await self._order(
+            owner, request, RELEASE_TIMEOUT_S
+        )
+        now_s = self._clock_s()
+        handover = exchanges.handover_of(answer) if answer else None
+        assert self._assignment is not None
+        for part in self._assignment.spans:
+            if not (first <= part.first and part.last <= last):
+                continue
+            if part.epoch != epoch or part.former is None:
+                continue
+            part.ordering = False
+            if status == 200:
+                part.former.released = True
+                part.handover = handover
+                part.next_order_s = 0.0
+            elif status == 421:
+                self._dead.add(former.life)
+                part.next_order_s = 0.0
+            else:
+                part.next_order_s = now_s + ORDER_RETRY_S
+        if status == 200:
+            events.log(
+                events.KEYS_RELEASED,
+                service=self._service,
+                first=first,
+                last=last,
+                upstream=former.life[0],
+                handover=handover is not None,
+            )
+        elif failure is not None and owner.failing_since_s is None:
+            owner.failing_since_s = now_s
+        self._changed.set()
+
+    async def _order(
+        self, owner: _Owner, request: bytes, timeout_s: float
+    ) -> tuple[
+        int | None, http1.ConnectionFailedError | None, http1.Answer | None
+    ]:
+        """Sends one order; returns its status, or why there is none."""
+        self.orders += 1
+        connection: http1.Connection | None = None
+        now_s = asyncio.get_running_loop().time()
+        while owner.connections:
+            found = owner.connections.pop()
+            if found.is_reusable(now_s, 5.0):
+                connection = found
+                break
+            found.close()
+        try:
+            if connection is None:
+                connection = await http1.connect(
+                    owner.address, CONNECT_TIMEOUT_S
+                )
+            if not self._is_licensed():
+                return (
+                    None,
+                    http1.ConnectionFailedError("no licence", False),
+                    None,
+                )
+            async with asyncio.timeout(timeout_s):
+                answer = await connection.exchange(request)
+        except TimeoutError:
+            return None, http1.ConnectionFailedError("no answer", True), None
+        except http1.ConnectionFailedError as error:
+            if connection is not None:
+                connection.close()
+            return None, error, None
+        if connection.usable:
+            owner.connections.append(connection)
+        return answer.status, None, answer
+
+
+def _copy(assignment: keyspace.Assignment) -> keyspace.Assignment:
+    spans = [
+        dataclasses.replace(
+            span,
+            former=dataclasses.replace(span.former) if span.former else None,
+        )
+        for span in assignment.spans
+    ]
+    return keyspace.Assignment(spans, assignment.top_epoch)
--- /dev/null
+++ b/src/sardinehill/front/relay.py
@@ -0,0 +1,625 @@
+"""From a caller's request to an upstream's answer.
+
+Decides where a request goes, whether it may be sent again, and what the
+caller is told when it cannot be served.
+"""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import random
+
+from sardinehill import errors
+from sardinehill import events
+from sardinehill import http1
+from sardinehill.core import fleet_messages
+from sardinehill.core import room as room_module
+from sardinehill.core import routes
+from sardinehill.core import shares
+from sardinehill.front import directory as directory_module
+from sardinehill.front import pool as pool_module
+from sardinehill.front import stats as stats_module
+from sardinehill.platform import exchanges
+
+DEFAULT_WAIT_S = 10.0
+# What an answer needs to get back to the caller.
+RETURN_MARGIN_S = 0.012
+# A request with less time left than this part of its usual latency is not
+# worth sending.
+HOPELESS_SHARE = 0.3
+# Refusals say to come back after this, unless something better is known.
+RETRY_AFTER_S = 0.25
+# How much of its time a request waits for a key's owner to be known.
+OWNER_PATIENCE_SHARE = 0.5
+# After a refusal for want of a grant, the table is likely about to change.
+REFUSED_PAUSE_S = 0.04
+LATENCY_MEMORY = 0.95
+FIRST_LATENCY_S = 0.05
+SENDS_LIMIT = 8
+SERVER_ERROR = 500
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A caller's whole request."""
+
+    method: bytes
+    target: bytes
+    headers: http1.Headers
+    body: bytes
+    has_body: bool
+    arrived_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class Reply:
+    """What the caller gets.
+
+    Attributes:
+      status: the status code.
+      headers: whole header lines, without the body's length.
+      body: the whole body.
+    """
+
+    status: int
+    headers: bytes
+    body: bytes = b""
+
+
+class _RefusedError(Exception):
+    """Ends a request with an answer of the daemon's own."""
+
+    def __init__(
+        self,
+        reason: errors.Reason,
+        status: int,
+        retry_after_s: float | None = None,
+    ):
+        super().__init__(reason.value)
+        self.reason = reason
+        self.status = status
+        self.retry_after_s = retry_after_s
+
+
+@dataclasses.dataclass(slots=True)
+class _Work:
+    """One request on its way.
+
+    Attributes:
+      sends: how often it was sent to an upstream.
+      tried: upstreams that were sent it.
+      may_have_run: whether an upstream may have run it.
+      in_flight: whether an upstream has it now.
+    """
+
+    request: Request
+    fields: exchanges.CallerFields
+    route: routes.Route
+    service: str
+    account: str | None
+    rank: int
+    deadline_s: float
+    ticket: int
+    sends: int = 0
+    tried: list[str] = dataclasses.field(default_factory=list)
+    may_have_run: bool = False
+    in_flight: bool = False
+    waited_from_s: float | None = None
+    last_failure: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class _Target:
+    """Where a request goes next."""
+
+    upstream: routes.Upstream
+    room: room_module.Room
+    pool: pool_module.Pool
+    epoch: int
+
+
+class Relay:
+    """Serves callers' requests."""
+
+    def __init__(
+        self,
+        directory: directory_module.Directory,
+        stats: stats_module.Stats,
+        log_request: Callable[..., None],
+        retry_ratio: float,
+        retry_slack: float,
+        retry_window_s: float,
+    ):
+        self._directory = directory
+        self._stats = stats
+        self._log = log_request
+        self._retry_terms = (retry_ratio, retry_slack, retry_window_s)
+        self._budgets: dict[str, room_module.RepeatBudget] = {}
+        self._buckets: dict[str, shares.Bucket] = {}
+        self._splitter = routes.Splitter()
+        self._usual_s: dict[str, float] = {}
+        self._random = random.Random()
+        self._demand: dict[str, int] = {}
+        self._key_use: dict[str, tuple[list[int], list[float]]] = {}
+        self._upstream_use: dict[str, fleet_messages.UpstreamUse] = {}
+        self._refused_spans: list[fleet_messages.RefusedSpan] = []
+        self.in_flight = 0
+
+    # for the leader
+
+    def take_use(self, report: fleet_messages.Report) -> None:
+        """Moves what was counted since the last report into `report`."""
+        report.demand, self._demand = self._demand, {}
+        report.keys = [
+            fleet_messages.KeyUse(service, keys, sum(spent) / len(spent))
+            for service, (keys, spent) in self._key_use.items()
+            if keys
+        ]
+        self._key_use = {}
+        report.upstreams = list(self._upstream_use.values())
+        self._upstream_use = {}
+        report.refused, self._refused_spans = self._refused_spans, []
+
+    # serving
+
+    async def serve(self, request: Request) -> Reply:
+        """Returns the answer to a request, also when it cannot be served."""
+        fields = exchanges.caller_fields(request.headers)
+        self.in_flight += 1
+        try:
+            work = self._admit(request, fields)
+            reply = await self._serve_admitted(work)
+        except _RefusedError as refusal:
+            self._note_refusal(request, fields, refusal, None)
+            reply = _refusal_reply(fields, refusal)
+        finally:
+            self.in_flight -= 1
+        return reply
+
+    def _admit(self, request: Request, fields: exchanges.CallerFields) -> _Work:
+        configuration = self._directory.configuration
+        if configuration is None:
+            raise _RefusedError(errors.Reason.CONFIGURATION_MISSING, 503, 0.3)
+        route = routes.find_route(configuration, fields.host, request.target)
+        if route is None:
+            raise _RefusedError(errors.Reason.SERVICE_UNKNOWN, 404)
+        account: routes.ClientAccount | None = None
+        if route.needs_account:
+            if fields.account_key is None:
+                raise _RefusedError(errors.Reason.ACCOUNT_KEY_MISSING, 401)
+            account = configuration.accounts.get(fields.account_key)
+            if account is None:
+                raise _RefusedError(errors.Reason.ACCOUNT_KEY_UNKNOWN, 401)
+            self._meter(account, request.arrived_s)
+        wait_s = fields.wait_s if fields.wait_s else DEFAULT_WAIT_S
+        wait_s = min(wait_s - RETURN_MARGIN_S, route.timeout_s)
+        rank = route.priority
+        if account is not None and account.priority is not None:
+            rank = account.priority
+        return _Work(
+            request,
+            fields,
+            route,
+            self._splitter.choose(route),
+            account.name if account else None,
+            rank,
+            request.arrived_s + max(wait_s, 0.0),
+            self._directory.waiting.next_ticket(),
+        )
+
+    def _meter(self, account: routes.ClientAccount, now_s: float) -> None:
+        if account.rate_per_s <= 0:
+            return
+        self._demand[account.name] = self._demand.get(account.name, 0) + 1
+        bucket = self._buckets.get(account.name)
+        if bucket is None:
+            bucket = self._buckets[account.name] = shares.Bucket(now_s)
+        share = self._directory.share(account.name)
+        bucket.set_terms(
+            account.rate_per_s * share, account.burst * share, now_s
+        )
+        wait_s = bucket.take(now_s)
+        if wait_s > 0:
+            raise _RefusedError(errors.Reason.OVER_RATE, 429, wait_s + 0.05)
+
+    async def _serve_admitted(self, work: _Work) -> Reply:
+        self._budget(work.service).requested(work.request.arrived_s)
+        try:
+            async with asyncio.timeout_at(work.deadline_s):
+                answer = await self._until_answered(work)
+        except TimeoutError:
+            refusal = self._out_of_time(work)
+            self._note_refusal(work.request, work.fields, refusal, work)
+            return _refusal_reply(work.fields, refusal)
+        except _RefusedError as refused:
+            refusal = self._safe(work, refused)
+            self._note_refusal(work.request, work.fields, refusal, work)
+            return _refusal_reply(work.fields, refusal)
+        return self._answered(work, answer)
+
+    def _out_of_time(self, work: _Work) -> _RefusedError:
+        if work.in_flight or work.may_have_run:
+            return _RefusedError(errors.Reason.DEADLINE_PASSED, 504)
+        return _RefusedError(errors.Reason.DEADLINE_PASSED, 503, RETRY_AFTER_S)
+
+    def _safe(self, work: _Work, refused: _RefusedError) -> _RefusedError:
+        """Turns a promise that nothing has run into none if it may have."""
+        if not work.may_have_run or work.route.is_idempotent:
+            return refused
+        return _RefusedError(refused.reason, 502)
+
+    async def _until_answered(self, work: _Work) -> http1.Answer:
+        while True:
+            target = await self._choose(work)
+            if work.sends > 0 and not self._may_repeat(work):
+                raise _RefusedError(
+                    errors.Reason.RETRY_BUDGET_SPENT, 503, RETRY_AFTER_S
+                )
+            answer = await self._send(work, target)
+            if answer is not None:
+                return answer
+
+    def _may_repeat(self, work: _Work) -> bool:
+        if work.sends >= SENDS_LIMIT:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        if not self._budget(work.service).take(now_s, self._directory.daemons):
+            return False
+        self._stats.count("repeats", work.last_failure)
+        return True
+
+    def _budget(self, service: str) -> room_module.RepeatBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = room_module.RepeatBudget(*self._retry_terms)
+            self._budgets[service] = budget
+        return budget
+
+    # where to
+
+    async def _choose(self, work: _Work) -> _Target:
+        """Waits until an upstream has room for a request.
+
+        Raises:
+          _RefusedError: none will have in time.
+        """
+        loop = asyncio.get_running_loop()
+        needed_s = self._usual(work.route.name) * HOPELESS_SHARE
+        while True:
+            now_s = loop.time()
+            left_s = work.deadline_s - now_s
+            if left_s <= needed_s:
+                raise _RefusedError(
+                    errors.Reason.DEADLINE_PASSED, 503, RETRY_AFTER_S
+                )
+            found = self._find(work, now_s)
+            if isinstance(found, _Target):
+                return found
+            place, patience_s, reason = found
+            if work.waited_from_s is None:
+                work.waited_from_s = now_s
+            until_s = min(
+                work.waited_from_s + patience_s, work.deadline_s - needed_s
+            )
+            if now_s >= until_s:
+                raise _RefusedError(reason, 503, RETRY_AFTER_S)
+            await self._directory.waiting.wait(
+                place,
+                work.rank,
+                min(until_s, self._directory.next_change_s(place, now_s)),
+                work.ticket,
+            )
+
+    def _find(
+        self, work: _Work, now_s: float
+    ) -> _Target | tuple[object, float, errors.Reason]:
+        """Returns an upstream with room, or what to wait for and how long."""
+        time_s = work.deadline_s - work.request.arrived_s
+        if self._directory.is_divided(work.service):
+            return self._find_owner(work, now_s, time_s)
+        return self._find_any(work, now_s, time_s)
+
+    def _find_owner(
+        self, work: _Work, now_s: float, time_s: float
+    ) -> _Target | tuple[object, float, errors.Reason]:
+        key = work.fields.shard_key
+        if key is None:
+            return self._find_any(work, now_s, time_s)
+        owned = self._directory.owner(work.service, key, now_s)
+        if owned is None:
+            return (
+                ("owner", work.service),
+                time_s * OWNER_PATIENCE_SHARE,
+                errors.Reason.UNOWNED,
+            )
+        upstream, epoch = owned
+        room, pool = self._directory.room_of(upstream)
+        if not self._directory.has_room(upstream, now_s):
+            return (("room", upstream.id), time_s, errors.Reason.QUEUE_FULL)
+        return _Target(upstream, room, pool, epoch)
+
+    def _find_any(
+        self, work: _Work, now_s: float, time_s: float
+    ) -> _Target | tuple[object, float, errors.Reason]:
+        usable = self._directory.usable(work.service, now_s)
+        if not usable:
+            return (
+                ("any", work.service),
+                time_s * OWNER_PATIENCE_SHARE,
+                errors.Reason.NO_UPSTREAM,
+            )
+        candidates = [
+            upstream
+            for upstream in usable
+            if self._directory.has_room(upstream, now_s)
+        ]
+        tried = set(work.tried)
+        if len(tried) >= work.route.max_attempts:
+            candidates = [one for one in candidates if one.id in tried]
+        else:
+            fresh = [one for one in candidates if one.id not in tried]
+            candidates = fresh or candidates
+        by_id = {one.id: one for one in candidates}
+        name = room_module.cheapest(
+            ((one.id, self._directory.room_of(one)[0]) for one in candidates),
+            now_s,
+            self._random.random,
+        )
+        if name is None:
+            return (("any", work.service), time_s, errors.Reason.QUEUE_FULL)
+        upstream = by_id[name]
+        room, pool = self._directory.room_of(upstream)
+        return _Target(upstream, room, pool, 0)
+
+    # sending
+
+    async def _send(self, work: _Work, target: _Target) -> http1.Answer | None:
+        """Sends a request once.
+
+        Returns:
+          The answer for the caller, or None when the request may be and is
+          worth being sent again.
+
+        Raises:
+          _RefusedError: it may not be sent again.
+        """
+        loop = asyncio.get_running_loop()
+        room, pool, upstream = target.room, target.pool, target.upstream
+        room.sent(loop.time())
+        try:
+            connection = await pool.take(work.deadline_s - loop.time())
+        except http1.ConnectionFailedError as error:
+            room.ended()
+            self._unreachable(work, target, error)
+            return None
+        except BaseException:
+            room.ended()
+            raise
+        sent_s = loop.time()
+        work.sends += 1
+        if upstream.id not in work.tried:
+            work.tried.append(upstream.id)
+        data = exchanges.upstream_request(
+            work.request.method,
+            work.request.target,
+            exchanges.forwarded_headers(work.request.headers),
+            work.request.body,
+            work.request.has_body,
+            work.deadline_s - sent_s,
+            upstream.id,
+            work.account,
+        )
+        request_id = work.fields.request_id
+        work.in_flight = True
+        try:
+            answer = await connection.exchange(
+                data,
+                lambda found: exchanges.is_answer_to(found, request_id),
+                work.request.method == b"HEAD",
+            )
+        except http1.ConnectionFailedError as error:
+            self._broken_off(work, target, error)
+            return None
+        finally:
+            work.in_flight = work.in_flight and not connection.usable
+            room.ended()
+            self._directory.room_freed(upstream, work.service)
+        work.in_flight = False
+        pool.give(connection)
+        return self._judge(work, target, answer, loop.time() - sent_s)
+
+    def _unreachable(
+        self, work: _Work, target: _Target, error: http1.ConnectionFailedError
+    ) -> None:
+        now_s = asyncio.get_running_loop().time()
+        target.room.unreachable(now_s)
+        work.last_failure = "connect-failed"
+        self._stats.count("connect_failures", target.upstream.service)
+        self._log(
+            events.REQUEST_TRIED_AGAIN,
+            request=work.fields.request_id,
+            reason="connect-failed",
+            upstream=target.upstream.id,
+            error=str(error),
+        )
+
+    def _broken_off(
+        self, work: _Work, target: _Target, error: http1.ConnectionFailedError
+    ) -> None:
+        """Judges an exchange without an answer: it may have run."""
+        work.in_flight = False
+        target.room.answered(0.0, 1.0, ok=False)
+        if not error.written:
+            work.last_failure = "connection-lost"
+            return
+        work.may_have_run = True
+        work.last_failure = "connection-lost"
+        if not work.route.is_idempotent:
+            raise _RefusedError(errors.Reason.CONNECTION_LOST, 502)
+        self._log(
+            events.REQUEST_TRIED_AGAIN,
+            request=work.fields.request_id,
+            reason="connection-lost",
+            upstream=target.upstream.id,
+            error=str(error),
+        )
+
+    def _judge(
+        self,
+        work: _Work,
+        target: _Target,
+        answer: http1.Answer,
+        latency_s: float,
+    ) -> http1.Answer | None:
+        now_s = asyncio.get_running_loop().time()
+        load = exchanges.load_of(answer)
+        if load is not None:
+            target.room.told_load(
+                load.running, load.waiting, load.slowness, now_s
+            )
+        if exchanges.says_not_run(answer):
+            self._not_run(work, target, answer, now_s)
+            return None
+        genuine = exchanges.is_genuine(answer)
+        ok = genuine and answer.status < SERVER_ERROR
+        usual_s = self._usual(work.route.name)
+        target.room.answered(latency_s, usual_s, ok)
+        if ok:
+            self._learn(work, target, latency_s, usual_s)
+            return answer
+        work.may_have_run = True
+        work.last_failure = f"status-{answer.status}" if genuine else "garbled"
+        if work.route.is_idempotent and self._worth_repeating(work, now_s):
+            self._log(
+                events.REQUEST_TRIED_AGAIN,
+                request=work.fields.request_id,
+                reason=work.last_failure,
+                upstream=target.upstream.id,
+            )
+            return None
+        if genuine and not exchanges.would_promise_not_run(answer):
+            return answer
+        raise _RefusedError(errors.Reason.CONNECTION_LOST, 502)
+
+    def _worth_repeating(self, work: _Work, now_s: float) -> bool:
+        return (
+            work.sends < work.route.max_attempts
+            and work.deadline_s - now_s > self._usual(work.route.name)
+        )
+
+    def _not_run(
+        self,
+        work: _Work,
+        target: _Target,
+        answer: http1.Answer,
+        now_s: float,
+    ) -> None:
+        """Learns why an upstream did not run a request."""
+        self._stats.count("upstream_refusals", str(answer.status))
+        if answer.status != 421:
+            target.room.full(now_s)
+            work.last_failure = "shed"
+            return
+        work.last_failure = "fenced"
+        other = exchanges.answering_upstream(answer)
+        if other is not None and other != target.upstream.id:
+            self._directory.ended(target.upstream)
+            return
+        key = work.fields.shard_key
+        if key is not None:
+            self._refused_spans.append(
+                fleet_messages.RefusedSpan(work.service, key, target.epoch)
+            )
+            self._directory.refused(
+                work.service, key, target.epoch, now_s + REFUSED_PAUSE_S
+            )
+
+    def _learn(
+        self, work: _Work, target: _Target, latency_s: float, usual_s: float
+    ) -> None:
+        name = work.route.name
+        self._usual_s[name] = usual_s + (1 - LATENCY_MEMORY) * (
+            latency_s - usual_s
+        )
+        use = self._upstream_use.get(target.upstream.id)
+        if use is None:
+            use = fleet_messages.UpstreamUse(target.upstream.id, 0, 0.0)
+            self._upstream_use[target.upstream.id] = use
+        use.answers += 1
+        use.slowness_sum += min(latency_s / usual_s, 10.0)
+        if work.fields.shard_key is not None:
+            keys, spent = self._key_use.setdefault(work.service, ([], []))
+            keys.append(work.fields.shard_key)
+            spent.append(usual_s)
+
+    def _usual(self, route: str) -> float:
+        return self._usual_s.get(route, FIRST_LATENCY_S)
+
+    # answering
+
+    def _answered(self, work: _Work, answer: http1.Answer) -> Reply:
+        now_s = asyncio.get_running_loop().time()
+        latency_s = now_s - work.request.arrived_s
+        self._stats.count("answers", f"{answer.status // 100}xx")
+        self._stats.latency(work.service, latency_s)
+        if answer.status >= SERVER_ERROR or work.sends > 1:
+            self._log(
+                events.REQUEST_ANSWERED,
+                request=work.fields.request_id,
+                status=answer.status,
+                route=work.route.name,
+                service=work.service,
+                upstreams=work.tried,
+                sends=work.sends,
+                latency_s=round(latency_s, 4),
+            )
+        headers = b"".join(
+            b"%b: %b\r\n" % (name, value)
+            for name, value in exchanges.returned_headers(answer)
+        )
+        return Reply(answer.status, headers, answer.body)
+
+    def _note_refusal(
+        self,
+        request: Request,
+        fields: exchanges.CallerFields,
+        refusal: _RefusedError,
+        work: _Work | None,
+    ) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._stats.count("refusals", refusal.reason.value)
+        self._stats.count("own_answers", str(refusal.status))
+        configuration = self._directory.configuration
+        verdict = errors.Verdict.NOT_RUN
+        if work is not None and (work.may_have_run or work.in_flight):
+            verdict = errors.Verdict.MAY_HAVE_RUN
+        event = events.REQUEST_REFUSED
+        if verdict is errors.Verdict.MAY_HAVE_RUN:
+            event = events.REQUEST_UNCERTAIN
+        self._log(
+            event,
+            request=fields.request_id,
+            status=refusal.status,
+            reason=refusal.reason.value,
+            verdict=verdict.value,
+            config=configuration.version if configuration else None,
+            route=work.route.name if work else None,
+            service=work.service if work else None,
+            account=work.account if work else None,
+            key=fields.shard_key,
+            upstreams=work.tried if work else [],
+            sends=work.sends if work else 0,
+            failure=work.last_failure if work else "",
+            table=self._directory.table_label(),
+            store_lost_s=self._directory.store_lost_s(),
+            held_s=round(now_s - request.arrived_s, 4),
+        )
+
+
+def _refusal_reply(
+    fields: exchanges.CallerFields, refusal: _RefusedError
+) -> Reply:
+    return Reply(
+        refusal.status,
+        exchanges.refusal_headers(fields.request_id, refusal.retry_after_s),
+    )
--- /dev/null
+++ b/src/sardinehill/platform/documents.py
@@ -0,0 +1,190 @@
+"""Decodes the platform's objects into the project's types."""
+
+import dataclasses
+from typing import Any
+
+from sardinehill.core import routes
+from sardinehill.platform import names
+
+Json = Any
+
+
+class MalformedDocumentError(Exception):
+    """An object of the store that cannot be used; says which field and why."""
+
+
+def _text(document: Json, field: str) -> str:
+    value = document.get(field) if isinstance(document, dict) else None
+    if not isinstance(value, str) or not value:
+        raise MalformedDocumentError(f"{field}: {value!r} is not a text")
+    return value
+
+
+def _number(document: Json, field: str, default: float | None = None) -> float:
+    value = document.get(field, default) if isinstance(document, dict) else None
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise MalformedDocumentError(f"{field}: {value!r} is not a number")
+    return float(value)
+
+
+def _list(document: Json, field: str) -> list[Json]:
+    value = document.get(field, []) if isinstance(document, dict) else None
+    if value is None:
+        return []
+    if not isinstance(value, list):
+        raise MalformedDocumentError(f"{field}: not a list")
+    return value
+
+
+def version_of(text: Json) -> int:
+    """Returns the number in a config version such as `r12`.
+
+    Raises:
+      MalformedDocumentError: it is not such a text.
+    """
+    if isinstance(text, str) and text[:1] == "r" and text[1:].isdigit():
+        return int(text[1:])
+    raise MalformedDocumentError(f"version: {text!r} is not 'r' and a number")
+
+
+def configuration(document: Json) -> routes.Configuration:
+    """Decodes the object that holds the config in full.
+
+    Raises:
+      MalformedDocumentError: a needed field is missing or of another type.
+    """
+    spec = document.get("spec") if isinstance(document, dict) else None
+    if not isinstance(spec, dict):
+        raise MalformedDocumentError("the config is not a table")
+    hosts: dict[bytes, tuple[routes.Route, ...]] = {}
+    for virtual_host in _list(spec, "virtualHosts"):
+        found = [_route(item) for item in _list(virtual_host, "pathRoutes")]
+        found.sort(key=lambda route: len(route.prefix), reverse=True)
+        name = _text(virtual_host, "host").encode().lower()
+        hosts[name] = tuple(found)
+    services = [_service(item) for item in _list(spec, "services")]
+    accounts: dict[bytes, routes.ClientAccount] = {}
+    for item in _list(spec, "tenants"):
+        account = _account(item)
+        for key in _list(item, "apiKeys"):
+            if isinstance(key, str):
+                accounts[key.encode()] = account
+    if not _list(spec, "tenants"):
+        hosts = {
+            name: tuple(_without_account(route) for route in known)
+            for name, known in hosts.items()
+        }
+    return routes.Configuration(
+        version=version_of(spec.get("version")),
+        routes=hosts,
+        services={service.name: service for service in services},
+        accounts=accounts,
+        limits=_limits(spec.get("limits") or {}),
+    )
+
+
+def _without_account(route: routes.Route) -> routes.Route:
+    # Without client accounts in the config nobody has a key to present.
+    return dataclasses.replace(route, needs_account=False)
+
+
+def _route(item: Json) -> routes.Route:
+    split = _list(item, "trafficSplit")
+    services = tuple(
+        routes.WeightedService(_text(part, "service"), _number(part, "weight"))
+        for part in split
+    )
+    if not services:
+        services = (routes.WeightedService(_text(item, "service"), 1.0),)
+    return routes.Route(
+        name=_text(item, "name"),
+        prefix=_text(item, "pathPrefix").encode(),
+        services=services,
+        is_idempotent=item.get("kind") == names.IDEMPOTENT,
+        timeout_s=_number(item, "timeoutS"),
+        objective_s=_number(item, "targetLatencyS", 1.0),
+        max_attempts=int(_number(item, "maxAttempts", 1)),
+        priority=int(_number(item, "priority", 0)),
+        needs_account=item.get("authExempt") is not True,
+    )
+
+
+def _service(item: Json) -> routes.Service:
+    return routes.Service(
+        name=_text(item, "name"),
+        health_path=_text(item, "healthPath").encode(),
+        connection_limit=int(_number(item, "maxConns", 100)),
+        cold_start_s=_number(item, "coldStartS", 0),
+        cold_per_s=_number(item, "coldPerS", 0),
+        is_divided=item.get("sharded") is True,
+        warm_up_s=_number(item, "warmS", 0),
+    )
+
+
+def _account(item: Json) -> routes.ClientAccount:
+    priority = item.get("priority")
+    return routes.ClientAccount(
+        name=_text(item, "name"),
+        rate_per_s=_number(item, "ratePerS", 0),
+        burst=_number(item, "burst", 0),
+        priority=priority if isinstance(priority, int) else None,
+    )
+
+
+def _limits(item: Json) -> routes.CallerLimits:
+    default = routes.CallerLimits()
+    return routes.CallerLimits(
+        header_bytes=int(_number(item, "maxHeaderBytes", default.header_bytes)),
+        body_bytes=int(_number(item, "maxBodyBytes", default.body_bytes)),
+        header_timeout_s=_number(
+            item, "headerTimeoutS", default.header_timeout_s
+        ),
+        idle_timeout_s=_number(item, "idleTimeoutS", default.idle_timeout_s),
+    )
+
+
+def upstream(name: str, document: Json) -> routes.Upstream:
+    """Decodes the entry by which an upstream registers itself.
+
+    Args:
+      name: the object's name, which is the upstream's id.
+      document: the whole object.
+
+    Raises:
+      MalformedDocumentError: another writer's entry, which names no upstream.
+    """
+    if not isinstance(document, dict):
+        raise MalformedDocumentError("the entry is not a table")
+    said = document.get("spec") if "address" not in document else document
+    if not isinstance(said, dict):
+        raise MalformedDocumentError("spec: not a table")
+    info = said.get("info")
+    status = document.get("status") or said.get("status")
+    state = _text(status, "state")
+    if state not in (names.READY, names.DRAINING):
+        raise MalformedDocumentError(f"state: {state!r} is not known")
+    born = said.get("born", document.get("born"))
+    if isinstance(status, dict):
+        born = status.get("born", born)
+    address = _text(said, "address")
+    host, _, port = address.rpartition(":")
+    if not port.isdigit() or host.count(".") != 3:
+        raise MalformedDocumentError(f"address: {address!r} is not IP:port")
+    return routes.Upstream(
+        id=name,
+        born_ms=born if isinstance(born, int) else 0,
+        service=_text(info, "service"),
+        address=address,
+        zone=_text(info, "zone"),
+        slots=max(1, int(_number(info, "slots"))),
+        is_draining=state == names.DRAINING,
+        cold_left_s=_number(status, "coldLeftS", 0),
+    )
+
+
+def zone_is_out(document: Json) -> bool:
+    """Returns whether an evacuation entry is still in force."""
+    metadata = document.get("metadata") if isinstance(document, dict) else None
+    return (
+        not isinstance(metadata, dict) or metadata.get("deleting") is not True
+    )
--- /dev/null
+++ b/src/sardinehill/platform/exchanges.py
@@ -0,0 +1,268 @@
+"""Headers and calls between callers, daemons and upstreams."""
+
+from collections.abc import Iterable
+import dataclasses
+import json
+
+from sardinehill import http1
+from sardinehill.platform import names
+
+_MS_PER_S = 1000
+_PERCENT = 100
+SHARD_KEYS = 65536
+
+# Headers that concern one connection only, and those that a daemon sets.
+_NOT_FORWARDED = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+        names.DEADLINE_MS,
+        names.ACCOUNT_KEY,
+        names.CLIENT_ACCOUNT,
+        names.UPSTREAM_ID,
+    }
+)
+_NOT_RETURNED = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        names.LOAD,
+        names.COLD_MS,
+        names.ANSWERING_UPSTREAM_ID,
+    }
+)
+_PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerFields:
+    """What a caller's headers say.
+
+    Attributes:
+      host: the host name asked for.
+      request_id: one for each attempt of the caller.
+      wait_s: how long the caller will wait, or None.
+      account_key: the caller's secret, or None.
+      shard_key: which key the request is about, or None.
+    """
+
+    host: bytes
+    request_id: bytes
+    wait_s: float | None
+    account_key: bytes | None
+    shard_key: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """What an upstream says of its load in an answer.
+
+    Attributes:
+      running: requests that it runs.
+      waiting: requests that wait for a slot.
+      slots: requests that it runs at once.
+      slowness: how long work takes there now; 1 as usual.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float
+
+
+def caller_fields(headers: http1.Headers) -> CallerFields:
+    """Reads the headers of a caller's request; malformed ones are left out."""
+    found = dict(headers)
+    wait_ms = found.get(names.DEADLINE_MS, b"")
+    key = found.get(names.SHARD_KEY, b"")
+    shard_key = int(key) if key.isdigit() else None
+    if shard_key is not None and shard_key >= SHARD_KEYS:
+        shard_key = None
+    return CallerFields(
+        host=found.get(b"host", b""),
+        request_id=found.get(names.REQUEST_ID, b""),
+        wait_s=int(wait_ms) / _MS_PER_S if wait_ms.isdigit() else None,
+        account_key=found.get(names.ACCOUNT_KEY),
+        shard_key=shard_key,
+    )
+
+
+def forwarded_headers(headers: http1.Headers) -> bytes:
+    """Returns the header lines that go to the upstream as they came."""
+    dropped = _NOT_FORWARDED
+    connection = dict(headers).get(b"connection")
+    if connection:
+        named = {part.strip().lower() for part in connection.split(b",")}
+        dropped = dropped | (named - {b"host", names.REQUEST_ID})
+    return b"".join(
+        b"%b: %b\r\n" % (name, value)
+        for name, value in headers
+        if name not in dropped
+    )
+
+
+def upstream_request(
+    method: bytes,
+    target: bytes,
+    forwarded: bytes,
+    body: bytes,
+    has_body: bool,
+    wait_s: float,
+    upstream_id: str,
+    account: str | None,
+) -> bytes:
+    """Returns a whole request for an upstream.
+
+    Args:
+      method: as the caller sent it.
+      target: path and query as the caller sent them.
+      forwarded: what `forwarded_headers` returned.
+      body: the whole body.
+      has_body: whether the caller sent a body, also an empty one.
+      wait_s: what is left of the caller's time.
+      upstream_id: the upstream that is meant; no other runs it.
+      account: the caller's client account, or None.
+    """
+    lines = [
+        b"%b %b HTTP/1.1\r\n" % (method, target),
+        forwarded,
+        b"%b: %d\r\n" % (names.DEADLINE_MS, max(1, int(wait_s * _MS_PER_S))),
+        b"%b: %b\r\n" % (names.UPSTREAM_ID, upstream_id.encode()),
+    ]
+    if account is not None:
+        lines.append(b"%b: %b\r\n" % (names.CLIENT_ACCOUNT, account.encode()))
+    if has_body:
+        lines.append(b"content-length: %d\r\n" % len(body))
+    lines.append(b"\r\n")
+    lines.append(body)
+    return b"".join(lines)
+
+
+def health_request(address: str, path: bytes) -> bytes:
+    """Returns the request that asks an upstream for its health."""
+    return b"GET %b HTTP/1.1\r\nhost: %b\r\n\r\n" % (path, address.encode())
+
+
+def cold_left_s(answer: http1.Answer) -> float | None:
+    """Returns how long an upstream stays cold, if its answer says so."""
+    value = answer.header(names.COLD_MS)
+    return int(value) / _MS_PER_S if value and value.isdigit() else None
+
+
+def is_answer_to(answer: http1.Answer, request_id: bytes) -> bool:
+    """Returns whether an answer names the request that it belongs to."""
+    return answer.header(names.REQUEST_ID) == request_id
+
+
+def answering_upstream(answer: http1.Answer) -> str | None:
+    """Returns the id that an upstream gives of itself, if it does."""
+    value = answer.header(names.ANSWERING_UPSTREAM_ID)
+    return None if value is None else value.decode("latin-1")
+
+
+def says_not_run(answer: http1.Answer) -> bool:
+    """Returns whether the upstream states that it did not run the request."""
+    return answer.status == 421 or answer.header(names.NOT_RUN) is not None
+
+
+def is_genuine(answer: http1.Answer) -> bool:
+    """Returns whether an answer is an upstream's own, in its own bytes."""
+    return (
+        answer.header(names.STAMP) is not None
+        and answer.header(b"content-encoding") is None
+    )
+
+
+def would_promise_not_run(answer: http1.Answer) -> bool:
+    """Returns whether the status tells the caller that nothing has run."""
+    return answer.status in _PROMISES_NOT_RUN
+
+
+def load_of(answer: http1.Answer) -> Load | None:
+    """Returns the load that an answer tells, or None."""
+    value = answer.header(names.LOAD)
+    if value is None:
+        return None
+    parts = value.split(b",")
+    if len(parts) < 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    figures = [int(part) for part in parts]
+    slowness = figures[3] / _PERCENT if len(figures) > 3 else 1.0
+    return Load(figures[0], figures[1], max(1, figures[2]), slowness)
+
+
+def returned_headers(answer: http1.Answer) -> Iterable[tuple[bytes, bytes]]:
+    """Yields the headers of an answer that go back to the caller."""
+    for name, value in answer.headers:
+        if name not in _NOT_RETURNED:
+            yield name, value
+
+
+def refusal_headers(request_id: bytes, retry_after_s: float | None) -> bytes:
+    """Returns the header lines of an answer of the daemon's own."""
+    lines = b""
+    if request_id:
+        lines += b"%b: %b\r\n" % (names.REQUEST_ID, request_id)
+    if retry_after_s is not None:
+        lines += b"%b: %.3f\r\n" % (names.RETRY_AFTER, retry_after_s)
+    return lines
+
+
+def _order(address: str, path: str, upstream_id: str, body: object) -> bytes:
+    payload = json.dumps(body).encode()
+    return (
+        f"POST {path} HTTP/1.1\r\nhost: {address}\r\n"
+        f"{names.UPSTREAM_ID.decode()}: {upstream_id}\r\n"
+        f"content-type: application/json\r\ncontent-length: {len(payload)}\r\n"
+        "\r\n"
+    ).encode() + payload
+
+
+def grant_request(
+    address: str,
+    upstream_id: str,
+    first: int,
+    last: int,
+    epoch: int,
+    hold_s: float,
+    handover: str | None,
+) -> bytes:
+    """Returns the order that gives an upstream the keys `first` to `last`."""
+    body: dict[str, object] = {
+        "from": first,
+        "to": last,
+        "fence": epoch,
+        "holdS": hold_s,
+    }
+    if handover:
+        body["handover"] = handover
+    return _order(address, "/grant", upstream_id, body)
+
+
+def release_request(
+    address: str, upstream_id: str, first: int, last: int, epoch: int
+) -> bytes:
+    """Returns the order that takes keys back from an upstream."""
+    body = {"from": first, "to": last, "fence": epoch}
+    return _order(address, "/release", upstream_id, body)
+
+
+def handover_of(answer: http1.Answer) -> str | None:
+    """Returns what the next holder of released keys must be given."""
+    value = answer.header(names.HANDOVER)
+    return None if value is None else value.decode("latin-1")
--- /dev/null
+++ b/src/sardinehill/platform/store.py
@@ -0,0 +1,316 @@
+"""Calls to the platform's object store."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import json
+from typing import Any
+import urllib.parse
+
+from sardinehill import errors
+from sardinehill import http1
+
+CONNECT_TIMEOUT_S = 0.5
+# A slow store answers in some hundred milliseconds.
+CALL_TIMEOUT_S = 1.2
+WATCH_WAIT_MS = 20_000
+# A watch's answer may come a little later than it was asked to wait.
+WATCH_MARGIN_S = 2.0
+IDLE_CONNECTIONS = 4
+IDLE_LIMIT_S = 5.0
+_MS_PER_S = 1000
+
+Json = Any
+
+
+@dataclasses.dataclass(frozen=True)
+class StoredObject:
+    """One object of the store.
+
+    Attributes:
+      kind: what sort of object it is.
+      name: unique within its kind.
+      revision: of its last change.
+      spec: what its owner asks for or says.
+      document: the whole object, for kinds with fields of their own.
+    """
+
+    kind: str
+    name: str
+    revision: int
+    spec: Json
+    document: Json
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """One event of a watch.
+
+    Attributes:
+      object: the object as it is now, or was last.
+      deleted: whether it is gone.
+    """
+
+    object: StoredObject
+    deleted: bool
+
+
+class StoreBusyError(errors.StoreError):
+    """Raised when the store refused the call: nothing was done."""
+
+
+class HistoryGoneError(errors.StoreError):
+    """Raised when a watch asks for changes that the store has dropped."""
+
+
+class Store:
+    """A client of the platform's store.
+
+    Public attributes:
+      calls: how many calls were sent, by a short name of the call.
+    """
+
+    def __init__(self, address: str):
+        self._address = address
+        self._idle: list[http1.Connection] = []
+        self.calls: dict[str, int] = {}
+
+    async def list_kind(self, kind: str) -> tuple[list[StoredObject], int]:
+        """Returns all objects of a kind, and the revision to watch from.
+
+        Raises:
+          StoreError: the list could not be read whole.
+        """
+        items: list[StoredObject] = []
+        after = ""
+        first_revision: int | None = None
+        while True:
+            query = {"after": after} if after else {}
+            _, reply = await self._call("list", "GET", (kind,), query)
+            page = reply.get("items") if isinstance(reply, dict) else None
+            revision = reply.get("currentRev") if page is not None else None
+            if not isinstance(page, list) or not isinstance(revision, int):
+                raise errors.StoreReplyError(f"list of {kind}: {reply!r:.200}")
+            if first_revision is None:
+                # A change between two pages is then seen by the watch.
+                first_revision = revision
+            items.extend(_object(kind, item) for item in page)
+            if not reply.get("hasMore") or not items:
+                return items, first_revision
+            after = items[-1].name
+
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        """Returns one object, or None where there is none.
+
+        Raises:
+          StoreError: it could not be read.
+        """
+        status, reply = await self._call("get", "GET", (kind, name), {})
+        return None if status == 404 else _object(kind, reply)
+
+    async def create(self, kind: str, name: str, spec: Json) -> StoredObject:
+        """Creates an object.
+
+        Raises:
+          StoreConflictError: it exists already.
+          StoreUnavailableError: no answer came; it may have been created.
+          StoreError: it was not created.
+        """
+        body = {"metadata": {"name": name}, "spec": spec}
+        status, reply = await self._call("create", "POST", (kind,), {}, body)
+        return _written(kind, name, status, reply)
+
+    async def replace(
+        self, kind: str, name: str, spec: Json, revision: int
+    ) -> StoredObject:
+        """Replaces an object if it is still at `revision`.
+
+        Raises:
+          StoreConflictError: it is at another revision, or gone.
+          StoreUnavailableError: no answer came; it may have been replaced.
+          StoreError: it was not replaced.
+        """
+        body = {"metadata": {"name": name, "revision": revision}, "spec": spec}
+        status, reply = await self._call(
+            "replace", "PUT", (kind, name), {}, body
+        )
+        return _written(kind, name, status, reply)
+
+    async def delete(self, kind: str, name: str, revision: int) -> None:
+        """Deletes an object if it is still at `revision`.
+
+        Raises:
+          StoreError: it is not known to be gone.
+        """
+        status, reply = await self._call(
+            "delete", "DELETE", (kind, name), {"revision": str(revision)}
+        )
+        if status == 409:
+            raise errors.StoreConflictError(f"{kind}/{name}: {reply!r:.200}", 0)
+
+    async def watch(
+        self, kind: str, revision: int
+    ) -> AsyncIterator[tuple[list[Change], int]]:
+        """Yields changes of a kind as they come, with the new revision.
+
+        An empty list of changes shows that the store answered.
+
+        Raises:
+          HistoryGoneError: the kind must be listed again.
+          StoreError: the watch ended.
+        """
+        connection = await self._open()
+        try:
+            while True:
+                changes, revision = await self._watch_once(
+                    connection, kind, revision
+                )
+                yield changes, revision
+        finally:
+            connection.close()
+
+    async def _watch_once(
+        self, connection: http1.Connection, kind: str, revision: int
+    ) -> tuple[list[Change], int]:
+        query = {"watch": str(revision), "waitMs": str(WATCH_WAIT_MS)}
+        status, reply = await self._exchange(
+            connection,
+            "watch",
+            "GET",
+            (kind,),
+            query,
+            None,
+            WATCH_WAIT_MS / _MS_PER_S + WATCH_MARGIN_S,
+        )
+        if status == 410:
+            raise HistoryGoneError(f"{kind}: no history from {revision}")
+        events = reply.get("events") if isinstance(reply, dict) else None
+        newest = reply.get("currentRev") if events is not None else None
+        if not isinstance(events, list) or not isinstance(newest, int):
+            raise errors.StoreReplyError(f"watch of {kind}: {reply!r:.200}")
+        changes = [
+            Change(_object(kind, event.get("object")), bool(event["deleted"]))
+            for event in events
+            if isinstance(event, dict) and "deleted" in event
+        ]
+        return changes, newest
+
+    async def _call(
+        self,
+        call: str,
+        method: str,
+        path: tuple[str, ...],
+        query: dict[str, str],
+        body: Json = None,
+    ) -> tuple[int, Json]:
+        connection = await self._take()
+        status, reply = await self._exchange(
+            connection, call, method, path, query, body, CALL_TIMEOUT_S
+        )
+        if connection.usable and len(self._idle) < IDLE_CONNECTIONS:
+            self._idle.append(connection)
+        else:
+            connection.close()
+        return status, reply
+
+    async def _exchange(
+        self,
+        connection: http1.Connection,
+        call: str,
+        method: str,
+        path: tuple[str, ...],
+        query: dict[str, str],
+        body: Json,
+        timeout_s: float,
+    ) -> tuple[int, Json]:
+        data = self._encode(method, path, query, body)
+        self.calls[call] = self.calls.get(call, 0) + 1
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await connection.exchange(data)
+        except (TimeoutError, http1.ConnectionFailedError) as error:
+            connection.close()
+            raise errors.StoreUnavailableError(
+                f"{method} {'/'.join(path)}: {error!r}"
+            ) from error
+        if answer.status in (429, 503):
+            connection.close()
+            raise StoreBusyError(
+                f"{method} {'/'.join(path)}: status {answer.status}"
+            )
+        try:
+            reply = json.loads(answer.body) if answer.body else None
+        except ValueError as error:
+            connection.close()
+            raise errors.StoreReplyError(f"{path}: {error}") from error
+        if answer.status not in (200, 201, 204, 404, 409, 410):
+            raise errors.StoreReplyError(
+                f"{method} {'/'.join(path)}: status {answer.status}"
+            )
+        return answer.status, reply
+
+    def _encode(
+        self,
+        method: str,
+        path: tuple[str, ...],
+        query: dict[str, str],
+        body: Json,
+    ) -> bytes:
+        target = "/objects/" + "/".join(
+            urllib.parse.quote(part, safe="") for part in path
+        )
+        if query:
+            target += "?" + urllib.parse.urlencode(query)
+        payload = b"" if body is None else json.dumps(body).encode()
+        head = f"{method} {target} HTTP/1.1\r\nHost: {self._address}\r\n"
+        if body is not None:
+            head += (
+                "Content-Type: application/json\r\n"
+                f"Content-Length: {len(payload)}\r\n"
+            )
+        return head.encode() + b"\r\n" + payload
+
+    async def _take(self) -> http1.Connection:
+        now_s = asyncio.get_running_loop().time()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_reusable(now_s, IDLE_LIMIT_S):
+                return connection
+            connection.close()
+        return await self._open()
+
+    async def _open(self) -> http1.Connection:
+        try:
+            return await http1.connect(
+                self._address, CONNECT_TIMEOUT_S, probes=True
+            )
+        except http1.ConnectionFailedError as error:
+            raise StoreBusyError(str(error)) from error
+
+    def close(self) -> None:
+        """Ends the idle connections."""
+        with contextlib.suppress(IndexError):
+            while True:
+                self._idle.pop().close()
+
+
+def _object(kind: str, document: Json) -> StoredObject:
+    metadata = document.get("metadata") if isinstance(document, dict) else None
+    if not isinstance(metadata, dict):
+        raise errors.StoreReplyError(f"{kind}: {document!r:.200} has no name")
+    name, revision = metadata.get("name"), metadata.get("revision")
+    if not isinstance(name, str) or not isinstance(revision, int):
+        raise errors.StoreReplyError(f"{kind}: {metadata!r:.200}")
+    return StoredObject(kind, name, revision, document.get("spec"), document)
+
+
+def _written(kind: str, name: str, status: int, reply: Json) -> StoredObject:
+    if status in (404, 409):
+        found = reply.get("metadata") if isinstance(reply, dict) else None
+        revision = found.get("revision") if isinstance(found, dict) else 0
+        raise errors.StoreConflictError(
+            f"{kind}/{name}: status {status}",
+            revision if isinstance(revision, int) else 0,
+        )
+    return _object(kind, reply)
--- /dev/null
+++ b/src/sardinehill/wire/fleet.py
@@ -0,0 +1,247 @@
+"""Codec of the messages in `core.fleet_messages`."""
+
+from collections.abc import Callable
+import functools
+from typing import Any
+from typing import ParamSpec
+from typing import TypeVar
+
+import capnp
+
+from sardinehill import errors
+from sardinehill.core import fleet_messages
+from sardinehill.wire import schemas
+
+_SCHEMA = schemas.load("fleet")
+_MILLION = 1_000_000
+_THOUSAND = 1000
+_UINT32_LIMIT = 2**32 - 1
+
+_P = ParamSpec("_P")
+_T = TypeVar("_T")
+
+
+def _reader(function: Callable[_P, _T]) -> Callable[_P, _T]:
+    """Turns what the library raises for garbage into a `PeerFrameError`."""
+
+    @functools.wraps(function)
+    def read(*args: _P.args, **kwargs: _P.kwargs) -> _T:
+        try:
+            return function(*args, **kwargs)
+        except (capnp.KjException, ValueError, IndexError) as error:
+            raise errors.PeerFrameError(f"a bad message: {error}") from error
+
+    return read
+
+
+def _count(value: float) -> int:
+    return min(max(int(value), 0), _UINT32_LIMIT)
+
+
+def encode_report(report: fleet_messages.Report) -> bytes:
+    """Returns the bytes of a report."""
+    message = _SCHEMA.Report.new_message(
+        daemon=report.daemon,
+        address=report.address,
+        term=report.term,
+        demand=[
+            {"account": account, "requests": requests}
+            for account, requests in report.demand.items()
+        ],
+        keys=[
+            {
+                "service": use.service,
+                "keys": use.keys,
+                "latencyUs": _count(use.latency_s * _MILLION),
+            }
+            for use in report.keys
+        ],
+        upstreams=[
+            {
+                "upstream": use.upstream,
+                "answers": use.answers,
+                "slownessSum": _count(use.slowness_sum * _THOUSAND),
+            }
+            for use in report.upstreams
+        ],
+        refused=[
+            {"service": span.service, "key": span.key, "epoch": span.epoch}
+            for span in report.refused
+        ],
+        storeReachable=report.store_reachable,
+    )
+    return bytes(message.to_bytes())
+
+
+@_reader
+def decode_report(data: bytes) -> fleet_messages.Report:
+    """Returns the report in some bytes.
+
+    Raises:
+      PeerFrameError: the bytes are not a report.
+    """
+    message = schemas.read(_SCHEMA.Report, data)
+    return fleet_messages.Report(
+        daemon=message.daemon,
+        address=message.address,
+        term=message.term,
+        demand={item.account: item.requests for item in message.demand},
+        keys=[
+            fleet_messages.KeyUse(
+                item.service, list(item.keys), item.latencyUs / _MILLION
+            )
+            for item in message.keys
+        ],
+        upstreams=[
+            fleet_messages.UpstreamUse(
+                item.upstream, item.answers, item.slownessSum / _THOUSAND
+            )
+            for item in message.upstreams
+        ],
+        refused=[
+            fleet_messages.RefusedSpan(item.service, item.key, item.epoch)
+            for item in message.refused
+        ],
+        store_reachable=message.storeReachable,
+    )
+
+
+def _service_table(
+    service: str, spans: list[fleet_messages.TableSpan]
+) -> dict[str, Any]:
+    upstreams = sorted({span.upstream for span in spans})
+    places = {name: place for place, name in enumerate(upstreams)}
+    return {
+        "service": service,
+        "upstreams": upstreams,
+        "spans": [
+            {
+                "first": span.first,
+                "last": span.last,
+                "upstream": places[span.upstream],
+                "live": span.live,
+                "epoch": span.epoch,
+            }
+            for span in spans
+        ],
+    }
+
+
+def encode_table(table: fleet_messages.Table) -> bytes:
+    """Returns the bytes of a table."""
+    message = _SCHEMA.Table.new_message(
+        term=table.term,
+        leader=table.leader,
+        leaderAddress=table.leader_address,
+        serial=table.serial,
+        daemons=table.daemons,
+        storeReachable=table.store_reachable,
+        hasSpans=table.spans is not None,
+        services=[
+            _service_table(service, spans)
+            for service, spans in (table.spans or {}).items()
+        ],
+        shares=[
+            {"account": account, "shareMillionths": _count(share * _MILLION)}
+            for account, share in table.shares.items()
+        ],
+        ageMs=_count(table.age_s * _THOUSAND),
+        resigned=table.resigned,
+    )
+    return bytes(message.to_bytes())
+
+
+@_reader
+def decode_table(data: bytes) -> fleet_messages.Table:
+    """Returns the table in some bytes.
+
+    Raises:
+      PeerFrameError: the bytes are not a table.
+    """
+    message = schemas.read(_SCHEMA.Table, data)
+    spans: dict[str, list[fleet_messages.TableSpan]] | None = None
+    if message.hasSpans:
+        spans = {}
+        for service in message.services:
+            names = list(service.upstreams)
+            spans[service.service] = [
+                fleet_messages.TableSpan(
+                    span.first,
+                    span.last,
+                    names[span.upstream],
+                    span.epoch,
+                    span.live,
+                )
+                for span in service.spans
+            ]
+    return fleet_messages.Table(
+        term=message.term,
+        leader=message.leader,
+        leader_address=message.leaderAddress,
+        serial=message.serial,
+        daemons=message.daemons,
+        store_reachable=message.storeReachable,
+        spans=spans,
+        shares={
+            item.account: item.shareMillionths / _MILLION
+            for item in message.shares
+        },
+        age_s=message.ageMs / _THOUSAND,
+        resigned=message.resigned,
+    )
+
+
+def encode_news_query(query: fleet_messages.NewsQuery) -> bytes:
+    """Returns the bytes of a question for news."""
+    message = _SCHEMA.NewsQuery.new_message(
+        configRevision=query.config_revision,
+        upstreamsRevision=query.upstreams_revision,
+        zonesRevision=query.zones_revision,
+    )
+    return bytes(message.to_bytes())
+
+
+@_reader
+def decode_news_query(data: bytes) -> fleet_messages.NewsQuery:
+    """Returns the question in some bytes.
+
+    Raises:
+      PeerFrameError: the bytes are not such a question.
+    """
+    message = schemas.read(_SCHEMA.NewsQuery, data)
+    return fleet_messages.NewsQuery(
+        message.configRevision, message.upstreamsRevision, message.zonesRevision
+    )
+
+
+def encode_news(news: fleet_messages.News) -> bytes:
+    """Returns the bytes of news."""
+    message = _SCHEMA.News.new_message(
+        configRevision=news.config_revision,
+        config=news.config,
+        upstreamsRevision=news.upstreams_revision,
+        upstreams=news.upstreams,
+        zonesRevision=news.zones_revision,
+        zones=news.zones,
+        ageMs=_count(news.age_s * _THOUSAND),
+    )
+    return bytes(message.to_bytes())
+
+
+@_reader
+def decode_news(data: bytes) -> fleet_messages.News:
+    """Returns the news in some bytes.
+
+    Raises:
+      PeerFrameError: the bytes are not news.
+    """
+    message = schemas.read(_SCHEMA.News, data)
+    return fleet_messages.News(
+        config_revision=message.configRevision,
+        config=bytes(message.config),
+        upstreams_revision=message.upstreamsRevision,
+        upstreams=bytes(message.upstreams),
+        zones_revision=message.zonesRevision,
+        zones=bytes(message.zones),
+        age_s=message.ageMs / _THOUSAND,
+    )
--- a/src/sardinehill/wire/kinds.py
+++ b/src/sardinehill/wire/kinds.py
@@ -23,3 +23,9 @@
     GATEWAY_RELEASE = 33
     NEWS_DIGEST = 40
     NEWS_BODY = 41
+    REPORT = 50
+    TABLE = 51
+    NEWS_QUERY = 52
+    NEWS = 53
+    LEADER_QUERY = 54
+    RESIGN = 55
--- a/tests/process/test_process_rules.py
+++ b/tests/process/test_process_rules.py
@@ -1,6 +1,6 @@
 """Claims about what a running daemon asks of its host."""
 
-from bench import inspect_process
+from tests.common import inspect_process
 
 
 def test_daemon_is_one_process_without_io_uring_or_shared_memory(small_fleet):
