--- a/src/sardinehill/core/keyspace.py
+++ b/src/sardinehill/core/keyspace.py
@@ -12,9 +12,19 @@
 from collections.abc import Sequence
 import dataclasses
 import itertools
+import math
 from typing import Any
 
 KEY_COUNT = 65536
+# The use of its slots beyond which an upstream counts as saturated, and what
+# one more request costs there, in service times.
+SATURATION = 0.95
+SATURATED_COST = 40.0
+MARGINAL_STEP_SHARE = 0.02
+# Keys without an owner are given away in pieces of this part of a mean load.
+ORPHAN_PIECE_SHARE = 0.5
+# Parts of an upstream's load that are tried as a move.
+PIECE_SHARES = (0.05, 0.12, 0.25, 0.5)
 # An upstream's clock may run this much slow while it measures a grant.
 CLOCK_DRIFT_RATIO = 0.02
 # How long an order may still be on its way once its connection is closed.
@@ -332,17 +342,55 @@
     """When keys are worth moving.
 
     Attributes:
-      excess_ratio: an upstream with so many times the mean load gives keys.
-      least_load: no keys move from an upstream below this load, in requests
-        under way for each slot.
+      least_gain_share: a move must lower the latency of all requests
+        together by this part.
+      key_price_share: each key that moves must add this part to that.
       moves: how many moves are planned at once.
       spans_limit: an upstream with so many spans gets no further one.
+      least_load_share: each upstream is to have this part of an even load.
     """
 
-    excess_ratio: float = 1.2
-    least_load: float = 0.25
-    moves: int = 6
-    spans_limit: int = 12
+    least_gain_share: float = 0.004
+    key_price_share: float = 1e-6
+    moves: int = 10
+    spans_limit: int = 16
+    least_load_share: float = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Capacity:
+    """What an upstream bears.
+
+    Attributes:
+      slots: how many requests it runs at once.
+      slowness: its latency against the mean of all upstreams, when idle.
+    """
+
+    slots: int
+    slowness: float
+
+    def cost(self, load: float) -> float:
+        """Returns how many requests are under way there, waiting or running.
+
+        By Little's law that is rate times latency. The wait for one of
+        several slots is Sakasegawa's approximation; near saturation it goes
+        on as a straight line, as queues are bounded.
+
+        Args:
+          load: requests under way, were the upstream of mean speed and idle.
+        """
+        running = load * self.slowness
+        use = running / self.slots
+        if use <= SATURATION:
+            return running * (1 + _wait(use, self.slots))
+        edge = SATURATION * self.slots * (1 + _wait(SATURATION, self.slots))
+        return edge + (running - SATURATION * self.slots) * SATURATED_COST
+
+
+def _wait(use: float, slots: int) -> float:
+    """Returns the mean wait for a slot, in mean service times."""
+    exponent = math.sqrt(2 * (slots + 1)) - 1
+    return float(use**exponent / (slots * (1 - use)))
 
 
 class Weights:
@@ -391,24 +439,23 @@
 
 def plan(
     assignment: Assignment,
-    capacities: Mapping[Life, float],
+    capacities: Mapping[Life, Capacity],
     weights: Weights,
     policy: PlanPolicy,
 ) -> list[Move]:
-    """Returns the moves that give each key an owner and even the load out.
+    """Returns the moves that give each key an owner and lower latency.
 
     Args:
       assignment: as it is; it is not changed.
-      capacities: the upstreams that may own keys, with what each bears.
-      weights: the load of each key in the capacities' unit.
+      capacities: the upstreams that may own keys.
+      weights: the load of each key: requests under way at mean speed.
       policy: when keys are worth moving.
     """
-    usable = {life: room for life, room in capacities.items() if room > 0}
-    if not usable:
+    if not capacities:
         return []
-    planner = _Planner(assignment, usable, weights, policy)
+    planner = _Planner(assignment, capacities, weights, policy)
     planner.place_orphans()
-    planner.even_out()
+    planner.improve()
     return planner.moves
 
 
@@ -418,7 +465,7 @@
     def __init__(
         self,
         assignment: Assignment,
-        capacities: Mapping[Life, float],
+        capacities: Mapping[Life, Capacity],
         weights: Weights,
         policy: PlanPolicy,
     ):
@@ -430,7 +477,6 @@
         self._spans = {life: [] for life in capacities}
         self._orphans: list[tuple[int, int]] = []
         self._total = weights.of(0, KEY_COUNT - 1)
-        self._mean = self._total / sum(capacities.values())
         self.moves: list[Move] = []
         for span in assignment.spans:
             self._count(span)
@@ -444,92 +490,111 @@
         elif may_move(span):
             self._orphans.append((span.first, span.last))
 
-    def _ratio(self, life: Life) -> float:
-        return self._loads[life] / self._capacities[life]
+    def _marginal(self, life: Life) -> float:
+        """Returns what a little more load costs at an upstream."""
+        capacity, load = self._capacities[life], self._loads[life]
+        step = capacity.slots * MARGINAL_STEP_SHARE
+        return (capacity.cost(load + step) - capacity.cost(load)) / step
+
+    def _target(self) -> Life:
+        """Returns the upstream that more load costs least at.
+
+        One with next to no load goes first, or it would stay unknown.
+        """
+        least = self._total / len(self._loads) * self._policy.least_load_share
+        idle = [life for life, load in self._loads.items() if load < least]
+        return min(idle or self._loads, key=self._marginal)
 
     def place_orphans(self) -> None:
-        """Gives keys without a usable owner to the least loaded."""
+        """Gives keys without a usable owner away in pieces."""
+        piece = self._total / len(self._loads) * ORPHAN_PIECE_SHARE
         for first, last in self._orphans:
             while first <= last:
-                to = min(self._capacities, key=self._ratio)
-                room = self._mean * self._capacities[to] - self._loads[to]
-                end = last
-                if self._weights.of(first, last) > room * 1.25:
-                    end = self._weights.last_for(first, last, max(room, 0.0))
-                self._move(first, end, None, to)
+                end = self._weights.last_for(first, last, piece)
+                self._move(first, end, None, self._target())
                 first = end + 1
+        self.moves[:] = _joined(self.moves)
 
-    def even_out(self) -> None:
-        """Takes keys from the most loaded for the least loaded."""
+    def improve(self) -> None:
+        """Moves keys while that lowers the latency of all together."""
         given_up: set[Life] = set()
         left = self._policy.moves
         while left > 0:
-            candidates = [life for life in self._loads if life not in given_up]
-            if not candidates:
-                return
-            source = max(candidates, key=self._ratio)
-            floor = max(
-                self._mean * self._policy.excess_ratio, self._policy.least_load
-            )
-            if self._ratio(source) <= floor:
+            sources = [
+                life
+                for life in self._loads
+                if life not in given_up and self._spans[life]
+            ]
+            if not sources:
                 return
-            if self._give(source):
-                left -= 1
-            else:
+            source = max(sources, key=self._marginal)
+            best = self._best_piece(source)
+            if best is None:
                 given_up.add(source)
+                continue
+            self._move(best[0], best[1], source, best[2])
+            left -= 1
+
+    def _best_piece(self, source: Life) -> tuple[int, int, Life] | None:
+        """Returns the piece of an upstream's keys that is best moved."""
+        to = self._target()
+        if to == source or len(self._spans[to]) >= self._policy.spans_limit:
+            return None
+        threshold = self._policy.least_gain_share * self._all_cost()
+        price = self._policy.key_price_share * self._all_cost()
+        best: tuple[int, int, Life] | None = None
+        best_gain = threshold
+        for share in PIECE_SHARES:
+            wanted = self._loads[source] * share
+            for first, last in self._pieces(source, wanted):
+                gain = self._gain(first, last, source, to)
+                gain -= price * (last - first + 1)
+                if gain > best_gain:
+                    best, best_gain = (first, last, to), gain
+        return best
 
-    def _give(self, source: Life) -> bool:
-        targets = [
-            life
-            for life in self._loads
-            if life != source
-            and len(self._spans[life]) < self._policy.spans_limit
-        ]
-        if not targets or not self._spans[source]:
-            return False
-        to = min(targets, key=self._ratio)
-        surplus = self._loads[source] - self._mean * self._capacities[source]
-        room = self._mean * self._capacities[to] - self._loads[to]
-        wanted = min(surplus, room)
-        if wanted <= 0:
-            return False
-        piece = self._piece(source, wanted)
-        if piece is None:
-            return False
-        first, last = piece
-        moved = self._weights.of(first, last)
-        after = (self._loads[to] + moved) / self._capacities[to]
-        if after >= self._ratio(source):
-            return False
-        self._move(first, last, source, to)
-        return True
-
-    def _piece(self, source: Life, wanted: float) -> tuple[int, int] | None:
-        """Returns the part at a span's edge whose load is nearest `wanted`."""
-        best: tuple[int, int] | None = None
-        best_error = wanted
+    def _pieces(self, source: Life, wanted: float) -> Iterable[tuple[int, int]]:
         for first, last in self._spans[source]:
-            for piece in (
-                (self._weights.first_for(first, last, wanted), last),
-                (first, self._weights.last_for(first, last, wanted)),
-            ):
-                error = abs(self._weights.of(*piece) - wanted)
-                if error < best_error:
-                    best, best_error = piece, error
-        return best
+            yield self._weights.first_for(first, last, wanted), last
+            yield first, self._weights.last_for(first, last, wanted)
+
+    def _gain(self, first: int, last: int, source: Life, to: Life) -> float:
+        load = self._weights.of(first, last)
+        return self._cost_change(source, -load) + self._cost_change(to, load)
+
+    def _cost_change(self, life: Life, load: float) -> float:
+        capacity, before = self._capacities[life], self._loads[life]
+        return capacity.cost(before) - capacity.cost(max(before + load, 0.0))
+
+    def _all_cost(self) -> float:
+        return sum(
+            self._capacities[life].cost(load)
+            for life, load in self._loads.items()
+        )
 
     def _move(
         self, first: int, last: int, source: Life | None, to: Life
     ) -> None:
         load = self._weights.of(first, last)
         self._loads[to] += load
-        self._spans[to].append((first, last))
         if source is not None:
             self._loads[source] -= load
             self._spans[source] = _without(self._spans[source], first, last)
         self.moves.append(Move(first, last, to))
 
 
+def _joined(moves: list[Move]) -> list[Move]:
+    """Joins moves of neighbouring keys to the same upstream."""
+    joined: list[Move] = []
+    for move in moves:
+        before = joined[-1] if joined else None
+        if before and before.to == move.to and before.last + 1 == move.first:
+            joined[-1] = Move(before.first, move.last, move.to)
+        else:
+            joined.append(move)
+    return joined
+
+
 def _without(
     spans: list[tuple[int, int]], first: int, last: int
 ) -> list[tuple[int, int]]:
--- a/src/sardinehill/core/shares.py
+++ b/src/sardinehill/core/shares.py
@@ -8,58 +8,93 @@
 from collections.abc import Mapping
 import dataclasses
 
+from sardinehill.core import routes
+
 # A part of each account that is divided evenly, for callers who turn up at
 # a daemon that has had none of that account.
-EVEN_SHARE = 0.25
-DEMAND_MEMORY = 0.7
-# What part of its bucket a daemon gets when its share first becomes known.
-FIRST_FILL_SHARE = 0.5
+EVEN_SHARE = 0.35
+# How much of a daemon's earlier demand counts at its next report.
+DEMAND_MEMORY = 0.9
+# How much of what the bound leaves beyond the rate is given out.
+BURST_SHARE = 0.8
 
 
-class Bucket:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
     """One daemon's part of one client account's allowance."""
 
+    rate_per_s: float
+    burst: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Allowance:
+    """The fleet's bound on what an account gets in one window.
+
+    Attributes:
+      window_s: the window's length.
+      over_ratio: how far beyond rate and burst the fleet may go.
+      slack: requests in a window beyond that.
+    """
+
+    window_s: float
+    over_ratio: float
+    slack: float
+
+    def part(
+        self, account: routes.ClientAccount, share: float, daemons: int
+    ) -> Part:
+        """Returns one daemon's part.
+
+        The rate follows demand. What the bound allows beyond the rate is
+        divided evenly, as each daemon may see a few requests at once.
+        """
+        sustained = account.rate_per_s * self.window_s
+        bound = (sustained + account.burst) * (1 + self.over_ratio)
+        burst = (bound + self.slack - sustained) * BURST_SHARE
+        return Part(account.rate_per_s * share, burst / max(daemons, 1))
+
+
+class Bucket:
+    """One daemon's tokens of one client account."""
+
     def __init__(self, now_s: float):
         self._tokens = 0.0
-        self._filled = False
         self._at_s = now_s
-        self._rate_per_s = 0.0
-        self._burst = 0.0
+        self._part: Part | None = None
 
-    def set_terms(self, rate_per_s: float, burst: float, now_s: float) -> None:
+    def set_terms(self, part: Part, now_s: float) -> None:
         """Changes the rate and burst; tokens beyond the burst are lost."""
         self._earn(now_s)
-        self._rate_per_s = rate_per_s
-        self._burst = max(burst, 1.0)
-        if not self._filled:
-            self._filled = True
-            self._tokens = self._burst * FIRST_FILL_SHARE
-        self._tokens = min(self._tokens, self._burst)
+        if self._part is None:
+            # A daemon that has just started may have spent some before.
+            self._tokens = part.burst / 2
+        self._part = part
+        self._tokens = min(self._tokens, part.burst)
 
     def take(self, now_s: float) -> float:
-        """Takes one token.
+        """Takes one token, also of those to come.
 
         Returns:
-          0 when a token was there, else the seconds until the next one.
+          How many seconds from now the token is earned, 0 if it is there.
         """
         self._earn(now_s)
-        if self._tokens >= 1.0:
-            self._tokens -= 1.0
+        self._tokens -= 1.0
+        if self._tokens >= 0:
             return 0.0
-        if self._rate_per_s <= 0:
-            return 1.0
-        return (1.0 - self._tokens) / self._rate_per_s
+        rate_per_s = self._part.rate_per_s if self._part else 0.0
+        return -self._tokens / rate_per_s if rate_per_s > 0 else 1.0
 
     def give_back(self) -> None:
         """Returns a token of a request that was not sent."""
-        self._tokens = min(self._tokens + 1.0, self._burst)
+        self._tokens += 1.0
 
     def _earn(self, now_s: float) -> None:
         passed_s = max(0.0, now_s - self._at_s)
         self._at_s = now_s
-        self._tokens = min(
-            self._tokens + passed_s * self._rate_per_s, self._burst
-        )
+        if self._part is not None:
+            earned = passed_s * self._part.rate_per_s
+            self._tokens = min(self._tokens + earned, self._part.burst)
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -10,6 +10,7 @@
 from sardinehill import events
 from sardinehill.core import fleet_messages
 from sardinehill.core import routes
+from sardinehill.core import shares
 from sardinehill.daemon import boot_clock
 from sardinehill.front import bus
 from sardinehill.front import directory as directory_module
@@ -62,6 +63,11 @@
             settings.retry_ratio,
             settings.retry_slack,
             settings.retry_window_s,
+            shares.Allowance(
+                settings.allowance_window_s,
+                settings.allowance_over_ratio,
+                settings.allowance_slack,
+            ),
         )
         self._leadership = leadership_module.Leadership(
             settings.daemon,
--- a/src/sardinehill/front/keeper.py
+++ b/src/sardinehill/front/keeper.py
@@ -27,7 +27,7 @@
 # seconds, long enough for another leader to take over before they lapse.
 HOLD_S = 2.4
 RENEW_S = 0.65
-ORDER_TIMEOUT_S = 0.4
+ORDER_TIMEOUT_S = 0.5
 RELEASE_TIMEOUT_S = 1.5
 ORDER_RETRY_S = 0.15
 CONNECT_TIMEOUT_S = 0.3
@@ -44,10 +44,12 @@
 FORGOTTEN_USE = 1e-4
 # Spread over all keys, so that unused ones are divided evenly as well.
 BASE_LOAD_REQUESTS = 0.5
-SLOWNESS_MEMORY = 0.9
+SLOWNESS_MEMORY = 0.95
 SLOWNESS_LOWEST = 0.4
 SLOWNESS_HIGHEST = 8.0
 CLEAN_UP_S = 0.3
+# The very first plan waits until no upstream has joined for so long.
+GATHERING_S = 1.0
 CONFLICT_RETRY_S = 0.2
 FENCED_LEAP = 1000
 
@@ -102,6 +104,7 @@
         self._use_scale = 1.0
         self._use_at_s = clock_s()
         self._plan_due_s = 0.0
+        self._joined_s = clock_s()
         self._changed = asyncio.Event()
         self._writing = asyncio.Lock()
         self._clean_due_s: float | None = None
@@ -234,6 +237,8 @@
                 self._owners[upstream.life] = _Owner(
                     upstream.life, upstream.address, upstream.slots
                 )
+                self._owners[upstream.life].confirmed_s = now_s
+                self._joined_s = now_s
                 # An earlier life of the same id has certainly ended.
                 self._dead.update(
                     life
@@ -243,11 +248,13 @@
             else:
                 owner.address = upstream.address
 
-    def _capacities(self, now_s: float) -> dict[keyspace.Life, float]:
+    def _capacities(
+        self, now_s: float
+    ) -> dict[keyspace.Life, keyspace.Capacity]:
         """Returns what each upstream that may own keys can bear."""
         zones_out = self._zones_out()
-        warm: dict[keyspace.Life, float] = {}
-        cold: dict[keyspace.Life, float] = {}
+        warm: dict[keyspace.Life, keyspace.Capacity] = {}
+        cold: dict[keyspace.Life, keyspace.Capacity] = {}
         for upstream in self._upstreams().values():
             owner = self._owners.get(upstream.life)
             if owner is None or upstream.service != self._service:
@@ -256,7 +263,7 @@
                 continue
             if now_s < owner.unusable_until_s or upstream.life in self._dead:
                 continue
-            room = owner.slots / owner.slowness
+            room = keyspace.Capacity(owner.slots, owner.slowness)
             if upstream.cold_left_s > 0:
                 cold[upstream.life] = room
             else:
@@ -266,6 +273,8 @@
     async def _plan(self, now_s: float) -> None:
         assignment = self._assignment
         assert assignment is not None
+        if assignment.top_epoch == 0 and now_s - self._joined_s < GATHERING_S:
+            return
         capacities = self._capacities(now_s)
         moves = keyspace.plan(
             assignment, capacities, self._weights(), keyspace.PlanPolicy()
@@ -287,7 +296,7 @@
     def _log_moves(
         self,
         moves: list[keyspace.Move],
-        capacities: dict[keyspace.Life, float],
+        capacities: dict[keyspace.Life, keyspace.Capacity],
     ) -> None:
         keys = sum(move.last - move.first + 1 for move in moves)
         self.moved_keys += keys
@@ -443,21 +452,30 @@
         life, epoch = span.owner, span.epoch
         first, last = span.first, span.last
         sent_s = self._clock_s()
-        before_s = span.unanswered_until_s
+        before = (span.holds_until_s, span.unanswered_until_s)
         span.unanswered_until_s = span.holds_until_s = max(
             span.holds_until_s,
-            keyspace.latest_end_s(sent_s + ORDER_TIMEOUT_S, HOLD_S),
+            keyspace.latest_end_s(
+                sent_s + CONNECT_TIMEOUT_S + ORDER_TIMEOUT_S, HOLD_S
+            ),
         )
         request = exchanges.grant_request(
             owner.address, life[0], first, last, epoch, HOLD_S, span.handover
         )
-        status, failure, _ = await self._order(owner, request, ORDER_TIMEOUT_S)
+        status, failure, _ = await self._order(
+            owner,
+            request,
+            ORDER_TIMEOUT_S,
+            lambda: self._is_whole(first, last, life, epoch),
+        )
         arrived_s = self._clock_s()
-        is_certain = status is not None or not (failure and failure.written)
+        never_sent = failure is not None and not failure.written
         for part in self._parts(first, last, life, epoch):
             part.ordering = False
-            if is_certain:
-                part.unanswered_until_s = before_s
+            if never_sent:
+                part.holds_until_s, part.unanswered_until_s = before
+            elif status is not None:
+                part.unanswered_until_s = before[1]
             if status == 200:
                 self._confirmed(part, owner, sent_s, arrived_s)
             else:
@@ -466,8 +484,14 @@
                     # Not before its epoch has been raised in the store.
                     part.next_order_s = arrived_s + 2 * CONFLICT_RETRY_S
         for former in self._former_parts(first, last, life, epoch):
-            if is_certain:
-                former.unanswered_until_s = before_s
+            if never_sent:
+                former.holds_until_s, former.unanswered_until_s = before
+            elif status is not None:
+                former.unanswered_until_s = before[1]
+            if status == 200:
+                # The grant may have arrived behind a release.
+                former.holds_until_s = keyspace.latest_end_s(arrived_s, HOLD_S)
+                former.released = False
         self._judge(owner, status, failure, first, last, epoch)
 
     def _confirmed(
@@ -507,6 +531,16 @@
             and span.epoch == epoch
         ]
 
+    def _is_whole(
+        self, first: int, last: int, life: keyspace.Life, epoch: int
+    ) -> bool:
+        """Returns whether a span is still as an order for it says."""
+        keys = sum(
+            part.last - part.first + 1
+            for part in self._parts(first, last, life, epoch)
+        )
+        return keys == last - first + 1
+
     def _former_parts(
         self, first: int, last: int, life: keyspace.Life, epoch: int
     ) -> list[keyspace.Former]:
@@ -555,7 +589,7 @@
                 status=status,
                 error=str(failure),
             )
-        elif now_s - owner.failing_since_s > SILENT_OWNER_S:
+        if now_s - owner.confirmed_s > SILENT_OWNER_S:
             if now_s >= owner.unusable_until_s:
                 events.log(
                     events.UPSTREAM_UNREACHABLE,
@@ -564,7 +598,6 @@
                 )
                 self._plan_due_s = 0.0
             owner.unusable_until_s = now_s + UNUSABLE_S
-            owner.failing_since_s = now_s
 
     def _fenced(self, owner: _Owner, first: int, last: int, epoch: int) -> None:
         """Raises the epoch of a span whose owner has seen a higher one."""
@@ -612,7 +645,7 @@
             owner.address, former.life[0], first, last, former.epoch
         )
         status, failure, answer = await self._order(
-            owner, request, RELEASE_TIMEOUT_S
+            owner, request, RELEASE_TIMEOUT_S, lambda: True
         )
         now_s = self._clock_s()
         handover = exchanges.handover_of(answer) if answer else None
@@ -624,7 +657,7 @@
                 continue
             part.ordering = False
             if status == 200:
-                part.former.released = True
+                part.former.released = part.former.life == former.life
                 part.handover = handover
                 part.next_order_s = 0.0
             elif status == 421:
@@ -646,11 +679,19 @@
         self._changed.set()
 
     async def _order(
-        self, owner: _Owner, request: bytes, timeout_s: float
+        self,
+        owner: _Owner,
+        request: bytes,
+        timeout_s: float,
+        is_current: Callable[[], bool],
     ) -> tuple[
         int | None, http1.ConnectionFailedError | None, http1.Answer | None
     ]:
-        """Sends one order; returns its status, or why there is none."""
+        """Sends one order; returns its status, or why there is none.
+
+        Whether it is still to be sent is asked once more when a connection
+        is there, as opening one may take long.
+        """
         self.orders += 1
         connection: http1.Connection | None = None
         now_s = asyncio.get_running_loop().time()
@@ -665,12 +706,10 @@
                 connection = await http1.connect(
                     owner.address, CONNECT_TIMEOUT_S
                 )
-            if not self._is_licensed():
-                return (
-                    None,
-                    http1.ConnectionFailedError("no licence", False),
-                    None,
-                )
+            if not self._is_licensed() or not is_current():
+                error = http1.ConnectionFailedError("overtaken", written=False)
+                owner.connections.append(connection)
+                return None, error, None
             async with asyncio.timeout(timeout_s):
                 answer = await connection.exchange(request)
         except TimeoutError:
--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -33,6 +33,8 @@
 OWNER_PATIENCE_SHARE = 0.5
 # After a refusal for want of a grant, the table is likely about to change.
 REFUSED_PAUSE_S = 0.04
+# A request waits this long for its account's next token.
+TOKEN_PATIENCE_S = 0.1
 LATENCY_MEMORY = 0.95
 FIRST_LATENCY_S = 0.05
 SENDS_LIMIT = 8
@@ -74,11 +76,13 @@
         reason: errors.Reason,
         status: int,
         retry_after_s: float | None = None,
+        **inputs: object,
     ):
         super().__init__(reason.value)
         self.reason = reason
         self.status = status
         self.retry_after_s = retry_after_s
+        self.inputs = inputs
 
 
 @dataclasses.dataclass(slots=True)
@@ -86,10 +90,14 @@
     """One request on its way.
 
     Attributes:
+      token_wait_s: how long it waits for its account's next token.
       sends: how often it was sent to an upstream.
       tried: upstreams that were sent it.
       may_have_run: whether an upstream may have run it.
       in_flight: whether an upstream has it now.
+      idle_there: whether nothing waited at the upstream that answered.
+      waited_from_s: when it first had to wait for room, or None.
+      last_failure: why it was not answered so far.
     """
 
     request: Request
@@ -100,10 +108,12 @@
     rank: int
     deadline_s: float
     ticket: int
+    token_wait_s: float = 0.0
     sends: int = 0
     tried: list[str] = dataclasses.field(default_factory=list)
     may_have_run: bool = False
     in_flight: bool = False
+    idle_there: bool = False
     waited_from_s: float | None = None
     last_failure: str = ""
 
@@ -129,11 +139,13 @@
         retry_ratio: float,
         retry_slack: float,
         retry_window_s: float,
+        allowance: shares.Allowance,
     ):
         self._directory = directory
         self._stats = stats
         self._log = log_request
         self._retry_terms = (retry_ratio, retry_slack, retry_window_s)
+        self._allowance = allowance
         self._budgets: dict[str, room_module.RepeatBudget] = {}
         self._buckets: dict[str, shares.Bucket] = {}
         self._splitter = routes.Splitter()
@@ -168,13 +180,23 @@
         self.in_flight += 1
         try:
             work = self._admit(request, fields)
-            reply = await self._serve_admitted(work)
         except _RefusedError as refusal:
             self._note_refusal(request, fields, refusal, None)
-            reply = _refusal_reply(fields, refusal)
+            self.in_flight -= 1
+            return _refusal_reply(fields, refusal)
+        try:
+            return await self._serve_admitted(work)
+        except Exception as error:
+            events.log_failure(
+                events.REQUEST_FAILED_INSIDE,
+                error,
+                request=fields.request_id.decode("latin-1"),
+            )
+            return _refusal_reply(
+                fields, _RefusedError(errors.Reason.INTERNAL, 500)
+            )
         finally:
             self.in_flight -= 1
-        return reply
 
     def _admit(self, request: Request, fields: exchanges.CallerFields) -> _Work:
         configuration = self._directory.configuration
@@ -184,13 +206,14 @@
         if route is None:
             raise _RefusedError(errors.Reason.SERVICE_UNKNOWN, 404)
         account: routes.ClientAccount | None = None
+        token_wait_s = 0.0
         if route.needs_account:
             if fields.account_key is None:
                 raise _RefusedError(errors.Reason.ACCOUNT_KEY_MISSING, 401)
             account = configuration.accounts.get(fields.account_key)
             if account is None:
                 raise _RefusedError(errors.Reason.ACCOUNT_KEY_UNKNOWN, 401)
-            self._meter(account, request.arrived_s)
+            token_wait_s = self._meter(account, request.arrived_s)
         wait_s = fields.wait_s if fields.wait_s else DEFAULT_WAIT_S
         wait_s = min(wait_s - RETURN_MARGIN_S, route.timeout_s)
         rank = route.priority
@@ -205,27 +228,44 @@
             rank,
             request.arrived_s + max(wait_s, 0.0),
             self._directory.waiting.next_ticket(),
+            token_wait_s,
         )
 
-    def _meter(self, account: routes.ClientAccount, now_s: float) -> None:
+    def _meter(self, account: routes.ClientAccount, now_s: float) -> float:
+        """Takes a token of an account; returns how long to wait for it."""
         if account.rate_per_s <= 0:
-            return
+            return 0.0
         self._demand[account.name] = self._demand.get(account.name, 0) + 1
         bucket = self._buckets.get(account.name)
         if bucket is None:
             bucket = self._buckets[account.name] = shares.Bucket(now_s)
-        share = self._directory.share(account.name)
-        bucket.set_terms(
-            account.rate_per_s * share, account.burst * share, now_s
+        part = self._allowance.part(
+            account,
+            self._directory.share(account.name),
+            self._directory.daemons,
         )
+        bucket.set_terms(part, now_s)
         wait_s = bucket.take(now_s)
-        if wait_s > 0:
-            raise _RefusedError(errors.Reason.OVER_RATE, 429, wait_s + 0.05)
+        if wait_s > TOKEN_PATIENCE_S:
+            bucket.give_back()
+            raise _RefusedError(
+                errors.Reason.OVER_RATE,
+                429,
+                wait_s,
+                over_account=account.name,
+                fleet_rate_per_s=account.rate_per_s,
+                part_rate_per_s=round(part.rate_per_s, 3),
+                part_burst=round(part.burst, 3),
+                next_token_s=round(wait_s, 3),
+            )
+        return wait_s
 
     async def _serve_admitted(self, work: _Work) -> Reply:
         self._budget(work.service).requested(work.request.arrived_s)
         try:
             async with asyncio.timeout_at(work.deadline_s):
+                if work.token_wait_s > 0:
+                    await asyncio.sleep(work.token_wait_s)
                 answer = await self._until_answered(work)
         except TimeoutError:
             refusal = self._out_of_time(work)
@@ -477,6 +517,7 @@
             target.room.told_load(
                 load.running, load.waiting, load.slowness, now_s
             )
+        work.idle_there = load is not None and load.waiting == 0
         if exchanges.says_not_run(answer):
             self._not_run(work, target, answer, now_s)
             return None
@@ -545,8 +586,9 @@
         if use is None:
             use = fleet_messages.UpstreamUse(target.upstream.id, 0, 0.0)
             self._upstream_use[target.upstream.id] = use
-        use.answers += 1
-        use.slowness_sum += min(latency_s / usual_s, 10.0)
+        if work.idle_there:
+            use.answers += 1
+            use.slowness_sum += min(latency_s / usual_s, 10.0)
         if work.fields.shard_key is not None:
             keys, spent = self._key_use.setdefault(work.service, ([], []))
             keys.append(work.fields.shard_key)
@@ -613,6 +655,7 @@
             table=self._directory.table_label(),
             store_lost_s=self._directory.store_lost_s(),
             held_s=round(now_s - request.arrived_s, 4),
+            **refusal.inputs,
         )
 
 
--- a/src/sardinehill/front/waiting.py
+++ b/src/sardinehill/front/waiting.py
@@ -12,7 +12,7 @@
     def __init__(self) -> None:
         self._order = itertools.count()
         self._queues: dict[
-            Hashable, list[tuple[int, int, asyncio.Future[None]]]
+            Hashable, list[tuple[int, int, int, asyncio.Future[None]]]
         ] = {}
 
     async def wait(
@@ -29,7 +29,9 @@
         loop = asyncio.get_running_loop()
         woken: asyncio.Future[None] = loop.create_future()
         queue = self._queues.setdefault(place, [])
-        heapq.heappush(queue, (rank, ticket, woken))
+        # The last number keeps apart the waits of one request.
+        entry = (rank, ticket, next(self._order), woken)
+        heapq.heappush(queue, entry)
         timer = loop.call_at(until_s, _wake, woken)
         try:
             await woken
@@ -46,7 +48,7 @@
         """Wakes the first in line; returns whether there was one."""
         queue = self._queues.get(place)
         while queue:
-            _, _, woken = heapq.heappop(queue)
+            woken = heapq.heappop(queue)[-1]
             if not woken.done():
                 woken.set_result(None)
                 return True
@@ -58,16 +60,10 @@
         """Wakes everybody, as after a change of owners."""
         queues, self._queues = self._queues, {}
         for queue in queues.values():
-            for _, _, woken in sorted(queue, key=lambda item: item[:2]):
+            for *_, woken in sorted(queue):
                 if not woken.done():
                     woken.set_result(None)
 
-    def waiting(self, place: Hashable) -> int:
-        """Returns how many wait at a place."""
-        return sum(
-            1 for _, _, woken in self._queues.get(place, ()) if not woken.done()
-        )
-
 
 def _wake(woken: asyncio.Future[None]) -> None:
     if not woken.done():
--- a/src/sardinehill/platform/settings.py
+++ b/src/sardinehill/platform/settings.py
@@ -32,6 +32,9 @@
       cold_ratio: times the stated rate that a cold upstream may get.
       cold_slack: requests a second beyond that.
       longest_hold_s: the longest that a grant may last.
+      allowance_window_s: a client account's use is bounded in each such span.
+      allowance_over_ratio: how far beyond rate and burst that bound lies.
+      allowance_slack: requests in that span beyond it.
       is_first_start: whether the whole system starts for the first time.
     """
 
@@ -52,6 +55,9 @@
     cold_ratio: float
     cold_slack: float
     longest_hold_s: float
+    allowance_window_s: float
+    allowance_over_ratio: float
+    allowance_slack: float
     is_first_start: bool
 
 
@@ -172,6 +178,9 @@
         cold_ratio=fields.number("bounds.coldOver", 1.0),
         cold_slack=fields.number("bounds.coldSlack", 0.0),
         longest_hold_s=fields.number("bounds.holdMaxS", 10.0),
+        allowance_window_s=fields.number("bounds.quotaWindowS", 5.0),
+        allowance_over_ratio=fields.number("bounds.quotaOver", 0.0),
+        allowance_slack=fields.number("bounds.quotaSlack", 0.0),
         is_first_start=fields.flag("bootstrap"),
     )
     if fields.problems:
