--- a/src/sardinehill/core/room.py
+++ b/src/sardinehill/core/room.py
@@ -130,15 +130,22 @@
 
 
 def cheapest(
-    rooms: Iterable[tuple[str, Room]],
+    rooms: Iterable[tuple[str, Room, float]],
     now_s: float,
     uniform: Callable[[], float],
 ) -> str | None:
-    """Returns the upstream with the least expected latency, or None."""
+    """Returns the upstream with the least expected latency, or None.
+
+    Args:
+      rooms: names, rooms, and factors by which latencies count.
+      now_s: the time.
+      uniform: a source of numbers from 0 to 1.
+    """
     best: str | None = None
     best_cost = float("inf")
-    for name, room in rooms:
-        cost = room.cost(now_s) * (1 + CHOICE_NOISE_RATIO * uniform())
+    for name, room, factor in rooms:
+        noise = 1 + CHOICE_NOISE_RATIO * uniform()
+        cost = room.cost(now_s) * factor * noise
         if cost < best_cost:
             best, best_cost = name, cost
     return best
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -68,6 +68,7 @@
                 settings.allowance_over_ratio,
                 settings.allowance_slack,
             ),
+            settings.zone,
         )
         self._leadership = leadership_module.Leadership(
             settings.daemon,
--- a/src/sardinehill/front/keeper.py
+++ b/src/sardinehill/front/keeper.py
@@ -50,6 +50,8 @@
 CLEAN_UP_S = 0.3
 # The very first plan waits until no upstream has joined for so long.
 GATHERING_S = 1.0
+# A new leader waits so long for owners to confirm its epochs.
+CONFIRM_LIMIT_S = 0.6
 CONFLICT_RETRY_S = 0.2
 FENCED_LEAP = 1000
 
@@ -105,6 +107,7 @@
         self._use_at_s = clock_s()
         self._plan_due_s = 0.0
         self._joined_s = clock_s()
+        self._loaded_s = 0.0
         self._changed = asyncio.Event()
         self._writing = asyncio.Lock()
         self._clean_due_s: float | None = None
@@ -197,6 +200,7 @@
                 keyspace.merge(assignment)
                 if await self._write(assignment):
                     self._assignment = assignment
+                    self._loaded_s = self._clock_s()
                     return
             except (errors.StoreError, ValueError) as error:
                 events.log(
@@ -275,6 +279,9 @@
         assert assignment is not None
         if assignment.top_epoch == 0 and now_s - self._joined_s < GATHERING_S:
             return
+        if not self._has_confirmed_owners(now_s):
+            self._plan_due_s = now_s + TICK_S
+            return
         capacities = self._capacities(now_s)
         moves = keyspace.plan(
             assignment, capacities, self._weights(), keyspace.PlanPolicy()
@@ -293,6 +300,22 @@
             self._on_change()
             self._log_moves(moves, capacities)
 
+    def _has_confirmed_owners(self, now_s: float) -> bool:
+        """Returns whether owners have seen this leader's epochs.
+
+        Before that, an earlier leader's order could still take effect at an
+        owner that has released its keys. One that does not answer is not
+        waited for: its keys move when its last grant has lapsed.
+        """
+        assert self._assignment is not None
+        if now_s - self._loaded_s > CONFIRM_LIMIT_S:
+            return True
+        return all(
+            span.granted_until_s > 0 or span.former is not None
+            for span in self._assignment.spans
+            if span.owner in self._owners
+        )
+
     def _log_moves(
         self,
         moves: list[keyspace.Move],
@@ -472,6 +495,9 @@
         never_sent = failure is not None and not failure.written
         for part in self._parts(first, last, life, epoch):
             part.ordering = False
+            if status == 200 and part.granted_until_s == 0.0:
+                # Orders of earlier leaders had lower epochs: they fail now.
+                before = (before[0], 0.0)
             if never_sent:
                 part.holds_until_s, part.unanswered_until_s = before
             elif status is not None:
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -47,6 +47,8 @@
 STORE_LOST_HANDOVER_S = 1.0
 DIRECT_RETRY_S = 1.0
 PUSH_DELAY_S = 0.004
+# A link that only announces a leader is kept until its frame has arrived.
+ANNOUNCE_LINK_S = 0.05
 
 
 @dataclasses.dataclass
@@ -116,6 +118,7 @@
         self._table_heard_s = -1e9
         self._confirmed_s = -1e9
         self._settled_majority = False
+        self._ended_peers: set[str] = set()
         self._deposed = asyncio.Event()
         self._new_leader = asyncio.Event()
         self._leader_hint: Lease | None = None
@@ -530,6 +533,7 @@
         self._deposed.clear()
         self._confirmed_s = self._clock_s()
         self._settled_majority = False
+        self._ended_peers = set()
         self._heard = {}
         self._serial += 1
         self._divider = shares.Divider()
@@ -619,34 +623,41 @@
 
         The store confirms only this term, and a majority follows it.
         """
-        if self._heard_lately(FOLLOWER_SILENCE_S) >= self._majority():
+        gone = len(self._ended_peers - self._heard.keys())
+        if self._heard_lately(FOLLOWER_SILENCE_S) + gone >= self._majority():
             self._settled_majority = True
         return self._settled_majority
 
     async def _announce(self) -> None:
-        """Tells every registered daemon who leads now."""
-        data = fleet.encode_table(self._outline())
+        """Tells registered daemons who leads now, until enough follow.
 
-        async def tell(address: str) -> None:
+        One whose port refuses connections has ended, so it follows no
+        earlier leader either.
+        """
+
+        async def tell(name: str, address: str) -> None:
             try:
-                await bus.ask_once(
-                    address,
-                    self._name,
-                    kinds.Kind.TABLE,
-                    data,
-                    0.02,
+                link = await bus.connect(
+                    address, self._name, self.receive, self.link_lost
                 )
-            except errors.PeerError:
-                # It will find out from the lease, or has ended.
+            except errors.PeerNotSentError as error:
+                if isinstance(error.__cause__, ConnectionRefusedError):
+                    self._ended_peers.add(name)
                 return
+            self._ended_peers.discard(name)
+            link.send(kinds.Kind.TABLE, fleet.encode_table(self._outline()))
+            await asyncio.sleep(ANNOUNCE_LINK_S)
+            link.close()
 
-        await asyncio.gather(
-            *(
-                tell(address)
-                for name, address in self._peers.items()
-                if name != self._name
+        while not self._is_settled():
+            await asyncio.gather(
+                *(
+                    tell(name, address)
+                    for name, address in self._peers.items()
+                    if name not in self._followers and name != self._name
+                )
             )
-        )
+            await asyncio.sleep(REPORT_INTERVAL_S)
 
     async def _beat(self) -> None:
         while True:
--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -38,6 +38,9 @@
 LATENCY_MEMORY = 0.95
 FIRST_LATENCY_S = 0.05
 SENDS_LIMIT = 8
+# Bytes between zones are paid for: an upstream elsewhere must be this much
+# faster.
+OTHER_ZONE_COST_RATIO = 1.3
 SERVER_ERROR = 500
 
 
@@ -101,6 +104,7 @@
       may_have_run: whether an upstream may have run it.
       in_flight: whether an upstream has it now.
       idle_there: whether nothing waited at the upstream that answered.
+      sent_s: when it was last sent.
       waited_from_s: when it first had to wait for room, or None.
       last_failure: why it was not answered so far.
     """
@@ -119,6 +123,7 @@
     may_have_run: bool = False
     in_flight: bool = False
     idle_there: bool = False
+    sent_s: float = 0.0
     waited_from_s: float | None = None
     last_failure: str = ""
 
@@ -145,12 +150,14 @@
         retry_slack: float,
         retry_window_s: float,
         allowance: shares.Allowance,
+        zone: str,
     ):
         self._directory = directory
         self._stats = stats
         self._log = log_request
         self._retry_terms = (retry_ratio, retry_slack, retry_window_s)
         self._allowance = allowance
+        self._zone = zone
         self._budgets: dict[str, room_module.RepeatBudget] = {}
         self._buckets: dict[str, shares.Bucket] = {}
         self._splitter = routes.Splitter()
@@ -406,7 +413,14 @@
             candidates = fresh or candidates
         by_id = {one.id: one for one in candidates}
         name = room_module.cheapest(
-            ((one.id, self._directory.room_of(one)[0]) for one in candidates),
+            (
+                (
+                    one.id,
+                    self._directory.room_of(one)[0],
+                    1.0 if one.zone == self._zone else OTHER_ZONE_COST_RATIO,
+                )
+                for one in candidates
+            ),
             now_s,
             self._random.random,
         )
@@ -440,7 +454,7 @@
         except BaseException:
             room.ended()
             raise
-        sent_s = loop.time()
+        work.sent_s = sent_s = loop.time()
         work.sends += 1
         if upstream.id not in work.tried:
             work.tried.append(upstream.id)
@@ -609,7 +623,9 @@
         latency_s = now_s - work.request.arrived_s
         self._stats.count("answers", f"{answer.status // 100}xx")
         self._stats.latency(work.service, latency_s)
-        if answer.status >= SERVER_ERROR or work.sends > 1:
+        is_late = latency_s > work.route.objective_s
+        if answer.status >= SERVER_ERROR or work.sends > 1 or is_late:
+            load = exchanges.load_of(answer)
             self._log(
                 events.REQUEST_ANSWERED,
                 request=work.fields.request_id,
@@ -618,7 +634,12 @@
                 service=work.service,
                 upstreams=work.tried,
                 sends=work.sends,
+                key=work.fields.shard_key,
                 latency_s=round(latency_s, 4),
+                at_upstream_s=round(now_s - work.sent_s, 4),
+                upstream_running=load.running if load else None,
+                upstream_waiting=load.waiting if load else None,
+                upstream_slowness=load.slowness if load else None,
             )
         headers = b"".join(
             b"%b: %b\r\n" % (name, value)
--- a/standins/owners.py
+++ b/standins/owners.py
@@ -1,6 +1,7 @@
 """A stand-in of an upstream that takes grants as the platform's pages say."""
 
 import asyncio
+from collections.abc import Mapping
 import dataclasses
 import itertools
 import time
@@ -19,7 +20,7 @@
     key: int | None
     account: str | None
     at_s: float
-    headers: dict[str, str]
+    headers: Mapping[str, str]
 
 
 class Owner:
@@ -116,7 +117,7 @@
                 key,
                 request.headers.get("X-Tenant-Id"),
                 time.monotonic(),
-                dict(request.headers),
+                request.headers.copy(),
             )
         )
         await asyncio.sleep(self.work_s)
--- a/tests/common/platform_fleet.py
+++ b/tests/common/platform_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from collections.abc import Mapping
 import contextlib
 import dataclasses
 import json
@@ -43,7 +44,7 @@
     """What a caller got."""
 
     status: int
-    headers: dict[str, str]
+    headers: Mapping[str, str]
     text: str
 
 
@@ -69,14 +70,18 @@
         )
         self.process: asyncio.subprocess.Process | None = None
 
-    async def start(self) -> None:
-        """Starts the process."""
+    async def start(self, output: int | None = None) -> None:
+        """Starts the process.
+
+        Args:
+          output: a descriptor for its lines, in place of the log file.
+        """
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
                 "sardinehill.front",
-                stdout=log,
+                stdout=log if output is None else output,
                 stderr=log,
                 env={
                     **os.environ,
@@ -278,9 +283,7 @@
                 method, f"http://{HOST}:{daemon.front}{path}", headers=sent
             ) as answer,
         ):
-            return Reply(
-                answer.status, dict(answer.headers), await answer.text()
-            )
+            return Reply(answer.status, answer.headers, await answer.text())
 
     async def until_served(
         self,
--- a/tests/process/test_platform_path.py
+++ b/tests/process/test_platform_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import os
 import signal
 import time
 
@@ -41,6 +42,7 @@
     (run,) = runs_of(fleet, "one")
     assert run.account == "trattoria"
     assert "X-Credential" not in run.headers
+    assert run.headers["X-Shard-Key"] == "7"
     assert 0 < int(run.headers["X-Deadline-Ms"]) <= 1000
 
 
@@ -249,25 +251,18 @@
         under_test.run(under_test.until_served(daemon))
         under_test.run(daemon.kill())
 
+        # A pipe that nobody reads fills up after some kilobytes.
+        unread, written = os.pipe()
+
         async def work():
-            # A pipe that is never read fills up after some kilobytes.
-            daemon.process = await asyncio.create_subprocess_exec(
-                platform_fleet.sys.executable,
-                "-m",
-                "sardinehill.front",
-                stdout=asyncio.subprocess.PIPE,
-                limit=1,
-                env={
-                    **platform_fleet.os.environ,
-                    "PYTHONPATH": str(platform_fleet.ROOT / "src"),
-                    "SARDINEHILL_SETTINGS": str(daemon.settings),
-                },
-            )
+            await daemon.start(written)
             await under_test.until_served(daemon)
             for _ in range(600):
                 await under_test.ask(daemon, "/nowhere/")
             return await under_test.ask(daemon, "/stock/a", 3, "after")
 
         assert under_test.run(work()).status == 200
+        os.close(unread)
+        os.close(written)
     finally:
         under_test.close()
