--- a/src/sardinehill/core/keyspace.py
+++ b/src/sardinehill/core/keyspace.py
@@ -23,8 +23,11 @@
 MARGINAL_STEP_SHARE = 0.02
 # Keys without an owner are given away in pieces of this part of a mean load.
 ORPHAN_PIECE_SHARE = 0.5
+# So few keys with so much load are taken as one popular key.
+POPULAR_SPAN_KEYS = 3
+POPULAR_LOAD_REQUESTS = 1.0
 # Parts of an upstream's load that are tried as a move.
-PIECE_SHARES = (0.05, 0.12, 0.25, 0.5)
+PIECE_SHARES = (0.05, 0.12, 0.25, 0.5, 1.0)
 # An upstream's clock may run this much slow while it measures a grant.
 CLOCK_DRIFT_RATIO = 0.02
 # How long an order may still be on its way once its connection is closed.
@@ -350,7 +353,7 @@
       least_load_share: each upstream is to have this part of an even load.
     """
 
-    least_gain_share: float = 0.004
+    least_gain_share: float = 0.006
     key_price_share: float = 1e-6
     moves: int = 10
     spans_limit: int = 16
@@ -537,22 +540,41 @@
 
     def _best_piece(self, source: Life) -> tuple[int, int, Life] | None:
         """Returns the piece of an upstream's keys that is best moved."""
-        to = self._target()
-        if to == source or len(self._spans[to]) >= self._policy.spans_limit:
-            return None
-        threshold = self._policy.least_gain_share * self._all_cost()
-        price = self._policy.key_price_share * self._all_cost()
+        all_cost = self._all_cost()
+        price = self._policy.key_price_share * all_cost
         best: tuple[int, int, Life] | None = None
-        best_gain = threshold
+        best_gain = self._policy.least_gain_share * all_cost
         for share in PIECE_SHARES:
             wanted = self._loads[source] * share
             for first, last in self._pieces(source, wanted):
-                gain = self._gain(first, last, source, to)
-                gain -= price * (last - first + 1)
-                if gain > best_gain:
-                    best, best_gain = (first, last, to), gain
+                for to in self._targets(source, first, last):
+                    gain = self._gain(first, last, source, to)
+                    gain -= price * (last - first + 1)
+                    if gain > best_gain:
+                        best, best_gain = (first, last, to), gain
         return best
 
+    def _targets(self, source: Life, first: int, last: int) -> set[Life]:
+        """Returns the upstreams that are worth trying as a target.
+
+        A single key that is much used is best on the fastest one, whatever
+        else that one has at the moment: the next moves take that away.
+        """
+        targets = {self._target()}
+        is_popular = self._weights.of(first, last) > POPULAR_LOAD_REQUESTS
+        if is_popular and last - first < POPULAR_SPAN_KEYS:
+            targets.add(min(self._capacities, key=self._speed_rank))
+        return {
+            life
+            for life in targets
+            if life != source
+            and len(self._spans[life]) < self._policy.spans_limit
+        }
+
+    def _speed_rank(self, life: Life) -> float:
+        capacity = self._capacities[life]
+        return capacity.slowness / capacity.slots
+
     def _pieces(self, source: Life, wanted: float) -> Iterable[tuple[int, int]]:
         for first, last in self._spans[source]:
             yield self._weights.first_for(first, last, wanted), last
--- a/src/sardinehill/front/keeper.py
+++ b/src/sardinehill/front/keeper.py
@@ -9,7 +9,6 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-import math
 import time
 from typing import Any
 
@@ -17,6 +16,7 @@
 from sardinehill import events
 from sardinehill import http1
 from sardinehill.core import fleet_messages
+from sardinehill.core import key_use
 from sardinehill.core import keyspace
 from sardinehill.core import routes
 from sardinehill.platform import exchanges
@@ -32,16 +32,13 @@
 ORDER_RETRY_S = 0.15
 CONNECT_TIMEOUT_S = 0.3
 TICK_S = 0.05
-PLAN_INTERVAL_S = 0.5
+PLAN_INTERVAL_S = 0.3
 # A leader that is replaced may send orders for so long after its last word
 # with the store or a majority of daemons.
 LICENCE_S = 1.6
 # An upstream that confirmed no grant for so long gets no keys.
 SILENT_OWNER_S = 1.1
 UNUSABLE_S = 2.0
-# How fast the use of a key is forgotten: the part kept after a second.
-KEY_MEMORY_PER_S = 0.8
-FORGOTTEN_USE = 1e-4
 # Spread over all keys, so that unused ones are divided evenly as well.
 BASE_LOAD_REQUESTS = 0.5
 SLOWNESS_MEMORY = 0.95
@@ -102,9 +99,7 @@
         self._revision = 0
         self._owners: dict[keyspace.Life, _Owner] = {}
         self._dead: set[keyspace.Life] = set()
-        self._use: dict[int, float] = {}
-        self._use_scale = 1.0
-        self._use_at_s = clock_s()
+        self._use = key_use.KeyUse(clock_s())
         self._plan_due_s = 0.0
         self._joined_s = clock_s()
         self._loaded_s = 0.0
@@ -131,10 +126,7 @@
 
     def note_use(self, use: fleet_messages.KeyUse) -> None:
         """Takes in which keys were asked for."""
-        self._age_use()
-        amount = max(use.latency_s, 0.001) / self._use_scale
-        for key in use.keys:
-            self._use[key] = self._use.get(key, 0.0) + amount
+        self._use.add(use.keys, max(use.latency_s, 0.001), self._clock_s())
 
     def note_upstream(self, use: fleet_messages.UpstreamUse) -> None:
         """Takes in how slow an upstream was, against the others."""
@@ -343,26 +335,11 @@
         await self._write(assignment)
 
     def _weights(self) -> keyspace.Weights:
-        self._age_use()
-        # The counts are of some seconds past; this makes them a rate.
-        scale = self._use_scale * -math.log(KEY_MEMORY_PER_S)
         return keyspace.Weights(
-            {key: use * scale for key, use in self._use.items()},
+            self._use.loads(self._clock_s()),
             BASE_LOAD_REQUESTS / keyspace.KEY_COUNT,
         )
 
-    def _age_use(self) -> None:
-        now_s = self._clock_s()
-        self._use_scale *= KEY_MEMORY_PER_S ** (now_s - self._use_at_s)
-        self._use_at_s = now_s
-        if self._use_scale < FORGOTTEN_USE:
-            self._use = {
-                key: use * self._use_scale
-                for key, use in self._use.items()
-                if use * self._use_scale > FORGOTTEN_USE
-            }
-            self._use_scale = 1.0
-
     # the store
 
     async def _write(self, assignment: keyspace.Assignment) -> bool:
--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -33,6 +33,10 @@
 OWNER_PATIENCE_SHARE = 0.5
 # After a refusal for want of a grant, the table is likely about to change.
 REFUSED_PAUSE_S = 0.04
+# A request waits for room at least this part of its latency objective.
+LEAST_PATIENCE_SHARE = 0.3
+# A caller whom a full upstream refuses is to come back after this.
+FULL_RETRY_AFTER_S = 0.5
 # A request waits this long for its account's next token.
 TOKEN_PATIENCE_S = 0.1
 LATENCY_MEMORY = 0.95
@@ -354,7 +358,12 @@
                 work.waited_from_s + patience_s, work.deadline_s - needed_s
             )
             if now_s >= until_s:
-                raise _RefusedError(reason, 503, RETRY_AFTER_S)
+                is_full = reason is errors.Reason.QUEUE_FULL
+                raise _RefusedError(
+                    reason,
+                    503,
+                    FULL_RETRY_AFTER_S if is_full else RETRY_AFTER_S,
+                )
             await self._directory.waiting.wait(
                 place,
                 work.rank,
@@ -387,7 +396,11 @@
         upstream, epoch = owned
         room, pool = self._directory.room_of(upstream)
         if not self._directory.has_room(upstream, now_s):
-            return (("room", upstream.id), time_s, errors.Reason.QUEUE_FULL)
+            return (
+                ("room", upstream.id),
+                self._room_patience_s(work, room.slowness),
+                errors.Reason.QUEUE_FULL,
+            )
         return _Target(upstream, room, pool, epoch)
 
     def _find_any(
@@ -425,11 +438,24 @@
             self._random.random,
         )
         if name is None:
-            return (("any", work.service), time_s, errors.Reason.QUEUE_FULL)
+            return (
+                ("any", work.service),
+                self._room_patience_s(work, 1.0),
+                errors.Reason.QUEUE_FULL,
+            )
         upstream = by_id[name]
         room, pool = self._directory.room_of(upstream)
         return _Target(upstream, room, pool, 0)
 
+    def _room_patience_s(self, work: _Work, slowness: float) -> float:
+        """Returns how long a request waits for room at a full upstream.
+
+        Longer than this it would be late anyhow, and keep others waiting.
+        """
+        objective_s = work.route.objective_s
+        in_time_s = objective_s - self._usual(work.route.name) * slowness
+        return max(in_time_s, objective_s * LEAST_PATIENCE_SHARE)
+
     # sending
 
     async def _send(self, work: _Work, target: _Target) -> http1.Answer | None:
--- a/src/sardinehill/front/waiting.py
+++ b/src/sardinehill/front/waiting.py
@@ -1,4 +1,8 @@
-"""Requests that wait for room at an upstream, or for a key's owner."""
+"""Requests that wait for room at an upstream, or for a key's owner.
+
+Of one rank the newest goes first: when there is more than can be served, those
+that have waited long are late already, and serving them makes all others late.
+"""
 
 import asyncio
 from collections.abc import Hashable
@@ -7,7 +11,7 @@
 
 
 class WaitingRooms:
-    """One queue for each place, ordered by rank and then by arrival."""
+    """One queue for each place, ordered by rank and then newest first."""
 
     def __init__(self) -> None:
         self._order = itertools.count()
@@ -30,7 +34,7 @@
         woken: asyncio.Future[None] = loop.create_future()
         queue = self._queues.setdefault(place, [])
         # The last number keeps apart the waits of one request.
-        entry = (rank, ticket, next(self._order), woken)
+        entry = (rank, -ticket, next(self._order), woken)
         heapq.heappush(queue, entry)
         timer = loop.call_at(until_s, _wake, woken)
         try:
