--- /dev/null
+++ b/tests/slow/test_keyspace_machine.py
@@ -0,0 +1,206 @@
+"""Two owners never hold a key, whatever happens to orders."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from sardinehill.core import keyspace
+
+HOLD_S = 2.4
+KEYS = keyspace.KEY_COUNT
+LIVES = (("a", 1), ("b", 1))
+PARTS = 2
+
+
+@dataclasses.dataclass
+class Grant:
+    """An order that is on its way."""
+
+    first: int
+    last: int
+    life: keyspace.Life
+    epoch: int
+    arrives_s: float
+
+
+class Upstream:
+    """What one upstream believes it holds, by the platform's rules."""
+
+    def __init__(self):
+        self.holds = []
+        self.seen = []
+
+    def grant(self, grant, now_s):
+        for first, last, epoch in self.seen:
+            overlaps = first <= grant.last and grant.first <= last
+            if overlaps and epoch > grant.epoch:
+                return 409
+        self.seen.append((grant.first, grant.last, grant.epoch))
+        # Its clock runs as slow as clocks are allowed to.
+        until_s = now_s + HOLD_S * (1 + keyspace.CLOCK_DRIFT_RATIO)
+        self.holds.append((grant.first, grant.last, grant.epoch, until_s))
+        return 200
+
+    def release(self, first, last):
+        kept = []
+        for low, high, epoch, until_s in self.holds:
+            if low < first:
+                kept.append((low, min(high, first - 1), epoch, until_s))
+            if high > last:
+                kept.append((max(low, last + 1), high, epoch, until_s))
+        self.holds = kept
+
+    def holds_key(self, key, now_s):
+        return any(
+            low <= key <= high and now_s < until_s
+            for low, high, _, until_s in self.holds
+        )
+
+
+class Ownership(stateful.RuleBasedStateMachine):
+    """A leader's orders, some of which are lost, late or doubled.
+
+    The leader waits at most `ORDER_S` for an answer and closes the connection
+    then, so an order arrives before that or never.
+    """
+
+    ORDER_S = 0.8
+    forget_unanswered = False
+    ignore_release = False
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 10.0
+        self.upstreams = {life: Upstream() for life in LIVES}
+        self.assignment = keyspace.empty()
+        self.in_flight = []
+
+    @stateful.rule(seconds=st.sampled_from([0.05, 0.3, 0.9, 2.6]))
+    def time_passes(self, seconds):
+        end_s = self.now_s + seconds
+        for grant in sorted(self.in_flight, key=lambda one: one.arrives_s):
+            if grant.arrives_s <= end_s:
+                self.now_s = max(self.now_s, grant.arrives_s)
+                self.upstreams[grant.life].grant(grant, self.now_s)
+                self.check()
+                self.in_flight.remove(grant)
+        self.now_s = end_s
+
+    @stateful.rule(
+        part=st.integers(0, PARTS - 1),
+        width=st.integers(1, PARTS),
+        to=st.sampled_from(LIVES),
+    )
+    def keys_move(self, part, width, to):
+        size = KEYS // PARTS
+        last = min((part + width) * size, KEYS) - 1
+        move = keyspace.Move(part * size, last, to)
+        keyspace.apply_moves(self.assignment, [move])
+
+    @stateful.rule(answered=st.booleans())
+    def former_owners_release(self, answered):
+        for span in self.assignment.spans:
+            if span.former is None:
+                continue
+            if not self.ignore_release:
+                holder = self.upstreams[span.former.life]
+                holder.release(span.first, span.last)
+            span.former.released = answered or span.former.released
+
+    @stateful.rule(
+        outcome=st.sampled_from(["answered", "lost", "late", "never"])
+    )
+    def owners_are_granted(self, outcome):
+        for span in self.assignment.spans:
+            if span.former is not None:
+                if not keyspace.former_is_gone(span, self.now_s, is_dead=False):
+                    continue
+                keyspace.settle(span, None)
+            if span.owner is not None:
+                self.grant(span, outcome)
+
+    def grant(self, span, outcome):
+        before_s = span.unanswered_until_s
+        end_s = keyspace.latest_end_s(self.now_s + self.ORDER_S, HOLD_S)
+        span.holds_until_s = max(span.holds_until_s, end_s)
+        span.unanswered_until_s = end_s
+        grant = Grant(span.first, span.last, span.owner, span.epoch, self.now_s)
+        if outcome == "late":
+            grant.arrives_s = self.now_s + self.ORDER_S
+            self.in_flight.append(grant)
+        elif outcome != "never":
+            self.upstreams[span.owner].grant(grant, self.now_s)
+        if outcome == "answered" or self.forget_unanswered:
+            span.unanswered_until_s = before_s
+            span.live = True
+
+    @stateful.rule(
+        to=st.sampled_from(LIVES),
+        answered=st.booleans(),
+        outcome=st.sampled_from(["answered", "lost", "late", "never"]),
+    )
+    def keys_are_handed_over(self, to, answered, outcome):
+        """What a leader does in one go, as a search rarely strings it."""
+        self.owners_are_granted(outcome)
+        self.keys_move(0, PARTS, to)
+        self.former_owners_release(answered)
+        self.owners_are_granted("answered")
+
+    @stateful.rule()
+    def another_daemon_leads(self):
+        """The next leader knows what the store has, and a licence ended."""
+        self.time_passes(self.ORDER_S)
+        document = keyspace.to_document(self.assignment)
+        holds_until_s = keyspace.latest_end_s(self.now_s, HOLD_S)
+        self.assignment = keyspace.from_document(document, holds_until_s)
+        keyspace.renew_epochs(self.assignment)
+        keyspace.merge(self.assignment)
+
+    @stateful.invariant()
+    def check(self):
+        for key in range(0, KEYS, KEYS // 16):
+            holders = [
+                life
+                for life, upstream in self.upstreams.items()
+                if upstream.holds_key(key, self.now_s)
+            ]
+            assert len(holders) <= 1, (key, holders)
+
+
+class ForgetsUnanswered(Ownership):
+    """A leader that takes an order without an answer as not sent."""
+
+    forget_unanswered = True
+
+
+class IgnoresHolders(Ownership):
+    """Upstreams that say that they have released, and have not."""
+
+    ignore_release = True
+
+
+FEW = settings(
+    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+)
+# A mutant need not be shrunk: it is enough that it is found.
+MANY = settings(
+    max_examples=400,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    phases=[hypothesis.Phase.generate],
+)
+
+
+def test_two_upstreams_never_hold_the_same_key():
+    stateful.run_state_machine_as_test(Ownership, settings=FEW)
+
+
+@pytest.mark.parametrize("mutant", [ForgetsUnanswered, IgnoresHolders])
+def test_the_search_finds_a_leader_that_breaks_the_rule(mutant):
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(mutant, settings=MANY)
