Count no release that a grant has overtaken

Ruled out: two orders in flight for one span. The state machine of ownership has this as a mutant that it finds.

--- a/src/sardinehill/core/keyspace.py
+++ b/src/sardinehill/core/keyspace.py
@@ -47,6 +47,8 @@
       unanswered_until_s: until then an order that was sent may still give it
         the span again.
       released: whether it answered that it has given the span up.
+      regranted_s: when it last answered a grant of the span. A grant that was
+        on its way may reach it behind a release, which then counts no more.
     """
 
     life: Life
@@ -54,6 +56,7 @@
     holds_until_s: float
     unanswered_until_s: float = 0.0
     released: bool = False
+    regranted_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -333,6 +336,19 @@
     return former.released and now_s >= former.unanswered_until_s
 
 
+def note_regranted(former: Former, now_s: float, hold_s: float) -> None:
+    """Notes that a former owner has answered a grant that was on its way."""
+    former.regranted_s = now_s
+    former.holds_until_s = latest_end_s(now_s, hold_s)
+    former.released = False
+
+
+def note_released(former: Former, sent_s: float) -> None:
+    """Notes that a former owner has answered a release sent at `sent_s`."""
+    if sent_s >= former.regranted_s:
+        former.released = True
+
+
 def settle(span: Span, handover: str | None) -> None:
     """Notes that the former owner is gone: the owner may be granted."""
     span.former = None
--- a/src/sardinehill/front/keeper.py
+++ b/src/sardinehill/front/keeper.py
@@ -492,9 +492,7 @@
             elif status is not None:
                 former.unanswered_until_s = before[1]
             if status == 200:
-                # The grant may have arrived behind a release.
-                former.holds_until_s = keyspace.latest_end_s(arrived_s, HOLD_S)
-                former.released = False
+                keyspace.note_regranted(former, arrived_s, HOLD_S)
         self._judge(owner, status, failure, first, last, epoch)
 
     def _confirmed(
@@ -647,6 +645,7 @@
         request = exchanges.release_request(
             owner.address, former.life[0], first, last, former.epoch
         )
+        sent_s = self._clock_s()
         status, failure, answer = await self._order(
             owner, request, RELEASE_TIMEOUT_S, lambda: True
         )
@@ -660,7 +659,8 @@
                 continue
             part.ordering = False
             if status == 200:
-                part.former.released = part.former.life == former.life
+                if part.former.life == former.life:
+                    keyspace.note_released(part.former, sent_s)
                 part.handover = handover
                 part.next_order_s = 0.0
             elif status == 421:
--- a/tests/slow/test_keyspace_machine.py
+++ b/tests/slow/test_keyspace_machine.py
@@ -14,6 +14,9 @@
 KEYS = keyspace.KEY_COUNT
 LIVES = (("a", 1), ("b", 1))
 PARTS = 2
+# A grant and its answer: both come at once, the grant comes and the answer is
+# lost, the grant comes late with or without an answer, the grant never comes.
+OUTCOMES = ("answered", "lost", "late", "late-lost", "never")
 
 
 @dataclasses.dataclass
@@ -25,6 +28,8 @@
     life: keyspace.Life
     epoch: int
     arrives_s: float
+    before_s: float = 0.0
+    is_answered: bool = False
 
 
 class Upstream:
@@ -71,6 +76,7 @@
     ORDER_S = 0.8
     forget_unanswered = False
     ignore_release = False
+    forget_order = False
 
     def __init__(self):
         super().__init__()
@@ -78,6 +84,7 @@
         self.upstreams = {life: Upstream() for life in LIVES}
         self.assignment = keyspace.empty()
         self.in_flight = []
+        self.releases = []
 
     @stateful.rule(seconds=st.sampled_from([0.05, 0.3, 0.9, 2.6]))
     def time_passes(self, seconds):
@@ -85,7 +92,9 @@
         for grant in sorted(self.in_flight, key=lambda one: one.arrives_s):
             if grant.arrives_s <= end_s:
                 self.now_s = max(self.now_s, grant.arrives_s)
-                self.upstreams[grant.life].grant(grant, self.now_s)
+                status = self.upstreams[grant.life].grant(grant, self.now_s)
+                if status == 200 and grant.is_answered:
+                    self.answer(grant)
                 self.check()
                 self.in_flight.remove(grant)
         self.now_s = end_s
@@ -101,19 +110,39 @@
         move = keyspace.Move(part * size, last, to)
         keyspace.apply_moves(self.assignment, [move])
 
-    @stateful.rule(answered=st.booleans())
-    def former_owners_release(self, answered):
+    def answer(self, grant):
+        """The leader hears that a grant was taken, however late."""
+        for span in self.assignment.spans:
+            if not (grant.first <= span.first and span.last <= grant.last):
+                continue
+            if span.owner == grant.life and span.epoch == grant.epoch:
+                span.unanswered_until_s = grant.before_s
+            former = span.former
+            if former is not None and former.epoch == grant.epoch:
+                former.unanswered_until_s = grant.before_s
+                if not self.forget_order:
+                    keyspace.note_regranted(former, self.now_s, HOLD_S)
+
+    @stateful.rule()
+    def releases_are_sent(self):
         for span in self.assignment.spans:
             if span.former is None:
                 continue
             if not self.ignore_release:
                 holder = self.upstreams[span.former.life]
                 holder.release(span.first, span.last)
-            span.former.released = answered or span.former.released
+            self.releases.append((span.first, span.former.epoch, self.now_s))
 
-    @stateful.rule(
-        outcome=st.sampled_from(["answered", "lost", "late", "never"])
-    )
+    @stateful.rule()
+    def releases_are_answered(self):
+        for first, epoch, sent_s in self.releases:
+            for span in self.assignment.spans:
+                former = span.former
+                if former and (span.first, former.epoch) == (first, epoch):
+                    keyspace.note_released(former, sent_s)
+        self.releases = []
+
+    @stateful.rule(outcome=st.sampled_from(OUTCOMES))
     def owners_are_granted(self, outcome):
         for span in self.assignment.spans:
             if span.former is not None:
@@ -129,8 +158,10 @@
         span.holds_until_s = max(span.holds_until_s, end_s)
         span.unanswered_until_s = end_s
         grant = Grant(span.first, span.last, span.owner, span.epoch, self.now_s)
-        if outcome == "late":
+        grant.before_s = before_s
+        if outcome in ("late", "late-lost"):
             grant.arrives_s = self.now_s + self.ORDER_S
+            grant.is_answered = outcome == "late"
             self.in_flight.append(grant)
         elif outcome != "never":
             self.upstreams[span.owner].grant(grant, self.now_s)
@@ -141,13 +172,17 @@
     @stateful.rule(
         to=st.sampled_from(LIVES),
         answered=st.booleans(),
-        outcome=st.sampled_from(["answered", "lost", "late", "never"]),
+        outcome=st.sampled_from(OUTCOMES),
+        pause_s=st.sampled_from([0.0, 0.9]),
     )
-    def keys_are_handed_over(self, to, answered, outcome):
+    def keys_are_handed_over(self, to, answered, outcome, pause_s):
         """What a leader does in one go, as a search rarely strings it."""
         self.owners_are_granted(outcome)
         self.keys_move(0, PARTS, to)
-        self.former_owners_release(answered)
+        self.releases_are_sent()
+        self.time_passes(pause_s)
+        if answered:
+            self.releases_are_answered()
         self.owners_are_granted("answered")
 
     @stateful.rule()
@@ -156,6 +191,7 @@
         self.time_passes(self.ORDER_S)
         document = keyspace.to_document(self.assignment)
         holds_until_s = keyspace.latest_end_s(self.now_s, HOLD_S)
+        self.releases = []
         self.assignment = keyspace.from_document(document, holds_until_s)
         keyspace.renew_epochs(self.assignment)
         keyspace.merge(self.assignment)
@@ -183,6 +219,12 @@
     ignore_release = True
 
 
+class ForgetsOrder(Ownership):
+    """A leader that lets a release count that a grant has overtaken."""
+
+    forget_order = True
+
+
 FEW = settings(
     max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
 )
@@ -200,7 +242,9 @@
     stateful.run_state_machine_as_test(Ownership, settings=FEW)
 
 
-@pytest.mark.parametrize("mutant", [ForgetsUnanswered, IgnoresHolders])
+@pytest.mark.parametrize(
+    "mutant", [ForgetsUnanswered, IgnoresHolders, ForgetsOrder]
+)
 def test_the_search_finds_a_leader_that_breaks_the_rule(mutant):
     with pytest.raises(AssertionError):
         stateful.run_state_machine_as_test(mutant, settings=MANY)
