Keep granting while the store does not answer, and divide by all daemons that may serve

Also: a rounding error below zero ended the leader's task, found by the outage test; a new leader told followers to divide allowances by one. Ruled out: daemons with stale tables.

--- a/src/sardinehill/core/keyspace.py
+++ b/src/sardinehill/core/keyspace.py
@@ -398,7 +398,8 @@
         Args:
           load: requests under way, were the upstream of mean speed and idle.
         """
-        running = load * self.slowness
+        # A load that was taken away again may leave a rounding error.
+        running = max(load, 0.0) * self.slowness
         use = running / self.slots
         if use <= SATURATION:
             return running * (1 + _wait(use, self.slots))
--- a/src/sardinehill/front/directory.py
+++ b/src/sardinehill/front/directory.py
@@ -19,6 +19,12 @@
 # well within what an upstream is given to drain.
 LEAVING_GRACE_SHARE = 0.6
 NEXT_CHANGE_S = 0.05
+# Until a leader was heard, allowances are divided among so many daemons.
+UNKNOWN_DAEMONS = 16
+# How long requests for a key are held after its owner refused one, at first
+# and at most; each further refusal doubles it.
+FIRST_REFUSED_PAUSE_S = 0.03
+LONGEST_REFUSED_PAUSE_S = 0.5
 SWEEP_INTERVAL_S = 1.0
 # A table of a leader that fell silent is used for so long as nothing newer
 # comes; upstreams refuse what they do not hold.
@@ -36,6 +42,14 @@
     ended: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Held:
+    """Until when requests for a span are held, and how long that is."""
+
+    until_s: float
+    pause_s: float
+
+
 class Directory:
     """Joins the view of the store with the leader's table.
 
@@ -60,10 +74,10 @@
         self._by_service: dict[str, list[routes.Upstream]] = {}
         self._table: fleet_messages.Table | None = None
         self._firsts: dict[str, list[int]] = {}
-        self._refused_until_s: dict[tuple[str, int, int], float] = {}
+        self._refused: dict[tuple[str, int, int], _Held] = {}
         self._zones_out_since_s: dict[str, float] = {}
         self.waiting = waiting_module.WaitingRooms()
-        self.daemons = 1
+        self.daemons = UNKNOWN_DAEMONS
         view.subscribe(self.refresh)
 
     @property
@@ -146,13 +160,27 @@
         }
         self.waiting.wake_all()
 
-    def refused(
-        self, service: str, key: int, epoch: int, until_s: float
-    ) -> None:
+    def refused(self, service: str, key: int, epoch: int, now_s: float) -> None:
         """Holds requests for a key that its owner says it does not hold."""
         span = self._span(service, key)
-        if span is not None and span.epoch == epoch:
-            self._refused_until_s[service, span.first, epoch] = until_s
+        if span is None or span.epoch != epoch:
+            return
+        place = (service, span.first, epoch)
+        held = self._refused.get(place)
+        if held is None:
+            pause_s = FIRST_REFUSED_PAUSE_S
+        elif now_s < held.until_s:
+            return
+        else:
+            pause_s = min(held.pause_s * 2, LONGEST_REFUSED_PAUSE_S)
+        self._refused[place] = _Held(now_s + pause_s, pause_s)
+
+    def accepted(self, service: str, key: int, epoch: int) -> None:
+        """Notes that a key's owner does hold it."""
+        if self._refused:
+            span = self._span(service, key)
+            if span is not None:
+                self._refused.pop((service, span.first, epoch), None)
 
     def ended(self, upstream: routes.Upstream) -> None:
         """Notes that an upstream's address belongs to another one now."""
@@ -201,10 +229,8 @@
         span = self._span(service, key)
         if span is None or not span.live:
             return None
-        held_until_s = self._refused_until_s.get(
-            (service, span.first, span.epoch), 0.0
-        )
-        if now_s < held_until_s:
+        held = self._refused.get((service, span.first, span.epoch))
+        if held is not None and now_s < held.until_s:
             return None
         place = self._places.get(span.upstream)
         if place is None or place.ended or self._has_left(place):
@@ -285,8 +311,8 @@
                 ):
                     place.pool.close()
                     del self._places[name]
-            self._refused_until_s = {
-                key: until_s
-                for key, until_s in self._refused_until_s.items()
-                if until_s > loop_now_s
+            self._refused = {
+                place: held
+                for place, held in self._refused.items()
+                if held.until_s + SWEEP_INTERVAL_S > loop_now_s
             }
--- a/src/sardinehill/front/keeper.py
+++ b/src/sardinehill/front/keeper.py
@@ -103,7 +103,8 @@
         self._plan_due_s = 0.0
         self._joined_s = clock_s()
         self._loaded_s = 0.0
-        self._changed = asyncio.Event()
+        self._plan_now = asyncio.Event()
+        self._order_now = asyncio.Event()
         self._writing = asyncio.Lock()
         self._clean_due_s: float | None = None
         self._group: asyncio.TaskGroup | None = None
@@ -150,7 +151,7 @@
     def upstreams_changed(self) -> None:
         """Has the plan made again at once."""
         self._plan_due_s = 0.0
-        self._changed.set()
+        self._plan_now.set()
 
     # the duty
 
@@ -161,14 +162,8 @@
         try:
             async with asyncio.TaskGroup() as group:
                 self._group = group
-                while True:
-                    self._changed.clear()
-                    await self._step()
-                    try:
-                        async with asyncio.timeout(TICK_S):
-                            await self._changed.wait()
-                    except TimeoutError:
-                        continue
+                group.create_task(self._keep_planned())
+                await self._keep_ordered()
         finally:
             self._group = None
             for owner in self._owners.values():
@@ -206,23 +201,46 @@
         sent_s = self._clock_s() + LICENCE_S
         return keyspace.latest_end_s(sent_s, HOLD_S)
 
-    async def _step(self) -> None:
-        now_s = self._clock_s()
-        assignment = self._assignment
-        assert assignment is not None
-        self._learn_owners(now_s)
-        if now_s >= self._plan_due_s:
-            self._plan_due_s = now_s + PLAN_INTERVAL_S
-            async with self._writing:
+    async def _keep_planned(self) -> None:
+        """Writes new owners down when there are better ones.
+
+        Apart from the orders: a store that does not answer must not keep
+        owners from being granted what they have.
+        """
+        while True:
+            try:
+                await self._plan_if_due(self._clock_s())
+            except Exception as error:
+                # Owners keep what they have, whatever is wrong with a plan.
+                events.log_failure(events.TASK_FAILED, error, task="plan")
+                await asyncio.sleep(PLAN_INTERVAL_S)
+            await self._pause(self._plan_now)
+
+    async def _plan_if_due(self, now_s: float) -> None:
+        async with self._writing:
+            if now_s >= self._plan_due_s:
+                self._plan_due_s = now_s + PLAN_INTERVAL_S
                 await self._plan(now_s)
-        elif self._clean_due_s is not None and now_s >= self._clean_due_s:
-            async with self._writing:
+            elif self._clean_due_s and now_s >= self._clean_due_s:
                 await self._clean_up()
-        if not self._is_licensed():
+
+    async def _keep_ordered(self) -> None:
+        """Sends the grants and releases that are due."""
+        while True:
+            self._learn_owners(self._clock_s())
+            if self._is_licensed():
+                assert self._assignment is not None
+                for span in self._assignment.spans:
+                    self._serve_span(span, self._clock_s())
+            await self._pause(self._order_now)
+
+    async def _pause(self, wanted: asyncio.Event) -> None:
+        try:
+            async with asyncio.timeout(TICK_S):
+                await wanted.wait()
+        except TimeoutError:
             return
-        assert self._group is not None
-        for span in assignment.spans:
-            self._serve_span(span, self._clock_s())
+        wanted.clear()
 
     def _learn_owners(self, now_s: float) -> None:
         for upstream in self._upstreams().values():
@@ -289,6 +307,7 @@
             # that was not copied, so the changes are made there as well.
             keyspace.apply_transfers(assignment, transfers)
             self._clean_due_s = None
+            self._order_now.set()
             self._on_change()
             self._log_moves(moves, capacities)
 
@@ -679,7 +698,7 @@
             )
         elif failure is not None and owner.failing_since_s is None:
             owner.failing_since_s = now_s
-        self._changed.set()
+        self._order_now.set()
 
     async def _order(
         self,
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -36,6 +36,8 @@
 LEADER_SILENCE_S = 0.9
 # A daemon that has not reported for so long is not counted.
 FOLLOWER_SILENCE_S = 1.0
+# One that is not heard is taken to serve callers for so long.
+SERVING_UNHEARD_S = 5.0
 QUERY_TIMEOUT_S = 0.25
 # Candidates take their turns this far apart.
 TURN_S = 0.12
@@ -117,6 +119,7 @@
         self._pushing = False
         self._table_heard_s = -1e9
         self._confirmed_s = -1e9
+        self._led_since_s = -1e9
         self._settled_majority = False
         self._ended_peers: set[str] = set()
         self._deposed = asyncio.Event()
@@ -531,7 +534,7 @@
     async def _lead(self) -> None:
         self.leads = True
         self._deposed.clear()
-        self._confirmed_s = self._clock_s()
+        self._confirmed_s = self._led_since_s = self._clock_s()
         self._settled_majority = False
         self._ended_peers = set()
         self._heard = {}
@@ -609,7 +612,15 @@
         )
 
     def _daemons(self) -> int:
-        return max(1, self._heard_lately(FOLLOWER_SILENCE_S))
+        """Returns among how many daemons allowances are divided.
+
+        One that is not heard may still serve callers, so it is counted for a
+        while; a new leader counts all that are registered.
+        """
+        count = self._heard_lately(SERVING_UNHEARD_S)
+        if self._clock_s() - self._led_since_s < SERVING_UNHEARD_S:
+            count = max(count, len(self._peers))
+        return max(1, count)
 
     def _is_licensed(self) -> bool:
         if not self.leads or self._resigning or self._deposed.is_set():
--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -31,8 +31,6 @@
 RETRY_AFTER_S = 0.25
 # How much of its time a request waits for a key's owner to be known.
 OWNER_PATIENCE_SHARE = 0.5
-# After a refusal for want of a grant, the table is likely about to change.
-REFUSED_PAUSE_S = 0.04
 # A request waits for room at least this part of its latency objective.
 LEAST_PATIENCE_SHARE = 0.3
 # A caller whom a full upstream refuses is to come back after this.
@@ -42,6 +40,8 @@
 LATENCY_MEMORY = 0.95
 FIRST_LATENCY_S = 0.05
 SENDS_LIMIT = 8
+# Daemons that were restarted have forgotten what they spent.
+BUDGET_SHARE = 0.75
 # Bytes between zones are paid for: an upstream elsewhere must be this much
 # faster.
 OTHER_ZONE_COST_RATIO = 1.3
@@ -327,7 +327,10 @@
     def _budget(self, service: str) -> room_module.RepeatBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = room_module.RepeatBudget(*self._retry_terms)
+            ratio, slack, window_s = self._retry_terms
+            budget = room_module.RepeatBudget(
+                ratio * BUDGET_SHARE, slack * BUDGET_SHARE, window_s
+            )
             self._budgets[service] = budget
         return budget
 
@@ -616,9 +619,7 @@
             self._refused_spans.append(
                 fleet_messages.RefusedSpan(work.service, key, target.epoch)
             )
-            self._directory.refused(
-                work.service, key, target.epoch, now_s + REFUSED_PAUSE_S
-            )
+            self._directory.refused(work.service, key, target.epoch, now_s)
 
     def _learn(
         self, work: _Work, target: _Target, latency_s: float, usual_s: float
@@ -635,6 +636,9 @@
             use.answers += 1
             use.slowness_sum += min(latency_s / usual_s, 10.0)
         if work.fields.shard_key is not None:
+            self._directory.accepted(
+                work.service, work.fields.shard_key, target.epoch
+            )
             keys, spent = self._key_use.setdefault(work.service, ([], []))
             keys.append(work.fields.shard_key)
             spent.append(usual_s)
--- a/src/sardinehill/front/view.py
+++ b/src/sardinehill/front/view.py
@@ -103,12 +103,14 @@
         return all(watched.lost_since_s is None for watched in self._all())
 
     def store_lost_for_s(self) -> float:
-        """Returns for how long some watch has had no answer."""
+        """Returns for how long some watch or call has had no answer."""
         since = [
             watched.lost_since_s
             for watched in self._all()
             if watched.lost_since_s is not None
         ]
+        if self._store.failing_since_s is not None:
+            since.append(self._store.failing_since_s)
         return self._clock_s() - min(since) if since else 0.0
 
     def store_back_for_s(self) -> float:
--- a/src/sardinehill/platform/store.py
+++ b/src/sardinehill/platform/store.py
@@ -69,12 +69,15 @@
 
     Public attributes:
       calls: how many calls were sent, by a short name of the call.
+      failing_since_s: since when no call but a watch was answered, by the
+        loop's clock, or None.
     """
 
     def __init__(self, address: str):
         self._address = address
         self._idle: list[http1.Connection] = []
         self.calls: dict[str, int] = {}
+        self.failing_since_s: float | None = None
 
     async def list_kind(self, kind: str) -> tuple[list[StoredObject], int]:
         """Returns all objects of a kind, and the revision to watch from.
@@ -204,10 +207,16 @@
         query: dict[str, str],
         body: Json = None,
     ) -> tuple[int, Json]:
-        connection = await self._take()
-        status, reply = await self._exchange(
-            connection, call, method, path, query, body, CALL_TIMEOUT_S
-        )
+        try:
+            connection = await self._take()
+            status, reply = await self._exchange(
+                connection, call, method, path, query, body, CALL_TIMEOUT_S
+            )
+        except errors.StoreError:
+            if self.failing_since_s is None:
+                self.failing_since_s = asyncio.get_running_loop().time()
+            raise
+        self.failing_since_s = None
         if connection.usable and len(self._idle) < IDLE_CONNECTIONS:
             self._idle.append(connection)
         else:
--- a/tests/cover/test_keyspace.py
+++ b/tests/cover/test_keyspace.py
@@ -78,6 +78,10 @@
     assert load_of(assignment, C, use) < 4.0 + 0.5
 
 
+def test_a_rounding_error_below_no_load_costs_nothing():
+    assert keyspace.Capacity(3, 1.0).cost(-1e-17) == 0.0
+
+
 def test_nothing_moves_while_the_load_is_even():
     use = dict.fromkeys(range(0, keyspace.KEY_COUNT, 512), 0.01)
     assignment = planned(keyspace.empty(), EVEN, use)
