--- a/src/sardinehill/platform/settings.py
+++ b/src/sardinehill/platform/settings.py
@@ -7,6 +7,8 @@
 from sardinehill import errors
 from sardinehill.platform import names
 
+METRICS_PORT_VARIABLE = "SARDINEHILL_METRICS_PORT"
+
 _TRUE = "true"
 
 
@@ -70,6 +72,30 @@
     )
 
 
+def metrics_port_from_environment(default: int) -> int:
+    """Returns where counters are served, unless the deployment says other.
+
+    Raises:
+      SettingsErrors: the variable is not a port.
+    """
+    value = os.environ.get(METRICS_PORT_VARIABLE, "")
+    if not value:
+        return default
+    if not value.isdigit() or not 0 < int(value) < 65536:
+        raise _problems(
+            [
+                errors.SettingsProblem(
+                    "environment",
+                    "",
+                    METRICS_PORT_VARIABLE,
+                    value,
+                    "a port from 1 to 65535",
+                )
+            ]
+        )
+    return int(value)
+
+
 def path_from_environment() -> pathlib.Path:
     """Returns where the settings file stands.
 
@@ -167,7 +193,7 @@
         callers_address=fields.address("listen.front"),
         readiness_address=fields.address("listen.ready"),
         peer_port=first_port,
-        metrics_port=last_port,
+        metrics_port=metrics_port_from_environment(last_port),
         store_address=fields.address("platformApi.address"),
         stop_limit_s=fields.number("bounds.gracePeriodS", 6.0),
         apply_limit_s=fields.number("bounds.configApplyS", 2.0),
--- a/standins/owners.py
+++ b/standins/owners.py
@@ -29,7 +29,8 @@
     Public attributes:
       runs: what it ran.
       granted: every grant that it took, with when.
-      mode: how it treats requests: `serve`, `shed`, `cut`, `extra`, `silent`.
+      mode: how it treats requests: `serve`, `shed`, `cut`, `extra`,
+        `silent`, `unframed`.
       grant_delay_s: how long it holds a grant back before it takes it.
       work_s: how long a request takes.
     """
@@ -133,6 +134,15 @@
             request.transport.write(head.encode())
             request.transport.close()
             return web.Response()
+        if self.mode == "unframed":
+            head = (
+                "HTTP/1.1 200 OK\r\n"
+                f"X-Request-Id: {request_id}\r\nX-Response-Stamp: s\r\n"
+                "Connection: close\r\n\r\nbare answer"
+            )
+            request.transport.write(head.encode())
+            request.transport.close()
+            return web.Response()
         body = f"{self.name} {next(_IDS)}"
         if self.mode == "extra":
             stray = (
--- a/tests/cover/test_platform_formats.py
+++ b/tests/cover/test_platform_formats.py
@@ -90,6 +90,14 @@
         assert word in told
 
 
+def test_the_metrics_port_can_be_set_and_is_checked(monkeypatch):
+    monkeypatch.setenv(settings.METRICS_PORT_VARIABLE, "9464")
+    assert settings.parse("boot.conf", SETTINGS).metrics_port == 9464
+    monkeypatch.setenv(settings.METRICS_PORT_VARIABLE, "many")
+    with pytest.raises(errors.SettingsErrors):
+        settings.parse("boot.conf", SETTINGS)
+
+
 def test_the_longest_prefix_of_the_host_wins():
     found = documents.configuration(config())
     assert found.version == 7
--- a/tests/process/test_platform_path.py
+++ b/tests/process/test_platform_path.py
@@ -78,6 +78,14 @@
     assert reply.headers["X-Request-Id"] == "mine"
 
 
+def test_an_answer_without_a_length_is_passed_on_without_one(fleet):
+    for owner in fleet.owners.values():
+        owner.mode = "unframed"
+    reply = fleet.run(fleet.ask(fleet.daemons[0], "/stock/a", 7, "bare"))
+    assert (reply.status, reply.text) == (200, "bare answer")
+    assert "Content-Length" not in reply.headers
+
+
 def test_a_committing_request_that_was_cut_short_runs_once(fleet):
     for owner in fleet.owners.values():
         owner.mode = "cut"
