--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -33,12 +33,12 @@
 
 REPORT_INTERVAL_S = 0.25
 # A leader that was silent for so long is taken as lost.
-LEADER_SILENCE_S = 0.9
+LEADER_SILENCE_S = 0.8
 # A daemon that has not reported for so long is not counted.
 FOLLOWER_SILENCE_S = 1.0
 # One that is not heard is taken to serve callers for so long.
 SERVING_UNHEARD_S = 5.0
-QUERY_TIMEOUT_S = 0.25
+QUERY_TIMEOUT_S = 0.15
 # Candidates take their turns this far apart.
 TURN_S = 0.12
 RETRY_S = 0.1
@@ -124,6 +124,7 @@
         self._ended_peers: set[str] = set()
         self._deposed = asyncio.Event()
         self._new_leader = asyncio.Event()
+        self._no_leader = asyncio.Event()
         self._leader_hint: Lease | None = None
         self._resigning = False
         self._stopping = False
@@ -290,6 +291,7 @@
           Whether the leader was heard at all.
         """
         lost = asyncio.Event()
+        self._no_leader.clear()
         began_s = self._clock_s()
         heard_before_s = self._table_heard_s
         try:
@@ -308,9 +310,13 @@
                 self._send_report(link)
                 try:
                     async with asyncio.timeout(REPORT_INTERVAL_S):
-                        await self._first_of(lost, self._new_leader)
+                        await self._first_of(
+                            lost, self._new_leader, self._no_leader
+                        )
                 except TimeoutError:
                     pass
+                if self._no_leader.is_set():
+                    break
                 silent_s = self._clock_s() - self._table_heard_s
                 if silent_s > LEADER_SILENCE_S:
                     break
@@ -389,13 +395,18 @@
             except errors.PeerError:
                 return None
 
-        answers = await asyncio.gather(
-            *(
-                ask(address)
-                for name, address in self._peers.items()
-                if name != self._name
-            )
-        )
+        questions = [
+            asyncio.ensure_future(ask(address))
+            for name, address in self._peers.items()
+            if name != self._name
+        ]
+        if not questions:
+            return []
+        # Hosts without power do not even refuse; nobody waits for them.
+        done, late = await asyncio.wait(questions, timeout=QUERY_TIMEOUT_S)
+        for question in late:
+            question.cancel()
+        answers = [question.result() for question in done]
         found = [answer for answer in answers if answer is not None]
         found.sort(key=lambda item: (-item[0].term, item[0].age_s))
         return found
@@ -404,6 +415,10 @@
         """Takes in a table, unless it is of an older leader or state."""
         if table.term < self._term:
             return
+        if table.age_s > LEADER_SILENCE_S and table.term == self._term:
+            # Who is followed does not lead, nor does it hear who does.
+            self._no_leader.set()
+            return
         now_s = self._clock_s()
         if table.term > self._term and table.leader != self._name:
             self._term = table.term
@@ -814,8 +829,6 @@
 
     def _push_to(self, name: str, follower: _Follower) -> None:
         table = self._outline()
-        if table.age_s > LEADER_SILENCE_S and not self.leads:
-            return
         if self.leads:
             table.shares = self._shares_of(name)
             spans: dict[str, list[fleet_messages.TableSpan]] | None
--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -300,7 +300,7 @@
 
     def _safe(self, work: _Work, refused: _RefusedError) -> _RefusedError:
         """Turns a promise that nothing has run into none if it may have."""
-        if not work.may_have_run or work.route.is_idempotent:
+        if not work.may_have_run:
             return refused
         return _RefusedError(refused.reason, 502)
 
