--- a/src/sardinehill/core/keyspace.py
+++ b/src/sardinehill/core/keyspace.py
@@ -19,6 +19,9 @@
 # The use of its slots beyond which an upstream counts as saturated, and what
 # one more request costs there, in service times.
 SATURATION = 0.95
+# Work varies more than the approximation assumes, and machines are slow for
+# moments, so waits are longer.
+WAIT_FACTOR = 2.5
 SATURATED_COST = 40.0
 MARGINAL_STEP_SHARE = 0.02
 # Keys without an owner are given away in pieces of this part of a mean load.
@@ -410,7 +413,7 @@
 def _wait(use: float, slots: int) -> float:
     """Returns the mean wait for a slot, in mean service times."""
     exponent = math.sqrt(2 * (slots + 1)) - 1
-    return float(use**exponent / (slots * (1 - use)))
+    return float(WAIT_FACTOR * use**exponent / (slots * (1 - use)))
 
 
 class Weights:
--- a/src/sardinehill/front/view.py
+++ b/src/sardinehill/front/view.py
@@ -28,6 +28,13 @@
 # An outage shorter than this is a lost connection, not lapsed entries.
 OUTAGE_S = 1.0
 NEWS_INTERVAL_S = 0.3
+# After a change a watch pauses, so that changes that come together cost one
+# call.
+PAUSES_S = {
+    names.CONFIG_KIND: 0.05,
+    names.UPSTREAMS_KIND: 0.25,
+    names.ZONES_OUT_KIND: 0.05,
+}
 
 Json = Any
 
@@ -142,6 +149,7 @@
                 stream = self._store.watch(watched.kind, watched.revision)
                 async for changes, revision in stream:
                     self._changed(watched, changes, revision)
+                    await asyncio.sleep(PAUSES_S[watched.kind])
             except store_module.HistoryGoneError:
                 events.log(events.STORE_HISTORY_GONE, kind=watched.kind)
                 continue
