--- a/src/sardinehill/core/keyspace.py
+++ b/src/sardinehill/core/keyspace.py
@@ -76,7 +76,10 @@
       live: whether the owner has confirmed the grant.
       granted_until_s: until then the owner certainly holds the span.
       holds_until_s: from then on the owner certainly does not hold it.
-      unanswered_until_s: until then an unanswered grant may still take effect.
+      unanswered_until_s: until then an unanswered grant under this epoch may
+        still take effect.
+      earlier_until_s: until then one of an earlier leader, under a lower epoch,
+        may take effect, unless the owner has seen this epoch.
       next_order_s: when the next grant or release is due.
       ordering: whether an order is on its way.
     """
@@ -91,6 +94,7 @@
     granted_until_s: float = 0.0
     holds_until_s: float = 0.0
     unanswered_until_s: float = 0.0
+    earlier_until_s: float = 0.0
     next_order_s: float = 0.0
     ordering: bool = False
 
@@ -187,7 +191,7 @@
     if owner is not None:
         span.owner = (str(owner[0]), int(owner[1]))
         span.holds_until_s = holds_until_s
-        span.unanswered_until_s = holds_until_s
+        span.earlier_until_s = holds_until_s
     if former is not None:
         span.former = Former(
             (str(former[0]), int(former[1])),
@@ -271,7 +275,7 @@
             span.owner,
             span.epoch,
             span.holds_until_s,
-            span.unanswered_until_s,
+            max(span.unanswered_until_s, span.earlier_until_s),
         )
     span.owner = owner
     span.epoch = epoch
@@ -280,6 +284,7 @@
     span.granted_until_s = 0.0
     span.holds_until_s = 0.0
     span.unanswered_until_s = 0.0
+    span.earlier_until_s = 0.0
     span.next_order_s = 0.0
     span.ordering = False
 
@@ -306,6 +311,9 @@
             before.unanswered_until_s = max(
                 before.unanswered_until_s, span.unanswered_until_s
             )
+            before.earlier_until_s = max(
+                before.earlier_until_s, span.earlier_until_s
+            )
             before.next_order_s = 0.0
         else:
             joined.append(span)
@@ -339,6 +347,48 @@
     return former.released and now_s >= former.unanswered_until_s
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pending:
+    """What was known of a holder before a grant was sent to it."""
+
+    holds_until_s: float
+    unanswered_until_s: float
+
+
+def grant_sent(span: Span, closed_by_s: float, hold_s: float) -> Pending:
+    """Notes that a grant goes out; it counts as taken until it is answered.
+
+    Args:
+      span: what is granted.
+      closed_by_s: by then it has arrived, or its connection is closed.
+      hold_s: how long it holds from its arrival.
+    """
+    pending = Pending(span.holds_until_s, span.unanswered_until_s)
+    end_s = latest_end_s(closed_by_s, hold_s)
+    span.holds_until_s = max(span.holds_until_s, end_s)
+    span.unanswered_until_s = max(span.unanswered_until_s, end_s)
+    return pending
+
+
+def grant_never_sent(holder: Span | Former, pending: Pending) -> None:
+    """Notes that no byte of a grant has left."""
+    holder.holds_until_s = pending.holds_until_s
+    holder.unanswered_until_s = pending.unanswered_until_s
+
+
+def grant_answered(holder: Span | Former, pending: Pending) -> None:
+    """Notes that a grant was answered; others may still be unanswered."""
+    holder.unanswered_until_s = pending.unanswered_until_s
+
+
+def grant_taken(span: Span, arrived_s: float, hold_s: float) -> None:
+    """Notes that the owner has taken a grant, and so has seen the epoch."""
+    span.holds_until_s = max(
+        latest_end_s(arrived_s, hold_s), span.unanswered_until_s
+    )
+    span.earlier_until_s = 0.0
+
+
 def note_regranted(former: Former, now_s: float, hold_s: float) -> None:
     """Notes that a former owner has answered a grant that was on its way."""
     former.regranted_s = now_s
--- a/src/sardinehill/front/keeper.py
+++ b/src/sardinehill/front/keeper.py
@@ -471,12 +471,8 @@
         life, epoch = span.owner, span.epoch
         first, last = span.first, span.last
         sent_s = self._clock_s()
-        before = (span.holds_until_s, span.unanswered_until_s)
-        span.unanswered_until_s = span.holds_until_s = max(
-            span.holds_until_s,
-            keyspace.latest_end_s(
-                sent_s + CONNECT_TIMEOUT_S + ORDER_TIMEOUT_S, HOLD_S
-            ),
+        pending = keyspace.grant_sent(
+            span, sent_s + CONNECT_TIMEOUT_S + ORDER_TIMEOUT_S, HOLD_S
         )
         request = exchanges.grant_request(
             owner.address, life[0], first, last, epoch, HOLD_S, span.handover
@@ -491,13 +487,10 @@
         never_sent = failure is not None and not failure.written
         for part in self._parts(first, last, life, epoch):
             part.ordering = False
-            if status == 200 and part.granted_until_s == 0.0:
-                # Orders of earlier leaders had lower epochs: they fail now.
-                before = (before[0], 0.0)
             if never_sent:
-                part.holds_until_s, part.unanswered_until_s = before
+                keyspace.grant_never_sent(part, pending)
             elif status is not None:
-                part.unanswered_until_s = before[1]
+                keyspace.grant_answered(part, pending)
             if status == 200:
                 self._confirmed(part, owner, sent_s, arrived_s)
             else:
@@ -507,9 +500,9 @@
                     part.next_order_s = arrived_s + 2 * CONFLICT_RETRY_S
         for former in self._former_parts(first, last, life, epoch):
             if never_sent:
-                former.holds_until_s, former.unanswered_until_s = before
+                keyspace.grant_never_sent(former, pending)
             elif status is not None:
-                former.unanswered_until_s = before[1]
+                keyspace.grant_answered(former, pending)
             if status == 200:
                 keyspace.note_regranted(former, arrived_s, HOLD_S)
         self._judge(owner, status, failure, first, last, epoch)
@@ -522,7 +515,7 @@
         arrived_s: float,
     ) -> None:
         span.granted_until_s = sent_s + HOLD_S
-        span.holds_until_s = keyspace.latest_end_s(arrived_s, HOLD_S)
+        keyspace.grant_taken(span, arrived_s, HOLD_S)
         span.next_order_s = sent_s + RENEW_S
         span.handover = None
         if not span.live:
--- a/tests/slow/test_keyspace_machine.py
+++ b/tests/slow/test_keyspace_machine.py
@@ -28,7 +28,7 @@
     life: keyspace.Life
     epoch: int
     arrives_s: float
-    before_s: float = 0.0
+    pending: keyspace.Pending = keyspace.Pending(0.0, 0.0)
     is_answered: bool = False
 
 
@@ -77,6 +77,7 @@
     forget_unanswered = False
     ignore_release = False
     forget_order = False
+    forget_first_order = False
 
     def __init__(self):
         super().__init__()
@@ -116,10 +117,11 @@
             if not (grant.first <= span.first and span.last <= grant.last):
                 continue
             if span.owner == grant.life and span.epoch == grant.epoch:
-                span.unanswered_until_s = grant.before_s
+                keyspace.grant_answered(span, grant.pending)
+                self.take(span)
             former = span.former
             if former is not None and former.epoch == grant.epoch:
-                former.unanswered_until_s = grant.before_s
+                keyspace.grant_answered(former, grant.pending)
                 if not self.forget_order:
                     keyspace.note_regranted(former, self.now_s, HOLD_S)
 
@@ -153,12 +155,9 @@
                 self.grant(span, outcome)
 
     def grant(self, span, outcome):
-        before_s = span.unanswered_until_s
-        end_s = keyspace.latest_end_s(self.now_s + self.ORDER_S, HOLD_S)
-        span.holds_until_s = max(span.holds_until_s, end_s)
-        span.unanswered_until_s = end_s
+        pending = keyspace.grant_sent(span, self.now_s + self.ORDER_S, HOLD_S)
         grant = Grant(span.first, span.last, span.owner, span.epoch, self.now_s)
-        grant.before_s = before_s
+        grant.pending = pending
         if outcome in ("late", "late-lost"):
             grant.arrives_s = self.now_s + self.ORDER_S
             grant.is_answered = outcome == "late"
@@ -166,18 +165,29 @@
         elif outcome != "never":
             self.upstreams[span.owner].grant(grant, self.now_s)
         if outcome == "answered" or self.forget_unanswered:
-            span.unanswered_until_s = before_s
-            span.live = True
+            keyspace.grant_answered(span, pending)
+            self.take(span)
+
+    def take(self, span):
+        keyspace.grant_taken(span, self.now_s, HOLD_S)
+        if self.forget_first_order:
+            span.unanswered_until_s = 0.0
+        span.live = True
 
     @stateful.rule(
         to=st.sampled_from(LIVES),
         answered=st.booleans(),
         outcome=st.sampled_from(OUTCOMES),
         pause_s=st.sampled_from([0.0, 0.9]),
+        granted_again=st.booleans(),
     )
-    def keys_are_handed_over(self, to, answered, outcome, pause_s):
+    def keys_are_handed_over(
+        self, to, answered, outcome, pause_s, granted_again
+    ):
         """What a leader does in one go, as a search rarely strings it."""
         self.owners_are_granted(outcome)
+        if granted_again:
+            self.owners_are_granted("answered")
         self.keys_move(0, PARTS, to)
         self.releases_are_sent()
         self.time_passes(pause_s)
@@ -225,6 +235,12 @@
     forget_order = True
 
 
+class ForgetsFirstOrder(Ownership):
+    """A leader that takes an answer to one grant as one to all before."""
+
+    forget_first_order = True
+
+
 FEW = settings(
     max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
 )
@@ -243,7 +259,8 @@
 
 
 @pytest.mark.parametrize(
-    "mutant", [ForgetsUnanswered, IgnoresHolders, ForgetsOrder]
+    "mutant",
+    [ForgetsUnanswered, IgnoresHolders, ForgetsOrder, ForgetsFirstOrder],
 )
 def test_the_search_finds_a_leader_that_breaks_the_rule(mutant):
     with pytest.raises(AssertionError):
