--- a/src/sardinehill/front/keeper.py
+++ b/src/sardinehill/front/keeper.py
@@ -16,6 +16,7 @@
 from sardinehill import events
 from sardinehill import http1
 from sardinehill.core import fleet_messages
+from sardinehill.core import key_plan
 from sardinehill.core import key_use
 from sardinehill.core import keyspace
 from sardinehill.core import routes
@@ -264,11 +265,11 @@
 
     def _capacities(
         self, now_s: float
-    ) -> dict[keyspace.Life, keyspace.Capacity]:
+    ) -> dict[keyspace.Life, key_plan.Capacity]:
         """Returns what each upstream that may own keys can bear."""
         zones_out = self._zones_out()
-        warm: dict[keyspace.Life, keyspace.Capacity] = {}
-        cold: dict[keyspace.Life, keyspace.Capacity] = {}
+        warm: dict[keyspace.Life, key_plan.Capacity] = {}
+        cold: dict[keyspace.Life, key_plan.Capacity] = {}
         for upstream in self._upstreams().values():
             owner = self._owners.get(upstream.life)
             if owner is None or upstream.service != self._service:
@@ -277,7 +278,7 @@
                 continue
             if now_s < owner.unusable_until_s or upstream.life in self._dead:
                 continue
-            room = keyspace.Capacity(owner.slots, owner.slowness)
+            room = key_plan.Capacity(owner.slots, owner.slowness)
             if upstream.cold_left_s > 0:
                 cold[upstream.life] = room
             else:
@@ -293,8 +294,8 @@
             self._plan_due_s = now_s + TICK_S
             return
         capacities = self._capacities(now_s)
-        moves = keyspace.plan(
-            assignment, capacities, self._weights(), keyspace.PlanPolicy()
+        moves = key_plan.plan(
+            assignment, capacities, self._weights(), key_plan.PlanPolicy()
         )
         if not moves:
             return
@@ -330,7 +331,7 @@
     def _log_moves(
         self,
         moves: list[keyspace.Move],
-        capacities: dict[keyspace.Life, keyspace.Capacity],
+        capacities: dict[keyspace.Life, key_plan.Capacity],
     ) -> None:
         keys = sum(move.last - move.first + 1 for move in moves)
         self.moved_keys += keys
@@ -353,8 +354,8 @@
             return
         await self._write(assignment)
 
-    def _weights(self) -> keyspace.Weights:
-        return keyspace.Weights(
+    def _weights(self) -> key_plan.Weights:
+        return key_plan.Weights(
             self._use.loads(self._clock_s()),
             BASE_LOAD_REQUESTS / keyspace.KEY_COUNT,
         )
--- a/tests/cover/test_keyspace.py
+++ b/tests/cover/test_keyspace.py
@@ -6,20 +6,21 @@
 from hypothesis import strategies as st
 import pytest
 
+from sardinehill.core import key_plan
 from sardinehill.core import key_use
 from sardinehill.core import keyspace
 
 A, B, C = ("a", 1), ("b", 1), ("c", 1)
-EVEN = {life: keyspace.Capacity(3, 1.0) for life in (A, B, C)}
-POLICY = keyspace.PlanPolicy()
+EVEN = {life: key_plan.Capacity(3, 1.0) for life in (A, B, C)}
+POLICY = key_plan.PlanPolicy()
 
 
 def weights(use=None, base=0.5):
-    return keyspace.Weights(use or {}, base / keyspace.KEY_COUNT)
+    return key_plan.Weights(use or {}, base / keyspace.KEY_COUNT)
 
 
 def planned(assignment, capacities, use=None):
-    moves = keyspace.plan(assignment, capacities, weights(use), POLICY)
+    moves = key_plan.plan(assignment, capacities, weights(use), POLICY)
     keyspace.apply_moves(assignment, moves)
     return assignment
 
@@ -57,7 +58,7 @@
 
 
 def test_a_slow_upstream_gets_less_than_a_fast_one():
-    capacities = {A: keyspace.Capacity(3, 0.5), B: keyspace.Capacity(3, 2.0)}
+    capacities = {A: key_plan.Capacity(3, 0.5), B: key_plan.Capacity(3, 2.0)}
     use = dict.fromkeys(range(0, keyspace.KEY_COUNT, 256), 0.01)
     assignment = planned(keyspace.empty(), capacities, use)
     for _ in range(20):
@@ -67,7 +68,7 @@
 
 
 def test_a_popular_key_ends_alone_on_the_fastest_upstream():
-    capacities = {**EVEN, C: keyspace.Capacity(3, 0.6)}
+    capacities = {**EVEN, C: key_plan.Capacity(3, 0.6)}
     use = dict.fromkeys(range(0, keyspace.KEY_COUNT, 64), 0.004)
     assignment = planned(keyspace.empty(), capacities, use)
     use[100] = 4.0
@@ -79,7 +80,7 @@
 
 
 def test_a_rounding_error_below_no_load_costs_nothing():
-    assert keyspace.Capacity(3, 1.0).cost(-1e-17) == 0.0
+    assert key_plan.Capacity(3, 1.0).cost(-1e-17) == 0.0
 
 
 def test_nothing_moves_while_the_load_is_even():
@@ -89,7 +90,7 @@
         confirm_all(assignment)
         planned(assignment, EVEN, use)
     confirm_all(assignment)
-    assert keyspace.plan(assignment, EVEN, weights(use), POLICY) == []
+    assert key_plan.plan(assignment, EVEN, weights(use), POLICY) == []
 
 
 def test_keys_of_an_upstream_that_left_all_get_another_owner():
