--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -12,13 +12,16 @@
 from sardinehill.core import routes
 from sardinehill.core import shares
 from sardinehill.daemon import boot_clock
+from sardinehill.front import admission as admission_module
 from sardinehill.front import bus
 from sardinehill.front import directory as directory_module
 from sardinehill.front import leadership as leadership_module
 from sardinehill.front import log as log_module
 from sardinehill.front import relay as relay_module
+from sardinehill.front import requests
 from sardinehill.front import server as server_module
 from sardinehill.front import stats as stats_module
+from sardinehill.front import usage as usage_module
 from sardinehill.front import view as view_module
 from sardinehill.platform import settings as settings_module
 from sardinehill.platform import store as store_module
@@ -56,6 +59,16 @@
             settings.cold_slack,
             loop.time,
         )
+        self._usage = usage_module.Usage()
+        admission = admission_module.Admission(
+            self._directory,
+            self._usage,
+            shares.Allowance(
+                settings.allowance_window_s,
+                settings.allowance_over_ratio,
+                settings.allowance_slack,
+            ),
+        )
         self._relay = relay_module.Relay(
             self._directory,
             self._stats,
@@ -63,11 +76,8 @@
             settings.retry_ratio,
             settings.retry_slack,
             settings.retry_window_s,
-            shares.Allowance(
-                settings.allowance_window_s,
-                settings.allowance_over_ratio,
-                settings.allowance_slack,
-            ),
+            admission,
+            self._usage,
             settings.zone,
         )
         self._leadership = leadership_module.Leadership(
@@ -144,7 +154,7 @@
             f"{self._settings.host_ip}:{self._settings.peer_port}",
             0,
         )
-        self._relay.take_use(report)
+        self._usage.move_into(report)
         return report
 
     def _receive(self, link: bus.Link, envelope: envelopes.Envelope) -> None:
@@ -163,18 +173,14 @@
 
     # what others ask
 
-    async def _readiness(
-        self, request: relay_module.Request
-    ) -> relay_module.Reply:
+    async def _readiness(self, request: requests.Request) -> requests.Reply:
         ready = (
             self._view.configuration is not None and not self._stopping.is_set()
         )
-        return relay_module.Reply(200 if ready else 503, b"")
+        return requests.Reply(200 if ready else 503, b"")
 
-    async def _metrics(
-        self, request: relay_module.Request
-    ) -> relay_module.Reply:
-        return relay_module.Reply(
+    async def _metrics(self, request: requests.Request) -> requests.Reply:
+        return requests.Reply(
             200,
             b"content-type: text/plain; version=0.0.4\r\n",
             self._stats.text().encode(),
--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -6,24 +6,19 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import random
 
 from sardinehill import errors
 from sardinehill import events
 from sardinehill import http1
-from sardinehill.core import fleet_messages
 from sardinehill.core import room as room_module
-from sardinehill.core import routes
-from sardinehill.core import shares
+from sardinehill.front import admission as admission_module
 from sardinehill.front import directory as directory_module
-from sardinehill.front import pool as pool_module
+from sardinehill.front import requests
 from sardinehill.front import stats as stats_module
+from sardinehill.front import usage as usage_module
 from sardinehill.platform import exchanges
 
-DEFAULT_WAIT_S = 10.0
-# What an answer needs to get back to the caller.
-RETURN_MARGIN_S = 0.012
 # A request with less time left than this part of its usual latency is not
 # worth sending.
 HOPELESS_SHARE = 0.3
@@ -35,8 +30,6 @@
 LEAST_PATIENCE_SHARE = 0.3
 # A caller whom a full upstream refuses is to come back after this.
 FULL_RETRY_AFTER_S = 0.5
-# A request waits this long for its account's next token.
-TOKEN_PATIENCE_S = 0.1
 LATENCY_MEMORY = 0.95
 FIRST_LATENCY_S = 0.05
 SENDS_LIMIT = 8
@@ -48,100 +41,6 @@
 SERVER_ERROR = 500
 
 
-@dataclasses.dataclass(slots=True)
-class Request:
-    """A caller's whole request."""
-
-    method: bytes
-    target: bytes
-    headers: http1.Headers
-    body: bytes
-    has_body: bool
-    arrived_s: float
-
-
-@dataclasses.dataclass(slots=True)
-class Reply:
-    """What the caller gets.
-
-    Attributes:
-      status: the status code.
-      headers: whole header lines, without the body's length.
-      body: the whole body.
-      ends_with_connection: whether the end of the body is to be marked by
-        the connection's end only, as the upstream did: the upstream may have
-        died, and a stated length would vouch for a body that nobody knows to
-        be whole.
-    """
-
-    status: int
-    headers: bytes
-    body: bytes = b""
-    ends_with_connection: bool = False
-
-
-class _RefusedError(Exception):
-    """Ends a request with an answer of the daemon's own."""
-
-    def __init__(
-        self,
-        reason: errors.Reason,
-        status: int,
-        retry_after_s: float | None = None,
-        **inputs: object,
-    ):
-        super().__init__(reason.value)
-        self.reason = reason
-        self.status = status
-        self.retry_after_s = retry_after_s
-        self.inputs = inputs
-
-
-@dataclasses.dataclass(slots=True)
-class _Work:
-    """One request on its way.
-
-    Attributes:
-      token_wait_s: how long it waits for its account's next token.
-      sends: how often it was sent to an upstream.
-      tried: upstreams that were sent it.
-      may_have_run: whether an upstream may have run it.
-      in_flight: whether an upstream has it now.
-      idle_there: whether nothing waited at the upstream that answered.
-      sent_s: when it was last sent.
-      waited_from_s: when it first had to wait for room, or None.
-      last_failure: why it was not answered so far.
-    """
-
-    request: Request
-    fields: exchanges.CallerFields
-    route: routes.Route
-    service: str
-    account: str | None
-    rank: int
-    deadline_s: float
-    ticket: int
-    token_wait_s: float = 0.0
-    sends: int = 0
-    tried: list[str] = dataclasses.field(default_factory=list)
-    may_have_run: bool = False
-    in_flight: bool = False
-    idle_there: bool = False
-    sent_s: float = 0.0
-    waited_from_s: float | None = None
-    last_failure: str = ""
-
-
-@dataclasses.dataclass(slots=True)
-class _Target:
-    """Where a request goes next."""
-
-    upstream: routes.Upstream
-    room: room_module.Room
-    pool: pool_module.Pool
-    epoch: int
-
-
 class Relay:
     """Serves callers' requests."""
 
@@ -153,53 +52,34 @@
         retry_ratio: float,
         retry_slack: float,
         retry_window_s: float,
-        allowance: shares.Allowance,
+        admission: admission_module.Admission,
+        usage: usage_module.Usage,
         zone: str,
     ):
         self._directory = directory
         self._stats = stats
         self._log = log_request
         self._retry_terms = (retry_ratio, retry_slack, retry_window_s)
-        self._allowance = allowance
+        self._admission = admission
         self._zone = zone
         self._budgets: dict[str, room_module.RepeatBudget] = {}
-        self._buckets: dict[str, shares.Bucket] = {}
-        self._splitter = routes.Splitter()
         self._usual_s: dict[str, float] = {}
         self._random = random.Random()
-        self._demand: dict[str, int] = {}
-        self._key_use: dict[str, tuple[list[int], list[float]]] = {}
-        self._upstream_use: dict[str, fleet_messages.UpstreamUse] = {}
-        self._refused_spans: list[fleet_messages.RefusedSpan] = []
+        self._usage = usage
         self.in_flight = 0
 
-    # for the leader
-
-    def take_use(self, report: fleet_messages.Report) -> None:
-        """Moves what was counted since the last report into `report`."""
-        report.demand, self._demand = self._demand, {}
-        report.keys = [
-            fleet_messages.KeyUse(service, keys, sum(spent) / len(spent))
-            for service, (keys, spent) in self._key_use.items()
-            if keys
-        ]
-        self._key_use = {}
-        report.upstreams = list(self._upstream_use.values())
-        self._upstream_use = {}
-        report.refused, self._refused_spans = self._refused_spans, []
-
     # serving
 
-    async def serve(self, request: Request) -> Reply:
+    async def serve(self, request: requests.Request) -> requests.Reply:
         """Returns the answer to a request, also when it cannot be served."""
         fields = exchanges.caller_fields(request.headers)
         self.in_flight += 1
         try:
-            work = self._admit(request, fields)
-        except _RefusedError as refusal:
+            work = self._admission.admit(request, fields)
+        except requests.RefusedError as refusal:
             self._note_refusal(request, fields, refusal, None)
             self.in_flight -= 1
-            return _refusal_reply(fields, refusal)
+            return requests.refusal_reply(fields, refusal)
         try:
             return await self._serve_admitted(work)
         except Exception as error:
@@ -208,75 +88,13 @@
                 error,
                 request=fields.request_id.decode("latin-1"),
             )
-            return _refusal_reply(
-                fields, _RefusedError(errors.Reason.INTERNAL, 500)
+            return requests.refusal_reply(
+                fields, requests.RefusedError(errors.Reason.INTERNAL, 500)
             )
         finally:
             self.in_flight -= 1
 
-    def _admit(self, request: Request, fields: exchanges.CallerFields) -> _Work:
-        configuration = self._directory.configuration
-        if configuration is None:
-            raise _RefusedError(errors.Reason.CONFIGURATION_MISSING, 503, 0.3)
-        route = routes.find_route(configuration, fields.host, request.target)
-        if route is None:
-            raise _RefusedError(errors.Reason.SERVICE_UNKNOWN, 404)
-        account: routes.ClientAccount | None = None
-        token_wait_s = 0.0
-        if route.needs_account:
-            if fields.account_key is None:
-                raise _RefusedError(errors.Reason.ACCOUNT_KEY_MISSING, 401)
-            account = configuration.accounts.get(fields.account_key)
-            if account is None:
-                raise _RefusedError(errors.Reason.ACCOUNT_KEY_UNKNOWN, 401)
-            token_wait_s = self._meter(account, request.arrived_s)
-        wait_s = fields.wait_s if fields.wait_s else DEFAULT_WAIT_S
-        wait_s = min(wait_s - RETURN_MARGIN_S, route.timeout_s)
-        rank = route.priority
-        if account is not None and account.priority is not None:
-            rank = account.priority
-        return _Work(
-            request,
-            fields,
-            route,
-            self._splitter.choose(route),
-            account.name if account else None,
-            rank,
-            request.arrived_s + max(wait_s, 0.0),
-            self._directory.waiting.next_ticket(),
-            token_wait_s,
-        )
-
-    def _meter(self, account: routes.ClientAccount, now_s: float) -> float:
-        """Takes a token of an account; returns how long to wait for it."""
-        if account.rate_per_s <= 0:
-            return 0.0
-        self._demand[account.name] = self._demand.get(account.name, 0) + 1
-        bucket = self._buckets.get(account.name)
-        if bucket is None:
-            bucket = self._buckets[account.name] = shares.Bucket(now_s)
-        part = self._allowance.part(
-            account,
-            self._directory.share(account.name),
-            self._directory.daemons,
-        )
-        bucket.set_terms(part, now_s)
-        wait_s = bucket.take(now_s)
-        if wait_s > TOKEN_PATIENCE_S:
-            bucket.give_back()
-            raise _RefusedError(
-                errors.Reason.OVER_RATE,
-                429,
-                wait_s,
-                over_account=account.name,
-                fleet_rate_per_s=account.rate_per_s,
-                part_rate_per_s=round(part.rate_per_s, 3),
-                part_burst=round(part.burst, 3),
-                next_token_s=round(wait_s, 3),
-            )
-        return wait_s
-
-    async def _serve_admitted(self, work: _Work) -> Reply:
+    async def _serve_admitted(self, work: requests.Work) -> requests.Reply:
         self._budget(work.service).requested(work.request.arrived_s)
         try:
             async with asyncio.timeout_at(work.deadline_s):
@@ -286,36 +104,40 @@
         except TimeoutError:
             refusal = self._out_of_time(work)
             self._note_refusal(work.request, work.fields, refusal, work)
-            return _refusal_reply(work.fields, refusal)
-        except _RefusedError as refused:
+            return requests.refusal_reply(work.fields, refusal)
+        except requests.RefusedError as refused:
             refusal = self._safe(work, refused)
             self._note_refusal(work.request, work.fields, refusal, work)
-            return _refusal_reply(work.fields, refusal)
+            return requests.refusal_reply(work.fields, refusal)
         return self._answered(work, answer)
 
-    def _out_of_time(self, work: _Work) -> _RefusedError:
+    def _out_of_time(self, work: requests.Work) -> requests.RefusedError:
         if work.in_flight or work.may_have_run:
-            return _RefusedError(errors.Reason.DEADLINE_PASSED, 504)
-        return _RefusedError(errors.Reason.DEADLINE_PASSED, 503, RETRY_AFTER_S)
+            return requests.RefusedError(errors.Reason.DEADLINE_PASSED, 504)
+        return requests.RefusedError(
+            errors.Reason.DEADLINE_PASSED, 503, RETRY_AFTER_S
+        )
 
-    def _safe(self, work: _Work, refused: _RefusedError) -> _RefusedError:
+    def _safe(
+        self, work: requests.Work, refused: requests.RefusedError
+    ) -> requests.RefusedError:
         """Turns a promise that nothing has run into none if it may have."""
         if not work.may_have_run:
             return refused
-        return _RefusedError(refused.reason, 502)
+        return requests.RefusedError(refused.reason, 502)
 
-    async def _until_answered(self, work: _Work) -> http1.Answer:
+    async def _until_answered(self, work: requests.Work) -> http1.Answer:
         while True:
             target = await self._choose(work)
             if work.sends > 0 and not self._may_repeat(work):
-                raise _RefusedError(
+                raise requests.RefusedError(
                     errors.Reason.RETRY_BUDGET_SPENT, 503, RETRY_AFTER_S
                 )
             answer = await self._send(work, target)
             if answer is not None:
                 return answer
 
-    def _may_repeat(self, work: _Work) -> bool:
+    def _may_repeat(self, work: requests.Work) -> bool:
         if work.sends >= SENDS_LIMIT:
             return False
         now_s = asyncio.get_running_loop().time()
@@ -336,11 +158,11 @@
 
     # where to
 
-    async def _choose(self, work: _Work) -> _Target:
+    async def _choose(self, work: requests.Work) -> requests.Target:
         """Waits until an upstream has room for a request.
 
         Raises:
-          _RefusedError: none will have in time.
+          requests.RefusedError: none will have in time.
         """
         loop = asyncio.get_running_loop()
         needed_s = self._usual(work.route.name) * HOPELESS_SHARE
@@ -348,11 +170,11 @@
             now_s = loop.time()
             left_s = work.deadline_s - now_s
             if left_s <= needed_s:
-                raise _RefusedError(
+                raise requests.RefusedError(
                     errors.Reason.DEADLINE_PASSED, 503, RETRY_AFTER_S
                 )
             found = self._find(work, now_s)
-            if isinstance(found, _Target):
+            if isinstance(found, requests.Target):
                 return found
             place, patience_s, reason = found
             if work.waited_from_s is None:
@@ -362,7 +184,7 @@
             )
             if now_s >= until_s:
                 is_full = reason is errors.Reason.QUEUE_FULL
-                raise _RefusedError(
+                raise requests.RefusedError(
                     reason,
                     503,
                     FULL_RETRY_AFTER_S if is_full else RETRY_AFTER_S,
@@ -375,8 +197,8 @@
             )
 
     def _find(
-        self, work: _Work, now_s: float
-    ) -> _Target | tuple[object, float, errors.Reason]:
+        self, work: requests.Work, now_s: float
+    ) -> requests.Target | tuple[object, float, errors.Reason]:
         """Returns an upstream with room, or what to wait for and how long."""
         time_s = work.deadline_s - work.request.arrived_s
         if self._directory.is_divided(work.service):
@@ -384,8 +206,8 @@
         return self._find_any(work, now_s, time_s)
 
     def _find_owner(
-        self, work: _Work, now_s: float, time_s: float
-    ) -> _Target | tuple[object, float, errors.Reason]:
+        self, work: requests.Work, now_s: float, time_s: float
+    ) -> requests.Target | tuple[object, float, errors.Reason]:
         key = work.fields.shard_key
         if key is None:
             return self._find_any(work, now_s, time_s)
@@ -404,11 +226,11 @@
                 self._room_patience_s(work, room.slowness),
                 errors.Reason.QUEUE_FULL,
             )
-        return _Target(upstream, room, pool, epoch)
+        return requests.Target(upstream, room, pool, epoch)
 
     def _find_any(
-        self, work: _Work, now_s: float, time_s: float
-    ) -> _Target | tuple[object, float, errors.Reason]:
+        self, work: requests.Work, now_s: float, time_s: float
+    ) -> requests.Target | tuple[object, float, errors.Reason]:
         usable = self._directory.usable(work.service, now_s)
         if not usable:
             return (
@@ -448,9 +270,9 @@
             )
         upstream = by_id[name]
         room, pool = self._directory.room_of(upstream)
-        return _Target(upstream, room, pool, 0)
+        return requests.Target(upstream, room, pool, 0)
 
-    def _room_patience_s(self, work: _Work, slowness: float) -> float:
+    def _room_patience_s(self, work: requests.Work, slowness: float) -> float:
         """Returns how long a request waits for room at a full upstream.
 
         Longer than this it would be late anyhow, and keep others waiting.
@@ -461,7 +283,9 @@
 
     # sending
 
-    async def _send(self, work: _Work, target: _Target) -> http1.Answer | None:
+    async def _send(
+        self, work: requests.Work, target: requests.Target
+    ) -> http1.Answer | None:
         """Sends a request once.
 
         Returns:
@@ -469,7 +293,7 @@
           worth being sent again.
 
         Raises:
-          _RefusedError: it may not be sent again.
+          requests.RefusedError: it may not be sent again.
         """
         loop = asyncio.get_running_loop()
         room, pool, upstream = target.room, target.pool, target.upstream
@@ -517,7 +341,10 @@
         return self._judge(work, target, answer, loop.time() - sent_s)
 
     def _unreachable(
-        self, work: _Work, target: _Target, error: http1.ConnectionFailedError
+        self,
+        work: requests.Work,
+        target: requests.Target,
+        error: http1.ConnectionFailedError,
     ) -> None:
         now_s = asyncio.get_running_loop().time()
         target.room.unreachable(now_s)
@@ -532,7 +359,10 @@
         )
 
     def _broken_off(
-        self, work: _Work, target: _Target, error: http1.ConnectionFailedError
+        self,
+        work: requests.Work,
+        target: requests.Target,
+        error: http1.ConnectionFailedError,
     ) -> None:
         """Judges an exchange without an answer: it may have run."""
         work.in_flight = False
@@ -543,7 +373,7 @@
         work.may_have_run = True
         work.last_failure = "connection-lost"
         if not work.route.is_idempotent:
-            raise _RefusedError(errors.Reason.CONNECTION_LOST, 502)
+            raise requests.RefusedError(errors.Reason.CONNECTION_LOST, 502)
         self._log(
             events.REQUEST_TRIED_AGAIN,
             request=work.fields.request_id,
@@ -554,8 +384,8 @@
 
     def _judge(
         self,
-        work: _Work,
-        target: _Target,
+        work: requests.Work,
+        target: requests.Target,
         answer: http1.Answer,
         latency_s: float,
     ) -> http1.Answer | None:
@@ -588,9 +418,9 @@
             return None
         if genuine and not exchanges.would_promise_not_run(answer):
             return answer
-        raise _RefusedError(errors.Reason.CONNECTION_LOST, 502)
+        raise requests.RefusedError(errors.Reason.CONNECTION_LOST, 502)
 
-    def _worth_repeating(self, work: _Work, now_s: float) -> bool:
+    def _worth_repeating(self, work: requests.Work, now_s: float) -> bool:
         return (
             work.sends < work.route.max_attempts
             and work.deadline_s - now_s > self._usual(work.route.name)
@@ -598,8 +428,8 @@
 
     def _not_run(
         self,
-        work: _Work,
-        target: _Target,
+        work: requests.Work,
+        target: requests.Target,
         answer: http1.Answer,
         now_s: float,
     ) -> None:
@@ -616,39 +446,35 @@
             return
         key = work.fields.shard_key
         if key is not None:
-            self._refused_spans.append(
-                fleet_messages.RefusedSpan(work.service, key, target.epoch)
-            )
+            self._usage.refused(work.service, key, target.epoch)
             self._directory.refused(work.service, key, target.epoch, now_s)
 
     def _learn(
-        self, work: _Work, target: _Target, latency_s: float, usual_s: float
+        self,
+        work: requests.Work,
+        target: requests.Target,
+        latency_s: float,
+        usual_s: float,
     ) -> None:
         name = work.route.name
         self._usual_s[name] = usual_s + (1 - LATENCY_MEMORY) * (
             latency_s - usual_s
         )
-        use = self._upstream_use.get(target.upstream.id)
-        if use is None:
-            use = fleet_messages.UpstreamUse(target.upstream.id, 0, 0.0)
-            self._upstream_use[target.upstream.id] = use
         if work.idle_there:
-            use.answers += 1
-            use.slowness_sum += min(latency_s / usual_s, 10.0)
-        if work.fields.shard_key is not None:
-            self._directory.accepted(
-                work.service, work.fields.shard_key, target.epoch
-            )
-            keys, spent = self._key_use.setdefault(work.service, ([], []))
-            keys.append(work.fields.shard_key)
-            spent.append(usual_s)
+            self._usage.answered(target.upstream.id, latency_s / usual_s)
+        key = work.fields.shard_key
+        if key is not None:
+            self._directory.accepted(work.service, key, target.epoch)
+            self._usage.asked(work.service, key, usual_s)
 
     def _usual(self, route: str) -> float:
         return self._usual_s.get(route, FIRST_LATENCY_S)
 
     # answering
 
-    def _answered(self, work: _Work, answer: http1.Answer) -> Reply:
+    def _answered(
+        self, work: requests.Work, answer: http1.Answer
+    ) -> requests.Reply:
         now_s = asyncio.get_running_loop().time()
         latency_s = now_s - work.request.arrived_s
         self._stats.count("answers", f"{answer.status // 100}xx")
@@ -675,16 +501,16 @@
             b"%b: %b\r\n" % (name, value)
             for name, value in exchanges.returned_headers(answer)
         )
-        return Reply(
+        return requests.Reply(
             answer.status, headers, answer.body, answer.ends_with_connection
         )
 
     def _note_refusal(
         self,
-        request: Request,
+        request: requests.Request,
         fields: exchanges.CallerFields,
-        refusal: _RefusedError,
-        work: _Work | None,
+        refusal: requests.RefusedError,
+        work: requests.Work | None,
     ) -> None:
         now_s = asyncio.get_running_loop().time()
         self._stats.count("refusals", refusal.reason.value)
@@ -715,12 +541,3 @@
             held_s=round(now_s - request.arrived_s, 4),
             **refusal.inputs,
         )
-
-
-def _refusal_reply(
-    fields: exchanges.CallerFields, refusal: _RefusedError
-) -> Reply:
-    return Reply(
-        refusal.status,
-        exchanges.refusal_headers(fields.request_id, refusal.retry_after_s),
-    )
--- a/src/sardinehill/front/server.py
+++ b/src/sardinehill/front/server.py
@@ -10,7 +10,7 @@
 
 from sardinehill import http1
 from sardinehill.core import routes
-from sardinehill.front import relay
+from sardinehill.front import requests
 
 # Requests that a caller may send ahead on one connection.
 PIPELINE_LIMIT = 8
@@ -18,11 +18,11 @@
 
 _REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 
-Handler = Callable[[relay.Request], Awaitable[relay.Reply]]
+Handler = Callable[[requests.Request], Awaitable[requests.Reply]]
 
 
 def encode_reply(
-    reply: relay.Reply, closes: bool, is_head: bool = False
+    reply: requests.Reply, closes: bool, is_head: bool = False
 ) -> bytes:
     """Returns the bytes of an answer."""
     reason = _REASONS.get(reply.status, b"Unknown")
@@ -49,7 +49,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._has_body = False
-        self._queue: list[tuple[relay.Request, bool]] = []
+        self._queue: list[tuple[requests.Request, bool]] = []
         self._task: asyncio.Task[None] | None = None
         self._refused_status = 0
         self._in_message = False
@@ -132,7 +132,7 @@
     def on_message_complete(self) -> None:
         """Serves the request, after those before it."""
         self._in_message = False
-        request = relay.Request(
+        request = requests.Request(
             self._parser.get_method(),
             self._target,
             self._headers,
@@ -173,7 +173,7 @@
 
     def _refuse(self, status: int) -> None:
         if self._task is None:
-            self._write(encode_reply(relay.Reply(status, b""), closes=True))
+            self._write(encode_reply(requests.Reply(status, b""), closes=True))
         self._close()
 
     def _close(self) -> None:
