--- /dev/null
+++ b/src/sardinehill/front/assignment_store.py
@@ -0,0 +1,116 @@
+"""Reads and writes one service's assignment in the store."""
+
+import asyncio
+from collections.abc import Callable
+import time
+from typing import Any
+
+from sardinehill import errors
+from sardinehill import events
+from sardinehill.core import keyspace
+from sardinehill.platform import store as store_module
+
+ASSIGNMENTS_KIND = "sardinehill-assignments"
+RETRY_S = 0.2
+
+
+class AssignmentStore:
+    """The stored assignment of one service, as a leader of one term has it.
+
+    Public attributes:
+      revision: of the object, as last read or written; 0 while there is none.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        term: int,
+        store: store_module.Store,
+        on_deposed: Callable[[], None],
+    ):
+        self._service = service
+        self._term = term
+        self._store = store
+        self._on_deposed = on_deposed
+        self.revision = 0
+
+    async def read(self, holds_until_s: float) -> keyspace.Assignment | None:
+        """Returns what is stored, or None when it cannot be read now.
+
+        Args:
+          holds_until_s: until then any owner may hold what it was granted.
+        """
+        try:
+            stored = await self._store.get(ASSIGNMENTS_KIND, self._service)
+            if stored is None:
+                self.revision = 0
+                return keyspace.empty()
+            self.revision = stored.revision
+            return keyspace.from_document(stored.spec, holds_until_s)
+        except (errors.StoreError, ValueError) as error:
+            self._log_failure(error)
+            return None
+
+    def _log_failure(self, error: Exception) -> None:
+        events.log(
+            events.ASSIGNMENT_CONFLICT,
+            service=self._service,
+            error=str(error)[:200],
+        )
+
+    async def write(self, assignment: keyspace.Assignment) -> bool:
+        """Writes an assignment; returns whether it certainly stands.
+
+        A write whose answer is lost is settled by reading the object back.
+        """
+        spec: dict[str, Any] = keyspace.to_document(assignment)
+        spec["term"] = self._term
+        spec["writer"] = f"{self._term}-{time.monotonic_ns()}"
+        try:
+            if self.revision == 0:
+                stored = await self._store.create(
+                    ASSIGNMENTS_KIND, self._service, spec
+                )
+            else:
+                stored = await self._store.replace(
+                    ASSIGNMENTS_KIND, self._service, spec, self.revision
+                )
+            self.revision = stored.revision
+        except errors.StoreConflictError as error:
+            self._log_failure(error)
+            return await self._settle(spec)
+        except errors.StoreUnavailableError:
+            return await self._settle(spec)
+        except errors.StoreError as error:
+            self._log_failure(error)
+            return False
+        events.log(
+            events.ASSIGNMENT_WRITTEN,
+            service=self._service,
+            revision=self.revision,
+            top_epoch=assignment.top_epoch,
+            spans=len(assignment.spans),
+        )
+        return True
+
+    async def _settle(self, spec: dict[str, Any]) -> bool:
+        """Reads the object back after a write without a clear outcome.
+
+        Such a write may still take effect later, so nothing else is written
+        at the same revision until a read shows that revision replaced.
+        """
+        while True:
+            try:
+                stored = await self._store.get(ASSIGNMENTS_KIND, self._service)
+            except errors.StoreError:
+                await asyncio.sleep(RETRY_S)
+                continue
+            found = stored.spec if stored is not None else {}
+            if not isinstance(found, dict):
+                found = {}
+            self.revision = stored.revision if stored is not None else 0
+            if found.get("writer") == spec["writer"]:
+                return True
+            if int(found.get("term", 0)) > self._term:
+                self._on_deposed()
+            return False
--- a/src/sardinehill/front/keeper.py
+++ b/src/sardinehill/front/keeper.py
@@ -9,21 +9,17 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-import time
-from typing import Any
 
-from sardinehill import errors
 from sardinehill import events
 from sardinehill import http1
 from sardinehill.core import fleet_messages
 from sardinehill.core import key_plan
 from sardinehill.core import key_use
 from sardinehill.core import keyspace
-from sardinehill.core import routes
+from sardinehill.front import assignment_store
+from sardinehill.front import owners as owners_module
 from sardinehill.platform import exchanges
-from sardinehill.platform import store as store_module
 
-ASSIGNMENTS_KIND = "sardinehill-assignments"
 # Short enough that the keys of an upstream that vanished are served again in
 # seconds, long enough for another leader to take over before they lapse.
 HOLD_S = 2.4
@@ -31,7 +27,6 @@
 ORDER_TIMEOUT_S = 0.5
 RELEASE_TIMEOUT_S = 1.5
 ORDER_RETRY_S = 0.15
-CONNECT_TIMEOUT_S = 0.3
 TICK_S = 0.05
 PLAN_INTERVAL_S = 0.3
 # A leader that is replaced may send orders for so long after its last word
@@ -42,9 +37,6 @@
 UNUSABLE_S = 2.0
 # Spread over all keys, so that unused ones are divided evenly as well.
 BASE_LOAD_REQUESTS = 0.5
-SLOWNESS_MEMORY = 0.95
-SLOWNESS_LOWEST = 0.4
-SLOWNESS_HIGHEST = 8.0
 CLEAN_UP_S = 0.3
 # The very first plan waits until no upstream has joined for so long.
 GATHERING_S = 1.0
@@ -54,62 +46,35 @@
 FENCED_LEAP = 1000
 
 
-@dataclasses.dataclass
-class _Owner:
-    """One life of an upstream, as the leader knows it."""
-
-    life: keyspace.Life
-    address: str
-    slots: int
-    slowness: float = 1.0
-    confirmed_s: float = 0.0
-    failing_since_s: float | None = None
-    unusable_until_s: float = 0.0
-    connections: list[http1.Connection] = dataclasses.field(
-        default_factory=list
-    )
-
-
 class Keeper:
     """Keeps one service's keys owned while this daemon leads."""
 
     def __init__(
         self,
         service: str,
-        term: int,
-        store: store_module.Store,
-        upstreams: Callable[[], dict[str, routes.Upstream]],
-        zones_out: Callable[[], frozenset[str]],
+        store: assignment_store.AssignmentStore,
+        owners: owners_module.Owners,
         is_licensed: Callable[[], bool],
         is_settled: Callable[[], bool],
         on_change: Callable[[], None],
-        on_deposed: Callable[[], None],
         clock_s: Callable[[], float],
     ):
         self._service = service
-        self._term = term
         self._store = store
-        self._upstreams = upstreams
-        self._zones_out = zones_out
+        self._owners = owners
         self._is_licensed = is_licensed
         self._is_settled = is_settled
         self._on_change = on_change
-        self._on_deposed = on_deposed
         self._clock_s = clock_s
         self._assignment: keyspace.Assignment | None = None
-        self._revision = 0
-        self._owners: dict[keyspace.Life, _Owner] = {}
-        self._dead: set[keyspace.Life] = set()
         self._use = key_use.KeyUse(clock_s())
         self._plan_due_s = 0.0
-        self._joined_s = clock_s()
         self._loaded_s = 0.0
         self._plan_now = asyncio.Event()
         self._order_now = asyncio.Event()
         self._writing = asyncio.Lock()
         self._clean_due_s: float | None = None
         self._group: asyncio.TaskGroup | None = None
-        self.orders = 0
         self.moved_keys = 0
 
     # what the rest of the daemon asks
@@ -132,14 +97,12 @@
 
     def note_upstream(self, use: fleet_messages.UpstreamUse) -> None:
         """Takes in how slow an upstream was, against the others."""
-        for life, owner in self._owners.items():
-            if life[0] == use.upstream and use.answers > 0:
-                mean = use.slowness_sum / use.answers
-                kept = SLOWNESS_MEMORY**use.answers
-                slowness = owner.slowness * kept + mean * (1 - kept)
-                owner.slowness = min(
-                    max(slowness, SLOWNESS_LOWEST), SLOWNESS_HIGHEST
-                )
+        self._owners.note_slowness(use)
+
+    @property
+    def orders(self) -> int:
+        """How many orders were sent."""
+        return self._owners.orders
 
     def note_refused(self, refused: fleet_messages.RefusedSpan) -> None:
         """Grants a span again that its owner says it does not hold."""
@@ -167,41 +130,24 @@
                 await self._keep_ordered()
         finally:
             self._group = None
-            for owner in self._owners.values():
-                for connection in owner.connections:
-                    connection.close()
+            self._owners.close()
 
     async def _load(self) -> None:
         """Reads the assignment and raises its epochs above any other's."""
         while True:
-            try:
-                stored = await self._store.get(ASSIGNMENTS_KIND, self._service)
-                if stored is None:
-                    assignment = keyspace.empty()
-                    self._revision = 0
-                else:
-                    assignment = keyspace.from_document(
-                        stored.spec, self._first_end_s()
-                    )
-                    self._revision = stored.revision
-                keyspace.renew_epochs(assignment)
-                keyspace.merge(assignment)
-                if await self._write(assignment):
-                    self._assignment = assignment
+            sent_s = self._clock_s() + LICENCE_S
+            found = await self._store.read(
+                keyspace.latest_end_s(sent_s, HOLD_S)
+            )
+            if found is not None:
+                keyspace.renew_epochs(found)
+                keyspace.merge(found)
+                if await self._store.write(found):
+                    self._assignment = found
                     self._loaded_s = self._clock_s()
                     return
-            except (errors.StoreError, ValueError) as error:
-                events.log(
-                    events.ASSIGNMENT_CONFLICT,
-                    service=self._service,
-                    error=str(error)[:200],
-                )
             await asyncio.sleep(CONFLICT_RETRY_S)
 
-    def _first_end_s(self) -> float:
-        sent_s = self._clock_s() + LICENCE_S
-        return keyspace.latest_end_s(sent_s, HOLD_S)
-
     async def _keep_planned(self) -> None:
         """Writes new owners down when there are better ones.
 
@@ -228,7 +174,7 @@
     async def _keep_ordered(self) -> None:
         """Sends the grants and releases that are due."""
         while True:
-            self._learn_owners(self._clock_s())
+            self._owners.learn(self._clock_s())
             if self._is_licensed():
                 assert self._assignment is not None
                 for span in self._assignment.spans:
@@ -243,57 +189,18 @@
             return
         wanted.clear()
 
-    def _learn_owners(self, now_s: float) -> None:
-        for upstream in self._upstreams().values():
-            if upstream.service != self._service:
-                continue
-            owner = self._owners.get(upstream.life)
-            if owner is None:
-                self._owners[upstream.life] = _Owner(
-                    upstream.life, upstream.address, upstream.slots
-                )
-                self._owners[upstream.life].confirmed_s = now_s
-                self._joined_s = now_s
-                # An earlier life of the same id has certainly ended.
-                self._dead.update(
-                    life
-                    for life in self._owners
-                    if life[0] == upstream.id and life[1] < upstream.born_ms
-                )
-            else:
-                owner.address = upstream.address
-
-    def _capacities(
-        self, now_s: float
-    ) -> dict[keyspace.Life, key_plan.Capacity]:
-        """Returns what each upstream that may own keys can bear."""
-        zones_out = self._zones_out()
-        warm: dict[keyspace.Life, key_plan.Capacity] = {}
-        cold: dict[keyspace.Life, key_plan.Capacity] = {}
-        for upstream in self._upstreams().values():
-            owner = self._owners.get(upstream.life)
-            if owner is None or upstream.service != self._service:
-                continue
-            if upstream.is_draining or upstream.zone in zones_out:
-                continue
-            if now_s < owner.unusable_until_s or upstream.life in self._dead:
-                continue
-            room = key_plan.Capacity(owner.slots, owner.slowness)
-            if upstream.cold_left_s > 0:
-                cold[upstream.life] = room
-            else:
-                warm[upstream.life] = room
-        return warm or cold
-
     async def _plan(self, now_s: float) -> None:
         assignment = self._assignment
         assert assignment is not None
-        if assignment.top_epoch == 0 and now_s - self._joined_s < GATHERING_S:
+        if (
+            assignment.top_epoch == 0
+            and now_s - self._owners.joined_s < GATHERING_S
+        ):
             return
         if not self._has_confirmed_owners(now_s):
             self._plan_due_s = now_s + TICK_S
             return
-        capacities = self._capacities(now_s)
+        capacities = self._owners.capacities(now_s)
         moves = key_plan.plan(
             assignment, capacities, self._weights(), key_plan.PlanPolicy()
         )
@@ -303,7 +210,7 @@
         transfers = keyspace.apply_moves(planned, moves)
         if not transfers:
             return
-        if await self._write(planned):
+        if await self._store.write(planned):
             # Orders that were answered meanwhile are noted in the assignment
             # that was not copied, so the changes are made there as well.
             keyspace.apply_transfers(assignment, transfers)
@@ -325,7 +232,7 @@
         return all(
             span.granted_until_s > 0 or span.former is not None
             for span in self._assignment.spans
-            if span.owner in self._owners
+            if span.owner in self._owners.by_life
         )
 
     def _log_moves(
@@ -341,7 +248,7 @@
             moves=[[move.first, move.last, move.to[0]] for move in moves[:8]],
             keys=keys,
             upstreams=len(capacities),
-            revision=self._revision,
+            revision=self._store.revision,
         )
 
     async def _clean_up(self) -> None:
@@ -352,7 +259,7 @@
         if any(span.former is not None for span in assignment.spans):
             self._clean_due_s = self._clock_s() + CLEAN_UP_S
             return
-        await self._write(assignment)
+        await self._store.write(assignment)
 
     def _weights(self) -> key_plan.Weights:
         return key_plan.Weights(
@@ -360,73 +267,6 @@
             BASE_LOAD_REQUESTS / keyspace.KEY_COUNT,
         )
 
-    # the store
-
-    async def _write(self, assignment: keyspace.Assignment) -> bool:
-        """Writes an assignment; returns whether it certainly stands.
-
-        A write whose answer is lost is settled by reading the object back.
-        """
-        spec: dict[str, Any] = keyspace.to_document(assignment)
-        spec["term"] = self._term
-        spec["writer"] = f"{self._term}-{time.monotonic_ns()}"
-        try:
-            if self._revision == 0:
-                stored = await self._store.create(
-                    ASSIGNMENTS_KIND, self._service, spec
-                )
-            else:
-                stored = await self._store.replace(
-                    ASSIGNMENTS_KIND, self._service, spec, self._revision
-                )
-            self._revision = stored.revision
-        except errors.StoreConflictError as error:
-            events.log(
-                events.ASSIGNMENT_CONFLICT,
-                service=self._service,
-                error=str(error)[:200],
-            )
-            return await self._settle_write(spec)
-        except errors.StoreUnavailableError:
-            return await self._settle_write(spec)
-        except errors.StoreError as error:
-            events.log(
-                events.ASSIGNMENT_CONFLICT,
-                service=self._service,
-                error=str(error)[:200],
-            )
-            return False
-        events.log(
-            events.ASSIGNMENT_WRITTEN,
-            service=self._service,
-            revision=self._revision,
-            top_epoch=assignment.top_epoch,
-            spans=len(assignment.spans),
-        )
-        return True
-
-    async def _settle_write(self, spec: dict[str, Any]) -> bool:
-        """Reads the object back after a write without a clear outcome.
-
-        Such a write may still take effect later, so nothing else is written
-        at the same revision until a read shows that revision replaced.
-        """
-        while True:
-            try:
-                stored = await self._store.get(ASSIGNMENTS_KIND, self._service)
-            except errors.StoreError:
-                await asyncio.sleep(CONFLICT_RETRY_S)
-                continue
-            found = stored.spec if stored is not None else {}
-            if not isinstance(found, dict):
-                found = {}
-            self._revision = stored.revision if stored is not None else 0
-            if found.get("writer") == spec["writer"]:
-                return True
-            if int(found.get("term", 0)) > self._term:
-                self._on_deposed()
-            return False
-
     # orders
 
     def _serve_span(self, span: keyspace.Span, now_s: float) -> None:
@@ -434,7 +274,7 @@
             return
         assert self._group is not None
         if span.former is not None:
-            is_dead = span.former.life in self._dead
+            is_dead = span.former.life in self._owners.dead
             # While an earlier leader may still renew grants, only the former
             # owner's own word counts.
             judged_s = now_s if self._is_settled() else 0.0
@@ -457,14 +297,14 @@
         if span.live and span.granted_until_s < now_s:
             span.live = False
             self._on_change()
-        if span.owner in self._dead:
+        if span.owner in self._owners.dead:
             return
         span.ordering = True
         self._group.create_task(self._grant(span))
 
     async def _grant(self, span: keyspace.Span) -> None:
         assert span.owner is not None
-        owner = self._owners.get(span.owner)
+        owner = self._owners.by_life.get(span.owner)
         if owner is None:
             span.ordering = False
             span.next_order_s = self._clock_s() + ORDER_RETRY_S
@@ -473,16 +313,20 @@
         first, last = span.first, span.last
         sent_s = self._clock_s()
         pending = keyspace.grant_sent(
-            span, sent_s + CONNECT_TIMEOUT_S + ORDER_TIMEOUT_S, HOLD_S
+            span,
+            sent_s + owners_module.CONNECT_TIMEOUT_S + ORDER_TIMEOUT_S,
+            HOLD_S,
         )
         request = exchanges.grant_request(
             owner.address, life[0], first, last, epoch, HOLD_S, span.handover
         )
-        status, failure, _ = await self._order(
+        status, failure, _ = await self._owners.order(
             owner,
             request,
             ORDER_TIMEOUT_S,
-            lambda: self._is_whole(first, last, life, epoch),
+            lambda: (
+                self._is_licensed() and self._is_whole(first, last, life, epoch)
+            ),
         )
         arrived_s = self._clock_s()
         never_sent = failure is not None and not failure.written
@@ -511,7 +355,7 @@
     def _confirmed(
         self,
         span: keyspace.Span,
-        owner: _Owner,
+        owner: owners_module.Owner,
         sent_s: float,
         arrived_s: float,
     ) -> None:
@@ -571,7 +415,7 @@
 
     def _judge(
         self,
-        owner: _Owner,
+        owner: owners_module.Owner,
         status: int | None,
         failure: http1.ConnectionFailedError | None,
         first: int,
@@ -591,7 +435,7 @@
             return
         if status == 421:
             # The address belongs to another upstream: this one has ended.
-            self._dead.add(owner.life)
+            self._owners.dead.add(owner.life)
             self.upstreams_changed()
             return
         if owner.failing_since_s is None:
@@ -613,7 +457,9 @@
                 self._plan_due_s = 0.0
             owner.unusable_until_s = now_s + UNUSABLE_S
 
-    def _fenced(self, owner: _Owner, first: int, last: int, epoch: int) -> None:
+    def _fenced(
+        self, owner: owners_module.Owner, first: int, last: int, epoch: int
+    ) -> None:
         """Raises the epoch of a span whose owner has seen a higher one."""
         events.log(
             events.GRANT_FENCED,
@@ -627,7 +473,7 @@
         self._group.create_task(self._raise_epoch(first, last, owner, epoch))
 
     async def _raise_epoch(
-        self, first: int, last: int, owner: _Owner, epoch: int
+        self, first: int, last: int, owner: owners_module.Owner, epoch: int
     ) -> None:
         assignment = self._assignment
         assert assignment is not None
@@ -639,7 +485,7 @@
             for span in raised.spans:
                 if first <= span.first and span.last <= last:
                     span.epoch = raised.next_epoch()
-            if not await self._write(raised):
+            if not await self._store.write(raised):
                 return
             for part in self._parts(first, last, owner.life, epoch):
                 part.epoch = keyspace.find(raised.spans, part.first).epoch
@@ -650,7 +496,7 @@
         former = span.former
         assert former is not None
         first, last, epoch = span.first, span.last, span.epoch
-        owner = self._owners.get(former.life)
+        owner = self._owners.by_life.get(former.life)
         if owner is None:
             span.ordering = False
             span.next_order_s = self._clock_s() + ORDER_RETRY_S
@@ -659,8 +505,8 @@
             owner.address, former.life[0], first, last, former.epoch
         )
         sent_s = self._clock_s()
-        status, failure, answer = await self._order(
-            owner, request, RELEASE_TIMEOUT_S, lambda: True
+        status, failure, answer = await self._owners.order(
+            owner, request, RELEASE_TIMEOUT_S, self._is_licensed
         )
         now_s = self._clock_s()
         handover = exchanges.handover_of(answer) if answer else None
@@ -677,7 +523,7 @@
                 part.handover = handover
                 part.next_order_s = 0.0
             elif status == 421:
-                self._dead.add(former.life)
+                self._owners.dead.add(former.life)
                 part.next_order_s = 0.0
             else:
                 part.next_order_s = now_s + ORDER_RETRY_S
@@ -694,50 +540,6 @@
             owner.failing_since_s = now_s
         self._order_now.set()
 
-    async def _order(
-        self,
-        owner: _Owner,
-        request: bytes,
-        timeout_s: float,
-        is_current: Callable[[], bool],
-    ) -> tuple[
-        int | None, http1.ConnectionFailedError | None, http1.Answer | None
-    ]:
-        """Sends one order; returns its status, or why there is none.
-
-        Whether it is still to be sent is asked once more when a connection
-        is there, as opening one may take long.
-        """
-        self.orders += 1
-        connection: http1.Connection | None = None
-        now_s = asyncio.get_running_loop().time()
-        while owner.connections:
-            found = owner.connections.pop()
-            if found.is_reusable(now_s, 5.0):
-                connection = found
-                break
-            found.close()
-        try:
-            if connection is None:
-                connection = await http1.connect(
-                    owner.address, CONNECT_TIMEOUT_S
-                )
-            if not self._is_licensed() or not is_current():
-                error = http1.ConnectionFailedError("overtaken", written=False)
-                owner.connections.append(connection)
-                return None, error, None
-            async with asyncio.timeout(timeout_s):
-                answer = await connection.exchange(request)
-        except TimeoutError:
-            return None, http1.ConnectionFailedError("no answer", True), None
-        except http1.ConnectionFailedError as error:
-            if connection is not None:
-                connection.close()
-            return None, error, None
-        if connection.usable:
-            owner.connections.append(connection)
-        return answer.status, None, answer
-
 
 def _copy(assignment: keyspace.Assignment) -> keyspace.Assignment:
     spans = [
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -19,8 +19,10 @@
 from sardinehill import events
 from sardinehill.core import fleet_messages
 from sardinehill.core import shares
+from sardinehill.front import assignment_store
 from sardinehill.front import bus
 from sardinehill.front import keeper
+from sardinehill.front import owners
 from sardinehill.front import view as view_module
 from sardinehill.platform import store as store_module
 from sardinehill.wire import envelopes
@@ -598,14 +600,18 @@
         while True:
             duty = keeper.Keeper(
                 service,
-                self._term,
-                self._store,
-                lambda: self._view.upstreams,
-                lambda: self._view.zones_out,
+                assignment_store.AssignmentStore(
+                    service, self._term, self._store, self._deposed.set
+                ),
+                owners.Owners(
+                    service,
+                    lambda: self._view.upstreams,
+                    lambda: self._view.zones_out,
+                    self._clock_s(),
+                ),
                 self._is_licensed,
                 self._is_settled,
                 self._spans_changed,
-                self._deposed.set,
                 self._clock_s,
             )
             self._keepers[service] = duty
--- /dev/null
+++ b/src/sardinehill/front/owners.py
@@ -0,0 +1,174 @@
+"""The upstreams of one divided service, as its leader deals with them."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+from sardinehill import http1
+from sardinehill.core import fleet_messages
+from sardinehill.core import key_plan
+from sardinehill.core import keyspace
+from sardinehill.core import routes
+
+CONNECT_TIMEOUT_S = 0.3
+IDLE_LIMIT_S = 5.0
+SLOWNESS_MEMORY = 0.95
+SLOWNESS_LOWEST = 0.4
+SLOWNESS_HIGHEST = 8.0
+
+
+@dataclasses.dataclass
+class Owner:
+    """One life of an upstream.
+
+    Attributes:
+      life: its id and start.
+      address: where it takes orders.
+      slots: how many requests it runs at once.
+      slowness: its latency against the mean of all upstreams.
+      confirmed_s: when it last took a grant.
+      failing_since_s: since when it has not answered, or None.
+      unusable_until_s: it gets no keys before.
+      connections: idle ones to it.
+    """
+
+    life: keyspace.Life
+    address: str
+    slots: int
+    slowness: float = 1.0
+    confirmed_s: float = 0.0
+    failing_since_s: float | None = None
+    unusable_until_s: float = 0.0
+    connections: list[http1.Connection] = dataclasses.field(
+        default_factory=list
+    )
+
+
+class Owners:
+    """All lives of the service's upstreams that were seen.
+
+    Public attributes:
+      by_life: what is known of each.
+      dead: lives that have certainly ended.
+      joined_s: when the last one was first seen.
+      orders: how many orders were sent.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        upstreams: Callable[[], dict[str, routes.Upstream]],
+        zones_out: Callable[[], frozenset[str]],
+        now_s: float,
+    ):
+        self._service = service
+        self._upstreams = upstreams
+        self._zones_out = zones_out
+        self.by_life: dict[keyspace.Life, Owner] = {}
+        self.dead: set[keyspace.Life] = set()
+        self.joined_s = now_s
+        self.orders = 0
+
+    def close(self) -> None:
+        """Ends all connections."""
+        for owner in self.by_life.values():
+            for connection in owner.connections:
+                connection.close()
+
+    def learn(self, now_s: float) -> None:
+        """Takes in upstreams that have joined or moved."""
+        for upstream in self._upstreams().values():
+            if upstream.service != self._service:
+                continue
+            owner = self.by_life.get(upstream.life)
+            if owner is None:
+                self.by_life[upstream.life] = Owner(
+                    upstream.life, upstream.address, upstream.slots
+                )
+                self.by_life[upstream.life].confirmed_s = now_s
+                self.joined_s = now_s
+                # An earlier life of the same id has certainly ended.
+                self.dead.update(
+                    life
+                    for life in self.by_life
+                    if life[0] == upstream.id and life[1] < upstream.born_ms
+                )
+            else:
+                owner.address = upstream.address
+
+    def capacities(
+        self, now_s: float
+    ) -> dict[keyspace.Life, key_plan.Capacity]:
+        """Returns what each upstream that may own keys can bear."""
+        zones_out = self._zones_out()
+        warm: dict[keyspace.Life, key_plan.Capacity] = {}
+        cold: dict[keyspace.Life, key_plan.Capacity] = {}
+        for upstream in self._upstreams().values():
+            owner = self.by_life.get(upstream.life)
+            if owner is None or upstream.service != self._service:
+                continue
+            if upstream.is_draining or upstream.zone in zones_out:
+                continue
+            if now_s < owner.unusable_until_s or upstream.life in self.dead:
+                continue
+            room = key_plan.Capacity(owner.slots, owner.slowness)
+            if upstream.cold_left_s > 0:
+                cold[upstream.life] = room
+            else:
+                warm[upstream.life] = room
+        return warm or cold
+
+    def note_slowness(self, use: fleet_messages.UpstreamUse) -> None:
+        """Takes in how slow an upstream was, against the others."""
+        for life, owner in self.by_life.items():
+            if life[0] == use.upstream and use.answers > 0:
+                mean = use.slowness_sum / use.answers
+                kept = SLOWNESS_MEMORY**use.answers
+                slowness = owner.slowness * kept + mean * (1 - kept)
+                owner.slowness = min(
+                    max(slowness, SLOWNESS_LOWEST), SLOWNESS_HIGHEST
+                )
+
+    async def order(
+        self,
+        owner: Owner,
+        request: bytes,
+        timeout_s: float,
+        is_current: Callable[[], bool],
+    ) -> tuple[
+        int | None, http1.ConnectionFailedError | None, http1.Answer | None
+    ]:
+        """Sends one order; returns its status, or why there is none.
+
+        Whether it is still to be sent is asked once more when a connection
+        is there, as opening one may take long.
+        """
+        self.orders += 1
+        connection: http1.Connection | None = None
+        now_s = asyncio.get_running_loop().time()
+        while owner.connections:
+            found = owner.connections.pop()
+            if found.is_reusable(now_s, IDLE_LIMIT_S):
+                connection = found
+                break
+            found.close()
+        try:
+            if connection is None:
+                connection = await http1.connect(
+                    owner.address, CONNECT_TIMEOUT_S
+                )
+            if not is_current():
+                error = http1.ConnectionFailedError("overtaken", written=False)
+                owner.connections.append(connection)
+                return None, error, None
+            async with asyncio.timeout(timeout_s):
+                answer = await connection.exchange(request)
+        except TimeoutError:
+            return None, http1.ConnectionFailedError("no answer", True), None
+        except http1.ConnectionFailedError as error:
+            if connection is not None:
+                connection.close()
+            return None, error, None
+        if connection.usable:
+            owner.connections.append(connection)
+        return answer.status, None, answer
