--- /dev/null
+++ b/src/sardinehill/front/duties.py
@@ -0,0 +1,130 @@
+"""What a leader does while it leads: a keeper a divided service, allowances."""
+
+import asyncio
+from collections.abc import Callable
+
+from sardinehill import events
+from sardinehill.core import fleet_messages
+from sardinehill.core import shares
+from sardinehill.front import assignment_store
+from sardinehill.front import keeper
+from sardinehill.front import owners
+from sardinehill.front import view as view_module
+from sardinehill.platform import store as store_module
+
+RETRY_S = 0.1
+FIRST_LOOK_S = 0.01
+LOOK_INTERVAL_S = 0.1
+
+
+class Duties:
+    """The duties of one term.
+
+    Public attributes:
+      divider: divides client accounts' allowances.
+    """
+
+    def __init__(
+        self,
+        term: int,
+        store: store_module.Store,
+        view: view_module.View,
+        is_licensed: Callable[[], bool],
+        is_settled: Callable[[], bool],
+        on_change: Callable[[], None],
+        on_deposed: Callable[[], None],
+        clock_s: Callable[[], float],
+    ):
+        self._term = term
+        self._store = store
+        self._view = view
+        self._is_licensed = is_licensed
+        self._is_settled = is_settled
+        self._on_change = on_change
+        self._on_deposed = on_deposed
+        self._clock_s = clock_s
+        self._keepers: dict[str, keeper.Keeper] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self.divider = shares.Divider()
+
+    @property
+    def orders(self) -> int:
+        """How many orders were sent to upstreams."""
+        return sum(duty.orders for duty in self._keepers.values())
+
+    @property
+    def moved_keys(self) -> int:
+        """How many keys were given another owner."""
+        return sum(duty.moved_keys for duty in self._keepers.values())
+
+    async def run(self, group: asyncio.TaskGroup) -> None:
+        """Starts a keeper for each divided service, until cancelled."""
+        while True:
+            configuration = self._view.configuration
+            if configuration is not None and self._view.is_complete:
+                for service in configuration.services.values():
+                    if service.is_divided and service.name not in self._tasks:
+                        self._tasks[service.name] = group.create_task(
+                            self._keep(service.name)
+                        )
+            await asyncio.sleep(
+                LOOK_INTERVAL_S if self._tasks else FIRST_LOOK_S
+            )
+
+    def cancel(self) -> None:
+        """Ends the keepers."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    async def _keep(self, service: str) -> None:
+        while True:
+            duty = keeper.Keeper(
+                service,
+                assignment_store.AssignmentStore(
+                    service, self._term, self._store, self._on_deposed
+                ),
+                owners.Owners(
+                    service,
+                    lambda: self._view.upstreams,
+                    lambda: self._view.zones_out,
+                    self._clock_s(),
+                ),
+                self._is_licensed,
+                self._is_settled,
+                self._on_change,
+                self._clock_s,
+            )
+            self._keepers[service] = duty
+            try:
+                await duty.run()
+            except Exception as error:
+                events.log_failure(events.TASK_FAILED, error, task="keeper")
+                await asyncio.sleep(RETRY_S)
+
+    def upstreams_changed(self) -> None:
+        """Has all plans made again at once."""
+        for duty in self._keepers.values():
+            duty.upstreams_changed()
+
+    def use_report(self, report: fleet_messages.Report) -> None:
+        """Takes in what a daemon has counted."""
+        self.divider.report(
+            report.daemon,
+            {name: float(count) for name, count in report.demand.items()},
+        )
+        for use in report.keys:
+            if use.service in self._keepers:
+                self._keepers[use.service].note_use(use)
+        for upstream in report.upstreams:
+            for duty in self._keepers.values():
+                duty.note_upstream(upstream)
+        for refused in report.refused:
+            if refused.service in self._keepers:
+                self._keepers[refused.service].note_refused(refused)
+
+    def spans(self) -> dict[str, list[fleet_messages.TableSpan]] | None:
+        """Returns the owners by service, or None while there are none."""
+        spans = {
+            service: duty.table() for service, duty in self._keepers.items()
+        }
+        return spans if any(spans.values()) else None
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -18,21 +18,16 @@
 from sardinehill import errors
 from sardinehill import events
 from sardinehill.core import fleet_messages
-from sardinehill.core import shares
-from sardinehill.front import assignment_store
 from sardinehill.front import bus
+from sardinehill.front import duties
 from sardinehill.front import keeper
-from sardinehill.front import owners
+from sardinehill.front import registry
 from sardinehill.front import view as view_module
 from sardinehill.platform import store as store_module
 from sardinehill.wire import envelopes
 from sardinehill.wire import fleet
 from sardinehill.wire import kinds
 
-LEASES_KIND = "sardinehill-leases"
-LEASE_NAME = "leader"
-DAEMONS_KIND = "sardinehill-daemons"
-
 REPORT_INTERVAL_S = 0.25
 # A leader that was silent for so long is taken as lost.
 LEADER_SILENCE_S = 0.8
@@ -65,23 +60,6 @@
     store_reachable: bool = True
 
 
-@dataclasses.dataclass(frozen=True)
-class Lease:
-    """Who leads, as the store has it.
-
-    Attributes:
-      term: grows with each leader.
-      holder: the leader's name.
-      address: where its peers reach it.
-      life: one start of the leader's process.
-    """
-
-    term: int = 0
-    holder: str = ""
-    address: str = ""
-    life: str = ""
-
-
 class Leadership:
     """This daemon's part in having one leader.
 
@@ -107,16 +85,10 @@
         self._clock_s = clock_s
         self._take_report = take_report
         self._on_table = on_table
-        self._life = secrets.token_hex(8)
         self._term = 0
-        self._lease = Lease()
-        self._lease_revision = 0
-        self._peers: dict[str, str] = {}
+        self._registry = registry.Registry(name, address, store)
         self._followers: dict[str, _Follower] = {}
         self._heard: dict[str, float] = {}
-        self._keepers: dict[str, keeper.Keeper] = {}
-        self._keeper_tasks: dict[str, asyncio.Task[None]] = {}
-        self._divider = shares.Divider()
         self._serial = 0
         self._pushing = False
         self._table_heard_s = -1e9
@@ -127,11 +99,12 @@
         self._deposed = asyncio.Event()
         self._new_leader = asyncio.Event()
         self._no_leader = asyncio.Event()
-        self._leader_hint: Lease | None = None
+        self._leader_hint: registry.Lease | None = None
         self._resigning = False
         self._stopping = False
         self.table: fleet_messages.Table | None = None
         self.leads = False
+        self._duties = self._new_duties()
         view.subscribe(self._view_changed)
 
     # messages from peers
@@ -193,7 +166,7 @@
     def _addresses_to_ask(self) -> list[str]:
         addresses = [
             address
-            for name, address in self._peers.items()
+            for name, address in self._registry.peers.items()
             if name != self._name
         ]
         addresses.sort(key=lambda address: secrets.randbits(16))
@@ -204,33 +177,14 @@
     async def run(self) -> None:
         """Follows a leader, or leads, until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._register())
+            group.create_task(self._registry.register())
             group.create_task(self._lead_or_follow())
 
-    async def _register(self) -> None:
-        spec = {"address": self._address, "life": self._life}
-        while True:
-            try:
-                await self._write_registration(spec)
-                return
-            except errors.StoreError:
-                await asyncio.sleep(RETRY_S)
-
-    async def _write_registration(self, spec: dict[str, str]) -> None:
-        try:
-            await self._store.create(DAEMONS_KIND, self._name, spec)
-        except errors.StoreConflictError:
-            stored = await self._store.get(DAEMONS_KIND, self._name)
-            if stored is not None and _address_of(stored) != self._address:
-                await self._store.replace(
-                    DAEMONS_KIND, self._name, spec, stored.revision
-                )
-
     async def _lead_or_follow(self) -> None:
         while True:
             try:
                 await self._read_lease()
-                await self._read_peers()
+                await self._registry.read_peers()
                 break
             except errors.StoreError:
                 # Without the store peers cannot be found, nor a lease taken.
@@ -245,38 +199,15 @@
                 await asyncio.sleep(RETRY_S)
 
     async def _read_lease(self) -> None:
-        stored = await self._store.get(LEASES_KIND, LEASE_NAME)
-        self._note_lease(stored)
-
-    def _note_lease(self, stored: store_module.StoredObject | None) -> None:
-        if stored is None:
-            self._lease, self._lease_revision = Lease(), 0
-            return
-        spec = stored.spec if isinstance(stored.spec, dict) else {}
-        self._lease = Lease(
-            int(spec.get("term", 0)),
-            str(spec.get("holder", "")),
-            str(spec.get("address", "")),
-            str(spec.get("life", "")),
-        )
-        self._lease_revision = stored.revision
-        self._term = max(self._term, self._lease.term)
-
-    async def _read_peers(self) -> None:
-        objects, _ = await self._store.list_kind(DAEMONS_KIND)
-        self._peers = {
-            stored.name: address
-            for stored in objects
-            if (address := _address_of(stored))
-        }
-        self._peers[self._name] = self._address
+        await self._registry.read_lease()
+        self._term = max(self._term, self._registry.lease.term)
 
     async def _follow(self) -> bool:
         """Follows the leader that is known; returns whether it did.
 
         Returns False at once when there is none, or when it is this daemon.
         """
-        target = self._leader_hint or self._lease
+        target = self._leader_hint or self._registry.lease
         self._leader_hint = None
         self._new_leader.clear()
         if not target.holder or target.holder == self._name:
@@ -356,7 +287,7 @@
         """
         for outline, address in await self._ask_who_leads():
             if outline.term > self._term:
-                self._leader_hint = Lease(
+                self._leader_hint = registry.Lease(
                     outline.term, outline.leader, outline.leader_address
                 )
                 return True
@@ -367,7 +298,7 @@
                 and outline.leader != self._name
             ):
                 await self._follow_for(address, outline.term)
-                self._leader_hint = Lease(
+                self._leader_hint = registry.Lease(
                     outline.term, outline.leader, outline.leader_address
                 )
                 return True
@@ -399,7 +330,7 @@
 
         questions = [
             asyncio.ensure_future(ask(address))
-            for name, address in self._peers.items()
+            for name, address in self._registry.peers.items()
             if name != self._name
         ]
         if not questions:
@@ -426,7 +357,7 @@
             self._term = table.term
             if self.leads:
                 self._deposed.set()
-            self._leader_hint = Lease(
+            self._leader_hint = registry.Lease(
                 table.term, table.leader, table.leader_address
             )
             self._new_leader.set()
@@ -474,7 +405,7 @@
             await asyncio.sleep(RETRY_S)
             return
         try:
-            await self._read_peers()
+            await self._registry.read_peers()
         except errors.StoreError:
             # Those that are known already can still be asked.
             await asyncio.sleep(RETRY_S)
@@ -486,21 +417,22 @@
                 and outline.age_s < LEADER_SILENCE_S / 2
                 and not outline.resigned
             ):
-                self._leader_hint = Lease(
+                self._leader_hint = registry.Lease(
                     outline.term, outline.leader, outline.leader_address
                 )
                 return
         await self._wait_for_turn(len(known))
         if self._leader_hint is not None:
             return
-        before = self._lease
+        before = self._registry.lease
         try:
             await self._read_lease()
-            if self._lease.term > before.term:
+            if self._registry.lease.term > before.term:
                 return
-            taken = await self._take_lease()
+            taken = await self._registry.take_lease(self._term + 1)
+            self._term = max(self._term, self._registry.lease.term)
             if taken:
-                await self._read_peers()
+                await self._registry.read_peers()
         except errors.StoreError:
             await asyncio.sleep(RETRY_S)
             return
@@ -509,7 +441,7 @@
 
     async def _wait_for_turn(self, answered: int) -> None:
         ranked = sorted(
-            self._peers,
+            self._registry.peers,
             key=lambda name: hashlib.blake2b(
                 f"{self._term} {name}".encode(), digest_size=8
             ).digest(),
@@ -517,7 +449,10 @@
         rank = ranked.index(self._name) if self._name in ranked else 0
         # Only those that answered can be ahead, so the wait is bounded.
         rank = min(rank, answered)
-        if self._lease.holder == self._name or not self._lease.holder:
+        if (
+            self._registry.lease.holder == self._name
+            or not self._registry.lease.holder
+        ):
             rank = min(rank, 1)
         try:
             async with asyncio.timeout(rank * TURN_S):
@@ -525,27 +460,6 @@
         except TimeoutError:
             return
 
-    async def _take_lease(self) -> bool:
-        spec = {
-            "term": self._term + 1,
-            "holder": self._name,
-            "address": self._address,
-            "life": self._life,
-        }
-        try:
-            if self._lease_revision == 0:
-                stored = await self._store.create(LEASES_KIND, LEASE_NAME, spec)
-            else:
-                stored = await self._store.replace(
-                    LEASES_KIND, LEASE_NAME, spec, self._lease_revision
-                )
-            self._note_lease(stored)
-        except (errors.StoreConflictError, errors.StoreUnavailableError):
-            await self._read_lease()
-        return (
-            self._lease.life == self._life and self._lease.term == spec["term"]
-        )
-
     # leading
 
     async def _lead(self) -> None:
@@ -556,16 +470,14 @@
         self._ended_peers = set()
         self._heard = {}
         self._serial += 1
-        self._divider = shares.Divider()
-        self._keepers = {}
-        self._keeper_tasks = {}
+        self._duties = self._new_duties()
         self._resigning = False
         events.log(
             events.LEASE_TAKEN,
             service="all",
             term=self._term,
-            revision=self._lease_revision,
-            peers=len(self._peers),
+            revision=self._registry.lease_revision,
+            peers=len(self._registry.peers),
         )
         try:
             async with asyncio.TaskGroup() as group:
@@ -573,56 +485,31 @@
                     group.create_task(self._announce()),
                     group.create_task(self._beat()),
                     group.create_task(self._check_lease()),
-                    group.create_task(self._keep_services(group)),
+                    group.create_task(self._duties.run(group)),
                 ]
                 await self._deposed.wait()
                 for task in tasks:
                     task.cancel()
-                for task in self._keeper_tasks.values():
-                    task.cancel()
+                self._duties.cancel()
         finally:
             self.leads = False
-            self._keepers = {}
+            self._duties = self._new_duties()
             events.log(events.LEASE_LOST, service="all", term=self._term)
 
-    async def _keep_services(self, group: asyncio.TaskGroup) -> None:
-        while True:
-            configuration = self._view.configuration
-            if configuration is not None and self._view.is_complete:
-                for service in configuration.services.values():
-                    if service.is_divided and service.name not in self._keepers:
-                        self._keeper_tasks[service.name] = group.create_task(
-                            self._keep(service.name)
-                        )
-            await asyncio.sleep(0.1 if self._keepers else 0.01)
-
-    async def _keep(self, service: str) -> None:
-        while True:
-            duty = keeper.Keeper(
-                service,
-                assignment_store.AssignmentStore(
-                    service, self._term, self._store, self._deposed.set
-                ),
-                owners.Owners(
-                    service,
-                    lambda: self._view.upstreams,
-                    lambda: self._view.zones_out,
-                    self._clock_s(),
-                ),
-                self._is_licensed,
-                self._is_settled,
-                self._spans_changed,
-                self._clock_s,
-            )
-            self._keepers[service] = duty
-            try:
-                await duty.run()
-            except Exception as error:
-                events.log_failure(events.TASK_FAILED, error, task="keeper")
-                await asyncio.sleep(RETRY_S)
+    def _new_duties(self) -> duties.Duties:
+        return duties.Duties(
+            self._term,
+            self._store,
+            self._view,
+            self._is_licensed,
+            self._is_settled,
+            self._spans_changed,
+            self._deposed.set,
+            self._clock_s,
+        )
 
     def _majority(self) -> int:
-        return len(self._peers) // 2 + 1
+        return len(self._registry.peers) // 2 + 1
 
     def _heard_lately(self, within_s: float) -> int:
         now_s = self._clock_s()
@@ -640,7 +527,7 @@
         """
         count = self._heard_lately(SERVING_UNHEARD_S)
         if self._clock_s() - self._led_since_s < SERVING_UNHEARD_S:
-            count = max(count, len(self._peers))
+            count = max(count, len(self._registry.peers))
         return max(1, count)
 
     def _is_licensed(self) -> bool:
@@ -685,7 +572,7 @@
             await asyncio.gather(
                 *(
                     tell(name, address)
-                    for name, address in self._peers.items()
+                    for name, address in self._registry.peers.items()
                     if name not in self._followers and name != self._name
                 )
             )
@@ -699,7 +586,7 @@
 
     def _report_to_self(self) -> None:
         report = self._take_report()
-        self._use_report(report)
+        self._duties.use_report(report)
 
     async def _check_lease(self) -> None:
         """Confirms the term by the store when too few daemons do."""
@@ -709,11 +596,10 @@
             if self._heard_lately(FOLLOWER_SILENCE_S) < self._majority():
                 asked_s = self._clock_s()
                 try:
-                    stored = await self._store.get(LEASES_KIND, LEASE_NAME)
+                    await self._read_lease()
                 except errors.StoreError:
                     continue
-                self._note_lease(stored)
-                if self._lease.life != self._life:
+                if not self._registry.holds_lease:
                     self._deposed.set()
                     return
                 self._confirmed_s = asked_s
@@ -724,25 +610,14 @@
     async def _forget_daemons(self) -> None:
         """Removes the registrations of daemons that nobody has heard."""
         now_s = self._clock_s()
-        silent = [
-            name
-            for name in self._peers
-            if name != self._name
-            and now_s - self._heard.get(name, -1e9) > FORGET_DAEMON_S
-        ]
-        if not silent:
-            return
-        try:
-            objects, _ = await self._store.list_kind(DAEMONS_KIND)
-            for stored in objects:
-                if stored.name in silent:
-                    await self._store.delete(
-                        DAEMONS_KIND, stored.name, stored.revision
-                    )
-                    events.log(events.PEER_LOST, peer=stored.name)
-            await self._read_peers()
-        except errors.StoreError as error:
-            logging.getLogger(__name__).warning("not forgotten: %s", error)
+        await self._registry.forget(
+            [
+                name
+                for name in self._registry.peers
+                if name != self._name
+                and now_s - self._heard.get(name, -1e9) > FORGET_DAEMON_S
+            ]
+        )
 
     def _take_in(self, link: bus.Link, report: fleet_messages.Report) -> None:
         now_s = self._clock_s()
@@ -757,26 +632,11 @@
         follower.store_reachable = report.store_reachable
         if self.leads:
             self._heard[report.daemon] = now_s
-            self._peers.setdefault(report.daemon, report.address)
-            self._use_report(report)
+            self._registry.peers.setdefault(report.daemon, report.address)
+            self._duties.use_report(report)
             self._hand_over_if_cut_off(link, follower)
         self._push_to(report.daemon, follower)
 
-    def _use_report(self, report: fleet_messages.Report) -> None:
-        self._divider.report(
-            report.daemon,
-            {name: float(count) for name, count in report.demand.items()},
-        )
-        for use in report.keys:
-            if use.service in self._keepers:
-                self._keepers[use.service].note_use(use)
-        for upstream in report.upstreams:
-            for duty in self._keepers.values():
-                duty.note_upstream(upstream)
-        for refused in report.refused:
-            if refused.service in self._keepers:
-                self._keepers[refused.service].note_refused(refused)
-
     def _hand_over_if_cut_off(
         self, link: bus.Link, follower: _Follower
     ) -> None:
@@ -809,8 +669,7 @@
     # the table
 
     def _view_changed(self) -> None:
-        for duty in self._keepers.values():
-            duty.upstreams_changed()
+        self._duties.upstreams_changed()
 
     def _spans_changed(self) -> None:
         self._serial += 1
@@ -825,7 +684,7 @@
         self._pushing = False
         if self.leads:
             table = self._outline()
-            table.spans = self._spans()
+            table.spans = self._duties.spans()
             table.shares = self._shares_of(self._name)
             self.table = table
             self._table_heard_s = self._clock_s()
@@ -838,7 +697,7 @@
         if self.leads:
             table.shares = self._shares_of(name)
             spans: dict[str, list[fleet_messages.TableSpan]] | None
-            spans = self._spans()
+            spans = self._duties.spans()
         else:
             spans = self.table.spans if self.table is not None else None
         marker = (table.term << 32) + table.serial
@@ -847,17 +706,12 @@
             follower.serial_sent = marker
         follower.link.send(kinds.Kind.TABLE, fleet.encode_table(table))
 
-    def _spans(self) -> dict[str, list[fleet_messages.TableSpan]] | None:
-        spans = {
-            service: duty.table() for service, duty in self._keepers.items()
-        }
-        return spans if any(spans.values()) else None
-
     def _shares_of(self, name: str) -> dict[str, float]:
         daemons = self._daemons()
+        divider = self._duties.divider
         return {
-            account: self._divider.share(account, name, daemons)
-            for account in self._divider.accounts()
+            account: divider.share(account, name, daemons)
+            for account in divider.accounts()
         }
 
     def status(self) -> dict[str, Any]:
@@ -866,14 +720,6 @@
             "leads": int(self.leads),
             "term": self._term,
             "followers": len(self._followers),
-            "orders": sum(duty.orders for duty in self._keepers.values()),
-            "moved_keys": sum(
-                duty.moved_keys for duty in self._keepers.values()
-            ),
+            "orders": self._duties.orders,
+            "moved_keys": self._duties.moved_keys,
         }
-
-
-def _address_of(stored: store_module.StoredObject) -> str:
-    spec = stored.spec
-    address = spec.get("address") if isinstance(spec, dict) else None
-    return address if isinstance(address, str) else ""
--- /dev/null
+++ b/src/sardinehill/front/registry.py
@@ -0,0 +1,157 @@
+"""Daemons and their leader's lease, as the store has them."""
+
+import asyncio
+import dataclasses
+import secrets
+
+from sardinehill import errors
+from sardinehill import events
+from sardinehill.platform import store as store_module
+
+LEASES_KIND = "sardinehill-leases"
+LEASE_NAME = "leader"
+DAEMONS_KIND = "sardinehill-daemons"
+RETRY_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class Lease:
+    """Who leads, as the store has it.
+
+    Attributes:
+      term: grows with each leader.
+      holder: the leader's name.
+      address: where its peers reach it.
+      life: one start of the leader's process.
+    """
+
+    term: int = 0
+    holder: str = ""
+    address: str = ""
+    life: str = ""
+
+
+class Registry:
+    """This daemon's registration, its peers', and the lease.
+
+    Public attributes:
+      peers: where each registered daemon is reached, this one included.
+      lease: as last read or written.
+      lease_revision: of the lease's object; 0 while there is none.
+    """
+
+    def __init__(self, name: str, address: str, store: store_module.Store):
+        self._name = name
+        self._address = address
+        self._store = store
+        self._life = secrets.token_hex(8)
+        self.peers: dict[str, str] = {}
+        self.lease = Lease()
+        self.lease_revision = 0
+
+    @property
+    def holds_lease(self) -> bool:
+        """Whether the lease names this life of this daemon."""
+        return self.lease.life == self._life
+
+    async def register(self) -> None:
+        """Writes where this daemon is reached, as soon as that works."""
+        spec = {"address": self._address, "life": self._life}
+        while True:
+            try:
+                await self._write_registration(spec)
+                return
+            except errors.StoreError:
+                await asyncio.sleep(RETRY_S)
+
+    async def _write_registration(self, spec: dict[str, str]) -> None:
+        try:
+            await self._store.create(DAEMONS_KIND, self._name, spec)
+        except errors.StoreConflictError:
+            stored = await self._store.get(DAEMONS_KIND, self._name)
+            if stored is not None and _address_of(stored) != self._address:
+                await self._store.replace(
+                    DAEMONS_KIND, self._name, spec, stored.revision
+                )
+
+    async def read_lease(self) -> None:
+        """Reads the lease.
+
+        Raises:
+          StoreError: it could not be read.
+        """
+        stored = await self._store.get(LEASES_KIND, LEASE_NAME)
+        self._note_lease(stored)
+
+    def _note_lease(self, stored: store_module.StoredObject | None) -> None:
+        if stored is None:
+            self.lease, self.lease_revision = Lease(), 0
+            return
+        spec = stored.spec if isinstance(stored.spec, dict) else {}
+        self.lease = Lease(
+            int(spec.get("term", 0)),
+            str(spec.get("holder", "")),
+            str(spec.get("address", "")),
+            str(spec.get("life", "")),
+        )
+        self.lease_revision = stored.revision
+
+    async def read_peers(self) -> None:
+        """Reads where daemons are reached.
+
+        Raises:
+          StoreError: the list could not be read.
+        """
+        objects, _ = await self._store.list_kind(DAEMONS_KIND)
+        self.peers = {
+            stored.name: address
+            for stored in objects
+            if (address := _address_of(stored))
+        }
+        self.peers[self._name] = self._address
+
+    async def take_lease(self, term: int) -> bool:
+        """Writes this daemon into the lease; returns whether it stands.
+
+        Raises:
+          StoreError: that is not known, or it was not written.
+        """
+        spec = {
+            "term": term,
+            "holder": self._name,
+            "address": self._address,
+            "life": self._life,
+        }
+        try:
+            if self.lease_revision == 0:
+                stored = await self._store.create(LEASES_KIND, LEASE_NAME, spec)
+            else:
+                stored = await self._store.replace(
+                    LEASES_KIND, LEASE_NAME, spec, self.lease_revision
+                )
+            self._note_lease(stored)
+        except (errors.StoreConflictError, errors.StoreUnavailableError):
+            await self.read_lease()
+        return self.lease.life == self._life and self.lease.term == term
+
+    async def forget(self, names: list[str]) -> None:
+        """Removes the registrations of daemons that have gone."""
+        if not names:
+            return
+        try:
+            objects, _ = await self._store.list_kind(DAEMONS_KIND)
+            for stored in objects:
+                if stored.name in names:
+                    await self._store.delete(
+                        DAEMONS_KIND, stored.name, stored.revision
+                    )
+                    events.log(events.PEER_LOST, peer=stored.name)
+            await self.read_peers()
+        except errors.StoreError as error:
+            events.log(events.MEMBERS_NOT_WRITTEN, error=str(error)[:200])
+
+
+def _address_of(stored: store_module.StoredObject) -> str:
+    spec = stored.spec
+    address = spec.get("address") if isinstance(spec, dict) else None
+    return address if isinstance(address, str) else ""
