Send an order only for what it was decided for

Ruled out: lapse by a wrong clock (the hold had 2.4 s left), a change of leader (none before 33 s), stray answers (no garbling then).

A grant or release is now a value that keeps what it was decided for; it counts as sent from that moment, is dropped when the keys have changed since, and its outcome is noted for what is left of its keys. The bookkeeping of orders moved from keeper and keyspace to core/key_orders, the sending to front/orders.

Mended with it, found while reading: a span whose epoch was raised while a grant was on its way stayed marked as being ordered for good; an owner that was granted while its keys' move was being written was missing from the stored former owners; an earlier leader's last orders were counted from the load of the assignment and not from when a majority had left it; releases go over a connection of their own, as a stray answer would pass for theirs.

--- a/src/sardinehill/core/keyspace.py
+++ b/src/sardinehill/core/keyspace.py
@@ -13,10 +13,6 @@
 from typing import Any
 
 KEY_COUNT = 65536
-# An upstream's clock may run this much slow while it measures a grant.
-CLOCK_DRIFT_RATIO = 0.02
-# How long an order may still be on its way once its connection is closed.
-IN_FLIGHT_MARGIN_S = 0.15
 
 Life = tuple[str, int]
 
@@ -119,11 +115,6 @@
     return spans[index - 1]
 
 
-def latest_end_s(sent_s: float, hold_s: float) -> float:
-    """Returns when a grant that was on its way until `sent_s` has lapsed."""
-    return sent_s + hold_s * (1 + CLOCK_DRIFT_RATIO) + IN_FLIGHT_MARGIN_S
-
-
 def to_document(assignment: Assignment) -> dict[str, Any]:
     """Returns what the store keeps of an assignment."""
     return {
@@ -252,7 +243,9 @@
 
 
 def _change_owner(span: Span, owner: Life, epoch: int) -> None:
-    if span.owner is not None and span.holds_until_s > 0:
+    if span.owner is not None:
+        # Also one that was not granted yet: it may be, while this change is on
+        # its way to the store.
         span.former = Former(
             span.owner,
             span.epoch,
@@ -313,79 +306,3 @@
         and not before.ordering
         and not span.ordering
     )
-
-
-def former_is_gone(span: Span, now_s: float, is_dead: bool) -> bool:
-    """Returns whether a span's former owner holds it no more.
-
-    Args:
-      span: one that waits for a former owner.
-      now_s: the time by the clock that `holds_until_s` is in.
-      is_dead: whether that life of the upstream has certainly ended.
-    """
-    former = span.former
-    if former is None or is_dead or now_s >= former.holds_until_s:
-        return True
-    return former.released and now_s >= former.unanswered_until_s
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Pending:
-    """What was known of a holder before a grant was sent to it."""
-
-    holds_until_s: float
-    unanswered_until_s: float
-
-
-def grant_sent(span: Span, closed_by_s: float, hold_s: float) -> Pending:
-    """Notes that a grant goes out; it counts as taken until it is answered.
-
-    Args:
-      span: what is granted.
-      closed_by_s: by then it has arrived, or its connection is closed.
-      hold_s: how long it holds from its arrival.
-    """
-    pending = Pending(span.holds_until_s, span.unanswered_until_s)
-    end_s = latest_end_s(closed_by_s, hold_s)
-    span.holds_until_s = max(span.holds_until_s, end_s)
-    span.unanswered_until_s = max(span.unanswered_until_s, end_s)
-    return pending
-
-
-def grant_never_sent(holder: Span | Former, pending: Pending) -> None:
-    """Notes that no byte of a grant has left."""
-    holder.holds_until_s = pending.holds_until_s
-    holder.unanswered_until_s = pending.unanswered_until_s
-
-
-def grant_answered(holder: Span | Former, pending: Pending) -> None:
-    """Notes that a grant was answered; others may still be unanswered."""
-    holder.unanswered_until_s = pending.unanswered_until_s
-
-
-def grant_taken(span: Span, arrived_s: float, hold_s: float) -> None:
-    """Notes that the owner has taken a grant, and so has seen the epoch."""
-    span.holds_until_s = max(
-        latest_end_s(arrived_s, hold_s), span.unanswered_until_s
-    )
-    span.earlier_until_s = 0.0
-
-
-def note_regranted(former: Former, now_s: float, hold_s: float) -> None:
-    """Notes that a former owner has answered a grant that was on its way."""
-    former.regranted_s = now_s
-    former.holds_until_s = latest_end_s(now_s, hold_s)
-    former.released = False
-
-
-def note_released(former: Former, sent_s: float) -> None:
-    """Notes that a former owner has answered a release sent at `sent_s`."""
-    if sent_s >= former.regranted_s:
-        former.released = True
-
-
-def settle(span: Span, handover: str | None) -> None:
-    """Notes that the former owner is gone: the owner may be granted."""
-    span.former = None
-    span.handover = handover
-    span.next_order_s = 0.0
--- a/src/sardinehill/front/duties.py
+++ b/src/sardinehill/front/duties.py
@@ -50,7 +50,7 @@
     @property
     def orders(self) -> int:
         """How many orders were sent to upstreams."""
-        return sum(duty.orders for duty in self._keepers.values())
+        return sum(duty.orders_sent for duty in self._keepers.values())
 
     @property
     def moved_keys(self) -> int:
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -19,7 +19,7 @@
 from sardinehill.core import fleet_messages
 from sardinehill.front import bus
 from sardinehill.front import duties
-from sardinehill.front import keeper
+from sardinehill.front import orders
 from sardinehill.front import registry
 from sardinehill.front import view as view_module
 from sardinehill.platform import store as store_module
@@ -530,9 +530,9 @@
     def _is_licensed(self) -> bool:
         if not self.leads or self._resigning or self._deposed.is_set():
             return False
-        if self._clock_s() - self._confirmed_s < keeper.LICENCE_S:
+        if self._clock_s() - self._confirmed_s < orders.LICENCE_S:
             return True
-        return self._heard_lately(keeper.LICENCE_S) >= self._majority()
+        return self._heard_lately(orders.LICENCE_S) >= self._majority()
 
     def _is_settled(self) -> bool:
         """Returns whether no earlier leader can have its licence renewed.
--- a/src/sardinehill/front/owners.py
+++ b/src/sardinehill/front/owners.py
@@ -44,6 +44,25 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderResult:
+    """How an order ended.
+
+    Attributes:
+      status: the answer's status, or None without an answer.
+      error: why there is no answer.
+      written: whether any byte of the order may have left this host.
+      overtaken: whether it was not sent as it was no longer wanted.
+      answer: the whole answer, or None.
+    """
+
+    status: int | None = None
+    error: str = ""
+    written: bool = False
+    overtaken: bool = False
+    answer: http1.Answer | None = None
+
+
 class Owners:
     """All lives of the service's upstreams that were seen.
 
@@ -134,41 +153,50 @@
         owner: Owner,
         request: bytes,
         timeout_s: float,
-        is_current: Callable[[], bool],
-    ) -> tuple[
-        int | None, http1.ConnectionFailedError | None, http1.Answer | None
-    ]:
-        """Sends one order; returns its status, or why there is none.
-
-        Whether it is still to be sent is asked once more when a connection
-        is there, as opening one may take long.
+        may_send: Callable[[], bool],
+        on_new_connection: bool = False,
+    ) -> OrderResult:
+        """Sends one order.
+
+        Args:
+          owner: who gets it.
+          request: the whole request.
+          timeout_s: how long to wait for the answer.
+          may_send: asked once more when a connection is there, as opening one
+            may take long.
+          on_new_connection: whether a kept connection will not do: a stray
+            answer on it would be taken as the answer to this order.
         """
         self.orders += 1
         connection: http1.Connection | None = None
-        now_s = asyncio.get_running_loop().time()
-        while owner.connections:
-            found = owner.connections.pop()
-            if found.is_reusable(now_s, IDLE_LIMIT_S):
-                connection = found
-                break
-            found.close()
+        if not on_new_connection:
+            connection = _take_idle(owner)
         try:
             if connection is None:
                 connection = await http1.connect(
                     owner.address, CONNECT_TIMEOUT_S
                 )
-            if not is_current():
-                error = http1.ConnectionFailedError("overtaken", written=False)
+            if not may_send():
                 owner.connections.append(connection)
-                return None, error, None
+                return OrderResult(error="overtaken", overtaken=True)
             async with asyncio.timeout(timeout_s):
                 answer = await connection.exchange(request)
         except TimeoutError:
-            return None, http1.ConnectionFailedError("no answer", True), None
+            return OrderResult(error="no answer", written=True)
         except http1.ConnectionFailedError as error:
             if connection is not None:
                 connection.close()
-            return None, error, None
+            return OrderResult(error=str(error), written=error.written)
         if connection.usable:
             owner.connections.append(connection)
-        return answer.status, None, answer
+        return OrderResult(status=answer.status, written=True, answer=answer)
+
+
+def _take_idle(owner: Owner) -> http1.Connection | None:
+    now_s = asyncio.get_running_loop().time()
+    while owner.connections:
+        found = owner.connections.pop()
+        if found.is_reusable(now_s, IDLE_LIMIT_S):
+            return found
+        found.close()
+    return None
--- a/tests/slow/test_keyspace_machine.py
+++ b/tests/slow/test_keyspace_machine.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from sardinehill.core import key_orders
 from sardinehill.core import keyspace
 
 HOLD_S = 2.4
@@ -20,16 +21,12 @@
 
 
 @dataclasses.dataclass
-class Grant:
-    """An order that is on its way."""
+class Flight:
+    """A grant that is on its way."""
 
-    first: int
-    last: int
-    life: keyspace.Life
-    epoch: int
+    grant: key_orders.Grant
     arrives_s: float
-    pending: keyspace.Pending = keyspace.Pending(0.0, 0.0)
-    is_answered: bool = False
+    is_answered: bool
 
 
 class Upstream:
@@ -46,7 +43,7 @@
                 return 409
         self.seen.append((grant.first, grant.last, grant.epoch))
         # Its clock runs as slow as clocks are allowed to.
-        until_s = now_s + HOLD_S * (1 + keyspace.CLOCK_DRIFT_RATIO)
+        until_s = now_s + HOLD_S * (1 + key_orders.CLOCK_DRIFT_RATIO)
         self.holds.append((grant.first, grant.last, grant.epoch, until_s))
         return 200
 
@@ -78,28 +75,36 @@
     ignore_release = False
     forget_order = False
     forget_first_order = False
+    read_late = False
 
     def __init__(self):
         super().__init__()
         self.now_s = 10.0
         self.upstreams = {life: Upstream() for life in LIVES}
         self.assignment = keyspace.empty()
+        self.decided = []
         self.in_flight = []
         self.releases = []
 
     @stateful.rule(seconds=st.sampled_from([0.05, 0.3, 0.9, 2.6]))
     def time_passes(self, seconds):
         end_s = self.now_s + seconds
-        for grant in sorted(self.in_flight, key=lambda one: one.arrives_s):
-            if grant.arrives_s <= end_s:
-                self.now_s = max(self.now_s, grant.arrives_s)
-                status = self.upstreams[grant.life].grant(grant, self.now_s)
-                if status == 200 and grant.is_answered:
-                    self.answer(grant)
+        for flight in sorted(self.in_flight, key=lambda one: one.arrives_s):
+            if flight.arrives_s <= end_s:
+                self.now_s = max(self.now_s, flight.arrives_s)
+                self.arrive(flight)
                 self.check()
-                self.in_flight.remove(grant)
+                self.in_flight.remove(flight)
         self.now_s = end_s
 
+    def arrive(self, flight):
+        grant = flight.grant
+        status = self.upstreams[grant.life].grant(grant, self.now_s)
+        if flight.is_answered and status == 200:
+            self.conclude(grant, key_orders.Outcome.TAKEN)
+        elif flight.is_answered:
+            self.conclude(grant, key_orders.Outcome.REFUSED)
+
     @stateful.rule(
         part=st.integers(0, PARTS - 1),
         width=st.integers(1, PARTS),
@@ -111,68 +116,96 @@
         move = keyspace.Move(part * size, last, to)
         keyspace.apply_moves(self.assignment, [move])
 
-    def answer(self, grant):
-        """The leader hears that a grant was taken, however late."""
-        for span in self.assignment.spans:
-            if not (grant.first <= span.first and span.last <= grant.last):
-                continue
-            if span.owner == grant.life and span.epoch == grant.epoch:
-                keyspace.grant_answered(span, grant.pending)
-                self.take(span)
-            former = span.former
-            if former is not None and former.epoch == grant.epoch:
-                keyspace.grant_answered(former, grant.pending)
-                if not self.forget_order:
-                    keyspace.note_regranted(former, self.now_s, HOLD_S)
+    def conclude(self, grant, outcome):
+        before = [
+            (span, span.former, span.former.regranted_s)
+            for span in self.assignment.spans
+            if span.former is not None
+        ]
+        released = [former.released for _, former, _ in before]
+        spans = key_orders.conclude_grant(
+            self.assignment, grant, outcome, self.now_s, HOLD_S
+        )
+        if self.forget_order:
+            for (_, former, regranted_s), was in zip(
+                before, released, strict=True
+            ):
+                former.regranted_s, former.released = regranted_s, was
+        for span in spans:
+            if self.forget_first_order:
+                span.unanswered_until_s = 0.0
+            span.live = span.live or outcome is key_orders.Outcome.TAKEN
 
     @stateful.rule()
     def releases_are_sent(self):
         for span in self.assignment.spans:
-            if span.former is None:
+            if span.former is None or span.ordering:
                 continue
             if not self.ignore_release:
                 holder = self.upstreams[span.former.life]
                 holder.release(span.first, span.last)
-            self.releases.append((span.first, span.former.epoch, self.now_s))
-
-    @stateful.rule()
-    def releases_are_answered(self):
-        for first, epoch, sent_s in self.releases:
-            for span in self.assignment.spans:
-                former = span.former
-                if former and (span.first, former.epoch) == (first, epoch):
-                    keyspace.note_released(former, sent_s)
+            self.releases.append(key_orders.decide_release(span, self.now_s))
+
+    @stateful.rule(is_answered=st.booleans())
+    def releases_are_answered(self, is_answered):
+        for release in self.releases:
+            key_orders.conclude_release(
+                self.assignment, release, is_answered, None
+            )
         self.releases = []
 
-    @stateful.rule(outcome=st.sampled_from(OUTCOMES))
-    def owners_are_granted(self, outcome):
+    @stateful.rule()
+    def grants_are_decided(self):
         for span in self.assignment.spans:
+            if span.owner is None or span.ordering:
+                continue
             if span.former is not None:
-                if not keyspace.former_is_gone(span, self.now_s, is_dead=False):
+                if not key_orders.former_is_gone(
+                    span, self.now_s, is_dead=False
+                ):
                     continue
-                keyspace.settle(span, None)
-            if span.owner is not None:
-                self.grant(span, outcome)
-
-    def grant(self, span, outcome):
-        pending = keyspace.grant_sent(span, self.now_s + self.ORDER_S, HOLD_S)
-        grant = Grant(span.first, span.last, span.owner, span.epoch, self.now_s)
-        grant.pending = pending
-        if outcome in ("late", "late-lost"):
-            grant.arrives_s = self.now_s + self.ORDER_S
-            grant.is_answered = outcome == "late"
-            self.in_flight.append(grant)
+                key_orders.settle(span)
+            self.decided.append(
+                key_orders.decide_grant(
+                    span, self.now_s, self.now_s + self.ORDER_S, HOLD_S
+                )
+            )
+
+    @stateful.rule(outcome=st.sampled_from(OUTCOMES))
+    def grants_are_sent(self, outcome):
+        decided, self.decided = self.decided, []
+        for grant in decided:
+            if self.read_late:
+                span = keyspace.find(self.assignment.spans, grant.first)
+                grant = dataclasses.replace(
+                    grant, life=span.owner, epoch=span.epoch
+                )
+            if self.now_s < grant.closed_by_s and key_orders.is_current(
+                self.assignment, grant
+            ):
+                self.send(grant, outcome)
+            else:
+                self.conclude(grant, key_orders.Outcome.UNSENT)
+
+    def send(self, grant, outcome):
+        is_late = outcome in ("late", "late-lost")
+        arrives_s = grant.closed_by_s if is_late else self.now_s
+        is_answered = outcome in ("answered", "late")
+        flight = Flight(grant, arrives_s, is_answered)
+        if is_late:
+            self.in_flight.append(flight)
         elif outcome != "never":
-            self.upstreams[span.owner].grant(grant, self.now_s)
-        if outcome == "answered" or self.forget_unanswered:
-            keyspace.grant_answered(span, pending)
-            self.take(span)
+            self.arrive(flight)
+        if is_answered:
+            return
+        if self.forget_unanswered:
+            self.conclude(grant, key_orders.Outcome.UNSENT)
+        else:
+            self.conclude(grant, key_orders.Outcome.UNANSWERED)
 
-    def take(self, span):
-        keyspace.grant_taken(span, self.now_s, HOLD_S)
-        if self.forget_first_order:
-            span.unanswered_until_s = 0.0
-        span.live = True
+    def owners_are_granted(self, outcome):
+        self.grants_are_decided()
+        self.grants_are_sent(outcome)
 
     @stateful.rule(
         to=st.sampled_from(LIVES),
@@ -180,19 +213,23 @@
         outcome=st.sampled_from(OUTCOMES),
         pause_s=st.sampled_from([0.0, 0.9]),
         granted_again=st.booleans(),
+        decided_before=st.booleans(),
     )
     def keys_are_handed_over(
-        self, to, answered, outcome, pause_s, granted_again
+        self, to, answered, outcome, pause_s, granted_again, decided_before
     ):
         """What a leader does in one go, as a search rarely strings it."""
         self.owners_are_granted(outcome)
         if granted_again:
             self.owners_are_granted("answered")
+        if decided_before:
+            self.grants_are_decided()
         self.keys_move(0, PARTS, to)
+        if decided_before:
+            self.grants_are_sent("answered")
         self.releases_are_sent()
         self.time_passes(pause_s)
-        if answered:
-            self.releases_are_answered()
+        self.releases_are_answered(answered)
         self.owners_are_granted("answered")
 
     @stateful.rule()
@@ -200,8 +237,13 @@
         """The next leader knows what the store has, and a licence ended."""
         self.time_passes(self.ORDER_S)
         document = keyspace.to_document(self.assignment)
-        holds_until_s = keyspace.latest_end_s(self.now_s, HOLD_S)
+        holds_until_s = key_orders.latest_end_s(self.now_s, HOLD_S)
         self.releases = []
+        self.decided = []
+        self.in_flight = [
+            dataclasses.replace(flight, is_answered=False)
+            for flight in self.in_flight
+        ]
         self.assignment = keyspace.from_document(document, holds_until_s)
         keyspace.renew_epochs(self.assignment)
         keyspace.merge(self.assignment)
@@ -241,6 +283,12 @@
     forget_first_order = True
 
 
+class ReadsLate(Ownership):
+    """A leader that looks up whom to grant only when it sends the grant."""
+
+    read_late = True
+
+
 FEW = settings(
     max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
 )
@@ -260,7 +308,13 @@
 
 @pytest.mark.parametrize(
     "mutant",
-    [ForgetsUnanswered, IgnoresHolders, ForgetsOrder, ForgetsFirstOrder],
+    [
+        ForgetsUnanswered,
+        IgnoresHolders,
+        ForgetsOrder,
+        ForgetsFirstOrder,
+        ReadsLate,
+    ],
 )
 def test_the_search_finds_a_leader_that_breaks_the_rule(mutant):
     with pytest.raises(AssertionError):
