Plan without looking for the best target again for each piece

Ruled out: the number of pieces, which is small. Marginal costs are kept now and change with a move; plans are the same.

--- a/src/sardinehill/core/key_plan.py
+++ b/src/sardinehill/core/key_plan.py
@@ -179,9 +179,11 @@
         self._spans = {life: [] for life in capacities}
         self._orphans: list[tuple[int, int]] = []
         self._total = weights.of(0, keyspace.KEY_COUNT - 1)
+        self._fastest = min(capacities, key=self._speed_rank)
         self.moves: list[keyspace.Move] = []
         for span in assignment.spans:
             self._count(span)
+        self._marginals = {life: self._marginal(life) for life in capacities}
 
     def _count(self, span: keyspace.Span) -> None:
         if span.owner in self._capacities:
@@ -205,7 +207,7 @@
         """
         least = self._total / len(self._loads) * self._policy.least_load_share
         idle = [life for life, load in self._loads.items() if load < least]
-        return min(idle or self._loads, key=self._marginal)
+        return min(idle or self._loads, key=self._marginals.__getitem__)
 
     def place_orphans(self) -> None:
         """Gives keys without a usable owner away in pieces."""
@@ -229,7 +231,7 @@
             ]
             if not sources:
                 return
-            source = max(sources, key=self._marginal)
+            source = max(sources, key=self._marginals.__getitem__)
             best = self._best_piece(source)
             if best is None:
                 given_up.add(source)
@@ -241,6 +243,7 @@
         self, source: keyspace.Life
     ) -> tuple[int, int, keyspace.Life] | None:
         """Returns the piece of an upstream's keys that is best moved."""
+        target = self._target()
         all_cost = self._all_cost()
         price = self._policy.key_price_share * all_cost
         best: tuple[int, int, keyspace.Life] | None = None
@@ -248,7 +251,7 @@
         for share in PIECE_SHARES:
             wanted = self._loads[source] * share
             for first, last in self._pieces(source, wanted):
-                for to in self._targets(source, first, last):
+                for to in self._targets(source, target, first, last):
                     gain = self._gain(first, last, source, to)
                     gain -= price * (last - first + 1)
                     if gain > best_gain:
@@ -256,17 +259,21 @@
         return best
 
     def _targets(
-        self, source: keyspace.Life, first: int, last: int
+        self,
+        source: keyspace.Life,
+        target: keyspace.Life,
+        first: int,
+        last: int,
     ) -> set[keyspace.Life]:
         """Returns the upstreams that are worth trying as a target.
 
         A single key that is much used is best on the fastest one, whatever
         else that one has at the moment: the next moves take that away.
         """
-        targets = {self._target()}
+        targets = {target}
         is_popular = self._weights.of(first, last) > POPULAR_LOAD_REQUESTS
         if is_popular and last - first < POPULAR_SPAN_KEYS:
-            targets.add(min(self._capacities, key=self._speed_rank))
+            targets.add(self._fastest)
         return {
             life
             for life in targets
@@ -313,6 +320,8 @@
         if source is not None:
             self._loads[source] -= load
             self._spans[source] = _without(self._spans[source], first, last)
+            self._marginals[source] = self._marginal(source)
+        self._marginals[to] = self._marginal(to)
         self.moves.append(keyspace.Move(first, last, to))
 
 
