Lend half of each allowance where it is asked for

Ruled out: demand shares that lag (each daemon sees an account's request every few seconds, so no share can follow it).

The leader now lends tokens over the link that its followers keep anyway: half of rate and burst, or all where a daemon's part of the other half would be under one token. A request takes its daemon's own token, then a lent one, then waits for its own; without a leader it waits up to 0.3 s. Tried and given up: lending ahead of demand, whose tokens could be used in a later window than they were counted in.

--- a/src/sardinehill/core/fleet_messages.py
+++ b/src/sardinehill/core/fleet_messages.py
@@ -127,3 +127,31 @@
     zones_revision: int = 0
     zones: bytes = b""
     age_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wish:
+    """Asks the leader for tokens of a client account.
+
+    Attributes:
+      account: the client account.
+      tokens: how many requests wait for one.
+    """
+
+    account: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loan:
+    """The leader's answer to a wish.
+
+    Attributes:
+      account: the client account.
+      tokens: how many are lent.
+      wait_s: when there may be more, if fewer are lent than were wished for.
+    """
+
+    account: str
+    tokens: int
+    wait_s: float
--- a/src/sardinehill/core/routes.py
+++ b/src/sardinehill/core/routes.py
@@ -1,6 +1,7 @@
 """The text of services in force: routes, services, client accounts."""
 
 import dataclasses
+import functools
 from typing import Protocol
 
 
@@ -122,6 +123,14 @@
     def __repr__(self) -> str:
         return f"Configuration(version={self.version})"
 
+    def account(self, name: str) -> ClientAccount | None:
+        """Returns a client account by its name, or None."""
+        return self._accounts_by_name.get(name)
+
+    @functools.cached_property
+    def _accounts_by_name(self) -> dict[str, ClientAccount]:
+        return {account.name: account for account in self.accounts.values()}
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Upstream:
--- a/src/sardinehill/core/shares.py
+++ b/src/sardinehill/core/shares.py
@@ -2,7 +2,9 @@
 
 The leader divides; each daemon spends its part from a bucket of its own. The
 parts never add up to more than the whole, so the fleet keeps the rate however
-many daemons stop hearing from the leader.
+many daemons stop hearing from the leader. The rest is lent by the leader where
+it is asked for (`core.loans`): parts of an allowance that are smaller than one
+request would serve nobody.
 """
 
 from collections.abc import Mapping
@@ -17,6 +19,10 @@
 DEMAND_MEMORY = 0.9
 # How much of what the bound leaves beyond the rate is given out.
 BURST_SHARE = 0.8
+# How much of an allowance is divided ahead of demand.
+DIVIDED_SHARE = 0.5
+# Unless each daemon would have less than this of the burst: then all is lent.
+LEAST_PART_TOKENS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,26 +55,50 @@
         The rate follows demand. What the bound allows beyond the rate is
         divided evenly, as each daemon may see a few requests at once.
         """
+        divided = self._divided_share(account, daemons)
+        return Part(
+            account.rate_per_s * share * divided,
+            self._burst(account) * divided / max(daemons, 1),
+        )
+
+    def lent(self, account: routes.ClientAccount, daemons: int) -> Part:
+        """Returns the part that the leader lends."""
+        rest = 1.0 - self._divided_share(account, daemons)
+        return Part(account.rate_per_s * rest, self._burst(account) * rest)
+
+    def _divided_share(
+        self, account: routes.ClientAccount, daemons: int
+    ) -> float:
+        part = self._burst(account) * DIVIDED_SHARE / max(daemons, 1)
+        return DIVIDED_SHARE if part >= LEAST_PART_TOKENS else 0.0
+
+    def _burst(self, account: routes.ClientAccount) -> float:
+        """Returns the tokens beyond the rate that are given out at most."""
         sustained = account.rate_per_s * self.window_s
         bound = (sustained + account.burst) * (1 + self.over_ratio)
-        burst = (bound + self.slack - sustained) * BURST_SHARE
-        return Part(account.rate_per_s * share, burst / max(daemons, 1))
+        return (bound + self.slack - sustained) * BURST_SHARE
 
 
 class Bucket:
-    """One daemon's tokens of one client account."""
+    """Tokens of one client account, at a daemon or to be lent.
 
-    def __init__(self, now_s: float):
+    Args:
+      now_s: from when on tokens are earned.
+      first_share: how much of the burst is there at first.
+    """
+
+    def __init__(self, now_s: float, first_share: float = 0.5):
         self._tokens = 0.0
         self._at_s = now_s
+        self._first_share = first_share
         self._part: Part | None = None
 
     def set_terms(self, part: Part, now_s: float) -> None:
         """Changes the rate and burst; tokens beyond the burst are lost."""
         self._earn(now_s)
         if self._part is None:
-            # A daemon that has just started may have spent some before.
-            self._tokens = part.burst / 2
+            # Whoever has just started may have spent some before.
+            self._tokens = part.burst * self._first_share
         self._part = part
         self._tokens = min(self._tokens, part.burst)
 
@@ -85,13 +115,28 @@
         rate_per_s = self._part.rate_per_s if self._part else 0.0
         return -self._tokens / rate_per_s if rate_per_s > 0 else 1.0
 
+    def take_some(self, wanted: int, now_s: float) -> int:
+        """Takes tokens that are there; returns how many, at most `wanted`."""
+        self._earn(now_s)
+        taken = min(wanted, max(0, int(self._tokens)))
+        self._tokens -= taken
+        return taken
+
+    def next_token_s(self, now_s: float) -> float:
+        """Returns in how many seconds there will be a token."""
+        self._earn(now_s)
+        rate_per_s = self._part.rate_per_s if self._part else 0.0
+        if rate_per_s <= 0:
+            return 1.0
+        return max(0.0, 1.0 - self._tokens) / rate_per_s
+
     def give_back(self) -> None:
         """Returns a token of a request that was not sent."""
         self._tokens += 1.0
 
     def _earn(self, now_s: float) -> None:
         passed_s = max(0.0, now_s - self._at_s)
-        self._at_s = now_s
+        self._at_s = max(self._at_s, now_s)
         if self._part is not None:
             earned = passed_s * self._part.rate_per_s
             self._tokens = min(self._tokens + earned, self._part.burst)
--- a/src/sardinehill/front/admission.py
+++ b/src/sardinehill/front/admission.py
@@ -1,8 +1,11 @@
 """Which requests are served: route, account key, allowance, time."""
 
+import asyncio
+
 from sardinehill import errors
 from sardinehill.core import routes
 from sardinehill.core import shares
+from sardinehill.front import borrowing
 from sardinehill.front import directory as directory_module
 from sardinehill.front import requests
 from sardinehill.front import usage as usage_module
@@ -23,10 +26,12 @@
         directory: directory_module.Directory,
         usage: usage_module.Usage,
         allowance: shares.Allowance,
+        borrower: borrowing.Borrower,
     ):
         self._directory = directory
         self._usage = usage
         self._allowance = allowance
+        self._borrower = borrower
         self._buckets: dict[str, shares.Bucket] = {}
         self._splitter = routes.Splitter()
 
@@ -47,7 +52,6 @@
         if route is None:
             raise requests.RefusedError(errors.Reason.SERVICE_UNKNOWN, 404)
         account: routes.ClientAccount | None = None
-        token_wait_s = 0.0
         if route.needs_account:
             if fields.account_key is None:
                 raise requests.RefusedError(
@@ -58,7 +62,6 @@
                 raise requests.RefusedError(
                     errors.Reason.ACCOUNT_KEY_UNKNOWN, 401
                 )
-            token_wait_s = self._meter(account, request.arrived_s)
         wait_s = fields.wait_s if fields.wait_s else DEFAULT_WAIT_S
         wait_s = min(wait_s - RETURN_MARGIN_S, route.timeout_s)
         rank = route.priority
@@ -69,18 +72,55 @@
             fields,
             route,
             self._splitter.choose(route),
-            account.name if account else None,
+            account,
             rank,
             request.arrived_s + max(wait_s, 0.0),
             self._directory.waiting.next_ticket(),
-            token_wait_s,
         )
 
-    def _meter(self, account: routes.ClientAccount, now_s: float) -> float:
-        """Takes a token of an account; returns how long to wait for it."""
-        if account.rate_per_s <= 0:
-            return 0.0
+    async def meter(self, work: requests.Work) -> None:
+        """Takes a token of the account that a request belongs to.
+
+        The daemon's own part goes first, then a token that the leader lends,
+        then one of its own that comes soon.
+
+        Raises:
+          RefusedError: the account has no token.
+        """
+        account = work.account
+        if account is None or account.rate_per_s <= 0:
+            return
         self._usage.demanded(account.name)
+        bucket, part = self._bucket(account)
+        loop = asyncio.get_running_loop()
+        if bucket.take(loop.time()) <= 0:
+            return
+        bucket.give_back()
+        lent_after_s = await self._borrower.borrow(account.name)
+        if lent_after_s <= 0:
+            return
+        own_after_s = bucket.take(loop.time())
+        if own_after_s <= TOKEN_PATIENCE_S:
+            await asyncio.sleep(own_after_s)
+            return
+        bucket.give_back()
+        raise requests.RefusedError(
+            errors.Reason.OVER_RATE,
+            429,
+            min(own_after_s, lent_after_s),
+            over_account=account.name,
+            fleet_rate_per_s=account.rate_per_s,
+            part_rate_per_s=round(part.rate_per_s, 3),
+            part_burst=round(part.burst, 3),
+            next_token_s=round(own_after_s, 3),
+            next_loan_s=round(lent_after_s, 3),
+        )
+
+    def _bucket(
+        self, account: routes.ClientAccount
+    ) -> tuple[shares.Bucket, shares.Part]:
+        """Returns this daemon's tokens of an account, under today's terms."""
+        now_s = asyncio.get_running_loop().time()
         bucket = self._buckets.get(account.name)
         if bucket is None:
             bucket = self._buckets[account.name] = shares.Bucket(now_s)
@@ -90,17 +130,4 @@
             self._directory.daemons,
         )
         bucket.set_terms(part, now_s)
-        wait_s = bucket.take(now_s)
-        if wait_s > TOKEN_PATIENCE_S:
-            bucket.give_back()
-            raise requests.RefusedError(
-                errors.Reason.OVER_RATE,
-                429,
-                wait_s,
-                over_account=account.name,
-                fleet_rate_per_s=account.rate_per_s,
-                part_rate_per_s=round(part.rate_per_s, 3),
-                part_burst=round(part.burst, 3),
-                next_token_s=round(wait_s, 3),
-            )
-        return wait_s
+        return bucket, part
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -13,6 +13,7 @@
 from sardinehill.core import shares
 from sardinehill.daemon import boot_clock
 from sardinehill.front import admission as admission_module
+from sardinehill.front import borrowing
 from sardinehill.front import bus
 from sardinehill.front import directory as directory_module
 from sardinehill.front import leadership as leadership_module
@@ -60,14 +61,16 @@
             loop.time,
         )
         self._usage = usage_module.Usage()
+        allowance = shares.Allowance(
+            settings.allowance_window_s,
+            settings.allowance_over_ratio,
+            settings.allowance_slack,
+        )
         admission = admission_module.Admission(
             self._directory,
             self._usage,
-            shares.Allowance(
-                settings.allowance_window_s,
-                settings.allowance_over_ratio,
-                settings.allowance_slack,
-            ),
+            allowance,
+            borrowing.Borrower(self._borrow),
         )
         self._relay = relay_module.Relay(
             self._directory,
@@ -88,6 +91,7 @@
             boot_clock.now_s,
             self._take_report,
             self._directory.take_table,
+            allowance,
         )
         self._server = server_module.Server(self._relay.serve, self._limits)
         self._stats.add_gauges(self._gauges)
@@ -166,6 +170,11 @@
             )
             link.close()
 
+    async def _borrow(
+        self, wishes: list[fleet_messages.Wish]
+    ) -> list[fleet_messages.Loan]:
+        return await self._leadership.borrow(wishes)
+
     async def _ask_for_news(
         self, query: fleet_messages.NewsQuery
     ) -> fleet_messages.News | None:
--- a/src/sardinehill/front/duties.py
+++ b/src/sardinehill/front/duties.py
@@ -5,6 +5,7 @@
 
 from sardinehill import events
 from sardinehill.core import fleet_messages
+from sardinehill.core import loans
 from sardinehill.core import shares
 from sardinehill.front import assignment_store
 from sardinehill.front import keeper
@@ -34,6 +35,7 @@
         on_change: Callable[[], None],
         on_deposed: Callable[[], None],
         clock_s: Callable[[], float],
+        allowance: shares.Allowance,
     ):
         self._term = term
         self._store = store
@@ -45,6 +47,7 @@
         self._clock_s = clock_s
         self._keepers: dict[str, keeper.Keeper] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._lender = loans.Lender(allowance, clock_s())
         self.divider = shares.Divider()
 
     @property
@@ -122,6 +125,21 @@
             if refused.service in self._keepers:
                 self._keepers[refused.service].note_refused(refused)
 
+    def lend(
+        self, wishes: list[fleet_messages.Wish], daemons: int
+    ) -> list[fleet_messages.Loan]:
+        """Lends tokens of client accounts, as far as there are any."""
+        configuration = self._view.configuration
+        if configuration is None:
+            return []
+        now_s = self._clock_s()
+        found = []
+        for wish in wishes:
+            account = configuration.account(wish.account)
+            if account is not None:
+                found.append(self._lender.lend(account, wish, daemons, now_s))
+        return found
+
     def spans(self) -> dict[str, list[fleet_messages.TableSpan]] | None:
         """Returns the owners by service, or None while there are none."""
         spans = {
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -17,6 +17,7 @@
 from sardinehill import errors
 from sardinehill import events
 from sardinehill.core import fleet_messages
+from sardinehill.core import shares
 from sardinehill.front import bus
 from sardinehill.front import duties
 from sardinehill.front import orders
@@ -76,6 +77,7 @@
         clock_s: Callable[[], float],
         take_report: Callable[[], fleet_messages.Report],
         on_table: Callable[[fleet_messages.Table], None],
+        allowance: shares.Allowance,
     ):
         self._name = name
         self._address = address
@@ -84,6 +86,8 @@
         self._clock_s = clock_s
         self._take_report = take_report
         self._on_table = on_table
+        self._allowance = allowance
+        self._link: bus.Link | None = None
         self._term = 0
         self._registry = registry.Registry(name, address, store)
         self._followers: dict[str, _Follower] = {}
@@ -125,6 +129,14 @@
                 envelope.message_id,
                 is_answer=True,
             )
+        elif envelope.kind == kinds.Kind.LOAN_QUERY:
+            wishes = fleet.decode_wishes(envelope.payload)
+            link.send(
+                kinds.Kind.LOANS,
+                fleet.encode_loans(self._lend(wishes)),
+                envelope.message_id,
+                is_answer=True,
+            )
         elif envelope.kind == kinds.Kind.NEWS_QUERY:
             query = fleet.decode_news_query(envelope.payload)
             link.send(
@@ -140,6 +152,31 @@
             if follower.link is link:
                 del self._followers[name]
 
+    def _lend(
+        self, wishes: list[fleet_messages.Wish]
+    ) -> list[fleet_messages.Loan]:
+        return self._duties.lend(wishes, self._daemons()) if self.leads else []
+
+    async def borrow(
+        self, wishes: list[fleet_messages.Wish]
+    ) -> list[fleet_messages.Loan]:
+        """Asks whoever leads for tokens of client accounts.
+
+        Raises:
+          PeerLostError: no leader is followed, or it does not answer.
+        """
+        if self.leads:
+            return self._lend(wishes)
+        link = self._link
+        if link is None or not link.is_open:
+            raise errors.PeerLostError("no leader is followed")
+        answer = await link.ask(
+            kinds.Kind.LOAN_QUERY,
+            fleet.encode_wishes(wishes),
+            QUERY_TIMEOUT_S,
+        )
+        return fleet.decode_loans(answer.payload)
+
     async def ask_for_news(
         self, query: fleet_messages.NewsQuery
     ) -> fleet_messages.News | None:
@@ -235,6 +272,7 @@
             return heard_before_s > 0
         events.log(events.LEADER_FOLLOWED, address=address, term=term)
         self._table_heard_s = max(heard_before_s, began_s)
+        self._link = link
         try:
             while not lost.is_set() and self._leader_hint is None:
                 self._send_report(link)
@@ -253,6 +291,7 @@
                 if self.table is not None and self.table.resigned:
                     break
         finally:
+            self._link = None
             link.close()
         if self._leader_hint is None:
             events.log(
@@ -503,6 +542,7 @@
             self._spans_changed,
             self._deposed.set,
             self._clock_s,
+            self._allowance,
         )
 
     def _majority(self) -> int:
--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -98,8 +98,7 @@
         self._budget(work.service).requested(work.request.arrived_s)
         try:
             async with asyncio.timeout_at(work.deadline_s):
-                if work.token_wait_s > 0:
-                    await asyncio.sleep(work.token_wait_s)
+                await self._admission.meter(work)
                 answer = await self._until_answered(work)
         except TimeoutError:
             refusal = self._out_of_time(work)
@@ -319,7 +318,7 @@
             work.request.has_body,
             work.deadline_s - sent_s,
             upstream.id,
-            work.account,
+            work.account.name if work.account else None,
         )
         request_id = work.fields.request_id
         work.in_flight = True
@@ -531,7 +530,7 @@
             config=configuration.version if configuration else None,
             route=work.route.name if work else None,
             service=work.service if work else None,
-            account=work.account if work else None,
+            account=work.account.name if work and work.account else None,
             key=fields.shard_key,
             upstreams=work.tried if work else [],
             sends=work.sends if work else 0,
--- a/src/sardinehill/front/requests.py
+++ b/src/sardinehill/front/requests.py
@@ -72,7 +72,6 @@
       rank: 0 goes first.
       deadline_s: when the caller is told that there is no answer.
       ticket: its place among requests of its rank.
-      token_wait_s: how long it waits for its account's next token.
       sends: how often it was sent to an upstream.
       tried: upstreams that were sent it.
       may_have_run: whether an upstream may have run it.
@@ -87,11 +86,10 @@
     fields: exchanges.CallerFields
     route: routes.Route
     service: str
-    account: str | None
+    account: routes.ClientAccount | None
     rank: int
     deadline_s: float
     ticket: int
-    token_wait_s: float = 0.0
     sends: int = 0
     tried: list[str] = dataclasses.field(default_factory=list)
     may_have_run: bool = False
--- a/src/sardinehill/wire/fleet.capnp
+++ b/src/sardinehill/wire/fleet.capnp
@@ -93,3 +93,23 @@
   zones @5 :Data;
   ageMs @6 :UInt32;
 }
+
+struct Wish {
+  account @0 :Text;
+  tokens @1 :UInt16;
+}
+
+# Asks the leader for tokens of client accounts.
+struct LoanQuery {
+  wishes @0 :List(Wish);
+}
+
+struct Loan {
+  account @0 :Text;
+  tokens @1 :UInt16;
+  waitMs @2 :UInt32;
+}
+
+struct Loans {
+  loans @0 :List(Loan);
+}
--- a/src/sardinehill/wire/fleet.py
+++ b/src/sardinehill/wire/fleet.py
@@ -15,6 +15,7 @@
 _SCHEMA = schemas.load("fleet")
 _MILLION = 1_000_000
 _THOUSAND = 1000
+_UINT16_LIMIT = 2**16 - 1
 _UINT32_LIMIT = 2**32 - 1
 
 _P = ParamSpec("_P")
@@ -245,3 +246,60 @@
         zones=bytes(message.zones),
         age_s=message.ageMs / _THOUSAND,
     )
+
+
+def encode_wishes(wishes: list[fleet_messages.Wish]) -> bytes:
+    """Returns the bytes of a question for tokens."""
+    message = _SCHEMA.LoanQuery.new_message(
+        wishes=[
+            {
+                "account": wish.account,
+                "tokens": min(wish.tokens, _UINT16_LIMIT),
+            }
+            for wish in wishes
+        ]
+    )
+    return bytes(message.to_bytes())
+
+
+@_reader
+def decode_wishes(data: bytes) -> list[fleet_messages.Wish]:
+    """Returns the wishes in some bytes.
+
+    Raises:
+      PeerFrameError: the bytes are not such a question.
+    """
+    message = schemas.read(_SCHEMA.LoanQuery, data)
+    return [
+        fleet_messages.Wish(item.account, item.tokens)
+        for item in message.wishes
+    ]
+
+
+def encode_loans(loans: list[fleet_messages.Loan]) -> bytes:
+    """Returns the bytes of an answer to wishes."""
+    message = _SCHEMA.Loans.new_message(
+        loans=[
+            {
+                "account": loan.account,
+                "tokens": loan.tokens,
+                "waitMs": _count(loan.wait_s * _THOUSAND),
+            }
+            for loan in loans
+        ]
+    )
+    return bytes(message.to_bytes())
+
+
+@_reader
+def decode_loans(data: bytes) -> list[fleet_messages.Loan]:
+    """Returns the loans in some bytes.
+
+    Raises:
+      PeerFrameError: the bytes are not such an answer.
+    """
+    message = schemas.read(_SCHEMA.Loans, data)
+    return [
+        fleet_messages.Loan(item.account, item.tokens, item.waitMs / _THOUSAND)
+        for item in message.loans
+    ]
--- a/src/sardinehill/wire/kinds.py
+++ b/src/sardinehill/wire/kinds.py
@@ -28,3 +28,5 @@
     NEWS_QUERY = 52
     NEWS = 53
     LEADER_QUERY = 54
+    LOAN_QUERY = 55
+    LOANS = 56
--- a/tests/cover/test_shares.py
+++ b/tests/cover/test_shares.py
@@ -35,6 +35,8 @@
         # A full bucket at the start of a window is the worst case.
         bucket.set_terms(part, 1000.0)
         passed += int(part.burst) + int(part.rate_per_s * 5.0 + 1e-9)
+    lent = ALLOWANCE.lent(one, daemons)
+    passed += int(lent.burst) + int(lent.rate_per_s * 5.0 + 1e-9)
     bound = (rate_per_s * 5.0 + rate_per_s) * 1.1 + 20.0
     assert passed <= bound
 
@@ -63,3 +65,14 @@
     bucket.set_terms(shares.Part(1.0, 1.0), 10.0)
     assert bucket.take(10.0) == 0.0
     assert bucket.take(10.0) == pytest.approx(1.0)
+
+
+@pytest.mark.parametrize("daemons", [3, 11, 65, 640])
+def test_what_is_divided_and_what_is_lent_make_the_whole(daemons):
+    one = account(20.0, 20.0)
+    parts = [ALLOWANCE.part(one, 1.0 / daemons, daemons)] * daemons
+    lent = ALLOWANCE.lent(one, daemons)
+    rate_per_s = sum(part.rate_per_s for part in parts) + lent.rate_per_s
+    assert rate_per_s == pytest.approx(20.0)
+    # A part that never holds a token would only be lost.
+    assert all(part.burst == 0 or part.burst >= 1 for part in parts)
