Have a new leader inherit part of what can be lent

Ruled out: parts that lag behind demand (their burst was not used up before).

The table tells once a second, and when a leader resigns, what can be lent; the next leader takes half of it as still there, and waits 0.5 s only if the one before may be cut off. If no daemon knows of a leader, all were down, and a quarter of the burst has been earned meanwhile. Shares of accounts that are not divided are no longer sent.

--- a/src/sardinehill/core/fleet_messages.py
+++ b/src/sardinehill/core/fleet_messages.py
@@ -91,6 +91,7 @@
       store_reachable: whether the leader reaches the store.
       spans: the owners by service, or None when nothing has changed.
       shares: the receiver's part of each client account, from 0 to 1.
+      lendable: tokens of each client account that the leader may lend.
       age_s: how long ago the leader itself spoke.
       resigned: whether the leader has laid its duty down.
       news_revisions: of the store when config, upstreams and zones out last
@@ -105,6 +106,7 @@
     store_reachable: bool = True
     spans: dict[str, list[TableSpan]] | None = None
     shares: dict[str, float] = dataclasses.field(default_factory=dict)
+    lendable: dict[str, float] = dataclasses.field(default_factory=dict)
     age_s: float = 0.0
     resigned: bool = False
     news_revisions: list[int] = dataclasses.field(default_factory=list)
--- a/src/sardinehill/core/shares.py
+++ b/src/sardinehill/core/shares.py
@@ -66,6 +66,10 @@
         rest = 1.0 - self._divided_share(account, daemons)
         return Part(account.rate_per_s * rest, self._burst(account) * rest)
 
+    def is_divided(self, account: routes.ClientAccount, daemons: int) -> bool:
+        """Returns whether daemons have parts of an account of their own."""
+        return self._divided_share(account, daemons) > 0
+
     def _divided_share(
         self, account: routes.ClientAccount, daemons: int
     ) -> float:
@@ -84,21 +88,22 @@
 
     Args:
       now_s: from when on tokens are earned.
-      first_share: how much of the burst is there at first.
+      tokens: how many are there at first; by default half of the burst, as
+        whoever has just started may have spent some before.
     """
 
-    def __init__(self, now_s: float, first_share: float = 0.5):
-        self._tokens = 0.0
+    def __init__(self, now_s: float, tokens: float | None = None):
+        self._tokens = tokens or 0.0
+        self._is_new = tokens is None
         self._at_s = now_s
-        self._first_share = first_share
         self._part: Part | None = None
 
     def set_terms(self, part: Part, now_s: float) -> None:
         """Changes the rate and burst; tokens beyond the burst are lost."""
         self._earn(now_s)
-        if self._part is None:
-            # Whoever has just started may have spent some before.
-            self._tokens = part.burst * self._first_share
+        if self._is_new:
+            self._is_new = False
+            self._tokens = part.burst / 2
         self._part = part
         self._tokens = min(self._tokens, part.burst)
 
@@ -122,6 +127,11 @@
         self._tokens -= taken
         return taken
 
+    def level(self, now_s: float) -> float:
+        """Returns how many tokens there are."""
+        self._earn(now_s)
+        return max(0.0, self._tokens)
+
     def next_token_s(self, now_s: float) -> float:
         """Returns in how many seconds there will be a token."""
         self._earn(now_s)
--- a/src/sardinehill/front/duties.py
+++ b/src/sardinehill/front/duties.py
@@ -36,6 +36,7 @@
         on_deposed: Callable[[], None],
         clock_s: Callable[[], float],
         allowance: shares.Allowance,
+        lender: loans.Lender,
     ):
         self._term = term
         self._store = store
@@ -47,7 +48,8 @@
         self._clock_s = clock_s
         self._keepers: dict[str, keeper.Keeper] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
-        self._lender = loans.Lender(allowance, clock_s())
+        self._allowance = allowance
+        self._lender = lender
         self.divider = shares.Divider()
 
     @property
@@ -140,6 +142,22 @@
                 found.append(self._lender.lend(account, wish, daemons, now_s))
         return found
 
+    def shares_of(self, daemon: str, daemons: int) -> dict[str, float]:
+        """Returns a daemon's parts of the accounts that are divided."""
+        configuration = self._view.configuration
+        if configuration is None:
+            return {}
+        found = {}
+        for name in self.divider.accounts():
+            account = configuration.account(name)
+            if account and self._allowance.is_divided(account, daemons):
+                found[name] = self.divider.share(name, daemon, daemons)
+        return found
+
+    def lendable(self) -> dict[str, float]:
+        """Returns how many tokens there are to lend, by account."""
+        return self._lender.left(self._clock_s())
+
     def spans(self) -> dict[str, list[fleet_messages.TableSpan]] | None:
         """Returns the owners by service, or None while there are none."""
         spans = {
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -11,12 +11,14 @@
 from collections.abc import Callable
 import dataclasses
 import hashlib
+import itertools
 import secrets
 from typing import Any
 
 from sardinehill import errors
 from sardinehill import events
 from sardinehill.core import fleet_messages
+from sardinehill.core import loans
 from sardinehill.core import shares
 from sardinehill.front import bus
 from sardinehill.front import duties
@@ -48,6 +50,8 @@
 STORE_LOST_HANDOVER_S = 1.0
 DIRECT_RETRY_S = 1.0
 PUSH_DELAY_S = 0.004
+# What can be lent is told with one in so many beats.
+LENDABLE_BEATS = 4
 # A link that only announces a leader is kept until its frame has arrived.
 ANNOUNCE_LINK_S = 0.05
 
@@ -91,6 +95,8 @@
         self._on_table = on_table
         self._allowance = allowance
         self._link: bus.Link | None = None
+        self._is_restart = False
+        self._tells_lendable = False
         self._term = 0
         self._registry = registry.Registry(name, address, store)
         self._followers: dict[str, _Follower] = {}
@@ -434,6 +440,8 @@
         if known is not None and known.term == table.term:
             if table.serial < known.serial:
                 return
+            if not table.lendable:
+                table.lendable = known.lendable
             if table.spans is None:
                 table.spans = known.spans
         elif table.spans is None and known is not None:
@@ -491,6 +499,9 @@
                     outline.term, outline.leader, outline.leader_address
                 )
                 return
+        self._is_restart = self.table is None and all(
+            outline.age_s > FORGET_DAEMON_S for outline, _ in known
+        )
         await self._wait_for_turn(len(known))
         if self._leader_hint is not None:
             return
@@ -580,6 +591,10 @@
             self._deposed.set,
             self._clock_s,
             self._allowance,
+            loans.Lender(
+                self._allowance,
+                loans.start(self._clock_s(), self.table, self._is_restart),
+            ),
         )
 
     def _majority(self) -> int:
@@ -653,8 +668,10 @@
             await asyncio.sleep(REPORT_INTERVAL_S)
 
     async def _beat(self) -> None:
-        while True:
+        for beat in itertools.count():
+            self._tells_lendable = beat % LENDABLE_BEATS == 0
             self._push()
+            self._tells_lendable = False
             self._report_to_self()
             await asyncio.sleep(REPORT_INTERVAL_S)
 
@@ -754,7 +771,7 @@
         if self.leads:
             table = self._outline()
             table.spans = self._duties.spans()
-            table.shares = self._shares_of(self._name)
+            table.shares = self._duties.shares_of(self._name, table.daemons)
             self.table = table
             self._table_heard_s = self._clock_s()
             self._on_table(table)
@@ -764,7 +781,9 @@
     def _push_to(self, name: str, follower: _Follower) -> None:
         table = self._outline()
         if self.leads:
-            table.shares = self._shares_of(name)
+            table.shares = self._duties.shares_of(name, table.daemons)
+            if self._tells_lendable or self._resigning:
+                table.lendable = self._duties.lendable()
             spans: dict[str, list[fleet_messages.TableSpan]] | None
             spans = self._duties.spans()
         else:
@@ -775,14 +794,6 @@
             follower.serial_sent = marker
         follower.link.send(kinds.Kind.TABLE, fleet.encode_table(table))
 
-    def _shares_of(self, name: str) -> dict[str, float]:
-        daemons = self._daemons()
-        divider = self._duties.divider
-        return {
-            account: divider.share(account, name, daemons)
-            for account in divider.accounts()
-        }
-
     def status(self) -> dict[str, Any]:
         """Returns figures for the metrics address."""
         return {
--- a/src/sardinehill/wire/fleet.capnp
+++ b/src/sardinehill/wire/fleet.capnp
@@ -59,6 +59,12 @@
   shareMillionths @1 :UInt32;
 }
 
+struct AccountTokens {
+  account @0 :Text;
+  # Thousandths of a token.
+  tokens @1 :UInt32;
+}
+
 # From the leader, or from a daemon that passes it on.
 struct Table {
   term @0 :UInt64;
@@ -76,6 +82,8 @@
   resigned @10 :Bool;
   # Of the store when config, upstreams and zones out last changed.
   newsRevisions @11 :List(UInt64);
+  # What the leader may lend of each account.
+  lendable @12 :List(AccountTokens);
 }
 
 # From whom a daemon follows, when something in the store has changed.
--- a/src/sardinehill/wire/fleet.py
+++ b/src/sardinehill/wire/fleet.py
@@ -149,6 +149,10 @@
         ageMs=_count(table.age_s * _THOUSAND),
         resigned=table.resigned,
         newsRevisions=table.news_revisions,
+        lendable=[
+            {"account": account, "tokens": _count(tokens * _THOUSAND)}
+            for account, tokens in table.lendable.items()
+        ],
     )
     return bytes(message.to_bytes())
 
@@ -191,6 +195,9 @@
         age_s=message.ageMs / _THOUSAND,
         resigned=message.resigned,
         news_revisions=list(message.newsRevisions),
+        lendable={
+            item.account: item.tokens / _THOUSAND for item in message.lendable
+        },
     )
 
 
