Open no more than half of the connections that an upstream takes

After the loss of all power they still keep the connections of daemons that never closed them (until their idle time of 10 s), and eleven daemons with four each make 44 of 50. A request on a new connection that is reset may have run, so commits ended with 502. Ruled out: lost answers (that trouble had ended 8 s before).

All daemons together now open half of what an upstream takes, so old and new ones fit beside each other; and an upstream that resets a new connection gets one request at a time for a second.

--- a/src/sardinehill/core/room.py
+++ b/src/sardinehill/core/room.py
@@ -21,6 +21,22 @@
 # Choices vary by so much, lest all daemons find the same upstream best.
 CHOICE_NOISE_RATIO = 0.25
 COLD_WINDOW_S = 1.05
+# An upstream that resets a new connection has more than it takes; it gets one
+# request at a time for so long.
+NARROW_S = 1.0
+# Upstreams keep connections of daemons that lost power for some seconds, so all
+# daemons together open only this part of what one accepts.
+CONNECTION_SHARE = 0.5
+
+
+def connection_limit(accepted: int, daemons: int) -> int:
+    """Returns how many connections one daemon may have to an upstream.
+
+    Args:
+      accepted: how many the upstream takes from all daemons.
+      daemons: how many there are.
+    """
+    return max(1, int(accepted * CONNECTION_SHARE) // max(daemons, 1))
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,6 +52,7 @@
       others: requests of other daemons that it last told of.
       heard_s: when it last told of its load.
       blocked_until_s: it gets nothing before.
+      narrow_until_s: it gets one request at a time before.
       cold_until_s: until then it is cold.
       ejections: how often in a row it could not be reached.
       cold_sent_s: when requests were sent to it while cold, newest last.
@@ -49,6 +66,7 @@
     others: float = 0.0
     heard_s: float = -LOAD_FRESH_S
     blocked_until_s: float = 0.0
+    narrow_until_s: float = 0.0
     cold_until_s: float = 0.0
     ejections: int = 0
     cold_sent_s: list[float] = dataclasses.field(default_factory=list)
@@ -91,6 +109,11 @@
         """Notes that the upstream refused a request for want of room."""
         self.blocked_until_s = max(self.blocked_until_s, now_s + FULL_PAUSE_S)
 
+    def connection_reset(self, now_s: float) -> None:
+        """Notes that the upstream has reset a new connection."""
+        self.full(now_s)
+        self.narrow_until_s = now_s + NARROW_S
+
     def unreachable(self, now_s: float) -> None:
         """Notes that the upstream could not be reached."""
         pause_s = min(FIRST_EJECTION_S * 2**self.ejections, LONGEST_EJECTION_S)
@@ -120,6 +143,8 @@
           limit: how many requests this daemon may have there at once.
           cold_limit: how many it may send there in a second while it is cold.
         """
+        if now_s < self.narrow_until_s:
+            limit = 1
         if now_s < self.blocked_until_s or self.in_flight >= limit:
             return False
         if now_s >= self.cold_until_s:
--- a/src/sardinehill/front/directory.py
+++ b/src/sardinehill/front/directory.py
@@ -270,7 +270,9 @@
             return False
         if not room.may_send(
             now_s,
-            max(1, service.connection_limit // self.daemons),
+            room_module.connection_limit(
+                service.connection_limit, self.daemons
+            ),
             self._cold_limit(service),
         ):
             return False
--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -329,6 +329,8 @@
                 work.request.method == b"HEAD",
             )
         except http1.ConnectionFailedError as error:
+            if connection.exchanges == 1 and not error.answered:
+                room.connection_reset(loop.time())
             self._broken_off(work, target, error)
             return None
         finally:
--- a/tests/cover/test_room.py
+++ b/tests/cover/test_room.py
@@ -56,3 +56,21 @@
     assert taken == int(100 * 0.2 + 58 / 9)
     assert not budget.take(1.0, daemons=9)
     assert budget.take(12.0, daemons=9)
+
+
+def test_daemons_that_lost_power_leave_room_for_new_connections():
+    # The upstream keeps the old ones for some seconds; it reset 1,000 new ones.
+    for daemons in (1, 9, 11, 62):
+        limit = room.connection_limit(50, daemons)
+        assert limit >= 1
+        assert 2 * limit * daemons <= max(50, 2 * daemons)
+
+
+def test_an_upstream_that_resets_new_connections_gets_one_request_at_a_time():
+    one = room.Room(slots=3)
+    one.connection_reset(10.0)
+    later_s = 10.0 + room.FULL_PAUSE_S
+    assert one.may_send(later_s, limit=4, cold_limit=0)
+    one.sent(later_s)
+    assert not one.may_send(later_s, limit=4, cold_limit=0)
+    assert one.may_send(10.0 + room.NARROW_S, limit=4, cold_limit=0)
