Split leadership by what each part decides

The spans of a table are made once for each change, and tables that are alike are encoded once: in a fleet of 65 each change made and encoded 65 of them.

No change in what daemons tell each other.

--- /dev/null
+++ b/src/sardinehill/front/followers.py
@@ -0,0 +1,85 @@
+"""The daemons that report to this one, and what they are sent."""
+
+from collections.abc import Callable
+import dataclasses
+
+from sardinehill.core import fleet_messages
+from sardinehill.front import bus
+from sardinehill.wire import fleet
+from sardinehill.wire import kinds
+
+
+@dataclasses.dataclass
+class _Follower:
+    """A daemon that reports to this one.
+
+    Attributes:
+      link: over which it reports.
+      sent: term and serial of the spans that it was sent last.
+    """
+
+    link: bus.Link
+    sent: tuple[int, int] = (-1, -1)
+
+
+class Followers:
+    """Those who follow this daemon, as the leader or by way of it."""
+
+    def __init__(self) -> None:
+        self._by_name: dict[str, _Follower] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_name)
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._by_name
+
+    def heard(self, name: str, link: bus.Link) -> None:
+        """Notes that a daemon has reported."""
+        follower = self._by_name.get(name)
+        if follower is None or follower.link is not link:
+            self._by_name[name] = _Follower(link)
+
+    def lost(self, link: bus.Link) -> None:
+        """Forgets the daemon whose link has ended."""
+        for name, follower in list(self._by_name.items()):
+            if follower.link is link:
+                del self._by_name[name]
+
+    def tell(self, change: fleet_messages.NewsChange) -> None:
+        """Sends all of them a change in the store."""
+        payload = fleet.encode_news_change(change)
+        for follower in self._by_name.values():
+            follower.link.send(kinds.Kind.NEWS_CHANGE, payload)
+
+    def push_all(
+        self, table_for: Callable[[str], fleet_messages.Table]
+    ) -> None:
+        """Sends each of them its table; those alike are encoded once."""
+        encoded: dict[bool, tuple[fleet_messages.Table, bytes]] = {}
+        for name in list(self._by_name):
+            table = self._without_known_spans(name, table_for(name))
+            has_spans = table.spans is not None
+            last, payload = encoded.get(has_spans, (None, b""))
+            if table != last:
+                payload = fleet.encode_table(table)
+                encoded[has_spans] = (table, payload)
+            self._by_name[name].link.send(kinds.Kind.TABLE, payload)
+
+    def push(self, name: str, table: fleet_messages.Table) -> None:
+        """Sends one of them its table."""
+        table = self._without_known_spans(name, table)
+        self._by_name[name].link.send(
+            kinds.Kind.TABLE, fleet.encode_table(table)
+        )
+
+    def _without_known_spans(
+        self, name: str, table: fleet_messages.Table
+    ) -> fleet_messages.Table:
+        follower = self._by_name[name]
+        newest = (table.term, table.serial)
+        if follower.sent == newest or not table.spans:
+            table.spans = None
+        else:
+            follower.sent = newest
+        return table
--- /dev/null
+++ b/src/sardinehill/front/following.py
@@ -0,0 +1,208 @@
+"""Follows a leader: a link that carries reports to it and tables back."""
+
+import asyncio
+from collections.abc import Callable
+import secrets
+
+from sardinehill import errors
+from sardinehill import events
+from sardinehill.core import fleet_messages
+from sardinehill.front import bus
+from sardinehill.front import election
+from sardinehill.front import known_leader
+from sardinehill.front import registry
+from sardinehill.front import spreading
+from sardinehill.wire import envelopes
+from sardinehill.wire import fleet
+from sardinehill.wire import kinds
+
+REPORT_INTERVAL_S = 0.25
+ASK_TIMEOUT_S = 0.15
+# Who follows through a peer tries the leader itself this often.
+DIRECT_RETRY_S = 1.0
+PEERS_ASKED = 3
+
+
+class Following:
+    """This daemon's link to whom it follows."""
+
+    def __init__(
+        self,
+        name: str,
+        known: known_leader.KnownLeader,
+        listed: registry.Registry,
+        receive: Callable[[bus.Link, envelopes.Envelope], None],
+        take_report: Callable[[], fleet_messages.Report],
+        on_leader_silent: Callable[[], None],
+    ):
+        self._name = name
+        self._known = known
+        self._registry = listed
+        self._receive = receive
+        self._take_report = take_report
+        self._on_leader_silent = on_leader_silent
+        self._link: bus.Link | None = None
+
+    async def follow(self) -> bool:
+        """Follows the leader that is known until it is lost.
+
+        Returns:
+          False when there is none, when it is this daemon, or when nobody
+          hears it any more.
+        """
+        target = self._known.take_hint(self._registry.lease)
+        if not target.holder or target.holder == self._name:
+            return False
+        followed = await self._follow_at(target.address, target.term)
+        if self._known.hint is not None:
+            return True
+        return followed and await self._follow_through_peer()
+
+    async def _follow_at(self, address: str, term: int) -> bool:
+        """Keeps a link to a leader, or to a peer that hears it.
+
+        Returns:
+          Whether a leader was heard at all.
+        """
+        lost = asyncio.Event()
+        self._known.nobody.clear()
+        was_heard = self._known.was_heard
+        try:
+            link = await bus.connect(
+                address, self._name, self._receive, lambda _link: lost.set()
+            )
+        except errors.PeerError:
+            return was_heard
+        events.log(events.LEADER_FOLLOWED, address=address, term=term)
+        self._known.begin()
+        self._link = link
+        try:
+            await self._report_until_lost(link, lost)
+        finally:
+            self._link = None
+            link.close()
+            self._on_leader_silent()
+        if self._known.hint is None:
+            events.log(
+                events.LEADER_LOST,
+                address=address,
+                term=self._known.term,
+                silent_s=round(self._known.silent_s(), 3),
+            )
+        return True
+
+    async def _report_until_lost(
+        self, link: bus.Link, lost: asyncio.Event
+    ) -> None:
+        while not lost.is_set() and self._known.hint is None:
+            report = self._take_report()
+            link.send(kinds.Kind.REPORT, fleet.encode_report(report))
+            try:
+                async with asyncio.timeout(REPORT_INTERVAL_S):
+                    await _first_of(lost, self._known.newer, self._known.nobody)
+            except TimeoutError:
+                pass
+            if self._known.nobody.is_set():
+                return
+            silent_s = self._known.silent_s()
+            if silent_s > spreading.SILENCE_S:
+                self._on_leader_silent()
+            if silent_s > known_leader.SILENCE_S:
+                return
+            table = self._known.table
+            if table is not None and table.resigned:
+                return
+
+    async def _follow_through_peer(self) -> bool:
+        """Follows by way of a peer that still hears the leader.
+
+        Returns False when nobody hears it.
+        """
+        told = await election.ask_who_leads(self._name, self._registry.peers)
+        for outline, address in told:
+            if outline.term > self._known.term:
+                self._known.follow_next(outline)
+                return True
+            if self._known.is_alive(outline):
+                await self._follow_for(address, outline.term)
+                self._known.follow_next(outline)
+                return True
+        return False
+
+    async def _follow_for(self, address: str, term: int) -> None:
+        """Follows through a peer for a while, then tries the leader again."""
+        try:
+            async with asyncio.timeout(DIRECT_RETRY_S):
+                await self._follow_at(address, term)
+        except TimeoutError:
+            return
+
+    # questions to whom this daemon follows
+
+    async def _ask(self, kind: kinds.Kind, payload: bytes) -> bytes:
+        link = self._link
+        if link is None or not link.is_open:
+            raise errors.PeerLostError("no leader is followed")
+        return (await link.ask(kind, payload, ASK_TIMEOUT_S)).payload
+
+    async def borrow(
+        self, wishes: list[fleet_messages.Wish]
+    ) -> list[fleet_messages.Loan]:
+        """Asks the leader for tokens of client accounts.
+
+        Raises:
+          PeerLostError: no leader is followed, or it does not answer.
+        """
+        return fleet.decode_loans(
+            await self._ask(kinds.Kind.LOAN_QUERY, fleet.encode_wishes(wishes))
+        )
+
+    async def ask_for_news(
+        self, query: fleet_messages.NewsQuery
+    ) -> fleet_messages.News | None:
+        """Asks whom it follows, then peers in turn, for what they have read."""
+        question = fleet.encode_news_query(query)
+        try:
+            return fleet.decode_news(
+                await self._ask(kinds.Kind.NEWS_QUERY, question)
+            )
+        except errors.PeerError as error:
+            events.log(
+                events.PEER_UNREACHABLE, address="leader", error=str(error)
+            )
+        for address in self._addresses_to_ask():
+            try:
+                answer = await bus.ask_once(
+                    address,
+                    self._name,
+                    kinds.Kind.NEWS_QUERY,
+                    question,
+                    ASK_TIMEOUT_S,
+                )
+                news = fleet.decode_news(answer.payload)
+            except errors.PeerError as error:
+                events.log(
+                    events.PEER_UNREACHABLE, address=address, error=str(error)
+                )
+                continue
+            if news.config or news.upstreams or news.zones:
+                return news
+        return None
+
+    def _addresses_to_ask(self) -> list[str]:
+        addresses = [
+            address
+            for name, address in self._registry.peers.items()
+            if name != self._name
+        ]
+        addresses.sort(key=lambda address: secrets.randbits(16))
+        return addresses[:PEERS_ASKED]
+
+
+async def _first_of(*flags: asyncio.Event) -> None:
+    tasks = [asyncio.ensure_future(flag.wait()) for flag in flags]
+    try:
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for task in tasks:
+            task.cancel()
--- /dev/null
+++ b/src/sardinehill/front/known_leader.py
@@ -0,0 +1,121 @@
+"""What a daemon knows of the leader, whoever that is."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+from sardinehill.core import fleet_messages
+from sardinehill.front import registry
+
+# A leader that was silent for so long is taken as lost.
+SILENCE_S = 0.8
+_NEVER_S = -1e9
+_LONGEST_AGE_S = 1e6
+
+
+class KnownLeader:
+    """The newest leader that was heard of, and its newest table.
+
+    Public attributes:
+      term: the highest term of any leader.
+      table: the newest table with its spans, or None.
+      hint: a leader to follow next, or None.
+      newer: set when a leader of a higher term is heard.
+      nobody: set when whoever is followed hears no leader.
+    """
+
+    def __init__(self, name: str, clock_s: Callable[[], float]):
+        self._name = name
+        self._clock_s = clock_s
+        self._heard_s = _NEVER_S
+        self.term = 0
+        self.table: fleet_messages.Table | None = None
+        self.hint: registry.Lease | None = None
+        self.newer = asyncio.Event()
+        self.nobody = asyncio.Event()
+
+    @property
+    def was_heard(self) -> bool:
+        """Whether any leader has been heard since this daemon started."""
+        return self._heard_s > 0
+
+    def silent_s(self) -> float:
+        """Returns how long ago the leader itself spoke."""
+        return self._clock_s() - self._heard_s
+
+    def begin(self) -> None:
+        """Gives a leader that is followed from now on time to speak."""
+        self._heard_s = max(self._heard_s, self._clock_s())
+
+    def note_term(self, term: int) -> None:
+        """Notes that there is or was a leader of a term."""
+        self.term = max(self.term, term)
+
+    def take_hint(self, lease: registry.Lease) -> registry.Lease:
+        """Returns whom to follow: a leader heard of, or the lease's holder."""
+        target, self.hint = self.hint or lease, None
+        self.newer.clear()
+        return target
+
+    def follow_next(self, outline: fleet_messages.Table) -> None:
+        """Notes a leader that a peer has told of."""
+        self.hint = registry.Lease(
+            outline.term, outline.leader, outline.leader_address
+        )
+
+    def is_alive(self, outline: fleet_messages.Table) -> bool:
+        """Returns whether a peer hears another daemon lead in this term."""
+        return (
+            outline.term == self.term
+            and outline.leader not in ("", self._name)
+            and outline.age_s < SILENCE_S / 2
+            and not outline.resigned
+        )
+
+    def hear(self, table: fleet_messages.Table) -> bool:
+        """Takes in a table, unless it is of an older leader or state.
+
+        Returns:
+          Whether it was taken in.
+        """
+        if table.term < self.term:
+            return False
+        if table.age_s > SILENCE_S and table.term == self.term:
+            # Who is followed does not lead, nor does it hear who does.
+            self.nobody.set()
+            return False
+        if table.term > self.term and table.leader != self._name:
+            self.term = table.term
+            self.follow_next(table)
+            self.newer.set()
+        self._heard_s = max(self._heard_s, self._clock_s() - table.age_s)
+        known = self.table
+        if known is not None:
+            is_same_term = known.term == table.term
+            if is_same_term and table.serial < known.serial:
+                return False
+            if is_same_term and not table.lendable:
+                table.lendable = known.lendable
+            if table.spans is None:
+                table.spans = known.spans
+        self.table = table
+        return True
+
+    def set_own(self, table: fleet_messages.Table) -> None:
+        """Takes in a table that this daemon has made as the leader."""
+        self.table = table
+        self._heard_s = self._clock_s()
+
+    def outline(self) -> fleet_messages.Table:
+        """Returns what this daemon can tell of the leader, without spans."""
+        if self.table is None:
+            return fleet_messages.Table(
+                self.term, "", "", 0, 0, age_s=_LONGEST_AGE_S
+            )
+        return dataclasses.replace(
+            self.table,
+            term=self.term,
+            spans=None,
+            shares={},
+            age_s=min(self.silent_s(), _LONGEST_AGE_S),
+        )
