--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -20,6 +20,7 @@
 from sardinehill.front import log as log_module
 from sardinehill.front import relay as relay_module
 from sardinehill.front import requests
+from sardinehill.front import sending
 from sardinehill.front import server as server_module
 from sardinehill.front import stats as stats_module
 from sardinehill.front import store_watch
@@ -82,7 +83,9 @@
             settings.retry_slack,
             settings.retry_window_s,
             admission,
-            self._usage,
+            sending.Sender(
+                self._directory, self._stats, self._request_log, self._usage
+            ),
             settings.zone,
         )
         self._leadership = leadership_module.Leadership(
