Hand over only to a daemon that the store has answered

Ruled out: the store turning single machines away (all calls were silent).

A daemon reports the store as reachable when it was answered within 1.5 s; one that begins to watch lists one kind at once, so there is an answer to go by; and the time without the store counts from the beginning of the term, as the lease could be taken.

Also traced: one run of test_a_key_has_one_owner_at_a_time failed to start a daemon, as the harness drew a port for two listeners (front-0's for peers, front-1's for readiness). All ports of a fleet are drawn at once now, below the range of outgoing connections.

--- a/src/sardinehill/core/fleet_messages.py
+++ b/src/sardinehill/core/fleet_messages.py
@@ -54,7 +54,7 @@
       keys: the use of divided services' keys.
       upstreams: what upstreams' answers showed.
       refused: keys that were refused by their owner.
-      store_reachable: whether the daemon reaches the store.
+      store_reachable: whether the store has answered the daemon lately.
     """
 
     daemon: str
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -161,11 +161,13 @@
             term.heard(report.daemon, report.address)
             self._duties.use_report(report)
             if report.store_reachable:
-                self._hand_over_if_cut_off()
+                self._hand_over_if_cut_off(term)
         self._followers.push(report.daemon, self._table_for(report.daemon))
 
-    def _hand_over_if_cut_off(self) -> None:
-        if self._view.store_lost_for_s() > STORE_LOST_HANDOVER_S:
+    def _hand_over_if_cut_off(self, term: term_module.Term) -> None:
+        # It reached the store when it took the lease, whatever was before.
+        lost_s = min(self._view.store_lost_for_s(), term.age_s())
+        if lost_s > STORE_LOST_HANDOVER_S:
             self.resign()
 
     # tokens
@@ -227,7 +229,7 @@
     def _report(self) -> fleet_messages.Report:
         report = self._take_counts()
         report.term = self._known.term
-        report.store_reachable = self._view.store_reachable
+        report.store_reachable = self._view.store_answered_lately()
         return report
 
     def _leader_silent(self) -> None:
--- a/src/sardinehill/front/store_watch.py
+++ b/src/sardinehill/front/store_watch.py
@@ -84,7 +84,9 @@
 
     async def _watch(self, watched: view_module.Watched) -> None:
         retry_s = FIRST_RETRY_S
-        must_list = watched.revision == 0
+        # Of the first kind at once, as a watch may be answered late.
+        is_first = watched is self._view.kinds[0]
+        must_list = is_first or watched.revision == 0
         while True:
             try:
                 if must_list:
@@ -92,7 +94,7 @@
                     self._view.listed(watched, *found)
                     must_list = False
                     retry_s = FIRST_RETRY_S
-                    if watched is self._view.kinds[0]:
+                    if is_first:
                         self._may_try_others.set()
                 stream = self._store.watch(watched.kind, watched.revision)
                 async for changes, revision in stream:
@@ -106,11 +108,11 @@
                 self._view.lost(watched, error)
                 # A list answers at once, which shows that the store is back.
                 must_list = True
-                if watched is self._view.kinds[0]:
+                if is_first:
                     self._may_try_others.clear()
                 await asyncio.sleep(retry_s)
                 retry_s = min(retry_s * 1.6, LONGEST_RETRY_S)
-                if watched is not self._view.kinds[0]:
+                if not is_first:
                     await self._may_try_others.wait()
 
     async def check(self, on_lost: Callable[[], None]) -> None:
--- a/src/sardinehill/front/term.py
+++ b/src/sardinehill/front/term.py
@@ -53,6 +53,10 @@
         self.resigned = False
         self.ended = asyncio.Event()
 
+    def age_s(self) -> float:
+        """Returns how long ago the term began."""
+        return self._clock_s() - self._began_s
+
     def heard(self, daemon: str, address: str) -> None:
         """Notes that a daemon has reported."""
         self._heard_s[daemon] = self._clock_s()
@@ -76,7 +80,7 @@
         while; a new leader counts all that are registered.
         """
         count = self._heard_lately(SERVING_UNHEARD_S)
-        if self._clock_s() - self._began_s < SERVING_UNHEARD_S:
+        if self.age_s() < SERVING_UNHEARD_S:
             count = max(count, len(self._registry.peers))
         return max(1, count)
 
--- a/src/sardinehill/front/view.py
+++ b/src/sardinehill/front/view.py
@@ -18,6 +18,8 @@
 LAPSED_ENTRY_GRACE_S = 2.1
 # An outage shorter than this is a lost connection, not lapsed entries.
 OUTAGE_S = 1.0
+# An answer proves for so long that the store is reached.
+PROOF_S = 1.5
 
 Json = Any
 
@@ -33,6 +35,7 @@
       documents: the objects by name.
       lost_since_s: when the store stopped answering, or None.
       back_since_s: when it answered again after an outage.
+      answered_s: when it last answered.
       doubtful: names that vanished after an outage, with the time at which
         they are taken as gone.
     """
@@ -43,6 +46,7 @@
     documents: dict[str, Json] = dataclasses.field(default_factory=dict)
     lost_since_s: float | None = None
     back_since_s: float = -1e9
+    answered_s: float = -1e9
     doubtful: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
@@ -122,6 +126,11 @@
         """Whether no watch is without an answer from the store."""
         return all(watched.lost_since_s is None for watched in self.kinds)
 
+    def store_answered_lately(self) -> bool:
+        """Returns whether the store answered this daemon a short time ago."""
+        newest_s = max(watched.answered_s for watched in self.kinds)
+        return self.store_reachable and self._clock_s() - newest_s < PROOF_S
+
     def store_lost_for_s(self) -> float:
         """Returns for how long some watch or call has had no answer."""
         since = [
@@ -149,6 +158,7 @@
 
     def answered(self, watched: Watched) -> None:
         """Notes that the store answered a watch."""
+        watched.answered_s = self._clock_s()
         if watched.lost_since_s is not None:
             now_s = self._clock_s()
             if now_s - watched.lost_since_s > OUTAGE_S:
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -20,11 +20,13 @@
 
     Attributes:
       busy: whether every call is refused with 503.
+      silent: whether no call is answered before this ends.
       lose_answers: how many writes are done and not answered.
       history_from: watches from a lower revision are told 410.
     """
 
     busy: bool = False
+    silent: bool = False
     lose_answers: int = 0
     history_from: int = 0
 
@@ -81,6 +83,12 @@
 
     # calls
 
+    async def set_silent(self, is_silent: bool) -> None:
+        """Answers no call, or those that waited and all others."""
+        async with self._changed:
+            self.faults.silent = is_silent
+            self._changed.notify_all()
+
     def application(self) -> web.Application:
         """Returns the calls as an HTTP application."""
         application = web.Application(middlewares=[self._misbehave])
@@ -98,6 +106,8 @@
         self.calls += 1
         if self.faults.busy:
             return web.Response(status=503)
+        async with self._changed:
+            await self._changed.wait_for(lambda: not self.faults.silent)
         response: web.StreamResponse = await handler(request)
         if request.method != "GET" and self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
--- a/tests/common/platform_fleet.py
+++ b/tests/common/platform_fleet.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -28,15 +29,25 @@
 ROOT = pathlib.Path(__file__).parents[2]
 
 
+# Below the ports that the kernel gives to outgoing connections.
+_PORTS = range(10_000, 32_000)
+_PORTS_OF_A_DAEMON = 4
+
+
 def free_ports(count: int) -> list[int]:
-    """Returns ports that nobody listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((HOST, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+    """Returns ports that nobody listens on now, in order.
+
+    All that belong together are drawn at once, or two of them may be the same.
+    """
+    with contextlib.ExitStack() as held:
+        ports: list[int] = []
+        while len(ports) < count:
+            one = held.enter_context(socket.socket())
+            port = random.choice(_PORTS)
+            with contextlib.suppress(OSError):
+                one.bind((HOST, port))
+                ports.append(port)
+        return sorted(ports)
 
 
 @dataclasses.dataclass
@@ -51,9 +62,14 @@
 class Daemon:
     """One daemon's process, with its settings and its log."""
 
-    def __init__(self, name: str, store_port: int, directory: pathlib.Path):
+    def __init__(
+        self,
+        name: str,
+        ports: list[int],
+        store_port: int,
+        directory: pathlib.Path,
+    ):
         self.name = name
-        ports = sorted(free_ports(4))
         self.front, self.ready, self.peer, self.metrics = ports
         self.settings = directory / f"{name}.conf"
         self.log = directory / f"{name}.log"
@@ -126,9 +142,14 @@
         self._sites: dict[str, web.AppRunner] = {}
         self.owners: dict[str, owners_module.Owner] = {}
         self.addresses: dict[str, str] = {}
-        self.store_port = free_ports(1)[0]
+        self.store_port, *ports = free_ports(1 + daemons * _PORTS_OF_A_DAEMON)
         self.daemons = [
-            Daemon(f"front-{index}", self.store_port, directory)
+            Daemon(
+                f"front-{index}",
+                ports[index::daemons],
+                self.store_port,
+                directory,
+            )
             for index in range(daemons)
         ]
         self.run(self._start(upstreams))
--- a/tests/cover/test_spreading.py
+++ b/tests/cover/test_spreading.py
@@ -242,3 +242,22 @@
         check.cancel()
 
     run(story)
+
+
+def test_only_an_answer_proves_that_the_store_is_reached():
+    async def story(part):
+        part.spreading.hear_table(table([3, 3, 3]))
+        task = asyncio.ensure_future(part.watch.run())
+        await asyncio.sleep(0)
+        assert part.view.store_reachable
+        assert not part.view.store_answered_lately()
+        part.store.fails = True
+        part.spreading.leader_lost()
+        await asyncio.sleep(store_watch.GRACE_S * 2)
+        assert not part.view.store_answered_lately()
+        part.store.fails = False
+        await asyncio.sleep(store_watch.LONGEST_RETRY_S * 2)
+        assert part.view.store_answered_lately()
+        task.cancel()
+
+    run(story)
--- a/tests/process/test_platform_path.py
+++ b/tests/process/test_platform_path.py
@@ -240,6 +240,26 @@
     assert fleet.daemons[0].events("store-back")
 
 
+def test_a_store_that_is_silent_for_all_costs_no_leader(fleet):
+    # Followers said that they reach the store because they did not watch it, so
+    # the leader handed over to nobody and all keys lapsed.
+    async def work():
+        await fleet.store.set_silent(True)
+        statuses = []
+        for _ in range(50):
+            await asyncio.sleep(0.1)
+            reply = await fleet.ask(fleet.daemons[0], "/stock/a", 7)
+            statuses.append(reply.status)
+        await fleet.store.set_silent(False)
+        await asyncio.sleep(1.5)
+        statuses.append((await fleet.ask(fleet.daemons[1], "/stock/a")).status)
+        return statuses
+
+    assert set(fleet.run(work())) == {200}
+    for daemon in fleet.daemons:
+        assert daemon.events("lease-resigned") == []
+
+
 def test_a_stop_finishes_what_is_under_way(fleet):
     for owner in fleet.owners.values():
         owner.work_s = 0.8
