Remove what nothing calls, break the circle of news, write the design down

Tried and given up: dropping a silent daemon's part of an allowance, as it may be cut off and still spend it.

--- a/src/sardinehill/core/account_keys.py
+++ b/src/sardinehill/core/account_keys.py
@@ -104,11 +104,6 @@
     return str(xxhash.xxh3_64_intdigest(data) % BUCKET_COUNT)
 
 
-def all_bucket_names() -> list[str]:
-    """Returns the names of all objects that may hold records."""
-    return [str(number) for number in range(BUCKET_COUNT)]
-
-
 def account_of(text: str) -> str:
     """Returns the account that a key's text claims, which proves nothing."""
     return text.rpartition(".")[0]
--- a/src/sardinehill/core/balancing.py
+++ b/src/sardinehill/core/balancing.py
@@ -157,15 +157,6 @@
         least = min(self._counts, key=self._counts.__getitem__)
         self._counts[key] = self._counts.pop(least) + weight
 
-    def halve(self) -> None:
-        """Halves all counts, so that old popularity fades."""
-        self.total /= 2.0
-        self._counts = {
-            key: count / 2.0
-            for key, count in self._counts.items()
-            if count >= 1.0
-        }
-
     def most(self, limit: int = 32) -> list[tuple[str, float]]:
         """Returns the keys counted most, and their counts."""
         ordered = sorted(self._counts, key=self._counts.__getitem__)
--- a/src/sardinehill/core/membership.py
+++ b/src/sardinehill/core/membership.py
@@ -238,11 +238,6 @@
             for name in sorted(silent)
         ]
 
-    def is_hearing(self, name: str, now_s: float) -> bool:
-        """Returns whether a probed member answered lately."""
-        probe = self._probes.get(name)
-        return probe is not None and not _is_silent(probe, now_s)
-
     def _forgive_after_own_pause(self, now_s: float) -> None:
         ticked_at_s = self._ticked_at_s
         self._ticked_at_s = now_s
--- a/src/sardinehill/core/placement.py
+++ b/src/sardinehill/core/placement.py
@@ -60,16 +60,6 @@
     return assignment.upstreams[owner_index]
 
 
-def shards_of_upstream(assignment: Assignment, upstream: str) -> list[int]:
-    """Returns the shards that an upstream owns, in ascending order."""
-    if upstream not in assignment.upstreams:
-        return []
-    index = assignment.upstreams.index(upstream)
-    return [
-        shard for shard, owner in enumerate(assignment.owners) if owner == index
-    ]
-
-
 def rendezvous(key: str, candidates: list[str]) -> str | None:
     """Returns the candidate with the highest hash for a key.
 
--- a/src/sardinehill/core/routes.py
+++ b/src/sardinehill/core/routes.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import functools
-from typing import Protocol
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -162,13 +161,6 @@
         return (self.id, self.born_ms)
 
 
-class Uniform(Protocol):
-    """A source of numbers from 0 up to 1."""
-
-    def __call__(self) -> float:
-        """Returns the next number."""
-
-
 def find_route(
     configuration: Configuration, host: bytes, path: bytes
 ) -> Route | None:
--- a/src/sardinehill/core/shares.py
+++ b/src/sardinehill/core/shares.py
@@ -160,7 +160,11 @@
 
 
 class Divider:
-    """The leader's view of demand, and the parts that follow from it."""
+    """The leader's view of demand, and the parts that follow from it.
+
+    A daemon that is not heard any more keeps its part in this term: it may be
+    cut off and still spend it.
+    """
 
     def __init__(self) -> None:
         self._demand: dict[str, _Demand] = {}
@@ -175,11 +179,6 @@
                 account, 0.0
             )
 
-    def forget(self, daemon: str) -> None:
-        """Drops a daemon that has left."""
-        for demand in self._demand.values():
-            demand.by_daemon.pop(daemon, None)
-
     def share(self, account: str, daemon: str, daemons: int) -> float:
         """Returns a daemon's part of an account, from 0 to 1."""
         even = 1.0 / max(daemons, 1)
--- a/src/sardinehill/daemon/controller.py
+++ b/src/sardinehill/daemon/controller.py
@@ -84,13 +84,6 @@
         """Returns this daemon's part in a service, for status pages."""
         return self._duties.get(service)
 
-    def is_controller(self, service: str) -> bool:
-        """Tells whether this daemon may act as a service's controller."""
-        duty = self._duties.get(service)
-        return duty is not None and controlling.is_licensed(
-            duty, boot_clock.now_s()
-        )
-
     # The loop.
 
     async def _run(self) -> None:
--- a/src/sardinehill/daemon/outage_watch.py
+++ b/src/sardinehill/daemon/outage_watch.py
@@ -1,19 +1,16 @@
 """Keeps news from growing old while the store answers nobody."""
 
 import asyncio
-from typing import TYPE_CHECKING
 
 from sardinehill import errors
 from sardinehill.adapters import platform
 from sardinehill.core import duties
 from sardinehill.core import member
 from sardinehill.core import outage
+from sardinehill.daemon import news_part
 from sardinehill.daemon import peers
 from sardinehill.wire import kinds
 
-if TYPE_CHECKING:
-    from sardinehill.daemon import news
-
 _REACHED = b"reached"
 _FAILED = b"failed"
 
@@ -25,7 +22,7 @@
         self,
         client: platform.PlatformClient,
         bus: peers.PeerBus,
-        part: "news.News",
+        part: news_part.NewsPart,
     ) -> None:
         self._client = client
         self._bus = bus
--- a/src/sardinehill/daemon/roster.py
+++ b/src/sardinehill/daemon/roster.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from typing import Any
-from typing import TYPE_CHECKING
 import uuid
 
 from sardinehill import errors
@@ -12,16 +11,14 @@
 from sardinehill.core import fleet
 from sardinehill.core import member
 from sardinehill.core import store_budget
-
-if TYPE_CHECKING:
-    from sardinehill.daemon import news
+from sardinehill.daemon import news_part
 
 
 class Roster:
     """Turns the core's proposals into conditional updates."""
 
     def __init__(
-        self, client: platform.PlatformClient, part: "news.News"
+        self, client: platform.PlatformClient, part: news_part.NewsPart
     ) -> None:
         self._client = client
         self._news = part
--- a/src/sardinehill/daemon/store_reader.py
+++ b/src/sardinehill/daemon/store_reader.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 from typing import Any
-from typing import TYPE_CHECKING
 import uuid
 
 from sardinehill import errors
@@ -11,9 +10,7 @@
 from sardinehill.core import news as news_core
 from sardinehill.core import reading
 from sardinehill.core import store_budget
-
-if TYPE_CHECKING:
-    from sardinehill.daemon import news
+from sardinehill.daemon import news_part
 
 HOSTS_INTERVAL_S = 1.0
 LOOK_INTERVAL_S = 0.2
@@ -25,7 +22,7 @@
     """Watches while this daemon is a watcher, and else reads in need."""
 
     def __init__(
-        self, client: platform.PlatformClient, part: "news.News"
+        self, client: platform.PlatformClient, part: news_part.NewsPart
     ) -> None:
         self._client = client
         self._news = part
--- a/src/sardinehill/front/admission.py
+++ b/src/sardinehill/front/admission.py
@@ -34,6 +34,7 @@
         self._borrower = borrower
         self._buckets: dict[str, shares.Bucket] = {}
         self._splitter = routes.Splitter()
+        self._split_version = 0
 
     def admit(
         self, request: requests.Request, fields: exchanges.CallerFields
@@ -48,6 +49,9 @@
             raise requests.RefusedError(
                 errors.Reason.CONFIGURATION_MISSING, 503, 0.3
             )
+        if configuration.version != self._split_version:
+            self._split_version = configuration.version
+            self._splitter.forget_unused(configuration)
         route = routes.find_route(configuration, fields.host, request.target)
         if route is None:
             raise requests.RefusedError(errors.Reason.SERVICE_UNKNOWN, 404)
--- a/src/sardinehill/platform/exchanges.py
+++ b/src/sardinehill/platform/exchanges.py
@@ -153,17 +153,6 @@
     return b"".join(lines)
 
 
-def health_request(address: str, path: bytes) -> bytes:
-    """Returns the request that asks an upstream for its health."""
-    return b"GET %b HTTP/1.1\r\nhost: %b\r\n\r\n" % (path, address.encode())
-
-
-def cold_left_s(answer: http1.Answer) -> float | None:
-    """Returns how long an upstream stays cold, if its answer says so."""
-    value = answer.header(names.COLD_MS)
-    return int(value) / _MS_PER_S if value and value.isdigit() else None
-
-
 def is_answer_to(answer: http1.Answer, request_id: bytes) -> bool:
     """Returns whether an answer names the request that it belongs to."""
     return answer.header(names.REQUEST_ID) == request_id
--- a/src/sardinehill/platform/names.py
+++ b/src/sardinehill/platform/names.py
@@ -1,7 +1,6 @@
 """Names on the platform's wire, and what each means to the project."""
 
 SETTINGS_VARIABLE = "SARDINEHILL_SETTINGS"
-READINESS_PATH = b"/readiness"
 
 # Header names, in lower case.
 REQUEST_ID = b"x-request-id"
