Ask peers when the leader knows nothing newer, and leave one that resigns

Found while reading: a daemon without the store asked whom it follows for news, and took an empty answer for the last word, so a leader that had lost the store as well kept its followers from peers that read it. And a table that resigns was noticed only at the next report, up to 0.25 s later; it ends following at once.

--- a/src/sardinehill/front/following.py
+++ b/src/sardinehill/front/following.py
@@ -1,6 +1,7 @@
 """Follows a leader: a link that carries reports to it and tables back."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import secrets
 
@@ -139,12 +140,6 @@
 
     # questions to whom this daemon follows
 
-    async def _ask(self, kind: kinds.Kind, payload: bytes) -> bytes:
-        link = self._link
-        if link is None or not link.is_open:
-            raise errors.PeerLostError("no leader is followed")
-        return (await link.ask(kind, payload, ASK_TIMEOUT_S)).payload
-
     async def borrow(
         self, wishes: list[fleet_messages.Wish]
     ) -> list[fleet_messages.Loan]:
@@ -153,39 +148,35 @@
         Raises:
           PeerLostError: no leader is followed, or it does not answer.
         """
-        return fleet.decode_loans(
-            await self._ask(kinds.Kind.LOAN_QUERY, fleet.encode_wishes(wishes))
+        link = self._link
+        if link is None or not link.is_open:
+            raise errors.PeerLostError("no leader is followed")
+        answer = await link.ask(
+            kinds.Kind.LOAN_QUERY, fleet.encode_wishes(wishes), ASK_TIMEOUT_S
         )
+        return fleet.decode_loans(answer.payload)
 
     async def ask_for_news(
         self, query: fleet_messages.NewsQuery
     ) -> fleet_messages.News | None:
         """Asks whom it follows, then peers in turn, for what they have read."""
         question = fleet.encode_news_query(query)
-        try:
-            return fleet.decode_news(
-                await self._ask(kinds.Kind.NEWS_QUERY, question)
-            )
-        except errors.PeerError as error:
-            events.log(
-                events.PEER_UNREACHABLE, address="leader", error=str(error)
-            )
+        link = self._link
+        if link is not None and link.is_open:
+            asked = link.ask(kinds.Kind.NEWS_QUERY, question, ASK_TIMEOUT_S)
+            news = await _news_of("leader", asked)
+            if news is not None:
+                return news
         for address in self._addresses_to_ask():
-            try:
-                answer = await bus.ask_once(
-                    address,
-                    self._name,
-                    kinds.Kind.NEWS_QUERY,
-                    question,
-                    ASK_TIMEOUT_S,
-                )
-                news = fleet.decode_news(answer.payload)
-            except errors.PeerError as error:
-                events.log(
-                    events.PEER_UNREACHABLE, address=address, error=str(error)
-                )
-                continue
-            if news.config or news.upstreams or news.zones:
+            asked = bus.ask_once(
+                address,
+                self._name,
+                kinds.Kind.NEWS_QUERY,
+                question,
+                ASK_TIMEOUT_S,
+            )
+            news = await _news_of(address, asked)
+            if news is not None:
                 return news
         return None
 
@@ -199,6 +190,20 @@
         return addresses[:PEERS_ASKED]
 
 
+async def _news_of(
+    address: str, asked: Awaitable[envelopes.Envelope]
+) -> fleet_messages.News | None:
+    """Returns what a peer has read that is newer, or None."""
+    try:
+        news = fleet.decode_news((await asked).payload)
+    except errors.PeerError as error:
+        events.log(
+            events.PEER_UNREACHABLE, address=address, error=str(error)[:200]
+        )
+        return None
+    return news if news.config or news.upstreams or news.zones else None
+
+
 async def _first_of(*flags: asyncio.Event) -> None:
     tasks = [asyncio.ensure_future(flag.wait()) for flag in flags]
     try:
--- a/src/sardinehill/front/known_leader.py
+++ b/src/sardinehill/front/known_leader.py
@@ -21,7 +21,7 @@
       table: the newest table with its spans, or None.
       hint: a leader to follow next, or None.
       newer: set when a leader of a higher term is heard.
-      nobody: set when whoever is followed hears no leader.
+      nobody: set when whoever is followed hears no leader, or lays it down.
     """
 
     def __init__(self, name: str, clock_s: Callable[[], float]):
@@ -99,6 +99,8 @@
             if table.spans is None:
                 table.spans = known.spans
         self.table = table
+        if table.resigned:
+            self.nobody.set()
         return True
 
     def set_own(self, table: fleet_messages.Table) -> None:
