--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -49,52 +49,63 @@
         Raises:
           requests.RefusedError: it may not be sent again.
         """
+        connection = await self._connect(work, target)
+        if connection is None:
+            return None
+        answer = await self._exchange(work, target, connection)
+        if answer is None:
+            return None
+        target.pool.give(connection)
+        latency_s = asyncio.get_running_loop().time() - work.sent_s
+        return self._judge(work, target, answer, latency_s)
+
+    async def _connect(
+        self, work: requests.Work, target: requests.Target
+    ) -> http1.Connection | None:
+        """Takes a place and a connection at an upstream, if it is reached."""
         loop = asyncio.get_running_loop()
-        room, pool, upstream = target.room, target.pool, target.upstream
-        room.sent(loop.time())
+        target.room.sent(loop.time())
         try:
-            connection = await pool.take(work.deadline_s - loop.time())
+            return await target.pool.take(work.deadline_s - loop.time())
         except http1.ConnectionFailedError as error:
-            room.ended()
+            target.room.ended()
             self._unreachable(work, target, error)
             return None
         except BaseException:
-            room.ended()
+            target.room.ended()
             raise
-        work.sent_s = sent_s = loop.time()
+
+    async def _exchange(
+        self,
+        work: requests.Work,
+        target: requests.Target,
+        connection: http1.Connection,
+    ) -> http1.Answer | None:
+        """Sends a request over a connection; returns its whole answer."""
+        loop = asyncio.get_running_loop()
+        work.sent_s = loop.time()
         work.sends += 1
-        if upstream.id not in work.tried:
-            work.tried.append(upstream.id)
-        data = exchanges.upstream_request(
-            work.request.method,
-            work.request.target,
-            exchanges.forwarded_headers(work.request.headers),
-            work.request.body,
-            work.request.has_body,
-            work.deadline_s - sent_s,
-            upstream.id,
-            work.account.name if work.account else None,
-        )
+        if target.upstream.id not in work.tried:
+            work.tried.append(target.upstream.id)
         request_id = work.fields.request_id
         work.in_flight = True
         try:
             answer = await connection.exchange(
-                data,
+                _encoded(work, target),
                 lambda found: exchanges.is_answer_to(found, request_id),
                 work.request.method == b"HEAD",
             )
         except http1.ConnectionFailedError as error:
             if connection.exchanges == 1 and not error.answered:
-                room.connection_reset(loop.time())
+                target.room.connection_reset(loop.time())
             self._broken_off(work, target, error)
             return None
         finally:
             work.in_flight = work.in_flight and not connection.usable
-            room.ended()
-            self._directory.room_freed(upstream, work.service)
+            target.room.ended()
+            self._directory.room_freed(target.upstream, work.service)
         work.in_flight = False
-        pool.give(connection)
-        return self._judge(work, target, answer, loop.time() - sent_s)
+        return answer
 
     def _unreachable(
         self,
@@ -222,3 +233,18 @@
         if key is not None:
             self._directory.accepted(work.service, key, target.epoch)
             self._usage.asked(work.service, key, usual_s)
+
+
+def _encoded(work: requests.Work, target: requests.Target) -> bytes:
+    """Returns a request as an upstream gets it."""
+    request = work.request
+    return exchanges.upstream_request(
+        request.method,
+        request.target,
+        exchanges.forwarded_headers(request.headers),
+        request.body,
+        request.has_body,
+        work.deadline_s - work.sent_s,
+        target.upstream.id,
+        work.account.name if work.account else None,
+    )
