Draw test ports apart from the seeded generator

test_a_key_has_one_owner failed to start a daemon in the whole run on an idle machine (663 others passed): its port was taken. Cause, from the code: Hypothesis seeds the global generator alike in each worker, so two workers drew the same ports; the system's generator is used now. Not run whole since.

--- a/tests/common/platform_fleet.py
+++ b/tests/common/platform_fleet.py
@@ -43,7 +43,7 @@
         ports: list[int] = []
         while len(ports) < count:
             one = held.enter_context(socket.socket())
-            port = random.choice(_PORTS)
+            port = random.SystemRandom().choice(_PORTS)
             with contextlib.suppress(OSError):
                 one.bind((HOST, port))
                 ports.append(port)
