Place keys by arrivals and by the slowness that upstreams report

Daemons took a reported queue for gone after 0.4 s. Change: core/service_times estimates a route's service time at an upstream of usual speed; reported slowness counts also while there is a queue; arrivals are counted; a reported queue counts until the upstream can have served it. Ruled out: quota refusals (one account whose quota is lowered makes 543 of 589).

--- a/src/sardinehill/core/fleet_messages.py
+++ b/src/sardinehill/core/fleet_messages.py
@@ -10,7 +10,8 @@
     Attributes:
       service: the service's name.
       keys: the key of each request, as its position in the key space.
-      latency_s: the mean of the usual latencies of such requests.
+      latency_s: the mean service time of such requests at an upstream of
+        usual speed, without waits.
     """
 
     service: str
@@ -24,9 +25,9 @@
 
     Attributes:
       upstream: the upstream's id.
-      answers: the number of answers.
-      slowness_sum: the sum over all answers of the ratio between the answer's
-        latency and the usual latency of its route.
+      answers: the number of answers that show how slow the upstream is.
+      slowness_sum: the sum over these answers of how long work takes at the
+        upstream, relative to the usual time.
     """
 
     upstream: str
--- a/src/sardinehill/core/upstream_state.py
+++ b/src/sardinehill/core/upstream_state.py
@@ -11,8 +11,10 @@
 
 LATENCY_RETENTION_RATIO = 0.85
 FAILURE_RETENTION_RATIO = 0.8
-# A load report counts for this time, with linearly decreasing weight.
-LOAD_REPORT_TTL_S = 0.4
+# A load report counts for at least this time, with linearly decreasing weight.
+# It counts for longer if the upstream needs longer to serve its queue.
+MIN_LOAD_REPORT_TTL_S = 0.4
+MAX_LOAD_REPORT_TTL_S = 4.0
 # The relative increase in expected latency at a failure ratio of 1.
 FAILURE_COST_FACTOR = 4.0
 # An upstream that could not be reached gets no requests for at least this time.
@@ -59,6 +61,7 @@
       failure_ratio: the smoothed ratio of failures among its answers.
       other_requests: requests of other daemons in its last load report.
       load_reported_s: when it last reported its load.
+      load_report_ttl_s: how long that report counts.
       blocked_until_s: it gets no requests before this time.
       single_request_until_s: it gets one request at a time before this time.
       cold_until_s: it is cold until this time.
@@ -73,7 +76,8 @@
     host_slowness: float = 1.0
     failure_ratio: float = 0.0
     other_requests: float = 0.0
-    load_reported_s: float = -LOAD_REPORT_TTL_S
+    load_reported_s: float = -MAX_LOAD_REPORT_TTL_S
+    load_report_ttl_s: float = MIN_LOAD_REPORT_TTL_S
     blocked_until_s: float = 0.0
     single_request_until_s: float = 0.0
     cold_until_s: float = 0.0
@@ -109,12 +113,29 @@
         self.slowness += (1 - LATENCY_RETENTION_RATIO) * (ratio - self.slowness)
 
     def record_load_report(
-        self, running: int, waiting: int, slowness: float, now_s: float
+        self,
+        running: int,
+        waiting: int,
+        slowness: float,
+        service_time_s: float,
+        now_s: float,
     ) -> None:
-        """Records the load that the upstream reports."""
+        """Records the load that the upstream reports.
+
+        Args:
+          running: how many requests it is running.
+          waiting: how many requests wait for a slot.
+          slowness: how long work takes there, relative to the usual time.
+          service_time_s: the usual time that a request takes.
+          now_s: the current time.
+        """
         self.other_requests = max(0.0, running + waiting - self.in_flight)
         self.host_slowness = slowness
         self.load_reported_s = now_s
+        drain_s = self.other_requests * service_time_s * slowness / self.slots
+        self.load_report_ttl_s = min(
+            max(drain_s, MIN_LOAD_REPORT_TTL_S), MAX_LOAD_REPORT_TTL_S
+        )
 
     def record_full(self, now_s: float) -> None:
         """Records that the upstream refused a request because it is full."""
@@ -137,7 +158,7 @@
     def estimated_requests(self, now_s: float) -> float:
         """Returns the estimated number of requests at the upstream."""
         age_s = now_s - self.load_reported_s
-        weight = max(0.0, 1.0 - age_s / LOAD_REPORT_TTL_S)
+        weight = max(0.0, 1.0 - age_s / self.load_report_ttl_s)
         return self.in_flight + self.other_requests * weight
 
     def expected_latency_ratio(self, now_s: float) -> float:
@@ -147,7 +168,8 @@
         """
         excess = max(0.0, self.estimated_requests(now_s) + 1 - self.slots)
         age_s = now_s - self.load_reported_s
-        host_slowness = self.host_slowness if age_s < LOAD_REPORT_TTL_S else 1.0
+        is_recent = age_s < MIN_LOAD_REPORT_TTL_S
+        host_slowness = self.host_slowness if is_recent else 1.0
         slowness = self.slowness * (0.5 + 0.5 * host_slowness)
         failure_factor = 1 + FAILURE_COST_FACTOR * self.failure_ratio
         return slowness * (1 + excess / self.slots) * failure_factor
--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -106,6 +106,7 @@
         try:
             async with asyncio.timeout_at(context.deadline_s):
                 await self._admission.take_token(context)
+                self._sender.count_arrival(context)
                 answer = await self._send_until_answered(context)
         except TimeoutError:
             refusal = self._deadline_refusal(context)
--- a/src/sardinehill/front/report_counters.py
+++ b/src/sardinehill/front/report_counters.py
@@ -2,10 +2,6 @@
 
 from sardinehill.core import fleet_messages
 
-# A higher slowness is counted as this value, which limits the weight of a
-# single very late answer.
-MAX_SLOWNESS_RATIO = 10.0
-
 
 class ReportCounters:
     """Counts accounts' demand, requested keys and upstreams' latencies.
@@ -24,32 +20,33 @@
         self._demand[account] = self._demand.get(account, 0) + 1
 
     def count_key_request(
-        self, service: str, key: int, usual_latency_s: float
+        self, service: str, key: int, service_time_s: float
     ) -> None:
         """Counts a request for a key.
 
         Args:
           service: the divided service.
           key: the requested key.
-          usual_latency_s: the usual latency of such requests.
+          service_time_s: how long such requests take at an upstream of usual
+            speed, without waits.
         """
-        keys, latencies_s = self._keys.setdefault(service, ([], []))
+        keys, service_times_s = self._keys.setdefault(service, ([], []))
         keys.append(key)
-        latencies_s.append(usual_latency_s)
+        service_times_s.append(service_time_s)
 
     def count_answer(self, upstream: str, slowness: float) -> None:
-        """Counts an answer from an idle upstream.
+        """Counts an answer that shows how slow an upstream is.
 
         Args:
           upstream: the upstream's id.
-          slowness: the ratio of the answer's latency to the usual one.
+          slowness: how long work takes there, relative to the usual time.
         """
         use = self._upstreams.get(upstream)
         if use is None:
             use = fleet_messages.UpstreamUse(upstream, 0, 0.0)
             self._upstreams[upstream] = use
         use.answers += 1
-        use.slowness_sum += min(slowness, MAX_SLOWNESS_RATIO)
+        use.slowness_sum += slowness
 
     def count_refused_key(self, service: str, key: int, epoch: int) -> None:
         """Counts a request that an owner refused as not holding the key."""
@@ -60,9 +57,9 @@
         report.demand, self._demand = self._demand, {}
         report.keys = [
             fleet_messages.KeyUse(
-                service, keys, sum(latencies_s) / len(latencies_s)
+                service, keys, sum(service_times_s) / len(service_times_s)
             )
-            for service, (keys, latencies_s) in self._keys.items()
+            for service, (keys, service_times_s) in self._keys.items()
         ]
         self._keys = {}
         report.upstreams = list(self._upstreams.values())
--- a/src/sardinehill/front/requests.py
+++ b/src/sardinehill/front/requests.py
@@ -92,7 +92,6 @@
       tried_upstreams: the ids of upstreams that it was sent to.
       may_have_run: whether an upstream may have run it.
       in_flight: whether it is at an upstream now.
-      upstream_was_idle: whether the last answer reported an empty queue.
       sent_s: when it was last sent.
       waiting_since_s: when it first had to wait for capacity, or None.
       last_failure: why the last attempt failed; empty if none has.
@@ -110,7 +109,6 @@
     tried_upstreams: list[str] = dataclasses.field(default_factory=list)
     may_have_run: bool = False
     in_flight: bool = False
-    upstream_was_idle: bool = False
     sent_s: float = 0.0
     waiting_since_s: float | None = None
     last_failure: str = ""
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -10,6 +10,7 @@
 from sardinehill import errors
 from sardinehill import events
 from sardinehill import http1
+from sardinehill.core import service_times
 from sardinehill.front import front_metrics as metrics_module
 from sardinehill.front import report_counters as counters_module
 from sardinehill.front import requests
@@ -38,11 +39,29 @@
         self._log = log_request
         self._counters = counters
         self._mean_latencies_s: dict[str, float] = {}
+        self._service_times = service_times.ServiceTimes()
 
     def mean_latency_s(self, route: str) -> float:
         """Returns a route's moving mean latency over all upstreams."""
         return self._mean_latencies_s.get(route, INITIAL_LATENCY_S)
 
+    def service_time_s(self, route: str) -> float:
+        """Returns a route's service time at an upstream of usual speed."""
+        return self._service_times.service_time_s(route)
+
+    def count_arrival(self, context: requests.RequestContext) -> None:
+        """Counts a request for a key, whether or not it will be served.
+
+        The leader places keys by the requests that arrive for them. Requests
+        that were refused because an upstream was full would be missing among
+        the served ones.
+        """
+        key = context.metadata.shard_key
+        if key is not None and self._directory.is_divided(context.service):
+            self._counters.count_key_request(
+                context.service, key, self.service_time_s(context.route.name)
+            )
+
     async def send(
         self, context: requests.RequestContext, target: requests.Target
     ) -> http1.Response | None:
@@ -175,9 +194,12 @@
         load = http_messages.parse_load(answer)
         if load is not None:
             target.upstream_state.record_load_report(
-                load.running, load.waiting, load.slowness, now_s
+                load.running,
+                load.waiting,
+                load.slowness,
+                self.service_time_s(context.route.name),
+                now_s,
             )
-        context.upstream_was_idle = load is not None and load.waiting == 0
         if http_messages.reports_not_run(answer):
             self._record_upstream_refusal(context, target, answer, now_s)
             return None
@@ -186,7 +208,7 @@
         mean_s = self.mean_latency_s(context.route.name)
         target.upstream_state.record_answer(latency_s, mean_s, ok)
         if ok:
-            self._record_success(context, target, latency_s, mean_s)
+            self._record_success(context, target, load, latency_s, mean_s)
             return answer
         context.may_have_run = True
         context.last_failure = (
@@ -244,6 +266,7 @@
         self,
         context: requests.RequestContext,
         target: requests.Target,
+        load: http_messages.ReportedLoad | None,
         latency_s: float,
         mean_s: float,
     ) -> None:
@@ -251,12 +274,17 @@
         self._mean_latencies_s[name] = mean_s + (1 - LATENCY_HISTORY_WEIGHT) * (
             latency_s - mean_s
         )
-        if context.upstream_was_idle:
-            self._counters.count_answer(target.upstream.id, latency_s / mean_s)
+        slowness = self._service_times.record_answer(
+            name,
+            latency_s,
+            load.slowness if load is not None else None,
+            has_queue=load is None or load.waiting > 0,
+        )
+        if slowness is not None:
+            self._counters.count_answer(target.upstream.id, slowness)
         key = context.metadata.shard_key
         if key is not None:
             self._directory.note_accepted(context.service, key, target.epoch)
-            self._counters.count_key_request(context.service, key, mean_s)
 
 
 def _encode_request(
--- a/src/sardinehill/wire/fleet.capnp
+++ b/src/sardinehill/wire/fleet.capnp
@@ -10,15 +10,15 @@
 struct KeyUse {
   service @0 :Text;
   keys @1 :List(UInt16);
-  # The mean of the usual latencies of these requests, in microseconds.
+  # The mean service time of these requests at an upstream of usual speed, in
+  # microseconds.
   latencyUs @2 :UInt32;
 }
 
 struct UpstreamUse {
   upstream @0 :Text;
   answers @1 :UInt32;
-  # The sum over the answers of 1000 times the ratio of the answer's latency to
-  # the usual latency of its route.
+  # The sum over the answers of 1000 times the upstream's slowness.
   slownessSum @2 :UInt32;
 }
 
--- a/tests/cover/test_upstream_state.py
+++ b/tests/cover/test_upstream_state.py
@@ -32,7 +32,7 @@
         fast.record_answer(0.05, 0.1, ok=True)
         slow.record_answer(0.5, 0.1, ok=True)
         failing.record_answer(0.05, 0.1, ok=False)
-    busy.record_load_report(3, 9, 1.0, 0.0)
+    busy.record_load_report(3, 9, 1.0, 0.1, 0.0)
     candidates = [
         ("slow", slow, 1.0),
         ("failing", failing, 1.0),
@@ -87,3 +87,11 @@
         max_in_flight=4,
         max_cold_sends=0,
     )
+
+
+def test_a_reported_queue_counts_until_it_can_have_been_served():
+    upstream = upstream_state.UpstreamState(slots=2)
+    upstream.record_load_report(2, 18, 1.6, 0.22, now_s=10.0)
+    # 20 requests of 0.35 s each take two slots 3.5 s.
+    assert upstream.estimated_requests(11.0) > 12
+    assert upstream.estimated_requests(13.6) == 0
