Bound what a server may send beside the body of its answer

Cause: a response was bounded only in its body (64 MB). Change: bytes beside the body are limited to 64 KiB plus eight times the body, the body to 16 MiB. The exchange fails as one that may have run; the connection is closed. An error says whether the peer reset the connection.

--- a/src/sardinehill/http1.py
+++ b/src/sardinehill/http1.py
@@ -18,7 +18,14 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBE_COUNT = 2
-MAX_RESPONSE_BODY_BYTES = 64 * 1024 * 1024
+# A faulty server may send a head or a body without end. A daemon has about
+# 200 MB for all its exchanges.
+MAX_RESPONSE_BODY_BYTES = 16 * 1024 * 1024
+# Bounds what is received beside the body: heads, also of interim responses,
+# trailers and the framing of chunks.
+MAX_RESPONSE_OVERHEAD_BYTES = 64 * 1024
+# Chunks of one byte have a framing of five bytes.
+MAX_FRAMING_RATIO = 8
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -61,6 +68,7 @@
       written: whether any byte of the request may have left this host.
       refused: whether the connection was refused.
       response_started: whether any byte of a response was received.
+      reset: whether the peer has reset the connection.
     """
 
     def __init__(
@@ -69,11 +77,13 @@
         written: bool,
         refused: bool = False,
         response_started: bool = False,
+        reset: bool = False,
     ):
         super().__init__(reason)
         self.written = written
         self.refused = refused
         self.response_started = response_started
+        self.reset = reset
 
 
 def set_tcp_options(transport: asyncio.BaseTransport, keepalive: bool) -> None:
@@ -128,6 +138,7 @@
         self._response = Response()
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._received_bytes = 0
         self._has_body_length = False
         self._headers_done = False
         self._has_no_body = False
@@ -153,10 +164,22 @@
             self.close()
             return
         self._response_started = True
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(f"invalid HTTP response: {error}")
+            return
+        if self._pending_response is not None:
+            self._check_overhead()
+
+    def _check_overhead(self) -> None:
+        overhead_bytes = self._received_bytes - self._body_bytes
+        allowed_bytes = (
+            MAX_RESPONSE_OVERHEAD_BYTES + MAX_FRAMING_RATIO * self._body_bytes
+        )
+        if overhead_bytes > allowed_bytes:
+            self._fail("the response head or framing is too long")
 
     def eof_received(self) -> bool:
         """Completes a response without a length and fails any other."""
@@ -171,7 +194,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails a pending exchange and reports the connection's end."""
-        self._fail(f"connection lost: {exc}" if exc else "connection closed")
+        self._fail(
+            f"connection lost: {exc}" if exc else "connection closed",
+            reset=isinstance(exc, ConnectionResetError),
+        )
         self.usable = False
         if self._on_lost is not None:
             self._on_lost(self)
@@ -254,6 +280,8 @@
         self._matches_request = matches_request
         self._has_no_body = has_no_body
         self._response_started = False
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._headers_done = False
         self._pending_response = self._loop.create_future()
         self.exchange_count += 1
@@ -324,7 +352,7 @@
             if name.lower() == b"timeout" and number.isdigit():
                 self.server_idle_timeout_s = float(number)
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str, reset: bool = False) -> None:
         pending, self._pending_response = self._pending_response, None
         if pending is not None and not pending.done():
             pending.set_exception(
@@ -332,6 +360,7 @@
                     reason,
                     written=True,
                     response_started=self._response_started,
+                    reset=reset,
                 )
             )
         self.close()
--- /dev/null
+++ b/tests/cover/test_endless_answers.py
@@ -0,0 +1,103 @@
+"""Tests of servers that send bytes without end in place of an answer."""
+
+import asyncio
+import contextlib
+import tracemalloc
+
+import pytest
+
+from sardinehill import http1
+
+REQUEST = b"GET / HTTP/1.1\r\nhost: test\r\n\r\n"
+OK_HEAD = b"HTTP/1.1 200 OK\r\n"
+FILLER = b"x" * 16384
+MAX_MEMORY_BYTES = 3 * http1.MAX_RESPONSE_BODY_BYTES
+TEST_TIMEOUT_S = 30.0
+
+ENDLESS_ANSWERS = {
+    "status-line": (b"HTTP/1.1 200 ", FILLER),
+    "header-name": (OK_HEAD, FILLER),
+    "header-value": (OK_HEAD + b"a: ", FILLER),
+    "headers": (OK_HEAD, b"a: b\r\n" * 4096),
+    "interim-responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1024),
+    "chunk-extension": (
+        OK_HEAD + b"transfer-encoding: chunked\r\n\r\n1;",
+        FILLER,
+    ),
+    "trailers": (
+        OK_HEAD + b"transfer-encoding: chunked\r\n\r\n0\r\n",
+        b"a: b\r\n" * 4096,
+    ),
+    "chunks": (
+        OK_HEAD + b"transfer-encoding: chunked\r\n\r\n",
+        b"4000\r\n" + FILLER + b"\r\n",
+    ),
+    "body-without-length": (OK_HEAD + b"\r\n", FILLER),
+    "body-with-a-huge-length": (
+        OK_HEAD + b"content-length: 99999999999\r\n\r\n",
+        FILLER,
+    ),
+    "no-protocol": (b"", b"\x00\x01\x02" * 4096),
+}
+
+
+async def _exchange_with_endless_server(start: bytes, filler: bytes) -> None:
+    closed = asyncio.Event()
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        with contextlib.suppress(ConnectionError):
+            writer.write(start)
+            while True:
+                writer.write(filler)
+                await writer.drain()
+        closed.set()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    connection = await http1.connect(f"127.0.0.1:{port}", 1.0)
+    with pytest.raises(http1.ConnectionFailedError) as caught:
+        await connection.exchange(REQUEST)
+    assert caught.value.written
+    assert not connection.usable
+    # The server sees the end of the connection.
+    await closed.wait()
+    server.close()
+
+
+@pytest.mark.parametrize("name", sorted(ENDLESS_ANSWERS))
+def test_an_endless_answer_is_cut_off_within_bounded_memory(name: str):
+    async def body() -> None:
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            await _exchange_with_endless_server(*ENDLESS_ANSWERS[name])
+
+    tracemalloc.start()
+    try:
+        asyncio.run(body())
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < MAX_MEMORY_BYTES
+
+
+def test_an_answer_in_chunks_of_one_byte_is_complete():
+    async def body() -> bytes:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(OK_HEAD + b"transfer-encoding: chunked\r\n\r\n")
+            writer.write(b"1\r\nx\r\n" * 40_000 + b"0\r\n\r\n")
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        connection = await http1.connect(f"127.0.0.1:{port}", 1.0)
+        response = await connection.exchange(REQUEST)
+        connection.close()
+        server.close()
+        return response.body
+
+    assert asyncio.run(body()) == b"x" * 40_000
