Plan moves of keys alike for any number of upstreams

Cause: a move had to gain 0.6% of the total latency of all requests, which is 13% of the cost of one of 21 upstreams, but 84% of one of 135 and more than all of one of 640; and at most ten moves were planned at once. Change: the least gain is relative to the mean cost of one upstream; one move for each four upstreams is planned at once, at least ten. Shown: test_a_hot_range_of_keys_is_spread_over_any_number_of_upstreams, which failed at 640 before.

--- a/src/sardinehill/core/key_plan.py
+++ b/src/sardinehill/core/key_plan.py
@@ -39,19 +39,22 @@
     """The conditions under which keys are moved.
 
     Attributes:
-      min_gain_share: the least gain of a move, as a share of the total latency
-        of all requests.
+      min_gain_share: the least gain of a move, as a share of the mean cost of
+        an upstream, so that it does not depend on the number of upstreams.
       key_move_cost_share: the further gain that each moved key requires, as a
-        share of the same total.
-      max_moves: how many moves are planned at once.
+        share of the total cost of all upstreams.
+      min_moves: how many moves may be planned at once with few upstreams.
+      upstreams_per_move: with many upstreams, one move is planned at once for
+        this many of them.
       max_spans: an upstream with this many movable spans gets no further one.
       min_load_share: an upstream with less than this share of the mean load is
         preferred as a target.
     """
 
-    min_gain_share: float = 0.006
+    min_gain_share: float = 0.13
     key_move_cost_share: float = 1e-6
-    max_moves: int = 10
+    min_moves: int = 10
+    upstreams_per_move: int = 4
     max_spans: int = 16
     min_load_share: float = 0.1
 
@@ -256,7 +259,10 @@
     def improve(self) -> None:
         """Plans moves while they lower the total latency."""
         exhausted: set[keyspace.Incarnation] = set()
-        moves_left = self._policy.max_moves
+        moves_left = max(
+            self._policy.min_moves,
+            len(self._loads) // self._policy.upstreams_per_move,
+        )
         while moves_left > 0:
             sources = [
                 upstream
@@ -286,7 +292,7 @@
         total_cost = self._total_cost()
         cost_per_key = self._policy.key_move_cost_share * total_cost
         best: tuple[int, int, keyspace.Incarnation] | None = None
-        best_gain = self._policy.min_gain_share * total_cost
+        best_gain = self._policy.min_gain_share * total_cost / len(self._loads)
         for share in MOVE_LOAD_SHARES:
             piece_load = self._loads[source] * share
             for first, last in self._candidate_pieces(source, piece_load):
--- a/tests/cover/test_keyspace.py
+++ b/tests/cover/test_keyspace.py
@@ -178,3 +178,53 @@
     tracker = key_load.KeyLoadTracker(0.0)
     tracker.add([7] * 100, 0.1, 0.0)
     assert tracker.loads(60.0).get(7, 0.0) < 0.01
+
+
+@pytest.mark.parametrize("upstreams", [11, 21, 92, 135, 640])
+def test_a_hot_range_of_keys_is_spread_over_any_number_of_upstreams(
+    upstreams: int,
+):
+    # With a least gain relative to the whole fleet, large fleets left upstreams
+    # with twice the mean load as they were.
+    width = keyspace.KEY_COUNT // upstreams
+    owners = [(f"u{index}", 1) for index in range(upstreams)]
+    assignment = keyspace.KeyAssignment(
+        [
+            keyspace.Span(
+                index * width,
+                keyspace.KEY_COUNT - 1
+                if index == upstreams - 1
+                else (index + 1) * width - 1,
+                owner,
+                index + 1,
+                confirmed=True,
+            )
+            for index, owner in enumerate(owners)
+        ],
+        upstreams,
+    )
+    capacities = dict.fromkeys(owners, key_plan.UpstreamCapacity(3, 1.0))
+    # All upstreams are used by a third, but one is asked for more than it can
+    # serve.
+    loads = {
+        index * width + step * (width // 40): 1 / 40
+        for index in range(upstreams)
+        for step in range(40)
+    }
+    hot_first = (upstreams // 2) * width
+    for step in range(60):
+        loads[hot_first + step] = 4 / 60
+    key_loads = key_plan.KeyLoads(loads, 0.5 / keyspace.KEY_COUNT)
+    for _ in range(6):
+        moves = key_plan.plan(assignment, capacities, key_loads, POLICY)
+        keyspace.apply_moves(assignment, moves)
+        for span in assignment.spans:
+            span.former_owner = None
+    utilization = dict.fromkeys(owners, 0.0)
+    for span in assignment.spans:
+        utilization[span.owner] += (
+            key_loads.span_load(span.first, span.last) / 3
+        )
+    # Up to this utilization, the mean wait for one of three slots is less than
+    # half a service time.
+    assert max(utilization.values()) < 0.65
