--- a/src/sardinehill/adapters/peers.py
+++ b/src/sardinehill/adapters/peers.py
@@ -8,7 +8,6 @@
 from collections.abc import Sequence
 import ipaddress
 from typing import Any
-import zlib
 
 import capnp
 
@@ -17,6 +16,7 @@
 from sardinehill.core import membership
 from sardinehill.core import peer_messages
 from sardinehill.core import replica
+from sardinehill.wire import compression
 from sardinehill.wire import message_kinds
 from sardinehill.wire import schemas
 
@@ -94,7 +94,7 @@
                 return _decode_membership(reader)
         with _open(_replication.NewsMessage, payload) as reader:
             return _decode_replication(reader)
-    except (capnp.KjException, ValueError, zlib.error) as error:
+    except (capnp.KjException, ValueError) as error:
         raise errors.PeerFrameError(
             f"a payload of kind {kind} and {len(payload)} bytes is malformed"
         ) from error
@@ -162,11 +162,10 @@
 def _item_dict(item: replica.Item) -> dict[str, Any]:
     # Compression makes a list of 640 members twelve times shorter, and each
     # restart of a member sends a new list to all of them.
-    compressed = zlib.compress(item.body, zlib.Z_BEST_SPEED)
-    is_compressed = len(compressed) < len(item.body)
+    body, is_compressed = compression.compress(item.body)
     return {
         "notice": _notice_dict(item.version_notice),
-        "body": compressed if is_compressed else item.body,
+        "body": body,
         "deleted": item.deleted,
         "isCompressed": is_compressed,
     }
@@ -249,20 +248,13 @@
 
 def _decode_item(item: Any) -> replica.Item:
     notice = _decode_notice(item.notice)
+    body = bytes(item.body)
+    if item.isCompressed:
+        body = compression.decompress(body, MAX_BODY_BYTES)
     return replica.Item(
         kind=notice.kind,
         name=notice.name,
         version=notice.version,
-        body=_decompress(item.body) if item.isCompressed else bytes(item.body),
+        body=body,
         deleted=item.deleted,
     )
-
-
-def _decompress(body: Any) -> bytes:
-    decompressor = zlib.decompressobj()
-    # The output is bounded, because a few compressed bytes can expand to any
-    # number of bytes.
-    decompressed = decompressor.decompress(bytes(body), MAX_BODY_BYTES)
-    if not decompressor.eof:
-        raise ValueError("the compressed body is too long or truncated")
-    return decompressed
--- a/src/sardinehill/core/fleet_messages.py
+++ b/src/sardinehill/core/fleet_messages.py
@@ -2,6 +2,10 @@
 
 import dataclasses
 
+# What a daemon understands beyond the first version: from version 1 on, changes
+# of spans and compressed documents.
+PROTOCOL_VERSION = 1
+
 
 @dataclasses.dataclass(slots=True)
 class KeyUse:
@@ -63,6 +67,9 @@
       upstreams: the answers of upstreams.
       refused: the keys that their presumed owners refused.
       store_reachable: whether the store has recently answered the daemon.
+      protocol_version: the daemon's `PROTOCOL_VERSION`.
+      needs_spans: whether the daemon needs all spans, because it has missed the
+        table that the last changes refer to.
     """
 
     daemon: str
@@ -73,6 +80,8 @@
     upstreams: list[UpstreamUse] = dataclasses.field(default_factory=list)
     refused: list[RefusedKey] = dataclasses.field(default_factory=list)
     store_reachable: bool = True
+    protocol_version: int = 0
+    needs_spans: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,6 +103,32 @@
     live: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceSpanChanges:
+    """The changes of one service's spans.
+
+    Attributes:
+      removed_first_keys: the first keys of the spans that are replaced.
+      added: the new spans.
+    """
+
+    removed_first_keys: list[int]
+    added: list[OwnerSpan]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SpanChanges:
+    """The differences between the spans of two tables of one term.
+
+    Attributes:
+      base_serial: the serial of the table that they refer to.
+      services: the changes of each service with different spans.
+    """
+
+    base_serial: int
+    services: dict[str, ServiceSpanChanges]
+
+
 @dataclasses.dataclass(slots=True)
 class LeaderTable:
     """The state that the leader sends to all daemons.
@@ -105,7 +140,9 @@
       serial: a number that increases with each change of the spans in a term.
       daemons: the number of daemons from which the leader receives reports.
       store_reachable: whether the leader reaches the store.
-      spans: the spans of each service, or None if they have not changed.
+      spans: the spans of each service, or None if they have not changed or if
+        `span_changes` are sent in their place.
+      span_changes: how the spans have changed, or None.
       shares: the receiver's share of each client account's quota, from 0 to 1.
       lendable: the tokens of each client account that the leader can lend.
       age_s: the time since the leader itself sent an update.
@@ -121,6 +158,7 @@
     daemons: int
     store_reachable: bool = True
     spans: dict[str, list[OwnerSpan]] | None = None
+    span_changes: SpanChanges | None = None
     shares: dict[str, float] = dataclasses.field(default_factory=dict)
     lendable: dict[str, float] = dataclasses.field(default_factory=dict)
     age_s: float = 0.0
@@ -149,11 +187,19 @@
 
 @dataclasses.dataclass(slots=True)
 class StoreStateQuery:
-    """A request to a peer for all documents newer than the given revisions."""
+    """A request to a peer for all documents newer than the given revisions.
+
+    Attributes:
+      config_revision: the revision of the config that the sender has.
+      upstreams_revision: the revision of its upstreams.
+      zones_revision: the revision of its excluded zones.
+      protocol_version: the sender's `PROTOCOL_VERSION`.
+    """
 
     config_revision: int
     upstreams_revision: int
     zones_revision: int
+    protocol_version: int = PROTOCOL_VERSION
 
 
 @dataclasses.dataclass(slots=True)
@@ -181,14 +227,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TokenRequest:
-    """A request to the leader for tokens of a client account.
+    """A request to the leader for tokens of a limit that the fleet shares.
 
     Attributes:
-      account: the client account.
+      name: the client account, or the id of the cold upstream.
       tokens: the number of tokens, one for each waiting request.
     """
 
-    account: str
+    name: str
     tokens: int
 
 
@@ -197,12 +243,12 @@
     """The leader's answer to a `TokenRequest`.
 
     Attributes:
-      account: the client account.
+      name: the client account, or the id of the cold upstream.
       tokens: the number of lent tokens.
       wait_s: if fewer are lent than requested, the time until there may be
         more.
     """
 
-    account: str
+    name: str
     tokens: int
     wait_s: float
--- a/src/sardinehill/core/quota_shares.py
+++ b/src/sardinehill/core/quota_shares.py
@@ -170,9 +170,15 @@
 
 @dataclasses.dataclass(slots=True)
 class _Demand:
-    """Each daemon's demand for one account, smoothed over its reports."""
+    """A daemon's demand for one account, smoothed over its reports.
 
-    by_daemon: dict[str, float] = dataclasses.field(default_factory=dict)
+    Attributes:
+      requests: the smoothed number of requests per report.
+      report_count: how many reports the daemon had sent at the last request.
+    """
+
+    requests: float = 0.0
+    report_count: int = 0
 
 
 class DemandTracker:
@@ -183,28 +189,33 @@
     """
 
     def __init__(self) -> None:
-        self._demand: dict[str, _Demand] = {}
+        self._demand: dict[str, dict[str, _Demand]] = {}
+        self._report_counts: dict[str, int] = {}
 
     def record_demand(self, daemon: str, requests: Mapping[str, float]) -> None:
         """Records a daemon's requests by account since its last report."""
-        for account in requests:
-            self._demand.setdefault(account, _Demand())
-        for account, demand in self._demand.items():
-            earlier = demand.by_daemon.get(daemon, 0.0)
-            demand.by_daemon[daemon] = (
-                earlier * DEMAND_RETENTION_RATIO + requests.get(account, 0.0)
-            )
+        self._report_counts[daemon] = self._report_counts.get(daemon, 0) + 1
+        for account, count in requests.items():
+            by_daemon = self._demand.setdefault(account, {})
+            demand = by_daemon.setdefault(daemon, _Demand())
+            demand.requests = self._current_requests(daemon, demand) + count
+            demand.report_count = self._report_counts[daemon]
+
+    def _current_requests(self, daemon: str, demand: _Demand) -> float:
+        reports_since = self._report_counts[daemon] - demand.report_count
+        return demand.requests * DEMAND_RETENTION_RATIO**reports_since
 
     def share(self, account: str, daemon: str, daemons: int) -> float:
         """Returns a daemon's share of an account, from 0 to 1."""
         even_share = 1.0 / max(daemons, 1)
-        demand = self._demand.get(account)
-        if demand is None:
-            return even_share
-        total = sum(demand.by_daemon.values())
+        requests = {
+            name: self._current_requests(name, demand)
+            for name, demand in self._demand.get(account, {}).items()
+        }
+        total = sum(requests.values())
         if total <= 0:
             return even_share
-        demand_share = demand.by_daemon.get(daemon, 0.0) / total
+        demand_share = requests.get(daemon, 0.0) / total
         return (
             EVEN_SPLIT_RATIO * even_share
             + (1 - EVEN_SPLIT_RATIO) * demand_share
--- a/src/sardinehill/core/service_times.py
+++ b/src/sardinehill/core/service_times.py
@@ -59,11 +59,9 @@
             self._service_times_s[route] = measured_s
             return slowness
         latency_ratio = latency_s / max(known_s, _MIN_RATIO)
-        self._service_times_s[route] = (
-            known_s * HISTORY_WEIGHT
-            + min(measured_s, known_s * MAX_SLOWNESS_RATIO)
-            * (1 - HISTORY_WEIGHT)
-        )
+        self._service_times_s[route] = known_s * HISTORY_WEIGHT + min(
+            measured_s, known_s * MAX_SLOWNESS_RATIO
+        ) * (1 - HISTORY_WEIGHT)
         if (
             reported_slowness is None
             or latency_ratio > UNREPORTED_SLOWNESS_RATIO * slowness
--- a/src/sardinehill/core/upstream_state.py
+++ b/src/sardinehill/core/upstream_state.py
@@ -11,6 +11,17 @@
 
 LATENCY_RETENTION_RATIO = 0.85
 FAILURE_RETENTION_RATIO = 0.8
+# The weight of the earlier slowness when a reported one is averaged in.
+HOST_SLOWNESS_RETENTION_RATIO = 0.85
+# Requests are sent to a busy upstream while their expected latency is at most
+# this part of their latency objective.
+OBJECTIVE_RATIO = 0.9
+# This many requests may wait for a slot however long that takes, so that a slot
+# that becomes free is used at once.
+MIN_QUEUED_REQUESTS = 2
+# The number of requests beyond its slots that an upstream may have from all
+# daemons together.
+MAX_QUEUED_REQUESTS = 5
 # A load report counts for at least this time, with linearly decreasing weight.
 # It counts for longer if the upstream needs longer to serve its queue.
 MIN_LOAD_REPORT_TTL_S = 0.4
@@ -28,11 +39,15 @@
 # The random variation of expected latencies. It prevents all daemons from
 # selecting the same upstream.
 CHOICE_NOISE_RATIO = 0.25
-# The window in which requests sent to a cold upstream are counted.
-COLD_SEND_WINDOW_S = 1.05
+# How much longer work takes at a cold upstream.
+COLD_COST_FACTOR = 2.5
 # An upstream that resets a new connection has reached its connection limit. It
 # gets one request at a time for this time.
 RESET_SINGLE_REQUEST_S = 1.0
+# A reset without an answer counts as a queue of this many requests, and for at
+# least this time.
+RESET_QUEUE_REQUESTS = 2 * MAX_QUEUED_REQUESTS
+RESET_REPORT_TTL_S = 1.0
 # Upstreams keep the connections of daemons that lost power for some seconds, so
 # all daemons together open only this ratio of what one upstream accepts.
 USABLE_CONNECTIONS_RATIO = 0.5
@@ -58,6 +73,7 @@
       slowness: its smoothed latency relative to the route's mean over all
         upstreams.
       host_slowness: the slowness that it last reported for its host.
+      mean_host_slowness: the smoothed slowness that it reports, or None.
       failure_ratio: the smoothed ratio of failures among its answers.
       other_requests: requests of other daemons in its last load report.
       load_reported_s: when it last reported its load.
@@ -67,13 +83,15 @@
       cold_until_s: it is cold until this time.
       consecutive_unreachable: how often it could not be reached since the last
         call of `record_answer`, if any.
-      cold_send_times_s: when requests were sent to it while cold, newest last.
+      no_cold_sends_until_s: while it is cold, it gets no requests before this
+        time, because the fleet's sends to it are used up.
     """
 
     slots: int
     in_flight: int = 0
     slowness: float = 1.0
     host_slowness: float = 1.0
+    mean_host_slowness: float | None = None
     failure_ratio: float = 0.0
     other_requests: float = 0.0
     load_reported_s: float = -MAX_LOAD_REPORT_TTL_S
@@ -82,13 +100,15 @@
     single_request_until_s: float = 0.0
     cold_until_s: float = 0.0
     consecutive_unreachable: int = 0
-    cold_send_times_s: list[float] = dataclasses.field(default_factory=list)
+    no_cold_sends_until_s: float = 0.0
 
-    def record_send(self, now_s: float) -> None:
+    def record_send(self) -> None:
         """Records that a request is being sent."""
         self.in_flight += 1
-        if now_s < self.cold_until_s:
-            self.cold_send_times_s.append(now_s)
+
+    def is_cold(self, now_s: float) -> bool:
+        """Returns whether it is cold, so that each send must be lent."""
+        return now_s < self.cold_until_s
 
     def record_end(self) -> None:
         """Records that a request is no longer in flight."""
@@ -131,6 +151,11 @@
         """
         self.other_requests = max(0.0, running + waiting - self.in_flight)
         self.host_slowness = slowness
+        if self.mean_host_slowness is None:
+            self.mean_host_slowness = slowness
+        self.mean_host_slowness += (1 - HOST_SLOWNESS_RETENTION_RATIO) * (
+            slowness - self.mean_host_slowness
+        )
         self.load_reported_s = now_s
         drain_s = self.other_requests * service_time_s * slowness / self.slots
         self.load_report_ttl_s = min(
@@ -141,10 +166,20 @@
         """Records that the upstream refused a request because it is full."""
         self.blocked_until_s = max(self.blocked_until_s, now_s + FULL_PAUSE_S)
 
-    def record_connection_reset(self, now_s: float) -> None:
-        """Records that the upstream has reset a new connection."""
+    def record_reset(self, now_s: float, on_new_connection: bool) -> None:
+        """Records that the upstream has reset a connection without an answer.
+
+        Some upstreams do this when their queue is full, and reset any
+        connection beyond their limit.
+        """
         self.record_full(now_s)
-        self.single_request_until_s = now_s + RESET_SINGLE_REQUEST_S
+        self.other_requests = max(
+            self.other_requests, float(self.slots + RESET_QUEUE_REQUESTS)
+        )
+        self.load_reported_s = now_s
+        self.load_report_ttl_s = max(self.load_report_ttl_s, RESET_REPORT_TTL_S)
+        if on_new_connection:
+            self.single_request_until_s = now_s + RESET_SINGLE_REQUEST_S
 
     def record_unreachable(self, now_s: float) -> None:
         """Records that the upstream could not be reached."""
@@ -172,31 +207,46 @@
         host_slowness = self.host_slowness if is_recent else 1.0
         slowness = self.slowness * (0.5 + 0.5 * host_slowness)
         failure_factor = 1 + FAILURE_COST_FACTOR * self.failure_ratio
-        return slowness * (1 + excess / self.slots) * failure_factor
+        cold_factor = COLD_COST_FACTOR if self.is_cold(now_s) else 1.0
+        return (
+            slowness * (1 + excess / self.slots) * failure_factor * cold_factor
+        )
 
-    def may_send(
-        self, now_s: float, max_in_flight: int, max_cold_sends: int
+    def has_room(
+        self, now_s: float, service_time_s: float, objective_s: float
     ) -> bool:
+        """Returns whether one more request would be answered soon enough.
+
+        It is sent if a slot is free or will soon be. Otherwise its latency is
+        estimated from the requests that are already there.
+
+        Args:
+          now_s: the current time.
+          service_time_s: the usual time that the request takes, without waits.
+          objective_s: the request's latency objective.
+        """
+        requests = self.estimated_requests(now_s)
+        if requests < self.slots + MIN_QUEUED_REQUESTS:
+            return True
+        if requests >= self.slots + MAX_QUEUED_REQUESTS:
+            return False
+        slowness = self.mean_host_slowness or 1.0
+        latency_s = service_time_s * slowness * (requests + 1) / self.slots
+        return latency_s <= objective_s * OBJECTIVE_RATIO
+
+    def may_send(self, now_s: float, max_in_flight: int) -> bool:
         """Returns whether one more request may be sent now.
 
         Args:
           now_s: the current time.
           max_in_flight: how many requests of this daemon may be in flight
             there.
-          max_cold_sends: how many requests may be sent there within a second
-            while it is cold.
         """
         if now_s < self.single_request_until_s:
             max_in_flight = 1
         if now_s < self.blocked_until_s or self.in_flight >= max_in_flight:
             return False
-        if now_s >= self.cold_until_s:
-            return True
-        oldest_s = now_s - COLD_SEND_WINDOW_S
-        self.cold_send_times_s = [
-            sent_s for sent_s in self.cold_send_times_s if sent_s > oldest_s
-        ]
-        return len(self.cold_send_times_s) < max_cold_sends
+        return not self.is_cold(now_s) or now_s >= self.no_cold_sends_until_s
 
 
 def choose_upstream(
--- a/src/sardinehill/front/borrowing.py
+++ b/src/sardinehill/front/borrowing.py
@@ -1,4 +1,4 @@
-"""Borrows tokens from the leader beyond a daemon's own part of a quota."""
+"""Borrows tokens of limits that the fleet shares from the leader."""
 
 import asyncio
 from collections.abc import Awaitable
@@ -36,19 +36,22 @@
         self._pending: dict[str, list[asyncio.Future[float]]] = {}
         self._batch_task: asyncio.Task[None] | None = None
 
-    async def borrow(self, account: str) -> float:
-        """Borrows one token of a client account.
+    async def borrow(self, name: str) -> float:
+        """Borrows one token.
+
+        Args:
+          name: the client account, or the id of the cold upstream.
 
         Returns:
           0 if a token was lent, else the seconds until the next attempt.
         """
         loop = asyncio.get_running_loop()
         now_s = loop.time()
-        exhausted_until_s = self._exhausted_until_s.get(account, now_s)
+        exhausted_until_s = self._exhausted_until_s.get(name, now_s)
         if now_s < exhausted_until_s:
             return exhausted_until_s - now_s
         waiter: asyncio.Future[float] = loop.create_future()
-        self._pending.setdefault(account, []).append(waiter)
+        self._pending.setdefault(name, []).append(waiter)
         if self._batch_task is None:
             self._batch_task = loop.create_task(self._send_batch())
         return await waiter
@@ -58,16 +61,16 @@
         self._batch_task = None
         pending, self._pending = self._pending, {}
         token_requests = [
-            fleet_messages.TokenRequest(account, len(waiters))
-            for account, waiters in pending.items()
+            fleet_messages.TokenRequest(name, len(waiters))
+            for name, waiters in pending.items()
         ]
         loans = await self._request_loans_with_retries(token_requests)
-        by_account = {loan.account: loan for loan in loans}
-        for account, waiters in pending.items():
-            loan = by_account.get(account)
+        by_name = {loan.name: loan for loan in loans}
+        for name, waiters in pending.items():
+            loan = by_name.get(name)
             if loan is None:
                 loan = fleet_messages.TokenLoan(
-                    account, 0, NO_LEADER_RETRY_AFTER_S
+                    name, 0, NO_LEADER_RETRY_AFTER_S
                 )
             self._distribute(loan, waiters)
 
@@ -98,4 +101,4 @@
             )
         if loan.tokens < len(waiters):
             now_s = asyncio.get_running_loop().time()
-            self._exhausted_until_s[loan.account] = now_s + loan.wait_s
+            self._exhausted_until_s[loan.name] = now_s + loan.wait_s
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -8,6 +8,7 @@
 
 from sardinehill import errors
 from sardinehill import events
+from sardinehill.core import cold_lending
 from sardinehill.core import fleet_messages
 from sardinehill.core import quota_shares
 from sardinehill.core import routes
@@ -60,12 +61,16 @@
         self._view = view_module.StoreView(
             loop.time, lambda: self._store.failing_since_s
         )
-        self._watch = store_watch.StoreWatch(self._view, self._store)
+        self._watch = store_watch.StoreWatch(
+            self._view,
+            self._store,
+            lambda: store_watch.watch_delay_s(
+                settings.daemon, self._leadership.peer_count
+            ),
+        )
         self._directory = directory_module.UpstreamDirectory(
             self._view,
             settings.drain_limit_s,
-            settings.cold_ratio,
-            settings.cold_slack,
             loop.time,
         )
         self._counters = counters_module.ReportCounters()
@@ -93,6 +98,7 @@
                 self._front_metrics,
                 self._request_log,
                 self._counters,
+                borrowing.TokenBorrower(self._request_cold_sends),
             ),
             settings.zone,
         )
@@ -107,6 +113,7 @@
             self._collect_report,
             self._directory.apply_table,
             quota,
+            cold_lending.ColdBound(settings.cold_ratio, settings.cold_slack),
         )
         self._server = server_module.Server(self._relay.serve, self._limits)
         self._front_metrics.add_gauge_source(self._gauge_values)
@@ -193,6 +200,11 @@
     ) -> list[fleet_messages.TokenLoan]:
         return await self._leadership.borrow(token_requests)
 
+    async def _request_cold_sends(
+        self, send_requests: list[fleet_messages.TokenRequest]
+    ) -> list[fleet_messages.TokenLoan]:
+        return await self._leadership.borrow_cold_sends(send_requests)
+
     # readiness and metrics
 
     async def _readiness(self, request: requests.Request) -> requests.Reply:
--- a/src/sardinehill/front/election.py
+++ b/src/sardinehill/front/election.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import random
 
 from sardinehill import errors
 from sardinehill.core import fleet_messages
@@ -12,12 +13,15 @@
 from sardinehill.wire import message_kinds
 
 QUERY_TIMEOUT_S = 0.15
+# A daemon asks at most this many peers who leads: half of them are those that
+# would lead before the others, the rest are random.
+MAX_PEERS_ASKED = 16
 # Before a candidate takes the lease, it waits for this time multiplied by its
 # rank.
 RANK_DELAY_S = 0.12
-# The minimum rank of a daemon with a smaller core share than another daemon, so
-# that daemons with more processor time become candidates first.
-LOW_CORE_SHARE_RANK = 3
+# A daemon with a smaller core share than another one waits for this time before
+# it becomes a candidate, so that daemons with more processor time go first.
+LOW_CORE_SHARE_DELAY_S = 0.36
 STORE_RETRY_S = 0.1
 # If no peer has heard from a leader for this long, no tokens were lent in that
 # time and the whole fleet counts as restarted.
@@ -27,7 +31,7 @@
 
 
 async def query_leaders(name: str, peers: dict[str, str]) -> LeaderAnswers:
-    """Asks all peers which leader they know.
+    """Asks peers which leader they know.
 
     Args:
       name: this daemon, which is not asked.
@@ -105,12 +109,15 @@
         Returns:
           Whether this daemon holds the lease now.
         """
+        await self._wait_for_larger_hosts()
+        if self._known_leader.next_leader is not None:
+            return False
         try:
             await self._registry.read_peers()
         except errors.StoreError:
             # The peers read earlier can still be asked.
             await asyncio.sleep(STORE_RETRY_S)
-        answers = await query_leaders(self._name, self._registry.peer_addresses)
+        answers = await self.query_peers()
         for summary, _ in answers:
             if (
                 summary.term > self._known_leader.term
@@ -121,7 +128,8 @@
         self.is_restart = self._known_leader.table is None and all(
             summary.age_s > RESTART_SILENCE_S for summary, _ in answers
         )
-        await self._wait_for_turn(len(answers))
+        self._known_leader.adopt_lendable([summary for summary, _ in answers])
+        await self._wait_for_turn({address for _, address in answers})
         if self._known_leader.next_leader is not None:
             return False
         try:
@@ -154,19 +162,44 @@
         ).digest()
         return -self._registry.core_shares.get(name, 0.0), tie_breaker
 
-    async def _wait_for_turn(self, answer_count: int) -> None:
-        ranked = sorted(self._registry.peer_addresses, key=self._rank)
-        rank = ranked.index(self._name) if self._name in ranked else 0
-        # Only daemons that answered can take the lease earlier, so the rank
-        # is at most their number.
-        rank = min(rank, answer_count)
-        if self._registry.lease.holder in ("", self._name):
-            rank = min(rank, 1)
+    async def query_peers(self) -> LeaderAnswers:
+        """Asks up to `MAX_PEERS_ASKED` peers which leader they know.
+
+        Returns:
+          The result of `query_leaders`.
+        """
+        addresses = self._registry.peer_addresses
+        names = sorted(
+            (name for name in addresses if name != self._name), key=self._rank
+        )
+        first = names[: MAX_PEERS_ASKED // 2]
+        others = names[len(first) :]
+        others = random.sample(
+            others, min(len(others), MAX_PEERS_ASKED - len(first))
+        )
+        return await query_leaders(
+            self._name, {name: addresses[name] for name in [*first, *others]}
+        )
+
+    async def _wait_for_larger_hosts(self) -> None:
         shares = self._registry.core_shares
         if shares[self._name] < max(shares.values()):
-            rank = max(rank, LOW_CORE_SHARE_RANK)
+            await self._wait_for_newer_term(LOW_CORE_SHARE_DELAY_S)
+
+    async def _wait_for_turn(self, answering_addresses: set[str]) -> None:
+        """Waits for the daemons that are alive and have a lower rank."""
+        own_rank = self._rank(self._name)
+        rank = sum(
+            address in answering_addresses and self._rank(name) < own_rank
+            for name, address in self._registry.peer_addresses.items()
+        )
+        if self._registry.lease.holder in ("", self._name):
+            rank = min(rank, 1)
+        await self._wait_for_newer_term(rank * RANK_DELAY_S)
+
+    async def _wait_for_newer_term(self, timeout_s: float) -> None:
         try:
-            async with asyncio.timeout(rank * RANK_DELAY_S):
+            async with asyncio.timeout(timeout_s):
                 await self._known_leader.newer_term.wait()
         except TimeoutError:
             return
--- a/src/sardinehill/front/known_leader.py
+++ b/src/sardinehill/front/known_leader.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from sardinehill.core import fleet_messages
+from sardinehill.core import owner_spans
 from sardinehill.front import peer_registry
 
 # A leader that has been silent for this long counts as lost.
@@ -23,12 +24,17 @@
       newer_term: set when a table of a higher term arrives.
       leader_gone: set when the leader resigns or the followed daemon does not
         hear it any more.
+      needs_spans: whether all spans are needed, as a table is missing that
+        later changes of the spans refer to.
     """
 
     def __init__(self, name: str, clock_s: Callable[[], float]):
         self._name = name
         self._clock_s = clock_s
         self._heard_s = _NEVER_S
+        # The term and serial of the spans in the table.
+        self._spans_version = (0, 0)
+        self.needs_spans = False
         self.term = 0
         self.table: fleet_messages.LeaderTable | None = None
         self.next_leader: peer_registry.LeaderLease | None = None
@@ -97,19 +103,55 @@
             self.newer_term.set()
         self._heard_s = max(self._heard_s, self._clock_s() - table.age_s)
         known = self.table
-        if known is not None:
-            is_same_term = known.term == table.term
-            if is_same_term and table.serial < known.serial:
+        if known is not None and known.term == table.term:
+            if table.serial < known.serial:
                 return False
-            if is_same_term and not table.lendable:
+            if not table.lendable:
                 table.lendable = known.lendable
-            if table.spans is None:
-                table.spans = known.spans
+        self._complete_spans(table)
         self.table = table
         if table.resigned:
             self.leader_gone.set()
         return True
 
+    def _complete_spans(self, table: fleet_messages.LeaderTable) -> None:
+        """Adds the known spans, with their changes, to a table without spans.
+
+        The known spans are kept if the changes refer to others.
+        """
+        version = (table.term, table.serial)
+        if table.spans is not None:
+            self._spans_version = version
+            self.needs_spans = False
+            return
+        table.spans = self.table.spans if self.table is not None else None
+        changes, table.span_changes = table.span_changes, None
+        if changes is None:
+            return
+        base_version = (table.term, changes.base_serial)
+        if table.spans is None or self._spans_version != base_version:
+            self.needs_spans = True
+            return
+        table.spans = owner_spans.apply_changes(table.spans, changes)
+        self._spans_version = version
+
+    def adopt_lendable(
+        self, summary_tables: list[fleet_messages.LeaderTable]
+    ) -> None:
+        """Takes the lendable tokens of this term from the newest summary.
+
+        The leader sends them to a few followers only.
+
+        Args:
+          summary_tables: what peers know of the leader, the newest first.
+        """
+        if self.table is None or self.table.lendable:
+            return
+        for summary_table in summary_tables:
+            if summary_table.term == self.term and summary_table.lendable:
+                self.table.lendable = summary_table.lendable
+                return
+
     def set_own_table(self, table: fleet_messages.LeaderTable) -> None:
         """Sets a table that this daemon made as the leader."""
         self.table = table
--- a/src/sardinehill/front/leader_client.py
+++ b/src/sardinehill/front/leader_client.py
@@ -35,6 +35,7 @@
         receive: Callable[[peer_links.PeerLink, envelopes.Envelope], None],
         take_report: Callable[[], fleet_messages.DaemonReport],
         on_leader_silent: Callable[[], None],
+        query_peers: Callable[[], Awaitable[election.LeaderAnswers]],
     ):
         self._name = name
         self._known_leader = leader
@@ -42,6 +43,7 @@
         self._receive = receive
         self._take_report = take_report
         self._on_leader_silent = on_leader_silent
+        self._query_peers = query_peers
         self._link: peer_links.PeerLink | None = None
 
     async def follow(self) -> bool:
@@ -132,9 +134,7 @@
         Returns:
           False when no peer hears it.
         """
-        answers = await election.query_leaders(
-            self._name, self._registry.peer_addresses
-        )
+        answers = await self._query_peers()
         for summary, address in answers:
             if summary.term > self._known_leader.term:
                 self._known_leader.follow_next(summary)
@@ -163,13 +163,32 @@
         Raises:
           PeerLostError: no leader is followed, or it does not answer.
         """
+        return await self._borrow(
+            message_kinds.MessageKind.TOKEN_REQUESTS, requests
+        )
+
+    async def borrow_cold_sends(
+        self, requests: list[fleet_messages.TokenRequest]
+    ) -> list[fleet_messages.TokenLoan]:
+        """Borrows sends to cold upstreams from the leader.
+
+        Raises:
+          PeerLostError: no leader is followed, or it does not answer.
+        """
+        return await self._borrow(
+            message_kinds.MessageKind.COLD_SEND_REQUESTS, requests
+        )
+
+    async def _borrow(
+        self,
+        kind: message_kinds.MessageKind,
+        requests: list[fleet_messages.TokenRequest],
+    ) -> list[fleet_messages.TokenLoan]:
         link = self._link
         if link is None or not link.is_open:
             raise errors.PeerLostError("no leader is followed")
         answer = await link.ask(
-            message_kinds.MessageKind.TOKEN_REQUESTS,
-            fleet.encode_token_requests(requests),
-            QUERY_TIMEOUT_S,
+            kind, fleet.encode_token_requests(requests), QUERY_TIMEOUT_S
         )
         return fleet.decode_token_loans(answer.payload)
 
--- a/src/sardinehill/front/leader_tasks.py
+++ b/src/sardinehill/front/leader_tasks.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from sardinehill import events
+from sardinehill.core import cold_lending
 from sardinehill.core import fleet_messages
 from sardinehill.core import quota_lending
 from sardinehill.core import quota_shares
@@ -40,6 +41,8 @@
         clock_s: Callable[[], float],
         quota: quota_shares.FleetQuota,
         lender: quota_lending.Lender,
+        cold_bound: cold_lending.ColdBound,
+        earlier_leader_ended: bool,
     ):
         self._term = term
         self._store = store
@@ -53,6 +56,13 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._quota = quota
         self._lender = lender
+        self._cold_bound = cold_bound
+        self._cold_lender = cold_lending.ColdSendLender(
+            clock_s(), earlier_leader_ended
+        )
+        # The accounts whose quotas are divided, and what they follow from.
+        self._preallocated: list[str] = []
+        self._preallocated_version = (0, 0, 0)
         self.demand = quota_shares.DemandTracker()
 
     @property
@@ -153,13 +163,44 @@
         now_s = self._clock_s()
         loans = []
         for request in requests:
-            account = configuration.account(request.account)
+            account = configuration.account(request.name)
             if account is not None:
                 loans.append(
                     self._lender.lend(account, request, daemon_count, now_s)
                 )
         return loans
 
+    def lend_cold_sends(
+        self, requests: list[fleet_messages.TokenRequest]
+    ) -> list[fleet_messages.TokenLoan]:
+        """Lends sends to cold upstreams.
+
+        Nothing is lent while the term is not confirmed, as another leader may
+        lend then.
+
+        Args:
+          requests: the requests; those for unknown upstreams get no answer.
+        """
+        configuration = self._view.configuration
+        if configuration is None or not self._may_send_orders():
+            return []
+        now_s = self._clock_s()
+        loans = []
+        for request in requests:
+            upstream = self._view.upstreams.get(request.name)
+            service = configuration.services.get(
+                upstream.service if upstream is not None else ""
+            )
+            if service is not None:
+                sends_per_s = self._cold_bound.sends_per_s(
+                    service.cold_rate_per_s
+                )
+                loans.append(
+                    self._cold_lender.lend(request, sends_per_s, now_s)
+                )
+        self._cold_lender.forget_upstreams(now_s)
+        return loans
+
     def quota_shares(self, daemon: str, daemon_count: int) -> dict[str, float]:
         """Returns a daemon's share of each quota that is preallocated.
 
@@ -170,15 +211,26 @@
         Returns:
           Shares from 0 to 1 by account.
         """
+        return {
+            name: self.demand.share(name, daemon, daemon_count)
+            for name in self._preallocated_accounts(daemon_count)
+        }
+
+    def _preallocated_accounts(self, daemon_count: int) -> list[str]:
         configuration = self._view.configuration
         if configuration is None:
-            return {}
-        shares = {}
-        for name in self.demand.accounts():
-            account = configuration.account(name)
-            if account and self._quota.is_preallocated(account, daemon_count):
-                shares[name] = self.demand.share(name, daemon, daemon_count)
-        return shares
+            return []
+        known_accounts = self.demand.accounts()
+        version = (configuration.version, daemon_count, len(known_accounts))
+        if version != self._preallocated_version:
+            self._preallocated_version = version
+            self._preallocated = [
+                name
+                for name in known_accounts
+                if (account := configuration.account(name))
+                and self._quota.is_preallocated(account, daemon_count)
+            ]
+        return self._preallocated
 
     def lendable(self) -> dict[str, float]:
         """Returns the number of lendable tokens by account."""
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -13,6 +13,7 @@
 
 from sardinehill import errors
 from sardinehill import events
+from sardinehill.core import cold_lending
 from sardinehill.core import fleet_messages
 from sardinehill.core import quota_lending
 from sardinehill.core import quota_shares
@@ -38,8 +39,14 @@
 STORE_LOST_HANDOVER_S = 1.0
 # Changes of the leader table within this time are sent together.
 TABLE_PUSH_DELAY_S = 0.004
+# A table takes this much longer to send for each follower, so that sending it
+# takes at most a fixed part of the leader's time.
+TABLE_PUSH_DELAY_PER_FOLLOWER_S = 0.0002
 # One in this many periodic tables includes the lendable tokens.
 LENDABLE_PUSH_INTERVAL_COUNT = 4
+# These go to this many followers. The next leader gets them from one of these
+# if it is none itself.
+LENDABLE_FOLLOWERS = 12
 
 
 class Leadership:
@@ -61,6 +68,7 @@
         take_report: Callable[[], fleet_messages.DaemonReport],
         on_table: Callable[[fleet_messages.LeaderTable], None],
         quota: quota_shares.FleetQuota,
+        cold_bound: cold_lending.ColdBound,
     ):
         self._name = name
         self._address = address
@@ -71,6 +79,7 @@
         self._take_report = take_report
         self._on_table = on_table
         self._quota = quota
+        self._cold_bound = cold_bound
         self._registry = peer_registry.PeerRegistry(
             name, address, core_share, store
         )
@@ -86,6 +95,7 @@
             self.receive,
             self._make_report,
             self._on_leader_silent,
+            self._election.query_peers,
         )
         self.replication = store_replication.StoreReplication(
             view,
@@ -105,6 +115,11 @@
         self._stopping = False
         view.subscribe(self._on_view_changed)
 
+    @property
+    def peer_count(self) -> int:
+        """The number of registered daemons, as far as known."""
+        return len(self._registry.peer_addresses)
+
     # messages from peers
 
     def receive(
@@ -133,14 +148,13 @@
                     self._encoded_summary(),
                 )
             case message_kinds.MessageKind.STORE_STATE_QUERY:
-                state = self.replication.documents_for(
-                    fleet.decode_store_state_query(payload)
-                )
+                query = fleet.decode_store_state_query(payload)
+                state = self.replication.documents_for(query)
                 self._send_answer(
                     link,
                     envelope,
                     message_kinds.MessageKind.STORE_STATE,
-                    fleet.encode_store_state(state),
+                    fleet.encode_store_state(state, query.protocol_version),
                 )
             case message_kinds.MessageKind.TOKEN_REQUESTS:
                 loans = self._lend(fleet.decode_token_requests(payload))
@@ -151,6 +165,17 @@
                     fleet.encode_token_loans(loans),
                 )
 
+            case message_kinds.MessageKind.COLD_SEND_REQUESTS:
+                loans = self._lend_cold_sends(
+                    fleet.decode_token_requests(payload)
+                )
+                self._send_answer(
+                    link,
+                    envelope,
+                    message_kinds.MessageKind.COLD_SEND_LOANS,
+                    fleet.encode_token_loans(loans),
+                )
+
     def _send_answer(
         self,
         link: peer_links.PeerLink,
@@ -181,15 +206,16 @@
         if term is not None and report.term > self._known_leader.term:
             term.ended.set()
             return
-        self._followers.note_report(report.daemon, link)
+        needs_table = self._followers.note_report(report, link)
         if term is not None and self._tasks is not None:
             term.note_report(report.daemon, report.address)
             self._tasks.apply_report(report)
             if report.store_reachable:
                 self._hand_over_if_store_lost(term)
-        self._followers.send_table(
-            report.daemon, self._table_for(report.daemon)
-        )
+        if needs_table or term is None:
+            self._followers.send_table(
+                report.daemon, self._table_for(report.daemon)
+            )
 
     def _hand_over_if_store_lost(self, term: leader_term.LeaderTerm) -> None:
         # This daemon reached the store when it took the lease, so an outage
@@ -219,6 +245,25 @@
             return self._lend(requests)
         return await self._leader_client.borrow(requests)
 
+    def _lend_cold_sends(
+        self, requests: list[fleet_messages.TokenRequest]
+    ) -> list[fleet_messages.TokenLoan]:
+        if self._tasks is None:
+            return []
+        return self._tasks.lend_cold_sends(requests)
+
+    async def borrow_cold_sends(
+        self, requests: list[fleet_messages.TokenRequest]
+    ) -> list[fleet_messages.TokenLoan]:
+        """Borrows sends to cold upstreams from the leader.
+
+        Raises:
+          PeerLostError: no leader is followed, or it does not answer.
+        """
+        if self._term is not None:
+            return self._lend_cold_sends(requests)
+        return await self._leader_client.borrow_cold_sends(requests)
+
     # following and leading
 
     async def run(self) -> None:
@@ -230,8 +275,11 @@
     async def _lead_or_follow(self) -> None:
         while True:
             try:
-                await self._election.read_lease()
-                await self._registry.read_peers()
+                # Outdated ones only delay this daemon: the lease and the peers
+                # are read again before it leads.
+                await self._registry.read_lease(may_be_stale=True)
+                self._known_leader.note_term(self._registry.lease.term)
+                await self._registry.read_peers(may_be_stale=True)
                 break
             except errors.StoreError:
                 # Finding peers and taking the lease both need the store.
@@ -260,6 +308,8 @@
     def _make_report(self) -> fleet_messages.DaemonReport:
         report = self._take_report()
         report.term = self._known_leader.term
+        report.protocol_version = fleet_messages.PROTOCOL_VERSION
+        report.needs_spans = self._known_leader.needs_spans
         report.store_reachable = self._view.store_answered_recently()
         return report
 
@@ -311,8 +361,10 @@
     def _new_tasks(
         self, term: leader_term.LeaderTerm
     ) -> leader_tasks.LeaderTasks:
+        previous_table = self._known_leader.table
+        is_restart = self._election.is_restart
         start = quota_lending.lending_start(
-            self._clock_s(), self._known_leader.table, self._election.is_restart
+            self._clock_s(), previous_table, is_restart
         )
         return leader_tasks.LeaderTasks(
             self._known_leader.term,
@@ -325,6 +377,9 @@
             self._clock_s,
             self._quota,
             quota_lending.Lender(self._quota, start),
+            self._cold_bound,
+            is_restart
+            or (previous_table is not None and previous_table.resigned),
         )
 
     async def _push_periodically(
@@ -370,7 +425,9 @@
         if not self._push_scheduled:
             self._push_scheduled = True
             asyncio.get_running_loop().call_later(
-                TABLE_PUSH_DELAY_S, self._push
+                TABLE_PUSH_DELAY_S
+                + TABLE_PUSH_DELAY_PER_FOLLOWER_S * len(self._followers),
+                self._push,
             )
 
     def _push(self) -> None:
@@ -386,11 +443,15 @@
         table = self._summary()
         if self._term is None or self._tasks is None:
             known = self._known_leader.table
-            table.spans = known.spans if known is not None else None
+            if known is not None and not self._known_leader.needs_spans:
+                table.spans = known.spans
             return table
         table.spans = self._spans(self._tasks)
         table.shares = self._tasks.quota_shares(name, table.daemons)
-        if self._includes_lendable or self._term.resigned:
+        if self._term.resigned or (
+            self._includes_lendable
+            and name in self._followers.first(LENDABLE_FOLLOWERS)
+        ):
             table.lendable = self._tasks.lendable()
         return table
 
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -15,7 +15,7 @@
 GRANT_HOLD_S = 2.4
 # A confirmed grant is renewed this long after it was created.
 GRANT_RENEWAL_S = 0.65
-ORDER_TIMEOUT_S = 0.5
+ORDER_TIMEOUT_S = 0.4
 RELEASE_TIMEOUT_S = 1.5
 ORDER_RETRY_S = 0.15
 # A leader may send orders for this long after the store or a majority of
@@ -227,7 +227,13 @@
             grant.handover,
         )
         result = await self._owners.send_order(
-            owner, request, ORDER_TIMEOUT_S, lambda: self._is_still_valid(grant)
+            owner,
+            request,
+            ORDER_TIMEOUT_S,
+            lambda: self._is_still_valid(grant),
+            # An unanswered grant may still be accepted, which delays the move
+            # of its keys. A grant for which no connection opens is not sent.
+            on_new_connection=owner.failing_since_s is not None,
         )
         now_s = self._clock_s()
         outcome = _grant_outcome(result)
--- a/src/sardinehill/front/peer_registry.py
+++ b/src/sardinehill/front/peer_registry.py
@@ -95,13 +95,19 @@
                     DAEMONS_KIND, self._name, spec, stored.revision
                 )
 
-    async def read_lease(self) -> None:
+    async def read_lease(self, may_be_stale: bool = False) -> None:
         """Reads the lease from the store.
 
+        Args:
+          may_be_stale: whether an outdated lease will do, which costs less.
+
         Raises:
           StoreError: the lease could not be read.
         """
-        stored = await self._store.get(LEASES_KIND, LEASE_NAME)
+        if may_be_stale:
+            stored = await self._store.get_stale(LEASES_KIND, LEASE_NAME)
+        else:
+            stored = await self._store.get(LEASES_KIND, LEASE_NAME)
         self._set_lease(stored)
 
     def _set_lease(self, stored: store_module.StoredObject | None) -> None:
@@ -117,13 +123,17 @@
         )
         self.lease_revision = stored.revision
 
-    async def read_peers(self) -> None:
+    async def read_peers(self, may_be_stale: bool = False) -> None:
         """Reads the addresses and core shares of registered daemons.
 
+        Args:
+          may_be_stale: whether outdated registrations will do, which costs
+            less.
+
         Raises:
           StoreError: the registrations could not be read.
         """
-        objects, _ = await self._store.list_objects(DAEMONS_KIND)
+        objects, _ = await self._store.list_objects(DAEMONS_KIND, may_be_stale)
         self.peer_addresses = {
             stored.name: address
             for stored in objects
--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -11,6 +11,7 @@
 from sardinehill import errors
 from sardinehill import events
 from sardinehill import http1
+from sardinehill.core import routes
 from sardinehill.core import upstream_state as state_module
 from sardinehill.front import admission as admission_module
 from sardinehill.front import front_metrics as metrics_module
@@ -261,7 +262,7 @@
             )
         upstream, epoch = owned
         state, pool = self._directory.state_and_pool(upstream)
-        if not self._directory.has_capacity(upstream, now_s):
+        if not self._has_capacity(context, upstream, now_s):
             return (
                 ("room", upstream.id),
                 self._max_capacity_wait_s(context, state.slowness),
@@ -285,7 +286,7 @@
         candidates = [
             upstream
             for upstream in usable
-            if self._directory.has_capacity(upstream, now_s)
+            if self._has_capacity(context, upstream, now_s)
         ]
         tried = set(context.tried_upstreams)
         if len(tried) >= context.route.max_attempts:
@@ -324,6 +325,19 @@
         state, pool = self._directory.state_and_pool(upstream)
         return requests.Target(upstream, state, pool, 0)
 
+    def _has_capacity(
+        self,
+        context: requests.RequestContext,
+        upstream: routes.Upstream,
+        now_s: float,
+    ) -> bool:
+        return self._directory.has_capacity(
+            upstream,
+            now_s,
+            self._sender.service_time_s(context.route.name),
+            context.route.latency_objective_s,
+        )
+
     def _max_capacity_wait_s(
         self, context: requests.RequestContext, slowness: float
     ) -> float:
--- a/src/sardinehill/front/report_counters.py
+++ b/src/sardinehill/front/report_counters.py
@@ -34,7 +34,7 @@
         keys.append(key)
         service_times_s.append(service_time_s)
 
-    def count_answer(self, upstream: str, slowness: float) -> None:
+    def count_slowness(self, upstream: str, slowness: float) -> None:
         """Counts an answer that shows how slow an upstream is.
 
         Args:
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -10,7 +10,9 @@
 from sardinehill import errors
 from sardinehill import events
 from sardinehill import http1
+from sardinehill.core import cold_lending
 from sardinehill.core import service_times
+from sardinehill.front import borrowing
 from sardinehill.front import front_metrics as metrics_module
 from sardinehill.front import report_counters as counters_module
 from sardinehill.front import requests
@@ -33,11 +35,13 @@
         metrics: metrics_module.FrontMetrics,
         log_request: Callable[..., None],
         counters: counters_module.ReportCounters,
+        cold_sends: borrowing.TokenBorrower,
     ):
         self._directory = directory
         self._metrics = metrics
         self._log = log_request
         self._counters = counters
+        self._cold_sends = cold_sends
         self._mean_latencies_s: dict[str, float] = {}
         self._service_times = service_times.ServiceTimes()
 
@@ -77,6 +81,10 @@
         connection = await self._connect(context, target)
         if connection is None:
             return None
+        if not await self._may_send_while_cold(target):
+            target.upstream_state.record_end()
+            target.pool.release(connection)
+            return None
         answer = await self._exchange(context, target, connection)
         if answer is None:
             return None
@@ -89,7 +97,7 @@
     ) -> http1.Connection | None:
         """Returns a connection, or None if the upstream is unreachable."""
         loop = asyncio.get_running_loop()
-        target.upstream_state.record_send(loop.time())
+        target.upstream_state.record_send()
         try:
             return await target.pool.acquire(context.deadline_s - loop.time())
         except http1.ConnectionFailedError as error:
@@ -100,6 +108,27 @@
             target.upstream_state.record_end()
             raise
 
+    async def _may_send_while_cold(self, target: requests.Target) -> bool:
+        """Borrows a send if the upstream is cold; returns whether it may go.
+
+        This comes after the connection was opened, as a loan is valid only for
+        a short time.
+        """
+        loop = asyncio.get_running_loop()
+        state = target.upstream_state
+        asked_s = loop.time()
+        if not state.is_cold(asked_s):
+            return True
+        try:
+            wait_s = await self._cold_sends.borrow(target.upstream.id)
+        except BaseException:
+            state.record_end()
+            raise
+        if wait_s > 0:
+            state.no_cold_sends_until_s = loop.time() + wait_s
+            return False
+        return loop.time() - asked_s <= cold_lending.LOAN_VALIDITY_S
+
     async def _exchange(
         self,
         context: requests.RequestContext,
@@ -123,8 +152,10 @@
                 context.request.method == b"HEAD",
             )
         except http1.ConnectionFailedError as error:
-            if connection.exchange_count == 1 and not error.response_started:
-                target.upstream_state.record_connection_reset(loop.time())
+            if error.reset and not error.response_started:
+                target.upstream_state.record_reset(
+                    loop.time(), connection.exchange_count == 1
+                )
             self._record_broken_exchange(context, target, error)
             return None
         finally:
@@ -281,7 +312,7 @@
             has_queue=load is None or load.waiting > 0,
         )
         if slowness is not None:
-            self._counters.count_answer(target.upstream.id, slowness)
+            self._counters.count_slowness(target.upstream.id, slowness)
         key = context.metadata.shard_key
         if key is not None:
             self._directory.note_accepted(context.service, key, target.epoch)
--- a/src/sardinehill/front/store_watch.py
+++ b/src/sardinehill/front/store_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import hashlib
 
 from sardinehill import errors
 from sardinehill import events
@@ -19,9 +20,14 @@
     names.UPSTREAMS_KIND: 0.25,
     names.EVACUATIONS_KIND: 0.05,
 }
+_NEVER_S = -1e9
 # A daemon that has lost its leader waits this long for another one before it
 # watches the store itself.
 WATCH_DELAY_S = 0.3
+# In a large fleet, this many daemons do so. The others wait longer, as a new
+# leader usually sends them the changes earlier than that.
+FIRST_WATCHERS_COUNT = 16
+LATER_WATCH_DELAY_S = 1.1
 PROBE_INTERVAL_S = 0.25
 # This is well above the latency of a slow store, because a leader that has lost
 # the store hands over.
@@ -31,14 +37,41 @@
 MAX_LOOP_DELAY_S = 0.1
 
 
+def watch_delay_s(name: str, daemons: int) -> float:
+    """Returns how long a daemon waits for a leader before it watches the store.
+
+    Args:
+      name: the daemon.
+      daemons: how many daemons there are.
+    """
+    digest = hashlib.blake2b(name.encode(), digest_size=8).digest()
+    is_first = int.from_bytes(digest) % max(daemons, 1) < FIRST_WATCHERS_COUNT
+    return WATCH_DELAY_S if is_first else LATER_WATCH_DELAY_S
+
+
 class StoreWatch:
     """Keeps a view up to date from the store while no peer does."""
 
     def __init__(
-        self, view: store_view.StoreView, store: store_module.StoreClient
+        self,
+        view: store_view.StoreView,
+        store: store_module.StoreClient,
+        watch_delay_s: Callable[[], float] = lambda: WATCH_DELAY_S,
     ):
+        """Creates a watch that relies on no peer.
+
+        Args:
+          view: is kept up to date.
+          store: the store.
+          watch_delay_s: returns how long to wait for a leader before watching
+            the store.
+        """
         self._view = view
         self._store = store
+        self._watch_delay_s = watch_delay_s
+        # Since when no peer has been relied on, by the loop's clock; None while
+        # one is.
+        self._unreliable_since_s: float | None = None
         self._relies_on_peers = False
         # Cleared while the store does not answer: then only the first kind is
         # retried.
@@ -49,29 +82,47 @@
 
     def rely_on_peers(self, enabled: bool) -> None:
         """Sets whether a peer is relied on to send the store's changes."""
-        if enabled != self._relies_on_peers:
-            self._relies_on_peers = enabled
-            if enabled:
-                self._reliance_changed.set()
+        if enabled == self._relies_on_peers:
+            return
+        self._relies_on_peers = enabled
+        if enabled:
+            self._unreliable_since_s = None
+        else:
+            self._unreliable_since_s = asyncio.get_running_loop().time()
+        self._reliance_changed.set()
 
     def watch_at_once(self) -> None:
         """Starts to watch the store without waiting for a leader."""
         self._relies_on_peers = False
+        self._unreliable_since_s = _NEVER_S
         self._reliance_changed.set()
 
     async def run(self) -> None:
         """Watches the store while no peer is relied on, until cancelled."""
+        if not self._relies_on_peers and self._unreliable_since_s is None:
+            self._unreliable_since_s = asyncio.get_running_loop().time()
         async with asyncio.TaskGroup() as group:
             group.create_task(self._remove_expired())
             while True:
-                try:
-                    async with asyncio.timeout(WATCH_DELAY_S):
-                        await self._reliance_changed.wait()
-                except TimeoutError:
-                    pass
-                self._reliance_changed.clear()
-                if not self._relies_on_peers:
-                    await self._watch_until_peers_suffice()
+                await self._wait_until_watch_is_due()
+                await self._watch_until_peers_suffice()
+
+    async def _wait_until_watch_is_due(self) -> None:
+        """Waits until no peer has been relied on for the delay."""
+        loop = asyncio.get_running_loop()
+        while True:
+            timeout_s: float | None = None
+            if self._unreliable_since_s is not None:
+                due_s = self._unreliable_since_s + self._watch_delay_s()
+                timeout_s = due_s - loop.time()
+                if timeout_s <= 0:
+                    return
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self._reliance_changed.wait()
+            except TimeoutError:
+                continue
+            self._reliance_changed.clear()
 
     async def _watch_until_peers_suffice(self) -> None:
         self._may_try_others.set()
--- a/src/sardinehill/front/upstream_directory.py
+++ b/src/sardinehill/front/upstream_directory.py
@@ -16,9 +16,6 @@
 from sardinehill.front import store_view
 from sardinehill.front import wait_queues
 
-# The number of requests beyond its slots that an upstream may have from all
-# daemons together.
-MAX_QUEUED_REQUESTS = 5
 # An owner that is leaving is used until its keys have moved, but no longer than
 # this part of the time that an upstream has to drain.
 DRAIN_GRACE_RATIO = 0.6
@@ -82,13 +79,10 @@
         self,
         view: store_view.StoreView,
         drain_limit_s: float,
-        cold_ratio: float,
-        cold_slack: float,
         clock_s: Callable[[], float],
     ):
         self._view = view
         self._drain_grace_s = drain_limit_s * DRAIN_GRACE_RATIO
-        self._cold_ratio_and_slack = (cold_ratio, cold_slack)
         self._clock_s = clock_s
         self._entries: dict[str, _UpstreamEntry] = {}
         self._by_service: dict[str, list[routes.Upstream]] = {}
@@ -293,8 +287,21 @@
         entry = self._entries[upstream.id]
         return entry.state, entry.pool
 
-    def has_capacity(self, upstream: routes.Upstream, now_s: float) -> bool:
-        """Returns whether an upstream may be sent one more request now."""
+    def has_capacity(
+        self,
+        upstream: routes.Upstream,
+        now_s: float,
+        service_time_s: float,
+        objective_s: float,
+    ) -> bool:
+        """Returns whether an upstream may be sent one more request now.
+
+        Args:
+          upstream: the upstream.
+          now_s: the current time.
+          service_time_s: the usual time that the request takes, without waits.
+          objective_s: the request's latency objective.
+        """
         state = self._entries[upstream.id].state
         service = self._service(upstream.service)
         if service is None:
@@ -304,14 +311,9 @@
             upstream_state.connection_limit(
                 service.connection_limit, self.daemon_count
             ),
-            self._cold_limit(service),
         ):
             return False
-        if state.in_flight == 0:
-            return True
-        return (
-            state.estimated_requests(now_s) < state.slots + MAX_QUEUED_REQUESTS
-        )
+        return state.has_room(now_s, service_time_s, objective_s)
 
     def _service(self, name: str) -> routes.Service | None:
         configuration = self._view.configuration
@@ -319,16 +321,6 @@
             return None
         return configuration.services.get(name)
 
-    def _cold_limit(self, service: routes.Service) -> int:
-        """Returns this daemon's requests per second to a cold upstream.
-
-        The limit is rounded down on each daemon, so that all daemons together
-        stay below the service's bound in any second.
-        """
-        ratio, slack = self._cold_ratio_and_slack
-        bound = service.cold_rate_per_s * ratio + slack
-        return int(bound / self.daemon_count)
-
     async def sweep(self) -> None:
         """Closes stale connections and removes expired entries periodically.
 
--- a/src/sardinehill/platform/store.py
+++ b/src/sardinehill/platform/store.py
@@ -82,9 +82,15 @@
         self.call_counts: dict[str, int] = {}
         self.failing_since_s: float | None = None
 
-    async def list_objects(self, kind: str) -> tuple[list[StoredObject], int]:
+    async def list_objects(
+        self, kind: str, may_be_stale: bool = False
+    ) -> tuple[list[StoredObject], int]:
         """Returns all objects of a kind, and the revision to watch from.
 
+        Args:
+          kind: the kind.
+          may_be_stale: whether outdated objects will do, which costs less.
+
         Raises:
           StoreError: the list could not be read completely.
         """
@@ -93,7 +99,10 @@
         first_revision: int | None = None
         while True:
             query = {"after": after} if after else {}
-            _, reply = await self._call("list", "GET", (kind,), query)
+            if may_be_stale:
+                query["serializable"] = "1"
+            call = "list-stale" if may_be_stale else "list"
+            _, reply = await self._call(call, "GET", (kind,), query)
             page = reply.get("items") if isinstance(reply, dict) else None
             revision = reply.get("currentRev") if page is not None else None
             if not isinstance(page, list) or not isinstance(revision, int):
@@ -116,7 +125,7 @@
         return None if status == 404 else _decode_object(kind, reply)
 
     async def get_stale(
-        self, kind: str, name: str, timeout_s: float
+        self, kind: str, name: str, timeout_s: float = CALL_TIMEOUT_S
     ) -> StoredObject | None:
         """Returns one object, or None if it does not exist.
 
--- a/src/sardinehill/wire/fleet.capnp
+++ b/src/sardinehill/wire/fleet.capnp
@@ -39,6 +39,10 @@
   upstreams @5 :List(UpstreamUse);
   refused @6 :List(RefusedSpan);
   storeReachable @7 :Bool;
+  # From version 1 on, the daemon understands Table.changedServices and
+  # compressed documents.
+  protocolVersion @8 :UInt8;
+  needsSpans @9 :Bool;
 }
 
 struct Span {
@@ -55,6 +59,13 @@
   spans @2 :List(Span);
 }
 
+struct ServiceSpanChanges {
+  service @0 :Text;
+  removedFirstKeys @1 :List(UInt16);
+  upstreams @2 :List(Text);
+  added @3 :List(Span);
+}
+
 struct AccountShare {
   account @0 :Text;
   # The receiver's fraction of the account's quota, in millionths.
@@ -87,6 +98,11 @@
   newsRevisions @11 :List(UInt64);
   # The tokens of each account that the leader can lend.
   lendable @12 :List(AccountTokens);
+  # If hasSpanChanges is true, the spans are those of the table with baseSerial
+  # and the same term, with these changes.
+  hasSpanChanges @13 :Bool;
+  baseSerial @14 :UInt64;
+  changedServices @15 :List(ServiceSpanChanges);
 }
 
 # Sent when the store has changed, by a peer to each daemon that follows it.
@@ -97,6 +113,7 @@
   # The new and changed documents by name, as a JSON object.
   documents @3 :Data;
   gone @4 :List(Text);
+  isCompressed @5 :Bool;
 }
 
 # Asks a peer for the documents of the store that are newer than the revisions.
@@ -104,6 +121,8 @@
   configRevision @0 :UInt64;
   upstreamsRevision @1 :UInt64;
   zonesRevision @2 :UInt64;
+  # As in Report.
+  protocolVersion @3 :UInt8;
 }
 
 # The documents as JSON; empty where they are not newer than in the query.
@@ -115,14 +134,17 @@
   zonesRevision @4 :UInt64;
   zones @5 :Data;
   ageMs @6 :UInt32;
+  configIsCompressed @7 :Bool;
+  upstreamsIsCompressed @8 :Bool;
 }
 
 struct Wish {
+  # A client account, or the id of a cold upstream.
   account @0 :Text;
   tokens @1 :UInt16;
 }
 
-# Asks the leader for tokens of client accounts.
+# Asks the leader for tokens of client accounts, or for sends to cold upstreams.
 struct LoanQuery {
   wishes @0 :List(Wish);
 }
--- a/src/sardinehill/wire/fleet.py
+++ b/src/sardinehill/wire/fleet.py
@@ -10,11 +10,14 @@
 
 from sardinehill import errors
 from sardinehill.core import fleet_messages
+from sardinehill.wire import compression
 from sardinehill.wire import schemas
 
 _SCHEMA = schemas.load("fleet")
 _MILLION = 1_000_000
 _THOUSAND = 1000
+# All documents of one kind take less than this.
+_MAX_DOCUMENTS_BYTES = 64 * 1024 * 1024
 _MAX_UINT16 = 2**16 - 1
 _MAX_UINT32 = 2**32 - 1
 
@@ -41,6 +44,21 @@
     return min(max(int(value), 0), _MAX_UINT32)
 
 
+def _encode_documents(
+    documents: bytes, receiver_version: int
+) -> tuple[bytes, bool]:
+    """Returns documents, compressed if the receiver understands that."""
+    if receiver_version < 1:
+        return documents, False
+    return compression.compress(documents)
+
+
+def _decode_documents(data: Any, is_compressed: bool) -> bytes:
+    if not is_compressed:
+        return bytes(data)
+    return compression.decompress(bytes(data), _MAX_DOCUMENTS_BYTES)
+
+
 def encode_report(report: fleet_messages.DaemonReport) -> bytes:
     """Returns the message for a report."""
     message = _SCHEMA.Report.new_message(
@@ -76,6 +94,8 @@
             for refused in report.refused
         ],
         storeReachable=report.store_reachable,
+        protocolVersion=report.protocol_version,
+        needsSpans=report.needs_spans,
     )
     return bytes(message.to_bytes())
 
@@ -110,32 +130,70 @@
             for item in message.refused
         ],
         store_reachable=message.storeReachable,
+        protocol_version=message.protocolVersion,
+        needs_spans=message.needsSpans,
     )
 
 
 def _service_table(
     service: str, spans: list[fleet_messages.OwnerSpan]
 ) -> dict[str, Any]:
-    upstreams = sorted({span.upstream for span in spans})
-    index_by_name = {name: index for index, name in enumerate(upstreams)}
+    upstreams, encoded_spans = _encode_spans(spans)
     return {
         "service": service,
         "upstreams": upstreams,
-        "spans": [
-            {
-                "first": span.first,
-                "last": span.last,
-                "upstream": index_by_name[span.upstream],
-                "live": span.live,
-                "epoch": span.epoch,
-            }
-            for span in spans
-        ],
+        "spans": encoded_spans,
     }
 
 
+def _service_changes(
+    service: str, changes: fleet_messages.ServiceSpanChanges
+) -> dict[str, Any]:
+    upstreams, encoded_spans = _encode_spans(changes.added)
+    return {
+        "service": service,
+        "removedFirstKeys": changes.removed_first_keys,
+        "upstreams": upstreams,
+        "added": encoded_spans,
+    }
+
+
+def _encode_spans(
+    spans: list[fleet_messages.OwnerSpan],
+) -> tuple[list[str], list[dict[str, Any]]]:
+    """Returns the spans' owners, and the spans with indexes into them."""
+    upstreams = sorted({span.upstream for span in spans})
+    index_by_name = {name: index for index, name in enumerate(upstreams)}
+    return upstreams, [
+        {
+            "first": span.first,
+            "last": span.last,
+            "upstream": index_by_name[span.upstream],
+            "live": span.live,
+            "epoch": span.epoch,
+        }
+        for span in spans
+    ]
+
+
+def _decode_spans(
+    upstreams: list[str], spans: Any
+) -> list[fleet_messages.OwnerSpan]:
+    return [
+        fleet_messages.OwnerSpan(
+            span.first,
+            span.last,
+            upstreams[span.upstream],
+            span.epoch,
+            span.live,
+        )
+        for span in spans
+    ]
+
+
 def encode_table(table: fleet_messages.LeaderTable) -> bytes:
     """Returns the message for a leader table."""
+    changes = table.span_changes
     message = _SCHEMA.Table.new_message(
         term=table.term,
         leader=table.leader,
@@ -162,6 +220,14 @@
             {"account": account, "tokens": _clamped_uint32(tokens * _THOUSAND)}
             for account, tokens in table.lendable.items()
         ],
+        hasSpanChanges=changes is not None,
+        baseSerial=changes.base_serial if changes else 0,
+        changedServices=[
+            _service_changes(service, service_changes)
+            for service, service_changes in (
+                changes.services if changes else {}
+            ).items()
+        ],
     )
     return bytes(message.to_bytes())
 
@@ -178,17 +244,21 @@
     if message.hasSpans:
         spans = {}
         for service in message.services:
-            upstreams = list(service.upstreams)
-            spans[service.service] = [
-                fleet_messages.OwnerSpan(
-                    span.first,
-                    span.last,
-                    upstreams[span.upstream],
-                    span.epoch,
-                    span.live,
+            spans[service.service] = _decode_spans(
+                list(service.upstreams), service.spans
+            )
+    span_changes: fleet_messages.SpanChanges | None = None
+    if message.hasSpanChanges:
+        span_changes = fleet_messages.SpanChanges(
+            message.baseSerial,
+            {
+                service.service: fleet_messages.ServiceSpanChanges(
+                    list(service.removedFirstKeys),
+                    _decode_spans(list(service.upstreams), service.added),
                 )
-                for span in service.spans
-            ]
+                for service in message.changedServices
+            },
+        )
     return fleet_messages.LeaderTable(
         term=message.term,
         leader=message.leader,
@@ -197,6 +267,7 @@
         daemons=message.daemons,
         store_reachable=message.storeReachable,
         spans=spans,
+        span_changes=span_changes,
         shares={
             item.account: item.shareMillionths / _MILLION
             for item in message.shares
@@ -210,14 +281,25 @@
     )
 
 
-def encode_store_change(change: fleet_messages.StoreChange) -> bytes:
-    """Returns the message for a change in the store."""
+def encode_store_change(
+    change: fleet_messages.StoreChange, receiver_version: int
+) -> bytes:
+    """Returns the message for a change in the store.
+
+    Args:
+      change: the change.
+      receiver_version: the receiver's `fleet_messages.PROTOCOL_VERSION`.
+    """
+    documents, is_compressed = _encode_documents(
+        change.documents, receiver_version
+    )
     message = _SCHEMA.NewsChange.new_message(
         kind=change.kind,
         sinceRevision=change.since_revision,
         revision=change.revision,
-        documents=change.documents,
+        documents=documents,
         gone=change.gone,
+        isCompressed=is_compressed,
     )
     return bytes(message.to_bytes())
 
@@ -234,7 +316,7 @@
         message.kind,
         message.sinceRevision,
         message.revision,
-        bytes(message.documents),
+        _decode_documents(message.documents, message.isCompressed),
         list(message.gone),
     )
 
@@ -245,6 +327,7 @@
         configRevision=query.config_revision,
         upstreamsRevision=query.upstreams_revision,
         zonesRevision=query.zones_revision,
+        protocolVersion=query.protocol_version,
     )
     return bytes(message.to_bytes())
 
@@ -258,17 +341,35 @@
     """
     message = schemas.read(_SCHEMA.NewsQuery, data)
     return fleet_messages.StoreStateQuery(
-        message.configRevision, message.upstreamsRevision, message.zonesRevision
+        message.configRevision,
+        message.upstreamsRevision,
+        message.zonesRevision,
+        message.protocolVersion,
     )
 
 
-def encode_store_state(state: fleet_messages.StoreState) -> bytes:
-    """Returns the message for a state of the store."""
+def encode_store_state(
+    state: fleet_messages.StoreState, receiver_version: int
+) -> bytes:
+    """Returns the message for a state of the store.
+
+    Args:
+      state: the state.
+      receiver_version: the receiver's `fleet_messages.PROTOCOL_VERSION`.
+    """
+    config, config_is_compressed = _encode_documents(
+        state.config, receiver_version
+    )
+    upstreams, upstreams_is_compressed = _encode_documents(
+        state.upstreams, receiver_version
+    )
     message = _SCHEMA.News.new_message(
         configRevision=state.config_revision,
-        config=state.config,
+        config=config,
+        configIsCompressed=config_is_compressed,
         upstreamsRevision=state.upstreams_revision,
-        upstreams=state.upstreams,
+        upstreams=upstreams,
+        upstreamsIsCompressed=upstreams_is_compressed,
         zonesRevision=state.zones_revision,
         zones=state.zones,
         ageMs=_clamped_uint32(state.age_s * _THOUSAND),
@@ -286,9 +387,11 @@
     message = schemas.read(_SCHEMA.News, data)
     return fleet_messages.StoreState(
         config_revision=message.configRevision,
-        config=bytes(message.config),
+        config=_decode_documents(message.config, message.configIsCompressed),
         upstreams_revision=message.upstreamsRevision,
-        upstreams=bytes(message.upstreams),
+        upstreams=_decode_documents(
+            message.upstreams, message.upstreamsIsCompressed
+        ),
         zones_revision=message.zonesRevision,
         zones=bytes(message.zones),
         age_s=message.ageMs / _THOUSAND,
@@ -300,7 +403,7 @@
     message = _SCHEMA.LoanQuery.new_message(
         wishes=[
             {
-                "account": request.account,
+                "account": request.name,
                 "tokens": min(request.tokens, _MAX_UINT16),
             }
             for request in requests
@@ -328,7 +431,7 @@
     message = _SCHEMA.Loans.new_message(
         loans=[
             {
-                "account": loan.account,
+                "account": loan.name,
                 "tokens": loan.tokens,
                 "waitMs": _clamped_uint32(loan.wait_s * _THOUSAND),
             }
--- a/src/sardinehill/wire/message_kinds.py
+++ b/src/sardinehill/wire/message_kinds.py
@@ -31,3 +31,5 @@
     TOKEN_REQUESTS = 55
     TOKEN_LOANS = 56
     STORE_CHANGE = 57
+    COLD_SEND_REQUESTS = 58
+    COLD_SEND_LOANS = 59
