--- a/tests/cover/test_orders.py
+++ b/tests/cover/test_orders.py
@@ -36,6 +36,7 @@
         self.sent = []
         self.answers = asyncio.Event()
         self.result = key_owners_module.OrderResult(status=200, written=True)
+        self.is_unpowered = False
 
     async def send_order(
         self, owner, request, timeout_s, may_send, on_new_connection=False
@@ -44,6 +45,11 @@
             return key_owners_module.OrderResult(
                 error="overtaken", superseded=True
             )
+        if self.is_unpowered:
+            # Only a connection that is open already takes bytes.
+            return key_owners_module.OrderResult(
+                error="no answer", written=not on_new_connection
+            )
         head, _, body = request.partition(b"\r\n\r\n")
         self.sent.append(
             (head.split(b" ")[1], owner.incarnation, json.loads(body))
@@ -193,3 +199,28 @@
         assert (B in harness.owners.ended) == (status == 421)
 
     run_scenario(scenario)
+
+
+def test_grants_to_a_vanished_owner_do_not_delay_the_move_of_its_keys():
+    # Guards against this failure: renewals were written to open connections of
+    # a host without power. Each of them might have been accepted, so its keys
+    # were unowned until the last one had lapsed.
+    async def scenario(harness, orders):
+        harness.owners.is_unpowered = True
+        harness.now_s += order_sender_module.GRANT_RENEWAL_S
+        orders.send_due()
+        await settle_tasks()
+        first_unanswered_s = harness.now_s
+        for _ in range(6):
+            harness.now_s += order_sender_module.ORDER_RETRY_S + 0.01
+            orders.send_due()
+            await settle_tasks()
+        expiry_s = key_orders.latest_expiry_s(
+            first_unanswered_s
+            + key_owners_module.CONNECT_TIMEOUT_S
+            + order_sender_module.ORDER_TIMEOUT_S,
+            order_sender_module.GRANT_HOLD_S,
+        )
+        assert harness.span.may_hold_until_s <= expiry_s
+
+    run_scenario(scenario)
