Name a successor when resigning, and spread the return of refused requests

Change: a resigning leader names its successor, which takes the lease at once; others wait 0.3 s. The lease is compared with the highest known term. The lender schedules a token for each refused request, at most 2 s ahead; the borrower stops asking for at most 0.1 s, and waits for a loan that is due within that. Ruled out: longer waits for a leader (held requests that would be refused after all). Shown: tests in test_election and test_quota_lending that failed before.

--- a/src/sardinehill/core/fleet_messages.py
+++ b/src/sardinehill/core/fleet_messages.py
@@ -147,6 +147,8 @@
       lendable: the tokens of each client account that the leader can lend.
       age_s: the time since the leader itself sent an update.
       resigned: whether the leader has resigned.
+      successor: the daemon that is to lead after a resigned leader; empty if it
+        named none.
       store_revisions: the store's revisions at the last changes of config,
         upstreams and excluded zones, in this order, as the leader knows them.
     """
@@ -163,6 +165,7 @@
     lendable: dict[str, float] = dataclasses.field(default_factory=dict)
     age_s: float = 0.0
     resigned: bool = False
+    successor: str = ""
     store_revisions: list[int] = dataclasses.field(default_factory=list)
 
 
--- a/src/sardinehill/core/quota_lending.py
+++ b/src/sardinehill/core/quota_lending.py
@@ -19,6 +19,10 @@
 # If no daemon knows a leader, the whole fleet was down. This ratio of the burst
 # counts as earned while it was down.
 RESTART_BURST_RATIO = 0.25
+# Refused requests are scheduled to return at most this much later, as callers
+# wait only for a part of their timeout.
+MAX_RETURN_WAIT_S = 2.0
+MIN_RATE_PER_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,6 +68,7 @@
         self._quota = quota
         self._start = start
         self._buckets: dict[str, quota_shares.TokenBucket] = {}
+        self._next_return_s: dict[str, float] = {}
 
     def lendable_tokens(self, now_s: float) -> dict[str, float]:
         """Returns how many tokens can be lent, by account."""
@@ -102,9 +107,33 @@
         tokens = bucket.take_available(request.tokens, now_s)
         wait_s = 0.0
         if tokens < request.tokens:
-            wait_s = bucket.next_token_in_s(now_s)
+            next_token_s = now_s + bucket.next_token_in_s(now_s)
+            missing = request.tokens - tokens
+            wait_s = self._schedule_return(
+                account.name, next_token_s, missing, limit.rate_per_s, now_s
+            )
         return fleet_messages.TokenLoan(account.name, tokens, wait_s)
 
+    def _schedule_return(
+        self,
+        account: str,
+        next_token_s: float,
+        requests: int,
+        rate_per_s: float,
+        now_s: float,
+    ) -> float:
+        """Returns when refused requests should return, in seconds from now.
+
+        Each refused request is scheduled for a token of its own. Told the time
+        of the next token, all of them would return for that one.
+        """
+        return_s = max(next_token_s, self._next_return_s.get(account, 0.0))
+        return_s = min(return_s, now_s + MAX_RETURN_WAIT_S)
+        self._next_return_s[account] = return_s + requests / max(
+            rate_per_s, MIN_RATE_PER_S
+        )
+        return return_s - now_s
+
     def _first_tokens(
         self, account: routes.ClientAccount, limit: quota_shares.RateLimit
     ) -> float:
--- a/src/sardinehill/front/admission.py
+++ b/src/sardinehill/front/admission.py
@@ -1,6 +1,7 @@
 """Admits requests by route, account key and quota, and sets deadlines."""
 
 import asyncio
+import math
 
 from sardinehill import errors
 from sardinehill.core import quota_shares
@@ -17,6 +18,8 @@
 REPLY_TRANSIT_MARGIN_S = 0.012
 # A request is refused if its account's next token takes longer than this.
 MAX_TOKEN_WAIT_S = 0.1
+# Longer waits are logged as this value.
+MAX_LOGGED_WAIT_S = 999.0
 
 
 class Admission:
@@ -90,8 +93,8 @@
 
         The token comes from this daemon's part of the quota if one is left
         there, otherwise from the leader as a loan. If the leader lends none,
-        the request waits up to `MAX_TOKEN_WAIT_S` for the next token of this
-        daemon's part.
+        the request waits up to `MAX_TOKEN_WAIT_S` for the next loan or the next
+        token of this daemon's part.
 
         Raises:
           RefusedError: no token is available in time.
@@ -106,9 +109,14 @@
             return
         bucket.return_token()
         next_loan_s = await self._borrower.borrow(account.name)
+        if 0 < next_loan_s <= MAX_TOKEN_WAIT_S:
+            await asyncio.sleep(next_loan_s)
+            next_loan_s = await self._borrower.borrow(account.name)
         if next_loan_s <= 0:
             return
         next_token_s = bucket.reserve(loop.time())
+        if limit.rate_per_s <= 0:
+            next_token_s = math.inf
         if next_token_s <= MAX_TOKEN_WAIT_S:
             await asyncio.sleep(next_token_s)
             return
@@ -121,7 +129,7 @@
             fleet_rate_per_s=account.rate_per_s,
             part_rate_per_s=round(limit.rate_per_s, 3),
             part_burst=round(limit.burst, 3),
-            next_token_s=round(next_token_s, 3),
+            next_token_s=min(round(next_token_s, 3), MAX_LOGGED_WAIT_S),
             next_loan_s=round(next_loan_s, 3),
         )
 
--- a/src/sardinehill/front/borrowing.py
+++ b/src/sardinehill/front/borrowing.py
@@ -15,6 +15,8 @@
 # The time until the next attempt that is returned while no leader answers.
 NO_LEADER_RETRY_AFTER_S = 0.25
 MIN_RETRY_AFTER_S = 0.001
+# After the leader lent too few tokens, none is requested for at most this time.
+MAX_EXHAUSTED_S = 0.1
 
 RequestLoans = Callable[
     [list[fleet_messages.TokenRequest]],
@@ -101,4 +103,8 @@
             )
         if loan.tokens < len(waiters):
             now_s = asyncio.get_running_loop().time()
-            self._exhausted_until_s[loan.name] = now_s + loan.wait_s
+            # The wait applies to these requests. Later ones may get a token
+            # earlier than they return.
+            self._exhausted_until_s[loan.name] = now_s + min(
+                loan.wait_s, MAX_EXHAUSTED_S
+            )
--- a/src/sardinehill/front/election.py
+++ b/src/sardinehill/front/election.py
@@ -22,6 +22,9 @@
 # A daemon with a smaller core share than another one waits for this time before
 # it becomes a candidate, so that daemons with more processor time go first.
 LOW_CORE_SHARE_DELAY_S = 0.36
+# A daemon that a resigned leader has named as its successor takes the lease at
+# once. The others become candidates only after this time.
+SUCCESSOR_DELAY_S = 0.3
 STORE_RETRY_S = 0.1
 # If no peer has heard from a leader for this long, no tokens were lent in that
 # time and the whole fleet counts as restarted.
@@ -109,7 +112,13 @@
         Returns:
           Whether this daemon holds the lease now.
         """
-        await self._wait_for_larger_hosts()
+        if self._known_leader.successor == self._name:
+            self.is_restart = False
+            return await self._try_to_take_lease()
+        if self._known_leader.successor:
+            await self._wait_for_newer_term(SUCCESSOR_DELAY_S)
+        else:
+            await self._wait_for_larger_hosts()
         if self._known_leader.next_leader is not None:
             return False
         try:
@@ -132,6 +141,9 @@
         await self._wait_for_turn({address for _, address in answers})
         if self._known_leader.next_leader is not None:
             return False
+        return await self._try_to_take_lease()
+
+    async def _try_to_take_lease(self) -> bool:
         try:
             return await self._take_lease()
         except errors.StoreError:
@@ -139,9 +151,10 @@
             return False
 
     async def _take_lease(self) -> bool:
-        previous_lease = self._registry.lease
+        # The lease that was read last may be older than the known leader's.
+        known_term = self._known_leader.term
         await self.read_lease()
-        if self._registry.lease.term > previous_lease.term:
+        if self._registry.lease.term > known_term:
             return False
         is_acquired = await self._registry.acquire_lease(
             self._known_leader.term + 1
--- a/src/sardinehill/front/known_leader.py
+++ b/src/sardinehill/front/known_leader.py
@@ -85,6 +85,13 @@
             and not summary_table.resigned
         )
 
+    @property
+    def successor(self) -> str:
+        """The daemon named by a resigned leader; empty if there is none."""
+        if self.table is None or not self.table.resigned:
+            return ""
+        return self.table.successor if self.table.term == self.term else ""
+
     def apply_table(self, table: fleet_messages.LeaderTable) -> bool:
         """Applies a table unless its term, serial or age is outdated.
 
--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -51,6 +51,7 @@
         self._clock_s = clock_s
         self._began_s = self._confirmed_s = clock_s()
         self._heard_s: dict[str, float] = {}
+        self._reached_store_s: dict[str, float] = {}
         self._is_exclusive = False
         self._ended_peers: set[str] = set()
         self.resigned = False
@@ -65,6 +66,33 @@
         self._heard_s[daemon] = self._clock_s()
         self._registry.peer_addresses.setdefault(daemon, address)
 
+    def note_store_reached(self, daemon: str) -> None:
+        """Records that a daemon has reached the store itself."""
+        self._reached_store_s[daemon] = self._clock_s()
+
+    def successor(self) -> str:
+        """Returns the daemon that should lead next; empty if there is none.
+
+        Among the daemons that follow this term, those that have just reached
+        the store themselves go first, then those with more processor time.
+        """
+        now_s = self._clock_s()
+        following = [
+            name
+            for name, heard_s in self._heard_s.items()
+            if name != self._name and now_s - heard_s < FOLLOWER_TIMEOUT_S
+        ]
+
+        def preference(name: str) -> tuple[bool, float, str]:
+            reached_s = self._reached_store_s.get(name, _NEVER_S)
+            return (
+                now_s - reached_s < FOLLOWER_TIMEOUT_S,
+                self._registry.core_shares.get(name, 0.0),
+                name,
+            )
+
+        return max(following, key=preference, default="")
+
     def _majority(self) -> int:
         return len(self._registry.peer_addresses) // 2 + 1
 
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -211,6 +211,7 @@
             term.note_report(report.daemon, report.address)
             self._tasks.apply_report(report)
             if report.store_reachable:
+                term.note_store_reached(report.daemon)
                 self._hand_over_if_store_lost(term)
         if needs_table or term is None:
             self._followers.send_table(
@@ -446,6 +447,8 @@
             if known is not None and not self._known_leader.needs_spans:
                 table.spans = known.spans
             return table
+        if self._term.resigned:
+            table.successor = self._term.successor()
         table.spans = self._spans(self._tasks)
         table.shares = self._tasks.quota_shares(name, table.daemons)
         if self._term.resigned or (
--- a/src/sardinehill/wire/fleet.capnp
+++ b/src/sardinehill/wire/fleet.capnp
@@ -103,6 +103,8 @@
   hasSpanChanges @13 :Bool;
   baseSerial @14 :UInt64;
   changedServices @15 :List(ServiceSpanChanges);
+  # With resigned: the daemon that takes the lease without waiting.
+  successor @16 :Text;
 }
 
 # Sent when the store has changed, by a peer to each daemon that follows it.
--- a/src/sardinehill/wire/fleet.py
+++ b/src/sardinehill/wire/fleet.py
@@ -215,6 +215,7 @@
         ],
         ageMs=_clamped_uint32(table.age_s * _THOUSAND),
         resigned=table.resigned,
+        successor=table.successor,
         newsRevisions=table.store_revisions,
         lendable=[
             {"account": account, "tokens": _clamped_uint32(tokens * _THOUSAND)}
@@ -274,6 +275,7 @@
         },
         age_s=message.ageMs / _THOUSAND,
         resigned=message.resigned,
+        successor=message.successor,
         store_revisions=list(message.newsRevisions),
         lendable={
             item.account: item.tokens / _THOUSAND for item in message.lendable
--- a/tests/cover/test_election.py
+++ b/tests/cover/test_election.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sardinehill.core import fleet_messages
 from sardinehill.front import election
 from sardinehill.front import known_leader
 from sardinehill.front import peer_registry
@@ -28,12 +29,21 @@
         return True
 
 
-def candidate_wait_s(name, core_shares):
+def resigned_table(successor):
+    return fleet_messages.LeaderTable(
+        3, "x", "127.0.0.1:1", 1, 2, resigned=True, successor=successor
+    )
+
+
+def candidate_wait_s(name, core_shares, table=None):
     """Returns how long a candidate waits before it takes the lease."""
 
     async def body():
         loop = asyncio.get_running_loop()
         leader = known_leader.KnownLeader(name, loop.time)
+        if table is not None:
+            leader.note_term(table.term)
+            leader.apply_table(table)
         candidate = election.Election(
             name, leader, FakePeerRegistry(name, core_shares)
         )
@@ -56,3 +66,49 @@
     assert candidate_wait_s("small", shares) >= (
         election.LOW_CORE_SHARE_DELAY_S
     )
+
+
+def test_the_successor_that_a_resigned_leader_names_asks_no_one():
+    class RecordingRegistry(FakePeerRegistry):
+        calls = ()
+
+        async def read_peers(self):
+            self.calls += ("read_peers",)
+
+        async def acquire_lease(self, term):
+            self.calls += ("acquire_lease",)
+            return await super().acquire_lease(term)
+
+    async def body():
+        loop = asyncio.get_running_loop()
+        leader = known_leader.KnownLeader("small", loop.time)
+        leader.note_term(3)
+        leader.apply_table(resigned_table("small"))
+        registry = RecordingRegistry("small", {"small": 0.43, "large": 0.72})
+        assert await election.Election("small", leader, registry).try_to_lead()
+        assert registry.calls == ("acquire_lease", "read_peers")
+
+    asyncio.run(body())
+
+
+def test_other_candidates_wait_for_the_named_successor():
+    shares = {"a": 0.72, "b": 0.72}
+    waited_s = candidate_wait_s("a", shares, resigned_table("b"))
+    assert waited_s >= election.SUCCESSOR_DELAY_S
+
+
+def test_a_lease_older_than_the_followed_leaders_does_not_stop_a_candidate():
+    # The candidate read the lease at its start; two leaders have led since.
+    class LaterLease(FakePeerRegistry):
+        async def read_lease(self):
+            self.lease = peer_registry.LeaderLease(3, "x")
+
+    async def body():
+        loop = asyncio.get_running_loop()
+        leader = known_leader.KnownLeader("a", loop.time)
+        leader.note_term(3)
+        registry = LaterLease("a", {"a": 1.0})
+        registry.lease = peer_registry.LeaderLease(1, "w")
+        assert await election.Election("a", leader, registry).try_to_lead()
+
+    asyncio.run(body())
--- a/tests/cover/test_quota_lending.py
+++ b/tests/cover/test_quota_lending.py
@@ -98,6 +98,30 @@
     assert lender.lend(ACCOUNT, token_request(), DAEMONS, 10.1).tokens == 0
 
 
+def test_refused_requests_return_when_there_is_a_token_for_each():
+    # After a restart of the fleet 60 requests arrive at once. All were told the
+    # time of the next token, returned together and were refused again.
+    lender = quota_lending.Lender(QUOTA, START)
+    now_s = 10.0
+    lender.lend(ACCOUNT, token_request(1000), DAEMONS, now_s)
+    returns_s = sorted(
+        now_s + lender.lend(ACCOUNT, token_request(), DAEMONS, now_s).wait_s
+        for _ in range(30)
+    )
+    served = sum(
+        lender.lend(ACCOUNT, token_request(), DAEMONS, return_s + 0.01).tokens
+        for return_s in returns_s
+    )
+    assert served == 30
+
+
+def test_the_wait_of_refused_requests_is_bounded():
+    lender = quota_lending.Lender(QUOTA, START)
+    for _ in range(1000):
+        loan = lender.lend(ACCOUNT, token_request(5), DAEMONS, 10.0)
+        assert loan.wait_s <= quota_lending.MAX_RETURN_WAIT_S
+
+
 def borrow_concurrently(ask, count):
     async def body():
         borrower = borrowing.TokenBorrower(ask)
