Judge no upstream by the first answers of a route

The first answer of a route set its service time; when it was a fast one, the upstream that gave the next answers looked up to ten times slower than one that had given none, and its keys moved. Change: the first ten answers count alike and show no slowness but the reported one. Shown: a core test that fails before.

--- a/src/sardinehill/core/service_times.py
+++ b/src/sardinehill/core/service_times.py
@@ -8,6 +8,9 @@
 
 # The weight of the earlier estimate when a service time is averaged in.
 HISTORY_WEIGHT = 0.95
+# Before this many answers of a route, its service time is too uncertain to tell
+# a slow upstream by it.
+MIN_ANSWERS = 10
 # The service time of a route that has had no answer yet.
 INITIAL_SERVICE_TIME_S = 0.05
 # An idle upstream whose latency is more than this multiple of the latency that
@@ -24,6 +27,7 @@
 
     def __init__(self) -> None:
         self._service_times_s: dict[str, float] = {}
+        self._answer_counts: dict[str, int] = {}
 
     def service_time_s(self, route: str) -> float:
         """Returns a route's mean service time, without waits for a slot."""
@@ -53,15 +57,18 @@
         if has_queue:
             return reported_slowness
         slowness = max(reported_slowness or 1.0, _MIN_RATIO)
-        known_s = self._service_times_s.get(route)
+        known_s = self._service_times_s.get(route, 0.0)
+        count = self._answer_counts.get(route, 0)
+        self._answer_counts[route] = count + 1
+        # The first answers count alike.
+        weight = max(1 - HISTORY_WEIGHT, 1 / (count + 1))
         measured_s = latency_s / slowness
-        if known_s is None:
-            self._service_times_s[route] = measured_s
-            return slowness
+        if count >= MIN_ANSWERS:
+            measured_s = min(measured_s, known_s * MAX_SLOWNESS_RATIO)
+        self._service_times_s[route] = known_s + weight * (measured_s - known_s)
+        if count < MIN_ANSWERS:
+            return reported_slowness
         latency_ratio = latency_s / max(known_s, _MIN_RATIO)
-        self._service_times_s[route] = known_s * HISTORY_WEIGHT + min(
-            measured_s, known_s * MAX_SLOWNESS_RATIO
-        ) * (1 - HISTORY_WEIGHT)
         if (
             reported_slowness is None
             or latency_ratio > UNREPORTED_SLOWNESS_RATIO * slowness
--- a/tests/cover/test_service_times.py
+++ b/tests/cover/test_service_times.py
@@ -11,9 +11,30 @@
 from sardinehill.front import key_owners
 
 
-def test_an_upstream_that_always_has_a_queue_is_known_by_its_report():
+def learned_times(latency_s, reported_slowness):
+    """Returns estimates after enough equal answers of one route."""
     times = service_times.ServiceTimes()
-    times.record_answer("look-up", 0.2, 1.0, has_queue=False)
+    for _ in range(service_times.MIN_ANSWERS):
+        times.record_answer(
+            "look-up", latency_s, reported_slowness, has_queue=False
+        )
+    return times
+
+
+def test_a_first_answer_that_came_fast_does_not_make_upstreams_look_slow():
+    # The owner of a key lost it when its second answer took longer than the
+    # first one, by which all others were measured.
+    times = service_times.ServiceTimes()
+    times.record_answer("look-up", 0.002, None, has_queue=False)
+    for _ in range(service_times.MIN_ANSWERS - 1):
+        shown = times.record_answer("look-up", 0.02, None, has_queue=False)
+        assert shown is None
+    shown = times.record_answer("look-up", 0.02, None, has_queue=False)
+    assert shown < 1.2
+
+
+def test_an_upstream_that_always_has_a_queue_is_known_by_its_report():
+    times = learned_times(0.2, 1.0)
     assert times.record_answer("look-up", 1.4, 1.6, has_queue=True) == 1.6
     # A latency that includes a wait says nothing about the service time.
     assert times.service_time_s("look-up") == pytest.approx(0.2)
@@ -30,15 +51,13 @@
 
 
 def test_an_idle_upstream_that_hides_its_slowness_is_found_slow():
-    times = service_times.ServiceTimes()
-    times.record_answer("look-up", 0.2, 1.0, has_queue=False)
+    times = learned_times(0.2, 1.0)
     shown = times.record_answer("look-up", 1.0, 1.0, has_queue=False)
     assert shown == pytest.approx(5.0)
 
 
 def test_without_a_report_latency_shows_the_slowness_of_an_idle_upstream():
-    times = service_times.ServiceTimes()
-    times.record_answer("look-up", 0.2, None, has_queue=False)
+    times = learned_times(0.2, None)
     shown = times.record_answer("look-up", 0.3, None, has_queue=False)
     assert shown == pytest.approx(1.5)
     assert times.record_answer("look-up", 0.3, None, has_queue=True) is None
@@ -54,8 +73,7 @@
     }
     known = key_owners.KeyOwners("seats", dict, frozenset, 0.0)
     known.by_incarnation = owners
-    times = service_times.ServiceTimes()
-    times.record_answer("look-up", 0.22 * 0.7, 0.7, has_queue=False)
+    times = learned_times(0.22 * 0.7, 0.7)
     for _ in range(40):
         shown = times.record_answer("look-up", 1.4, 1.6, has_queue=True)
         assert shown is not None
