Keep the leader when the store returns for all

When the store returned, a follower was answered before the leader, which then had been without it for over a second and resigned. Change: it resigns only after followers have reached the store for 0.5 s while it has not. A leader that is cut off alone hands over as soon as before, as its followers notice that within 0.4 s. Shown: core tests, the first of which fails before.

--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -14,6 +14,11 @@
 FOLLOWER_TIMEOUT_S = 1.0
 # A silent daemon is assumed to keep serving callers for this long.
 SERVING_TIMEOUT_S = 5.0
+# A leader that has not reached the store for this long resigns if followers have
+# reached it for `MIN_REACHED_BY_OTHERS_S`. When the store returns, it answers
+# some daemons before others.
+STORE_LOST_HANDOVER_S = 1.0
+MIN_REACHED_BY_OTHERS_S = 0.5
 ANNOUNCE_INTERVAL_S = 0.25
 # A link that carries only an announcement stays open for this long, so that its
 # frame can arrive.
@@ -52,6 +57,7 @@
         self._began_s = self._confirmed_s = clock_s()
         self._heard_s: dict[str, float] = {}
         self._reached_store_s: dict[str, float] = {}
+        self._reached_by_others_since_s: float | None = None
         self._is_exclusive = False
         self._ended_peers: set[str] = set()
         self.resigned = False
@@ -70,6 +76,27 @@
         """Records that a daemon has reached the store itself."""
         self._reached_store_s[daemon] = self._clock_s()
 
+    def should_hand_over(self, store_lost_s: float) -> bool:
+        """Returns whether followers reach the store and this leader does not.
+
+        To be called when a follower has reported that it reaches the store.
+
+        Args:
+          store_lost_s: how long the leader has not reached the store; 0 if it
+            reaches it.
+        """
+        if store_lost_s <= 0:
+            self._reached_by_others_since_s = None
+            return False
+        now_s = self._clock_s()
+        if self._reached_by_others_since_s is None:
+            self._reached_by_others_since_s = now_s
+        reached_s = now_s - self._reached_by_others_since_s
+        return (
+            store_lost_s > STORE_LOST_HANDOVER_S
+            and reached_s >= MIN_REACHED_BY_OTHERS_S
+        )
+
     def successor(self) -> str:
         """Returns the daemon that should lead next; empty if there is none.
 
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -34,9 +34,6 @@
 from sardinehill.wire import message_kinds
 
 RETRY_INTERVAL_S = 0.1
-# A leader that has not reached the store for this long resigns if a follower
-# still reaches it.
-STORE_LOST_HANDOVER_S = 1.0
 # Changes of the leader table within this time are sent together.
 TABLE_PUSH_DELAY_S = 0.004
 # A table takes this much longer to send for each follower, so that sending it
@@ -222,7 +219,7 @@
         # This daemon reached the store when it took the lease, so an outage
         # counts at most from the start of the term.
         lost_s = min(self._view.store_lost_for_s(), term.age_s())
-        if lost_s > STORE_LOST_HANDOVER_S:
+        if term.should_hand_over(lost_s):
             self.resign()
 
     # token loans
--- /dev/null
+++ b/tests/cover/test_leader_term.py
@@ -0,0 +1,68 @@
+"""Tests of when a leader resigns and whom it names as its successor."""
+
+import dataclasses
+
+from sardinehill.front import followers
+from sardinehill.front import leader_term
+from sardinehill.front import peer_registry
+
+
+@dataclasses.dataclass
+class Clock:
+    """A clock that a test sets."""
+
+    now_s: float = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+def new_term(clock, **core_shares):
+    registry = peer_registry.PeerRegistry("me", "127.0.0.1:1", 1.0, None)
+    registry.core_shares = {"me": 1.0, **core_shares}
+    registry.peer_addresses = dict.fromkeys(registry.core_shares, "127.0.0.1:1")
+    return leader_term.LeaderTerm(
+        "me", registry, None, followers.Followers(), clock
+    )
+
+
+def test_a_leader_stays_when_the_store_answers_a_follower_first_again():
+    # After an outage for all, the leader resigned because a follower had been
+    # answered some milliseconds earlier.
+    clock = Clock()
+    term = new_term(clock)
+    assert not term.should_hand_over(store_lost_s=4.0)
+    clock.now_s += 0.3
+    assert not term.should_hand_over(store_lost_s=0.0)
+    clock.now_s += 5.0
+    assert not term.should_hand_over(store_lost_s=4.0)
+
+
+def test_a_leader_that_is_cut_off_from_the_store_hands_over():
+    clock = Clock()
+    term = new_term(clock)
+    lost_since_s = clock.now_s
+    handed_over_s = None
+    while handed_over_s is None:
+        clock.now_s += 0.25
+        # A follower has noticed the loss, and watches the store itself.
+        if clock.now_s - lost_since_s >= 0.4 and term.should_hand_over(
+            clock.now_s - lost_since_s
+        ):
+            handed_over_s = clock.now_s - lost_since_s
+    assert handed_over_s <= leader_term.STORE_LOST_HANDOVER_S + 0.25
+
+
+def test_the_successor_reaches_the_store_and_has_processor_time():
+    clock = Clock()
+    term = new_term(clock, small=0.4, large=0.7, cut=0.9, silent=2.0)
+    assert term.successor() == ""
+    for name in ("small", "large", "cut"):
+        term.note_report(name, "127.0.0.1:1")
+    assert term.successor() == "cut"
+    term.note_store_reached("small")
+    assert term.successor() == "small"
+    term.note_store_reached("large")
+    assert term.successor() == "large"
+    clock.now_s += 2 * leader_term.FOLLOWER_TIMEOUT_S
+    assert term.successor() == ""
