Do not take a followed peer for a living leader

A daemon that began to follow a peer counted as having just heard the leader and told others so; followers of a silent leader followed each other in turn. The more daemons, the longer one of those asked had just begun. Daemons that knew of the resignation asked peers too, and followed those that did not know yet. Change: the age that peers are told is that of the leader's last message; a leader that has resigned is not looked for at peers. Shown: a core test that fails before.

--- a/src/sardinehill/front/known_leader.py
+++ b/src/sardinehill/front/known_leader.py
@@ -32,6 +32,7 @@
         self._name = name
         self._clock_s = clock_s
         self._heard_s = _NEVER_S
+        self._follow_began_s = _NEVER_S
         # The term and serial of the spans in the table.
         self._spans_version = (0, 0)
         self.needs_spans = False
@@ -47,12 +48,15 @@
         return self._heard_s > 0
 
     def silent_s(self) -> float:
-        """Returns the time since the leader itself was last heard."""
-        return self._clock_s() - self._heard_s
+        """Returns how long the followed leader has been silent.
+
+        The time before this daemon began to follow it does not count.
+        """
+        return self._clock_s() - max(self._heard_s, self._follow_began_s)
 
     def restart_timeout(self) -> None:
         """Starts the silence timeout anew for a newly followed leader."""
-        self._heard_s = max(self._heard_s, self._clock_s())
+        self._follow_began_s = self._clock_s()
 
     def note_term(self, term: int) -> None:
         """Raises the highest known term to `term` if it is higher."""
@@ -85,12 +89,18 @@
             and not summary_table.resigned
         )
 
+    @property
+    def has_resigned(self) -> bool:
+        """Whether the leader of the highest known term has resigned."""
+        table = self.table
+        return table is not None and table.resigned and table.term == self.term
+
     @property
     def successor(self) -> str:
         """The daemon named by a resigned leader; empty if there is none."""
-        if self.table is None or not self.table.resigned:
+        if self.table is None or not self.has_resigned:
             return ""
-        return self.table.successor if self.table.term == self.term else ""
+        return self.table.successor
 
     def apply_table(self, table: fleet_messages.LeaderTable) -> bool:
         """Applies a table unless its term, serial or age is outdated.
@@ -175,5 +185,7 @@
             term=self.term,
             spans=None,
             shares={},
-            age_s=min(self.silent_s(), _MAX_AGE_S),
+            # Peers take this for evidence that the leader is alive, so it must
+            # not depend on when this daemon began to follow it.
+            age_s=min(self._clock_s() - self._heard_s, _MAX_AGE_S),
         )
--- a/src/sardinehill/front/leader_client.py
+++ b/src/sardinehill/front/leader_client.py
@@ -59,6 +59,8 @@
         was_heard = await self._follow_address(target.address, target.term)
         if self._known_leader.next_leader is not None:
             return True
+        if self._known_leader.has_resigned:
+            return False
         return was_heard and await self._follow_via_peer()
 
     async def _follow_address(self, address: str, term: int) -> bool:
--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -15,8 +15,8 @@
 # A silent daemon is assumed to keep serving callers for this long.
 SERVING_TIMEOUT_S = 5.0
 # A leader that has not reached the store for this long resigns if followers
-# have reached it for `MIN_REACHED_BY_OTHERS_S`. When the store returns, it answers
-# some daemons before others.
+# have reached it for `MIN_REACHED_BY_OTHERS_S`. When the store returns, it
+# answers some daemons before others.
 STORE_LOST_HANDOVER_S = 1.0
 MIN_REACHED_BY_OTHERS_S = 0.5
 ANNOUNCE_INTERVAL_S = 0.25
--- a/tests/cover/test_known_leader.py
+++ b/tests/cover/test_known_leader.py
@@ -61,3 +61,20 @@
     )
     assert leader.leader_gone.is_set()
     assert leader.table is None
+
+
+def test_following_a_peer_is_no_evidence_that_the_leader_is_alive():
+    # Followers of a silent leader followed each other in turn. Each counted as
+    # having just heard the leader, so nobody led for up to nine seconds.
+    now_s = [100.0]
+    leader = known_leader.KnownLeader("me", lambda: now_s[0])
+    leader.note_term(1)
+    leader.apply_table(table())
+    now_s[0] += 5.0
+    leader.restart_timeout()
+    assert leader.silent_s() == 0.0
+    summary = leader.summary()
+    assert summary.age_s == 5.0
+    assert not known_leader.KnownLeader("peer", lambda: 0.0).is_leader_alive(
+        summary
+    )
