Plan an overloaded fleet as one that is just not overloaded

From the 20th second on, four upstreams had 7 to 12 requests waiting and 240 in 730 requests were refused, 20 before. Change: loads that would use more than 0.7 of all slots are scaled down to that. Shown: test_an_overloaded_fleet_is_balanced_too, which fails before at 1.5 and 3.

--- a/src/sardinehill/core/key_plan.py
+++ b/src/sardinehill/core/key_plan.py
@@ -8,6 +8,7 @@
 import bisect
 from collections.abc import Iterable
 from collections.abc import Mapping
+import copy
 import dataclasses
 import itertools
 import math
@@ -21,6 +22,10 @@
 QUEUE_WAIT_FACTOR = 2.5
 # The cost of one more request at a saturated upstream, in service times.
 SATURATED_COST_FACTOR = 40.0
+# A load that would use more than this part of all slots is planned for as if it
+# used this part. Above saturation all upstreams cost the same, so an overloaded
+# fleet would not be balanced.
+MAX_PLANNED_UTILIZATION = 0.7
 # The load step by which the marginal cost is measured, as a share of an
 # upstream's slots.
 MARGINAL_STEP_SHARE = 0.02
@@ -122,10 +127,17 @@
             *itertools.accumulate(loads[key] for key in self._keys),
         ]
         self._base_load = base_load
+        self._scale = 1.0
+
+    def scaled(self, factor: float) -> "KeyLoads":
+        """Returns the same loads multiplied by a factor."""
+        scaled = copy.copy(self)
+        scaled._scale = self._scale * factor
+        return scaled
 
     def _load_below(self, key: int) -> float:
         """Returns the load of all keys below `key`."""
-        return (
+        return self._scale * (
             self._base_load * key
             + self._prefix_sums[bisect.bisect_left(self._keys, key)]
         )
@@ -181,12 +193,27 @@
     """
     if not capacities:
         return []
-    planner = _Planner(assignment, capacities, loads, policy)
+    planned_loads = loads.scaled(_planned_ratio(capacities, loads))
+    planner = _Planner(assignment, capacities, planned_loads, policy)
     planner.place_unowned_keys()
     planner.improve()
     return planner.moves
 
 
+def _planned_ratio(
+    capacities: Mapping[keyspace.Incarnation, UpstreamCapacity],
+    loads: KeyLoads,
+) -> float:
+    """Returns the part of the loads to plan for, at most 1."""
+    servable_load = sum(
+        capacity.slots / capacity.slowness for capacity in capacities.values()
+    )
+    total_load = loads.span_load(0, keyspace.KEY_COUNT - 1)
+    if total_load <= 0:
+        return 1.0
+    return min(1.0, MAX_PLANNED_UTILIZATION * servable_load / total_load)
+
+
 class _Planner:
     """Plans moves one by one, each for the loads after the earlier moves."""
 
--- a/tests/cover/test_keyspace.py
+++ b/tests/cover/test_keyspace.py
@@ -228,3 +228,48 @@
     # Up to this utilization, the mean wait for one of three slots is less than
     # half a service time.
     assert max(utilization.values()) < 0.65
+
+
+@pytest.mark.parametrize("mean_utilization", [0.5, 1.5, 3.0])
+def test_an_overloaded_fleet_is_balanced_too(mean_utilization: float):
+    # Requests that were refused count as load, so in an overload all upstreams
+    # were above saturation, where a move between them gained nothing.
+    rng = random.Random(3)
+    owners = [(f"u{index}", 1) for index in range(22)]
+    width = keyspace.KEY_COUNT // len(owners)
+    assignment = keyspace.KeyAssignment(
+        [
+            keyspace.Span(
+                index * width,
+                keyspace.KEY_COUNT - 1
+                if index == len(owners) - 1
+                else (index + 1) * width - 1,
+                owner,
+                index + 1,
+                confirmed=True,
+            )
+            for index, owner in enumerate(owners)
+        ],
+        len(owners),
+    )
+    weights = [rng.uniform(0.2, 2.4) for _ in owners]
+    total_load = mean_utilization * 3 * len(owners)
+    loads = {
+        index * width + step * (width // 40): total_load
+        * weight
+        / sum(weights)
+        / 40
+        for index, weight in enumerate(weights)
+        for step in range(40)
+    }
+    key_loads = key_plan.KeyLoads(loads, 0.5 / keyspace.KEY_COUNT)
+    capacities = dict.fromkeys(owners, key_plan.UpstreamCapacity(3, 1.0))
+    for _ in range(8):
+        moves = key_plan.plan(assignment, capacities, key_loads, POLICY)
+        keyspace.apply_moves(assignment, moves)
+        for span in assignment.spans:
+            span.former_owner = None
+    owned = dict.fromkeys(owners, 0.0)
+    for span in assignment.spans:
+        owned[span.owner] += key_loads.span_load(span.first, span.last)
+    assert max(owned.values()) < 1.5 * total_load / len(owners)
