End callers that stall, and answer before refusing what follows

Cause: a caller that stalled after its first header line or in its body was never ended; a header without end was read without bound, as the parser reports only complete ones; a malformed pipelined request closed the connection under an answer. Change: 408 when the header is not complete in time or no byte of the body has come for the idle timeout, 431 when the bytes before the body exceed the limit, and earlier requests are answered before a refusal.

--- a/src/sardinehill/front/server.py
+++ b/src/sardinehill/front/server.py
@@ -20,6 +20,8 @@
 # served.
 MAX_PIPELINED_REQUESTS = 8
 LIMIT_CHECK_INTERVAL_S = 0.5
+# The limit on a request's header does not count separators and line ends.
+MAX_SEPARATOR_BYTES = 8192
 
 _REASON_PHRASES = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
@@ -66,7 +68,11 @@
         self._serving_task: asyncio.Task[None] | None = None
         self._error_status = 0
         self._in_message = False
+        self._headers_complete = False
+        self._bytes_before_body = 0
+        self._refusal_status: int | None = None
         self._phase_started_s = self._loop.time()
+        self._received_s = self._loop.time()
         self.closing = False
 
     # asyncio's callbacks
@@ -80,15 +86,31 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; malformed ones end the connection."""
-        if self.closing:
+        if self.closing or self._refusal_status is not None:
             return
+        self._received_s = self._loop.time()
         try:
             self._parser.feed_data(data)
+            self._limit_bytes_before_body(len(data))
         except httptools.HttpParserUpgrade:
             self._refuse(400)
         except httptools.HttpParserError:
             self._refuse(self._error_status or 400)
 
+    def _limit_bytes_before_body(self, size: int) -> None:
+        """Refuses a request whose header does not end within its limit.
+
+        The parser reports a header only when it is complete, so the limit on
+        the reported ones does not stop a header without end.
+        """
+        if self._headers_complete or not self._in_message:
+            self._bytes_before_body = 0
+            return
+        self._bytes_before_body += size
+        limit = self._server.limits().header_bytes + MAX_SEPARATOR_BYTES
+        if self._bytes_before_body > limit:
+            self._refuse(431)
+
     def eof_received(self) -> bool:
         """Closes the connection when the caller has ended its side."""
         return False
@@ -111,6 +133,7 @@
         self._body_bytes = 0
         self._has_body = False
         self._in_message = True
+        self._headers_complete = False
         self._phase_started_s = self._loop.time()
 
     def on_url(self, url: bytes) -> None:
@@ -137,6 +160,10 @@
             self._error_status = 431
             raise ValueError("the headers are too long")
 
+    def on_headers_complete(self) -> None:
+        """Notes that only the body is missing."""
+        self._headers_complete = True
+
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body."""
         self._body_bytes += len(body)
@@ -182,18 +209,24 @@
                     self._close()
         finally:
             self._serving_task = None
+        if self._refusal_status is not None and not self.closing:
+            self._refuse(self._refusal_status)
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
     def _refuse(self, status: int) -> None:
-        if self._serving_task is None:
-            self._write(
-                encode_reply(
-                    requests.Reply(status, b""), closes_connection=True
-                )
-            )
+        """Refuses a request and closes the connection.
+
+        Earlier requests of the connection are answered first.
+        """
+        if self._serving_task is not None:
+            self._refusal_status = status
+            return
+        self._write(
+            encode_reply(requests.Reply(status, b""), closes_connection=True)
+        )
         self._close()
 
     def _close(self) -> None:
@@ -214,12 +247,15 @@
         """Closes the connection if it exceeds a time limit.
 
         A connection without a request may be idle for `idle_timeout_s`. A
-        request that has no complete header after `header_timeout_s` is refused
-        with 408.
+        request that has no complete header after `header_timeout_s`, or of
+        whose body nothing has come for `idle_timeout_s`, is refused with 408.
         """
         elapsed_s = now_s - self._phase_started_s
-        if self._in_message and elapsed_s > limits.header_timeout_s:
-            if not self._headers:
+        if self._in_message:
+            is_late = elapsed_s > limits.header_timeout_s
+            if self._headers_complete:
+                is_late = now_s - self._received_s > limits.idle_timeout_s
+            if is_late:
                 self._refuse(408)
         elif self.is_idle() and elapsed_s > limits.idle_timeout_s:
             self._close()
--- /dev/null
+++ b/tests/cover/test_front_server.py
@@ -0,0 +1,106 @@
+"""Tests of callers' connections that stall, send too much or pipeline."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from sardinehill.core import routes
+from sardinehill.front import requests
+from sardinehill.front import server as server_module
+
+LIMITS = routes.CallerLimits(
+    header_bytes=4096,
+    body_bytes=65536,
+    header_timeout_s=0.2,
+    idle_timeout_s=0.4,
+)
+TEST_TIMEOUT_S = 20.0
+
+
+async def _reply_late(request: requests.Request) -> requests.Reply:
+    await asyncio.sleep(0.1)
+    return requests.Reply(200, b"", b"answer to " + request.target)
+
+
+@contextlib.asynccontextmanager
+async def connected():
+    """Serves on a local port and yields a caller's connection."""
+    server = server_module.Server(_reply_late, lambda: LIMITS)
+    listening = await server.listen("127.0.0.1", 0)
+    limits_task = asyncio.create_task(server.enforce_limits())
+    port = listening.sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            yield reader, writer
+    finally:
+        writer.close()
+        limits_task.cancel()
+        listening.close()
+
+
+def received_until_closed(data: bytes) -> bytes:
+    """Sends bytes without closing, and returns all that comes back."""
+
+    async def body():
+        async with connected() as (reader, writer):
+            writer.write(data)
+            return await reader.read()
+
+    return asyncio.run(body())
+
+
+@pytest.mark.parametrize(
+    "start",
+    [
+        b"GET / HT",
+        b"GET / HTTP/1.1\r\n",
+        b"GET / HTTP/1.1\r\nhost: a\r\n",
+        b"GET / HTTP/1.1\r\nhost: a\r\nx-slow: 1",
+        b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc",
+        b"POST / HTTP/1.1\r\nhost: a\r\n"
+        b"transfer-encoding: chunked\r\n\r\n5\r\nab",
+    ],
+)
+def test_a_caller_that_stalls_is_refused_and_closed(start):
+    assert received_until_closed(start).startswith(b"HTTP/1.1 408 ")
+
+
+@pytest.mark.parametrize(
+    "start",
+    [
+        b"GET /" + b"a" * 20_000,
+        b"GET / HTTP/1.1\r\n" + b"a" * 20_000,
+        b"GET / HTTP/1.1\r\nhost: " + b"a" * 20_000,
+    ],
+)
+def test_an_endless_header_is_refused_before_it_ends(start):
+    assert received_until_closed(start).startswith(b"HTTP/1.1 431 ")
+
+
+def test_a_malformed_pipelined_request_does_not_drop_earlier_answers():
+    received = received_until_closed(
+        b"GET /one HTTP/1.1\r\nhost: a\r\n\r\n"
+        b"GET /two HTTP/1.1\r\nhost: a\r\n\r\n"
+        b"no request\r\n\r\n"
+    )
+    first, second, refusal = received.split(b"HTTP/1.1 ")[1:]
+    assert first.endswith(b"answer to /one")
+    assert second.endswith(b"answer to /two")
+    assert refusal.startswith(b"400 ")
+
+
+def test_a_slow_body_that_goes_on_is_accepted():
+    async def body():
+        async with connected() as (reader, writer):
+            writer.write(
+                b"POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n"
+                b"content-length: 8\r\n\r\n"
+            )
+            for _ in range(8):
+                await asyncio.sleep(0.1)
+                writer.write(b"x")
+            return await reader.read()
+
+    assert asyncio.run(body()).startswith(b"HTTP/1.1 200 ")
