Give the connection back when a request ends while it borrows a send

Cause, found by reading: a request that was cancelled while the leader was asked for a send to a cold upstream kept its connection open and unused. Change: the connection returns to its pool whenever the request is not sent. Shown: tests/cover/test_sending.py, which fails before.

--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -81,9 +81,14 @@
         connection = await self._connect(context, target)
         if connection is None:
             return None
-        if not await self._may_send_while_cold(target):
-            target.upstream_state.record_end()
-            target.pool.release(connection)
+        may_send = False
+        try:
+            may_send = await self._may_send_while_cold(target)
+        finally:
+            if not may_send:
+                target.upstream_state.record_end()
+                target.pool.release(connection)
+        if not may_send:
             return None
         answer = await self._exchange(context, target, connection)
         if answer is None:
@@ -119,11 +124,7 @@
         asked_s = loop.time()
         if not state.is_cold(asked_s):
             return True
-        try:
-            wait_s = await self._cold_sends.borrow(target.upstream.id)
-        except BaseException:
-            state.record_end()
-            raise
+        wait_s = await self._cold_sends.borrow(target.upstream.id)
         if wait_s > 0:
             state.no_cold_sends_until_s = loop.time() + wait_s
             return False
--- /dev/null
+++ b/tests/cover/test_sending.py
@@ -0,0 +1,80 @@
+"""Tests of sending to cold upstreams by loans of the leader."""
+
+import asyncio
+import types
+
+import pytest
+
+from sardinehill.core import cold_lending
+from sardinehill.core import upstream_state
+from sardinehill.front import sending
+
+
+class FakePool:
+    """Hands out one connection and records whether it came back."""
+
+    def __init__(self):
+        self.released = []
+
+    async def acquire(self, timeout_s):
+        return "connection"
+
+    def release(self, connection):
+        self.released.append(connection)
+
+
+def send_to_cold_upstream(borrow):
+    """Sends a request to a cold upstream; returns the result and target."""
+
+    async def body():
+        now_s = asyncio.get_running_loop().time()
+        sender = sending.Sender(
+            None, None, None, None, types.SimpleNamespace(borrow=borrow)
+        )
+        target = types.SimpleNamespace(
+            upstream=types.SimpleNamespace(id="i-1"),
+            upstream_state=upstream_state.UpstreamState(
+                slots=2, cold_until_s=now_s + 60.0
+            ),
+            pool=FakePool(),
+        )
+        context = types.SimpleNamespace(deadline_s=now_s + 10.0)
+        outcome = await asyncio.gather(
+            sender.send(context, target), return_exceptions=True
+        )
+        return outcome[0], target, now_s
+
+    return asyncio.run(body())
+
+
+def test_without_a_loan_nothing_is_sent_and_the_connection_is_kept():
+    async def borrow(name):
+        return 0.7
+
+    answer, target, now_s = send_to_cold_upstream(borrow)
+    assert answer is None
+    assert target.pool.released == ["connection"]
+    assert target.upstream_state.in_flight == 0
+    assert not target.upstream_state.may_send(now_s + 0.6, max_in_flight=9)
+    assert target.upstream_state.may_send(now_s + 9.0, max_in_flight=9)
+
+
+def test_a_loan_that_came_late_is_not_used():
+    async def borrow(name):
+        await asyncio.sleep(cold_lending.LOAN_VALIDITY_S * 1.5)
+        return 0.0
+
+    answer, target, _ = send_to_cold_upstream(borrow)
+    assert answer is None
+    assert target.pool.released == ["connection"]
+
+
+@pytest.mark.parametrize("error", [asyncio.CancelledError, RuntimeError])
+def test_a_request_that_ends_while_it_borrows_leaves_nothing_behind(error):
+    async def borrow(name):
+        raise error()
+
+    result, target, _ = send_to_cold_upstream(borrow)
+    assert isinstance(result, error)
+    assert target.pool.released == ["connection"]
+    assert target.upstream_state.in_flight == 0
