Take over tokens only from the leader of the previous term

Cause, found by reading: a new leader took the newest table it had for its predecessor's. If it had missed a term in between, it lent at once, with the tokens of the leader before that, while the last leader could still lend. Change: only a table of the previous term counts; without one it waits. Shown: a core test of which table counts.

--- a/src/sardinehill/front/known_leader.py
+++ b/src/sardinehill/front/known_leader.py
@@ -152,6 +152,16 @@
         table.spans = owner_spans.apply_changes(table.spans, changes)
         self._spans_version = version
 
+    def previous_table(self) -> fleet_messages.LeaderTable | None:
+        """Returns the last table of the term before the highest known one.
+
+        Returns None if that term's leader was not heard. A table of a still
+        earlier term says nothing about what its successor did.
+        """
+        if self.table is None or self.table.term != self.term - 1:
+            return None
+        return self.table
+
     def adopt_lendable(
         self, summary_tables: list[fleet_messages.LeaderTable]
     ) -> None:
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -359,7 +359,7 @@
     def _new_tasks(
         self, term: leader_term.LeaderTerm
     ) -> leader_tasks.LeaderTasks:
-        previous_table = self._known_leader.table
+        previous_table = self._known_leader.previous_table()
         is_restart = self._election.is_restart
         start = quota_lending.lending_start(
             self._clock_s(), previous_table, is_restart
--- a/tests/cover/test_known_leader.py
+++ b/tests/cover/test_known_leader.py
@@ -78,3 +78,14 @@
     assert not known_leader.KnownLeader("peer", lambda: 0.0).is_leader_alive(
         summary
     )
+
+
+def test_a_table_of_an_older_term_is_not_the_previous_leaders():
+    # A leader that followed one of two earlier terms only must not take the
+    # resignation of the first for that of the second.
+    leader = new_known_leader(term=1)
+    leader.apply_table(table(term=1, resigned=True))
+    leader.note_term(2)
+    assert leader.previous_table().resigned
+    leader.note_term(3)
+    assert leader.previous_table() is None
