--- a/tests/cover/test_store_replication.py
+++ b/tests/cover/test_store_replication.py
@@ -293,3 +293,31 @@
         probe.cancel()
 
     run(scenario)
+
+
+def test_moments_without_a_reliable_leader_do_not_start_a_watch():
+    # The state was looked at once in a while. A daemon that was behind its
+    # leader for a moment just then listed and watched all kinds.
+    async def scenario(daemon):
+        running = asyncio.ensure_future(daemon.watch.run())
+        for _ in range(30):
+            daemon.watch.rely_on_peers(False)
+            await asyncio.sleep(0.01)
+            daemon.watch.rely_on_peers(True)
+            await asyncio.sleep(0.02)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        assert daemon.store.listed_kinds == []
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("daemons", [1, 11, 60, 195, 640])
+def test_few_daemons_watch_the_store_soon_after_a_leader_is_lost(daemons):
+    delays_s = [
+        store_watch.watch_delay_s(f"front-{index}", daemons)
+        for index in range(daemons)
+    ]
+    first_count = delays_s.count(store_watch.WATCH_DELAY_S)
+    assert first_count >= min(daemons, store_watch.FIRST_WATCHERS_COUNT // 3)
+    assert first_count <= 3 * store_watch.FIRST_WATCHERS_COUNT
