Lend no sends to an upstream until the free ones are over a second old

Cause, found by reading: an upstream that becomes cold while it serves is known to be cold a second later; the requests sent until then count towards its bound as well, and the leader lent the whole bound on top of them. Change: the first loan for an upstream comes one window after the first question; one that nobody has asked for in two seconds starts anew. Shown: a property test of requests sent before the first question, which fails before.

--- a/src/sardinehill/core/cold_lending.py
+++ b/src/sardinehill/core/cold_lending.py
@@ -20,6 +20,9 @@
 # An earlier leader may still lend for this time after another one has taken the
 # lease: as long as its term may count as confirmed.
 EARLIER_LEADER_S = 1.7
+# An upstream that nobody has asked for during this time is forgotten. When it
+# is asked for again, it may have been warm in between.
+RETENTION_S = 2.0
 MIN_WAIT_S = 0.01
 
 
@@ -40,6 +43,25 @@
         return int(cold_rate_per_s * self.ratio + self.slack_requests)
 
 
+@dataclasses.dataclass(slots=True)
+class _ColdUpstream:
+    """The loans of sends to one upstream.
+
+    Attributes:
+      lends_from_s: when the first loan may be given. Until daemons knew that
+        the upstream is cold, they sent without loans, and these requests count
+        as well.
+      asked_s: when a daemon last asked for a loan.
+      lent_times_s: when sends were lent in the last window.
+    """
+
+    lends_from_s: float
+    asked_s: float = 0.0
+    lent_times_s: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+
 class ColdSendLender:
     """Lends sends to cold upstreams during one term of a leader."""
 
@@ -53,7 +75,7 @@
         """
         earlier_leader_s = 0.0 if earlier_leader_ended else EARLIER_LEADER_S
         self._lends_from_s = term_began_s + earlier_leader_s + WINDOW_S
-        self._lent_times_s: dict[str, collections.deque[float]] = {}
+        self._upstreams: dict[str, _ColdUpstream] = {}
 
     def lend(
         self,
@@ -68,13 +90,16 @@
           sends_per_s: how many requests may be sent to it within a second.
           now_s: the current time.
         """
-        if now_s < self._lends_from_s:
+        upstream = self._upstreams.setdefault(
+            request.name, _ColdUpstream(now_s + WINDOW_S)
+        )
+        upstream.asked_s = now_s
+        lends_from_s = max(self._lends_from_s, upstream.lends_from_s)
+        if now_s < lends_from_s:
             return fleet_messages.TokenLoan(
-                request.name, 0, self._lends_from_s - now_s
+                request.name, 0, lends_from_s - now_s
             )
-        lent_times_s = self._lent_times_s.setdefault(
-            request.name, collections.deque()
-        )
+        lent_times_s = upstream.lent_times_s
         while lent_times_s and lent_times_s[0] <= now_s - WINDOW_S:
             lent_times_s.popleft()
         lent = min(request.tokens, max(0, sends_per_s - len(lent_times_s)))
@@ -86,7 +111,7 @@
         return fleet_messages.TokenLoan(request.name, lent, wait_s)
 
     def forget_upstreams(self, now_s: float) -> None:
-        """Drops the records of upstreams without recent loans."""
-        for name, lent_times_s in list(self._lent_times_s.items()):
-            if not lent_times_s or lent_times_s[-1] <= now_s - WINDOW_S:
-                del self._lent_times_s[name]
+        """Drops the records of upstreams that nobody has asked for lately."""
+        for name, upstream in list(self._upstreams.items()):
+            if upstream.asked_s <= now_s - RETENTION_S:
+                del self._upstreams[name]
