--- a/tests/cover/test_keyspace.py
+++ b/tests/cover/test_keyspace.py
@@ -180,29 +180,41 @@
     assert tracker.loads(60.0).get(7, 0.0) < 0.01
 
 
+def evenly_owned(owners):
+    """Returns an assignment in which each owner has equally many keys."""
+    width = keyspace.KEY_COUNT // len(owners)
+    spans = [
+        keyspace.Span(
+            index * width,
+            (index + 1) * width - 1,
+            owner,
+            index + 1,
+            confirmed=True,
+        )
+        for index, owner in enumerate(owners)
+    ]
+    spans[-1].last = keyspace.KEY_COUNT - 1
+    return keyspace.KeyAssignment(spans, len(owners))
+
+
+def plan_repeatedly(assignment, capacities, key_loads, count):
+    """Plans and applies moves, each of which is completed before the next."""
+    for _ in range(count):
+        moves = key_plan.plan(assignment, capacities, key_loads, POLICY)
+        keyspace.apply_moves(assignment, moves)
+        for span in assignment.spans:
+            span.former_owner = None
+
+
 @pytest.mark.parametrize("upstreams", [11, 21, 92, 135, 640])
 def test_a_hot_range_of_keys_is_spread_over_any_number_of_upstreams(
     upstreams: int,
 ):
     # With a least gain relative to the whole fleet, large fleets left upstreams
     # with twice the mean load as they were.
-    width = keyspace.KEY_COUNT // upstreams
     owners = [(f"u{index}", 1) for index in range(upstreams)]
-    assignment = keyspace.KeyAssignment(
-        [
-            keyspace.Span(
-                index * width,
-                keyspace.KEY_COUNT - 1
-                if index == upstreams - 1
-                else (index + 1) * width - 1,
-                owner,
-                index + 1,
-                confirmed=True,
-            )
-            for index, owner in enumerate(owners)
-        ],
-        upstreams,
-    )
+    assignment = evenly_owned(owners)
+    width = keyspace.KEY_COUNT // upstreams
     capacities = dict.fromkeys(owners, key_plan.UpstreamCapacity(3, 1.0))
     # All upstreams are used by a third, but one is asked for more than it can
     # serve.
@@ -215,11 +227,7 @@
     for step in range(60):
         loads[hot_first + step] = 4 / 60
     key_loads = key_plan.KeyLoads(loads, 0.5 / keyspace.KEY_COUNT)
-    for _ in range(6):
-        moves = key_plan.plan(assignment, capacities, key_loads, POLICY)
-        keyspace.apply_moves(assignment, moves)
-        for span in assignment.spans:
-            span.former_owner = None
+    plan_repeatedly(assignment, capacities, key_loads, 6)
     utilization = dict.fromkeys(owners, 0.0)
     for span in assignment.spans:
         utilization[span.owner] += (
@@ -236,22 +244,8 @@
     # were above saturation, where a move between them gained nothing.
     rng = random.Random(3)
     owners = [(f"u{index}", 1) for index in range(22)]
+    assignment = evenly_owned(owners)
     width = keyspace.KEY_COUNT // len(owners)
-    assignment = keyspace.KeyAssignment(
-        [
-            keyspace.Span(
-                index * width,
-                keyspace.KEY_COUNT - 1
-                if index == len(owners) - 1
-                else (index + 1) * width - 1,
-                owner,
-                index + 1,
-                confirmed=True,
-            )
-            for index, owner in enumerate(owners)
-        ],
-        len(owners),
-    )
     weights = [rng.uniform(0.2, 2.4) for _ in owners]
     total_load = mean_utilization * 3 * len(owners)
     loads = {
@@ -264,11 +258,7 @@
     }
     key_loads = key_plan.KeyLoads(loads, 0.5 / keyspace.KEY_COUNT)
     capacities = dict.fromkeys(owners, key_plan.UpstreamCapacity(3, 1.0))
-    for _ in range(8):
-        moves = key_plan.plan(assignment, capacities, key_loads, POLICY)
-        keyspace.apply_moves(assignment, moves)
-        for span in assignment.spans:
-            span.former_owner = None
+    plan_repeatedly(assignment, capacities, key_loads, 8)
     owned = dict.fromkeys(owners, 0.0)
     for span in assignment.spans:
         owned[span.owner] += key_loads.span_load(span.first, span.last)
