Log how old a change of an upstream may be when a daemon learns of it

The log said when a daemon learnt that an upstream leaves, but not how long the store may have had it by then, so late knowledge could not be told from a request that was sent late. The view of the store now tracks when its documents were last known to be the newest: by an answer to a list or watch, by a probe while a watch is pending, or by a leader table, which says how old the leader's own knowledge may be. upstream-changed and upstream-gone carry the difference as max_age_s. No decision depends on it yet.

--- a/src/sardinehill/core/fleet_messages.py
+++ b/src/sardinehill/core/fleet_messages.py
@@ -146,6 +146,8 @@
       shares: the receiver's share of each client account's quota, from 0 to 1.
       lendable: the tokens of each client account that the leader can lend.
       age_s: the time since the leader itself sent an update.
+      documents_age_s: for how long the leader's documents may have been
+        outdated when it sent the update.
       resigned: whether the leader has resigned.
       successor: the daemon that is to lead after a resigned leader; empty if it
         named none.
@@ -164,6 +166,7 @@
     shares: dict[str, float] = dataclasses.field(default_factory=dict)
     lendable: dict[str, float] = dataclasses.field(default_factory=dict)
     age_s: float = 0.0
+    documents_age_s: float = 0.0
     resigned: bool = False
     successor: str = ""
     store_revisions: list[int] = dataclasses.field(default_factory=list)
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -479,6 +479,7 @@
             self._view.store_reachable,
             resigned=self._term.resigned,
             store_revisions=self.replication.change_revisions(),
+            documents_age_s=self._view.documents_age_s(),
         )
 
     def _encoded_summary(self) -> bytes:
--- a/src/sardinehill/front/store_replication.py
+++ b/src/sardinehill/front/store_replication.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import json
+import math
 
 from sardinehill import events
 from sardinehill.core import fleet_messages
@@ -43,6 +44,8 @@
         self._send_to_followers = send_to_followers
         self._resync_needed = asyncio.Event()
         self._leader_table: fleet_messages.LeaderTable | None = None
+        # When the leader last knew the documents of its table to be current.
+        self._leader_current_s = -math.inf
         view.subscribe_to_changes(self._forward_change)
 
     # sending
@@ -87,6 +90,11 @@
         Requests a resync if the leader has newer documents.
         """
         self._leader_table = table
+        now_s = asyncio.get_running_loop().time()
+        self._leader_current_s = now_s - table.age_s - table.documents_age_s
+        self._compare_with_leader(table)
+
+    def _compare_with_leader(self, table: fleet_messages.LeaderTable) -> None:
         own_revisions = [watched.revision for watched in self._view.kinds]
         is_behind = len(table.store_revisions) != len(own_revisions) or any(
             leader_revision > own_revision
@@ -97,6 +105,9 @@
         if is_behind:
             self._resync_needed.set()
         is_reliable = table.store_reachable and table.age_s < LEADER_FRESH_S
+        if is_reliable and not is_behind:
+            for watched in self._view.kinds:
+                self._view.note_current(watched, self._leader_current_s)
         self._watch.rely_on_peers(
             is_reliable and not is_behind and all(own_revisions)
         )
@@ -159,7 +170,7 @@
             if state is not None:
                 self._apply_documents(state)
                 if self._leader_table is not None:
-                    self.apply_table(self._leader_table)
+                    self._compare_with_leader(self._leader_table)
 
     def _query(self) -> fleet_messages.StoreStateQuery:
         config, upstreams, zones = self._view.kinds
--- a/src/sardinehill/front/store_view.py
+++ b/src/sardinehill/front/store_view.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 from typing import Any
 
 from sardinehill import events
@@ -23,6 +24,10 @@
 # The store counts as reached for this long after an answer.
 STORE_ANSWER_FRESH_S = 1.5
 
+# The store answers a watch at once if there are changes. A watch that has been
+# pending for longer than this had none when it was sent.
+WATCH_ANSWER_S = 0.3
+
 Json = Any
 
 
@@ -38,6 +43,10 @@
       lost_since_s: when the store stopped answering, or None.
       recovered_s: when the store last answered again after an outage.
       last_answer_s: when the store last answered.
+      current_s: a time at which the documents were the store's newest.
+      changed_after_s: the last change of the documents occurred in the store
+        after this time; minus infinity if nothing is known.
+      watch_sent_s: when the pending watch was sent, or None.
       removal_due_s: the time at which an entry that vanished after an outage is
         removed, by name.
     """
@@ -49,6 +58,9 @@
     lost_since_s: float | None = None
     recovered_s: float = -1e9
     last_answer_s: float = -1e9
+    current_s: float = -math.inf
+    changed_after_s: float = -math.inf
+    watch_sent_s: float | None = None
     removal_due_s: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
@@ -139,6 +151,16 @@
             and self._clock_s() - newest_s < STORE_ANSWER_FRESH_S
         )
 
+    @property
+    def upstreams_changed_after_s(self) -> float:
+        """The last change of the upstreams occurred in the store after this."""
+        return self._upstreams.changed_after_s
+
+    def documents_age_s(self) -> float:
+        """Returns for how long the documents may have been outdated."""
+        oldest_s = min(watched.current_s for watched in self.kinds)
+        return self._clock_s() - oldest_s
+
     def store_lost_for_s(self) -> float:
         """Returns the time since a watch or call first failed, or 0."""
         outage_starts_s = [
@@ -177,6 +199,19 @@
         if not self._store_was_reachable and self.store_reachable:
             self._note_store_back(through="store")
 
+    def note_current(self, watched: WatchedKind, at_s: float) -> None:
+        """Records that the documents were the store's newest at `at_s`."""
+        watched.current_s = max(watched.current_s, at_s)
+
+    def note_watch_pending(self, watched: WatchedKind, at_s: float) -> None:
+        """Records that the store answered others, but not the watch, at `at_s`.
+
+        The documents were current then, unless the watch had just been sent.
+        """
+        sent_s = watched.watch_sent_s
+        if sent_s is not None and at_s - sent_s > WATCH_ANSWER_S:
+            self.note_current(watched, at_s)
+
     def note_unwatched(self) -> None:
         """Ends all outages, as a peer sends changes from now on."""
         for watched in self.kinds:
@@ -197,8 +232,16 @@
         watched: WatchedKind,
         objects: list[store_module.StoredObject],
         revision: int,
+        asked_s: float,
     ) -> None:
-        """Applies a list of all objects of a kind."""
+        """Applies a list of all objects of a kind.
+
+        Args:
+          watched: the kind.
+          objects: all its objects.
+          revision: the store's revision of the list.
+          asked_s: when the list was requested.
+        """
         self.note_answered(watched)
         if revision < watched.revision:
             # Lists are linearizable, so an older one was delayed in transit.
@@ -209,6 +252,7 @@
         for name in listed:
             watched.removal_due_s.pop(name, None)
         self.replace_documents(watched, listed, revision)
+        self.note_current(watched, asked_s)
 
     def _keep_if_lapsed(
         self, watched: WatchedKind, name: str, kept_documents: dict[str, Json]
@@ -235,7 +279,9 @@
     ) -> None:
         """Applies the changes that a watch returned."""
         self.note_answered(watched)
+        watched.watch_sent_s = None
         if revision <= watched.revision and not changes:
+            self.note_current(watched, self._clock_s())
             return
         updated = dict(watched.documents)
         for change in changes:
@@ -252,6 +298,7 @@
         self.replace_documents(
             watched, updated, max(watched.revision, revision)
         )
+        self.note_current(watched, self._clock_s())
 
     def remove_expired(self) -> None:
         """Removes vanished entries whose grace is over."""
@@ -292,6 +339,7 @@
             return
         since_revision = watched.changed_revision
         watched.changed_revision = revision
+        watched.changed_after_s = watched.current_s
         self._decode(watched)
         change = DocumentsChange(
             watched.kind, since_revision, revision, changed, removed
@@ -366,6 +414,7 @@
             events.log(
                 events.UPSTREAM_GONE,
                 upstream=name,
+                max_age_s=self._change_age_s(),
                 revision=self._upstreams.revision,
             )
         for name, upstream in upstreams.items():
@@ -379,9 +428,17 @@
                     upstream=name,
                     draining=upstream.is_draining,
                     born_ms=upstream.started_at_ms,
+                    max_age_s=self._change_age_s(),
                     revision=self._upstreams.revision,
                 )
 
+    def _change_age_s(self) -> float | None:
+        """Returns how long ago the last change may have occurred, for logs."""
+        after_s = self.upstreams_changed_after_s
+        if math.isinf(after_s):
+            return None
+        return round(self._clock_s() - after_s, 3)
+
     def _decode_zones(self) -> None:
         zones_out = frozenset(
             name
--- a/src/sardinehill/front/store_watch.py
+++ b/src/sardinehill/front/store_watch.py
@@ -73,6 +73,9 @@
         # one is.
         self._unreliable_since_s: float | None = None
         self._relies_on_peers = False
+        # Whether probes show that the store answers, so that a silent watch
+        # means that nothing has changed.
+        self._is_probing = False
         # Cleared while the store does not answer: then only the first kind is
         # retried.
         self._may_try_others = asyncio.Event()
@@ -138,10 +141,13 @@
             for watch in watches:
                 watch.cancel()
             await asyncio.gather(*watches, return_exceptions=True)
+            for watched in self._view.kinds:
+                watched.watch_sent_s = None
         self._store.failing_since_s = None
         self._view.note_unwatched()
 
     async def _watch(self, watched: store_view.WatchedKind) -> None:
+        loop = asyncio.get_running_loop()
         retry_s = MIN_RETRY_S
         # The first kind is always listed: a list is answered at once, while a
         # watch may be answered only after its wait time.
@@ -150,22 +156,29 @@
         while True:
             try:
                 if needs_list:
+                    asked_s = loop.time()
                     listed = await self._store.list_objects(watched.kind)
-                    self._view.apply_list(watched, *listed)
+                    self._view.apply_list(watched, *listed, asked_s)
                     needs_list = False
                     retry_s = MIN_RETRY_S
                     if is_first_kind:
                         self._may_try_others.set()
                 stream = self._store.watch(watched.kind, watched.revision)
+                watched.watch_sent_s = loop.time()
                 async for changes, revision in stream:
+                    if not self._is_probing:
+                        self._view.note_watch_pending(watched, loop.time())
                     self._view.apply_changes(watched, changes, revision)
                     retry_s = MIN_RETRY_S
                     await asyncio.sleep(COALESCE_PAUSES_S[watched.kind])
+                    watched.watch_sent_s = loop.time()
             except store_module.WatchHistoryExpiredError:
                 events.log(events.STORE_HISTORY_GONE, kind=watched.kind)
+                watched.watch_sent_s = None
                 needs_list = True
             except errors.StoreError as error:
                 self._view.note_lost(watched, error)
+                watched.watch_sent_s = None
                 # A list is answered at once, so it shows early that the store
                 # is back.
                 needs_list = True
@@ -186,6 +199,13 @@
         Args:
           on_lost: called when the store is lost.
         """
+        self._is_probing = True
+        try:
+            await self._probe_periodically(on_lost)
+        finally:
+            self._is_probing = False
+
+    async def _probe_periodically(self, on_lost: Callable[[], None]) -> None:
         first = self._view.kinds[0]
         loop = asyncio.get_running_loop()
         while True:
@@ -209,6 +229,8 @@
                     on_lost()
             else:
                 self._view.note_answered(first)
+                for watched in self._view.kinds:
+                    self._view.note_watch_pending(watched, probe_started_s)
 
     async def _remove_expired(self) -> None:
         while True:
--- a/src/sardinehill/wire/fleet.capnp
+++ b/src/sardinehill/wire/fleet.capnp
@@ -105,6 +105,9 @@
   changedServices @15 :List(ServiceSpanChanges);
   # With resigned: the daemon that takes the lease without waiting.
   successor @16 :Text;
+  # For how long the leader's documents may have been outdated when it sent the
+  # update, in milliseconds.
+  documentsAgeMs @17 :UInt32;
 }
 
 # Sent when the store has changed, by a peer to each daemon that follows it.
--- a/src/sardinehill/wire/fleet.py
+++ b/src/sardinehill/wire/fleet.py
@@ -41,7 +41,7 @@
 
 
 def _clamped_uint32(value: float) -> int:
-    return min(max(int(value), 0), _MAX_UINT32)
+    return int(min(max(value, 0), _MAX_UINT32))
 
 
 def _encode_documents(
@@ -214,6 +214,7 @@
             for account, share in table.shares.items()
         ],
         ageMs=_clamped_uint32(table.age_s * _THOUSAND),
+        documentsAgeMs=_clamped_uint32(table.documents_age_s * _THOUSAND),
         resigned=table.resigned,
         successor=table.successor,
         newsRevisions=table.store_revisions,
@@ -274,6 +275,7 @@
             for item in message.shares
         },
         age_s=message.ageMs / _THOUSAND,
+        documents_age_s=message.documentsAgeMs / _THOUSAND,
         resigned=message.resigned,
         successor=message.successor,
         store_revisions=list(message.newsRevisions),
