Count an upstream's drain from the earliest time at which it may have begun

Callers' requests reached an upstream later than its drain limit after it had said that it leaves. Cause: a leaving owner of keys is used until its keys have moved, for at most a part of the limit; that time began when a daemon learnt of the drain. When the leader is lost, daemons learn of it up to a second late, and the keys move later still. Evidence: with the leader and its successor frozen one after the other, upstream-changed carries max_age_s of 1.05 to 1.26, to which 1.2 s of grace were added; the requests had come to the sending daemons milliseconds before, so they had not waited since a check.

The time now counts from when the documents were last known to be the newest before the change, for upstreams that drain or vanish and for zones taken out. An upstream that was draining before a daemon started gets no grace there. As the usual notice costs up to half a second of it, the grace is 0.75 of the limit instead of 0.6.

test_late_notice_of_a_drain_does_not_extend_the_drain_limit failed before for notices after 0.9, 1.9 and 5 s.

--- a/src/sardinehill/front/store_view.py
+++ b/src/sardinehill/front/store_view.py
@@ -156,6 +156,11 @@
         """The last change of the upstreams occurred in the store after this."""
         return self._upstreams.changed_after_s
 
+    @property
+    def zones_changed_after_s(self) -> float:
+        """The last change of the zones out occurred in the store after this."""
+        return self._zones.changed_after_s
+
     def documents_age_s(self) -> float:
         """Returns for how long the documents may have been outdated."""
         oldest_s = min(watched.current_s for watched in self.kinds)
--- a/src/sardinehill/front/upstream_directory.py
+++ b/src/sardinehill/front/upstream_directory.py
@@ -17,8 +17,9 @@
 from sardinehill.front import wait_queues
 
 # An owner that is leaving is used until its keys have moved, but no longer than
-# this part of the time that an upstream has to drain.
-DRAIN_GRACE_RATIO = 0.6
+# this part of the time that an upstream has to drain. The rest is for the way
+# of a request to the upstream.
+DRAIN_GRACE_RATIO = 0.75
 # A waiting request that is not woken checks for an upstream this often.
 RECHECK_INTERVAL_S = 0.05
 # Quotas are divided among this many daemons until a leader has been heard.
@@ -42,7 +43,8 @@
       upstream: the upstream as last read from the store.
       state: its load and availability.
       pool: the connections to it.
-      leaving_since_s: when it began to drain or left the store, or None.
+      leaving_since_s: the earliest time at which it may have begun to drain or
+        left the store, or None.
       has_ended: whether its address belongs to another upstream now.
     """
 
@@ -122,18 +124,21 @@
     def refresh(self) -> None:
         """Updates upstreams and zones from the view of the store."""
         now_s = self._clock_s()
+        left_after_s = self._view.upstreams_changed_after_s
         zones_out = self._view.zones_out
         for zone in zones_out:
-            self._zones_out_since_s.setdefault(zone, now_s)
+            self._zones_out_since_s.setdefault(
+                zone, self._view.zones_changed_after_s
+            )
         for zone in list(self._zones_out_since_s):
             if zone not in zones_out:
                 del self._zones_out_since_s[zone]
         for upstream in self._view.upstreams.values():
-            self._update_upstream(upstream, now_s)
+            self._update_upstream(upstream, now_s, left_after_s)
         for name, entry in self._entries.items():
             is_listed = name in self._view.upstreams
             if not is_listed and entry.leaving_since_s is None:
-                entry.leaving_since_s = now_s
+                entry.leaving_since_s = left_after_s
         by_service: dict[str, list[routes.Upstream]] = {}
         for upstream in self._view.upstreams.values():
             if not upstream.is_draining and upstream.zone not in zones_out:
@@ -141,7 +146,9 @@
         self._by_service = by_service
         self.waiting.wake_all()
 
-    def _update_upstream(self, upstream: routes.Upstream, now_s: float) -> None:
+    def _update_upstream(
+        self, upstream: routes.Upstream, now_s: float, left_after_s: float
+    ) -> None:
         entry = self._entries.get(upstream.id)
         if entry is None or entry.upstream.incarnation != upstream.incarnation:
             if entry is not None:
@@ -159,7 +166,7 @@
         if not upstream.is_draining:
             entry.leaving_since_s = None
         elif entry.leaving_since_s is None:
-            entry.leaving_since_s = now_s
+            entry.leaving_since_s = left_after_s
 
     def apply_table(self, table: fleet_messages.LeaderTable) -> None:
         """Applies a leader table."""
@@ -262,13 +269,15 @@
 
     def _has_left(self, entry: _UpstreamEntry) -> bool:
         """Returns whether the grace for an upstream that leaves is over."""
-        since_s = entry.leaving_since_s
-        zone_since_s = self._zones_out_since_s.get(entry.upstream.zone)
-        if zone_since_s is not None:
-            since_s = min(since_s or zone_since_s, zone_since_s)
-        if since_s is None:
-            return False
-        return self._clock_s() - since_s > self._drain_grace_s
+        left_times_s = (
+            entry.leaving_since_s,
+            self._zones_out_since_s.get(entry.upstream.zone),
+        )
+        now_s = self._clock_s()
+        return any(
+            since_s is not None and now_s - since_s > self._drain_grace_s
+            for since_s in left_times_s
+        )
 
     def usable_upstreams(
         self, service: str, now_s: float
--- /dev/null
+++ b/tests/cover/test_upstream_directory.py
@@ -0,0 +1,116 @@
+"""Tests of where requests may go, by stored documents and leader tables."""
+
+import dataclasses
+from typing import Any
+
+import pytest
+
+from sardinehill.core import fleet_messages
+from sardinehill.front import store_view
+from sardinehill.front import upstream_directory
+
+DRAIN_LIMIT_S = 2.0
+KEY = 7
+
+
+@dataclasses.dataclass
+class Fixture:
+    """A directory with a view of the store and a clock that tests advance."""
+
+    view: store_view.StoreView
+    directory: upstream_directory.UpstreamDirectory
+    clock: list[float]
+    revision: int = 1
+
+    def has_owner(self) -> bool:
+        return self.directory.owner("orders", KEY, self.clock[0]) is not None
+
+    def read_upstream(self, state: str | None) -> None:
+        """Reads the upstream in a state, or its absence, from the store."""
+        self.revision += 1
+        documents = {} if state is None else {"i-1": upstream_document(state)}
+        self.view.replace_documents(
+            self.view.kinds[1], documents, self.revision
+        )
+
+    def confirm(self) -> None:
+        """Makes all documents known to be the store's newest now."""
+        for watched in self.view.kinds:
+            self.view.note_current(watched, self.clock[0])
+
+
+def upstream_document(state: str) -> dict[str, Any]:
+    return {
+        "address": "127.0.0.1:1",
+        "info": {"service": "orders", "zone": "a", "slots": 3},
+        "status": {"state": state, "coldLeftS": 0},
+    }
+
+
+@pytest.fixture
+def fixture():
+    clock = [100.0]
+    view = store_view.StoreView(lambda: clock[0], lambda: None)
+    directory = upstream_directory.UpstreamDirectory(
+        view, DRAIN_LIMIT_S, lambda: clock[0]
+    )
+    made = Fixture(view, directory, clock)
+    made.read_upstream("ready")
+    made.confirm()
+    directory.apply_table(
+        fleet_messages.LeaderTable(
+            1,
+            "a",
+            "127.0.0.1:1",
+            1,
+            2,
+            spans={
+                "orders": [fleet_messages.OwnerSpan(0, 100, "i-1", 1, True)]
+            },
+        )
+    )
+    assert made.has_owner()
+    return made
+
+
+@pytest.mark.parametrize("state", ["draining", None])
+@pytest.mark.parametrize("noticed_after_s", [0.1, 0.9, 1.9, 5.0])
+def test_late_notice_of_a_drain_does_not_extend_the_drain_limit(
+    fixture, state, noticed_after_s
+):
+    began_s = fixture.clock[0]
+    fixture.clock[0] = began_s + noticed_after_s
+    fixture.read_upstream(state)
+    fixture.clock[0] = max(began_s + DRAIN_LIMIT_S, fixture.clock[0])
+    assert not fixture.has_owner()
+
+
+@pytest.mark.parametrize("state", ["draining", None])
+def test_a_leaving_owner_is_used_while_its_keys_move(fixture, state):
+    fixture.clock[0] += 0.3
+    fixture.read_upstream(state)
+    fixture.clock[0] += 0.5
+    assert fixture.has_owner()
+
+
+def test_an_upstream_that_drained_before_this_daemon_started_is_not_used(
+    fixture,
+):
+    clock = fixture.clock
+    view = store_view.StoreView(lambda: clock[0], lambda: None)
+    directory = upstream_directory.UpstreamDirectory(
+        view, DRAIN_LIMIT_S, lambda: clock[0]
+    )
+    restarted = Fixture(view, directory, clock)
+    restarted.read_upstream("draining")
+    directory.apply_table(fixture.directory._table)
+    assert not restarted.has_owner()
+
+
+def test_an_upstream_that_is_ready_again_is_used_again(fixture):
+    fixture.read_upstream("draining")
+    fixture.clock[0] += 10.0
+    assert not fixture.has_owner()
+    fixture.confirm()
+    fixture.read_upstream("ready")
+    assert fixture.has_owner()
