Check that an upstream has not left after its connection was opened

A request's upstream is checked when it is chosen; then up to 0.3 s go into opening a connection and 0.1 s into the loan of a send. The check is now repeated right before the request is written; a request that was not written looks for another upstream.

test_nothing_is_sent_to_an_upstream_that_has_left_in_the_meantime failed before.

--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -83,7 +83,10 @@
             return None
         may_send = False
         try:
-            may_send = await self._may_send_while_cold(target)
+            # The upstream may have left while the connection was opened.
+            may_send = await self._may_send_while_cold(
+                target
+            ) and not self._directory.has_left(target.upstream)
         finally:
             if not may_send:
                 target.upstream_state.record_end()
--- a/src/sardinehill/front/upstream_directory.py
+++ b/src/sardinehill/front/upstream_directory.py
@@ -267,6 +267,19 @@
             return None
         return entry.upstream, span.epoch
 
+    def has_left(self, upstream: routes.Upstream) -> bool:
+        """Returns whether an incarnation of an upstream gets no more requests.
+
+        It has ended, or the grace for an upstream that leaves is over.
+        """
+        entry = self._entries.get(upstream.id)
+        return (
+            entry is None
+            or entry.upstream.incarnation != upstream.incarnation
+            or entry.has_ended
+            or self._has_left(entry)
+        )
+
     def _has_left(self, entry: _UpstreamEntry) -> bool:
         """Returns whether the grace for an upstream that leaves is over."""
         left_times_s = (
--- a/tests/cover/test_sending.py
+++ b/tests/cover/test_sending.py
@@ -1,4 +1,4 @@
-"""Tests of sending to cold upstreams by loans of the leader."""
+"""Tests of the checks between opening a connection and sending a request."""
 
 import asyncio
 import types
@@ -23,13 +23,14 @@
         self.released.append(connection)
 
 
-def send_to_cold_upstream(borrow):
+def send_to_cold_upstream(borrow, has_left=False):
     """Sends a request to a cold upstream; returns the result and target."""
+    directory = types.SimpleNamespace(has_left=lambda upstream: has_left)
 
     async def body():
         now_s = asyncio.get_running_loop().time()
         sender = sending.Sender(
-            None, None, None, None, types.SimpleNamespace(borrow=borrow)
+            directory, None, None, None, types.SimpleNamespace(borrow=borrow)
         )
         target = types.SimpleNamespace(
             upstream=types.SimpleNamespace(id="i-1"),
@@ -78,3 +79,13 @@
     assert isinstance(result, error)
     assert target.pool.released == ["connection"]
     assert target.upstream_state.in_flight == 0
+
+
+def test_nothing_is_sent_to_an_upstream_that_has_left_in_the_meantime():
+    async def borrow(name):
+        return 0.0
+
+    answer, target, _ = send_to_cold_upstream(borrow, has_left=True)
+    assert answer is None
+    assert target.pool.released == ["connection"]
+    assert target.upstream_state.in_flight == 0
