Replace watches that were sent before an outage of the store ended

Cause: watches sent into a silent outage stayed pending on connections that never answered again, for up to 22 s; only the list of the first kind was retried. A daemon with such a watch became the leader, and seven followers relied on it. Drains of upstreams would be missed alike. Evidence: placement-accepted on three daemons that watched the store themselves, and not on the leader, which had logged store-back.

When the first kind's list or a probe is answered after an outage, pending watches are cancelled and their kinds are listed.

Both new tests in tests/cover/test_store_replication.py failed before.

--- a/src/sardinehill/front/store_watch.py
+++ b/src/sardinehill/front/store_watch.py
@@ -80,6 +80,8 @@
         # retried.
         self._may_try_others = asyncio.Event()
         self._may_try_others.set()
+        # The running watches by kind.
+        self._watches: dict[str, asyncio.Task[None]] = {}
         # Set when peers become reliable or the store must be watched at once.
         self._reliance_changed = asyncio.Event()
 
@@ -129,15 +131,17 @@
 
     async def _watch_until_peers_suffice(self) -> None:
         self._may_try_others.set()
-        watches = [
-            asyncio.ensure_future(self._watch(watched))
-            for watched in self._view.kinds
-        ]
+        for watched in self._view.kinds:
+            # The first kind is always listed: a list is answered at once, while
+            # a watch may be answered only after its wait time.
+            needs_list = watched is self._view.kinds[0] or watched.revision == 0
+            self._start_watch(watched, needs_list)
         try:
             while not self._relies_on_peers:
                 await self._reliance_changed.wait()
                 self._reliance_changed.clear()
         finally:
+            watches, self._watches = list(self._watches.values()), {}
             for watch in watches:
                 watch.cancel()
             await asyncio.gather(*watches, return_exceptions=True)
@@ -146,19 +150,42 @@
         self._store.failing_since_s = None
         self._view.note_unwatched()
 
-    async def _watch(self, watched: store_view.WatchedKind) -> None:
+    def _start_watch(
+        self, watched: store_view.WatchedKind, needs_list: bool
+    ) -> None:
+        self._watches[watched.kind] = asyncio.ensure_future(
+            self._watch(watched, needs_list)
+        )
+
+    def _replace_pending_watches(self) -> None:
+        """Lists all kinds anew whose watch was sent before an outage ended.
+
+        The store may never answer such a watch, even once it is back.
+        """
+        for watched in self._view.kinds:
+            if (
+                watched.watch_sent_s is not None
+                and watched.kind in self._watches
+            ):
+                watched.watch_sent_s = None
+                self._watches[watched.kind].cancel()
+                self._start_watch(watched, needs_list=True)
+
+    async def _watch(
+        self, watched: store_view.WatchedKind, needs_list: bool
+    ) -> None:
         loop = asyncio.get_running_loop()
         retry_s = MIN_RETRY_S
-        # The first kind is always listed: a list is answered at once, while a
-        # watch may be answered only after its wait time.
         is_first_kind = watched is self._view.kinds[0]
-        needs_list = is_first_kind or watched.revision == 0
         while True:
             try:
                 if needs_list:
                     asked_s = loop.time()
                     listed = await self._store.list_objects(watched.kind)
+                    was_lost = watched.lost_since_s is not None
                     self._view.apply_list(watched, *listed, asked_s)
+                    if was_lost and is_first_kind:
+                        self._replace_pending_watches()
                     needs_list = False
                     retry_s = MIN_RETRY_S
                     if is_first_kind:
@@ -228,7 +255,10 @@
                 if was_reachable:
                     on_lost()
             else:
+                was_lost = first.lost_since_s is not None
                 self._view.note_answered(first)
+                if was_lost:
+                    self._replace_pending_watches()
                 for watched in self._view.kinds:
                     self._view.note_watch_pending(watched, probe_started_s)
 
--- a/tests/cover/test_store_replication.py
+++ b/tests/cover/test_store_replication.py
@@ -17,7 +17,10 @@
 
 
 class FakeStore:
-    """A store that lists the test's objects and never ends a watch."""
+    """A store that lists the test's objects and never ends a watch.
+
+    While it is silent, it takes watches, but answers nothing.
+    """
 
     def __init__(self):
         self.failing_since_s = None
@@ -25,9 +28,12 @@
         self.revision = 7
         self.listed_kinds = []
         self.is_down = False
+        self.is_silent = False
 
     async def list_objects(self, kind):
         self.listed_kinds.append(kind)
+        if self.is_silent:
+            raise errors.StoreUnavailableError("silent")
         if self.is_down:
             raise store_module.StoreBusyError("down")
         found = [
@@ -43,7 +49,7 @@
         yield [], revision
 
     async def get_stale(self, kind, name, timeout_s):
-        if self.is_down:
+        if self.is_down or self.is_silent:
             raise errors.StoreUnavailableError("down")
 
 
@@ -216,6 +222,42 @@
     run(scenario)
 
 
+def test_change_is_not_missed_when_its_watch_was_sent_during_an_outage():
+    async def scenario(daemon):
+        daemon.store.is_silent = True
+        task = asyncio.ensure_future(daemon.watch.run())
+        await asyncio.sleep(store_watch.WATCH_DELAY_S * 2)
+        assert not daemon.view.store_reachable
+        daemon.store.objects = {KIND: {"u": upstream_document()}}
+        daemon.store.is_silent = False
+        await asyncio.sleep(store_watch.MAX_RETRY_S * 2)
+        assert daemon.upstreams.documents == {"u": upstream_document()}
+        task.cancel()
+
+    run(scenario)
+
+
+def test_leader_does_not_miss_a_change_after_an_outage_that_a_probe_found():
+    async def scenario(daemon):
+        daemon.replication.became_leader()
+        tasks = [
+            asyncio.ensure_future(daemon.watch.run()),
+            asyncio.ensure_future(daemon.watch.run_probe(lambda: None)),
+        ]
+        await asyncio.sleep(0.05)
+        daemon.store.is_silent = True
+        await asyncio.sleep(store_watch.PROBE_INTERVAL_S * 2)
+        assert not daemon.view.store_reachable
+        daemon.store.objects = {KIND: {"u": upstream_document()}}
+        daemon.store.is_silent = False
+        await asyncio.sleep(store_watch.PROBE_INTERVAL_S * 2)
+        assert daemon.upstreams.documents == {"u": upstream_document()}
+        for task in tasks:
+            task.cancel()
+
+    run(scenario)
+
+
 def test_only_one_kind_is_retried_while_the_store_is_down():
     async def scenario(daemon):
         daemon.store.is_down = True
