Reject stored documents with numbers out of range and other odd values

An entry of another writer with a number of slots like 1e999, NaN or one of 400 digits raised OverflowError or ValueError instead of MalformedDocumentError, and so did an account that is no object or a text that is no valid Unicode in a config. On the leader that ended the watch of upstreams for the rest of its term, without a line in the log: the fleet then learnt of no upstream that drains. Found while looking for other ways in which a drain is missed.

--- a/src/sardinehill/platform/documents.py
+++ b/src/sardinehill/platform/documents.py
@@ -1,18 +1,41 @@
 """Decodes objects of the platform's store into the project's types."""
 
+from collections.abc import Callable
 import dataclasses
+import functools
 from typing import Any
+from typing import ParamSpec
+from typing import TypeVar
 
 from sardinehill.core import routes
 from sardinehill.platform import names
 
 Json = Any
+_P = ParamSpec("_P")
+_T = TypeVar("_T")
+# Far above any sensible value; larger integers cannot be converted to a float.
+_MAX_NUMBER = 1e15
 
 
 class MalformedDocumentError(Exception):
     """Raised for an object of the store with an invalid or missing field."""
 
 
+def _raises_malformed_document_error(
+    function: Callable[_P, _T],
+) -> Callable[_P, _T]:
+    """Makes a decoder raise `MalformedDocumentError` for any invalid value."""
+
+    @functools.wraps(function)
+    def decode(*args: _P.args, **kwargs: _P.kwargs) -> _T:
+        try:
+            return function(*args, **kwargs)
+        except (AttributeError, TypeError, ValueError) as error:
+            raise MalformedDocumentError(f"invalid value: {error}") from error
+
+    return decode
+
+
 def _text(document: Json, field: str) -> str:
     value = document.get(field) if isinstance(document, dict) else None
     if not isinstance(value, str) or not value:
@@ -26,6 +49,9 @@
     value = document.get(field, default) if isinstance(document, dict) else None
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise MalformedDocumentError(f"{field}: {value!r} is not a number")
+    # This is also true of infinity and of NaN.
+    if not abs(value) <= _MAX_NUMBER:
+        raise MalformedDocumentError(f"{field}: the number is out of range")
     return float(value)
 
 
@@ -51,6 +77,7 @@
     )
 
 
+@_raises_malformed_document_error
 def decode_configuration(document: Json) -> routes.Configuration:
     """Decodes the object that holds the whole configuration.
 
@@ -151,6 +178,7 @@
     )
 
 
+@_raises_malformed_document_error
 def decode_upstream(name: str, document: Json) -> routes.Upstream:
     """Decodes the object with which an upstream registers itself.
 
--- a/tests/cover/test_platform_formats.py
+++ b/tests/cover/test_platform_formats.py
@@ -1,5 +1,7 @@
 """Tests of the decoding and encoding of the platform's formats."""
 
+import copy
+
 import pytest
 
 from sardinehill import errors
@@ -182,6 +184,54 @@
     return http1.Response(status, header_pairs, b"")
 
 
+ODD_VALUES = [
+    None,
+    True,
+    -1,
+    float("inf"),
+    float("nan"),
+    10**400,
+    "",
+    "\ud800",
+    [],
+    [1],
+    {},
+    {"a": 1},
+]
+
+
+def fields(document, path=()):
+    """Yields the path of each field and list item."""
+    items = (
+        document.items() if isinstance(document, dict) else enumerate(document)
+    )
+    for name, value in items:
+        yield (*path, name)
+        if isinstance(value, dict | list):
+            yield from fields(value, (*path, name))
+
+
+@pytest.mark.parametrize(
+    "odd_value", ODD_VALUES, ids=lambda value: ascii(value)[:9]
+)
+@pytest.mark.parametrize("kind", ["upstream", "config"])
+def test_an_odd_value_in_a_document_raises_no_other_error(kind, odd_value):
+    original = upstream_document() if kind == "upstream" else config_document()
+    for path in fields(original):
+        document = copy.deepcopy(original)
+        parent = document
+        for name in path[:-1]:
+            parent = parent[name]
+        parent[path[-1]] = odd_value
+        try:
+            if kind == "upstream":
+                documents.decode_upstream("i-1", document)
+            else:
+                documents.decode_configuration(document)
+        except documents.MalformedDocumentError:
+            continue
+
+
 def test_only_explicit_upstream_marks_mean_not_run():
     assert http_messages.reports_not_run(answer(503, x_not_executed="1"))
     assert http_messages.reports_not_run(answer(421))
