Go on watching the store after an unexpected error

It is logged as task-failed now, and the kind is listed anew.

test_watch_goes_on_after_an_unexpected_error failed before.

--- a/src/sardinehill/front/store_watch.py
+++ b/src/sardinehill/front/store_watch.py
@@ -215,6 +215,14 @@
                 retry_s = min(retry_s * 1.6, MAX_RETRY_S)
                 if not is_first_kind:
                     await self._may_try_others.wait()
+            except Exception as error:
+                # Without its watch, this daemon would miss all later changes.
+                events.log_with_traceback(
+                    events.TASK_FAILED, error, task=f"watch-{watched.kind}"
+                )
+                watched.watch_sent_s = None
+                needs_list = True
+                await asyncio.sleep(MAX_RETRY_S)
 
     async def run_probe(self, on_lost: Callable[[], None]) -> None:
         """Probes the store periodically until cancelled.
--- a/tests/cover/test_store_replication.py
+++ b/tests/cover/test_store_replication.py
@@ -258,6 +258,28 @@
     run(scenario)
 
 
+def test_watch_goes_on_after_an_unexpected_error():
+    async def scenario(daemon):
+        failures = [RuntimeError("unexpected")]
+
+        def fail_once(change):
+            if change.kind == KIND and failures:
+                raise failures.pop()
+
+        daemon.view.subscribe_to_changes(fail_once)
+        daemon.store.objects = {KIND: {"u": upstream_document()}}
+        daemon.upstreams.revision = 0
+        task = asyncio.ensure_future(daemon.watch.run())
+        await asyncio.sleep(store_watch.WATCH_DELAY_S + 0.1)
+        assert not failures
+        daemon.store.objects = {KIND: {"v": upstream_document()}}
+        await asyncio.sleep(store_watch.MAX_RETRY_S * 2)
+        assert daemon.upstreams.documents == {"v": upstream_document()}
+        task.cancel()
+
+    run(scenario)
+
+
 def test_only_one_kind_is_retried_while_the_store_is_down():
     async def scenario(daemon):
         daemon.store.is_down = True
