Ignore an upstream's entry that it wrote before the one already known

The store may carry out a write seconds late. An upstream's earlier registration could then overwrite the one that says it drains: it looked ready again, and its drain limit began anew. The test shows that it could happen here.

Entries are counted by their writers since their start; one with a lower count than the known one of the same start is logged as report-outdated and not used.

test_an_earlier_report_that_the_store_took_late_does_not_end_a_drain failed before.

--- a/src/sardinehill/core/routes.py
+++ b/src/sardinehill/core/routes.py
@@ -153,6 +153,8 @@
       is_draining: whether it is leaving.
       cold_remaining_s: how long it expected to stay cold when it wrote this
         entry.
+      report_number: counts what it has written since its start, or None if it
+        does not count.
     """
 
     id: str
@@ -163,6 +165,17 @@
     slots: int
     is_draining: bool
     cold_remaining_s: float
+    report_number: int | None = dataclasses.field(default=None, compare=False)
+
+    def is_outdated_by(self, other: "Upstream") -> bool:
+        """Returns whether the same incarnation wrote `other` after this."""
+        return (
+            self.started_at_ms != 0
+            and self.incarnation == other.incarnation
+            and self.report_number is not None
+            and other.report_number is not None
+            and self.report_number < other.report_number
+        )
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/src/sardinehill/events.py
+++ b/src/sardinehill/events.py
@@ -83,6 +83,7 @@
 ENTRY_MALFORMED = Event(504, "entry-malformed", logging.WARNING)
 UPSTREAM_UNREACHABLE = Event(505, "upstream-unreachable", logging.WARNING)
 UPSTREAM_REACHED = Event(506, "upstream-reached", logging.INFO)
+REPORT_OUTDATED = Event(507, "report-outdated", logging.INFO)
 
 ACCOUNT_KEYS_ACCEPTED = Event(601, "account-keys-accepted", logging.INFO)
 
--- a/src/sardinehill/front/store_view.py
+++ b/src/sardinehill/front/store_view.py
@@ -394,12 +394,31 @@
                 except documents.MalformedDocumentError as error:
                     self._note_malformed(name, str(error))
                     continue
+                upstream = self._newest_report(upstream)
             decoded[name] = (document, upstream)
             upstreams[name] = upstream
         self._log_upstreams(upstreams)
         self._decoded = decoded
         self.upstreams = upstreams
 
+    def _newest_report(self, upstream: routes.Upstream) -> routes.Upstream:
+        """Returns the known upstream if it wrote its entry later than this.
+
+        A write that the store did not answer may take effect seconds later, and
+        then overwrites what the upstream has written since.
+        """
+        known = self.upstreams.get(upstream.id)
+        if known is None or not upstream.is_outdated_by(known):
+            return upstream
+        events.log(
+            events.REPORT_OUTDATED,
+            upstream=upstream.id,
+            number=upstream.report_number,
+            known_number=known.report_number,
+            draining=known.is_draining,
+        )
+        return known
+
     def _note_malformed(self, name: str, error: str) -> None:
         if self._malformed.get(name) != error:
             self._malformed[name] = error
--- a/src/sardinehill/platform/documents.py
+++ b/src/sardinehill/platform/documents.py
@@ -218,9 +218,15 @@
         slots=max(1, int(_number(info, "slots"))),
         is_draining=state == names.DRAINING,
         cold_remaining_s=_number(status, "coldLeftS", 0),
+        report_number=_report_number(status),
     )
 
 
+def _report_number(status: Json) -> int | None:
+    number = status.get("seqNo") if isinstance(status, dict) else None
+    return number if isinstance(number, int) else None
+
+
 def is_evacuation_active(document: Json) -> bool:
     """Returns whether the evacuation of a zone is still in force."""
     metadata = document.get("metadata") if isinstance(document, dict) else None
--- a/tests/cover/test_upstream_directory.py
+++ b/tests/cover/test_upstream_directory.py
@@ -25,10 +25,14 @@
     def has_owner(self) -> bool:
         return self.directory.owner("orders", KEY, self.clock[0]) is not None
 
-    def read_upstream(self, state: str | None) -> None:
+    def read_upstream(
+        self, state: str | None, number: int = 1, started_at_ms: int = 5
+    ) -> None:
         """Reads the upstream in a state, or its absence, from the store."""
         self.revision += 1
-        documents = {} if state is None else {"i-1": upstream_document(state)}
+        documents = {}
+        if state is not None:
+            documents["i-1"] = upstream_document(state, number, started_at_ms)
         self.view.replace_documents(
             self.view.kinds[1], documents, self.revision
         )
@@ -39,11 +43,14 @@
             self.view.note_current(watched, self.clock[0])
 
 
-def upstream_document(state: str) -> dict[str, Any]:
+def upstream_document(
+    state: str, number: int, started_at_ms: int
+) -> dict[str, Any]:
     return {
+        "born": started_at_ms,
         "address": "127.0.0.1:1",
         "info": {"service": "orders", "zone": "a", "slots": 3},
-        "status": {"state": state, "coldLeftS": 0},
+        "status": {"state": state, "coldLeftS": 0, "seqNo": number},
     }
 
 
@@ -114,3 +121,19 @@
     fixture.confirm()
     fixture.read_upstream("ready")
     assert fixture.has_owner()
+
+
+def test_an_earlier_report_that_the_store_took_late_does_not_end_a_drain(
+    fixture,
+):
+    fixture.read_upstream("draining", number=8)
+    fixture.read_upstream("ready", number=7)
+    fixture.clock[0] += DRAIN_LIMIT_S
+    assert not fixture.has_owner()
+
+
+def test_a_new_start_counts_its_reports_anew(fixture):
+    fixture.read_upstream("draining", number=8)
+    fixture.clock[0] += DRAIN_LIMIT_S
+    fixture.read_upstream("ready", number=1, started_at_ms=6)
+    assert fixture.has_owner()
