Borrow all kinds of tokens from the leader in one way

Tokens of quotas and sends to cold upstreams went over the same steps in two copies, in leadership, leader_client, daemon and leader_tasks; sends within a limit that an upstream names need a third. The kind is an argument now.

--- a/src/sardinehill/core/fleet_messages.py
+++ b/src/sardinehill/core/fleet_messages.py
@@ -1,6 +1,7 @@
 """Defines the messages between daemons that send to upstreams directly."""
 
 import dataclasses
+import enum
 
 # What a daemon understands beyond the first version: from version 1 on, changes
 # of spans and compressed documents.
@@ -231,6 +232,18 @@
     age_s: float = 0.0
 
 
+class LoanKind(enum.Enum):
+    """What the leader lends.
+
+    Attributes:
+      QUOTA: requests within a client account's quota.
+      COLD_SENDS: sends to an upstream that is cold.
+    """
+
+    QUOTA = "quota"
+    COLD_SENDS = "cold-sends"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TokenRequest:
     """A request to the leader for tokens of a limit that the fleet shares.
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -83,7 +83,7 @@
             self._directory,
             self._counters,
             quota,
-            borrowing.TokenBorrower(self._request_loans),
+            self._borrower(fleet_messages.LoanKind.QUOTA),
         )
         self._relay = relay_module.Relay(
             self._directory,
@@ -98,7 +98,7 @@
                 self._front_metrics,
                 self._request_log,
                 self._counters,
-                borrowing.TokenBorrower(self._request_cold_sends),
+                self._borrower(fleet_messages.LoanKind.COLD_SENDS),
             ),
             settings.zone,
         )
@@ -195,15 +195,15 @@
             )
             link.close()
 
-    async def _request_loans(
-        self, token_requests: list[fleet_messages.TokenRequest]
-    ) -> list[fleet_messages.TokenLoan]:
-        return await self._leadership.borrow(token_requests)
+    def _borrower(
+        self, kind: fleet_messages.LoanKind
+    ) -> borrowing.TokenBorrower:
+        async def request_loans(
+            token_requests: list[fleet_messages.TokenRequest],
+        ) -> list[fleet_messages.TokenLoan]:
+            return await self._leadership.borrow(kind, token_requests)
 
-    async def _request_cold_sends(
-        self, send_requests: list[fleet_messages.TokenRequest]
-    ) -> list[fleet_messages.TokenLoan]:
-        return await self._leadership.borrow_cold_sends(send_requests)
+        return borrowing.TokenBorrower(request_loans)
 
     # readiness and metrics
 
--- a/src/sardinehill/front/leader_client.py
+++ b/src/sardinehill/front/leader_client.py
@@ -10,6 +10,7 @@
 from sardinehill.core import fleet_messages
 from sardinehill.front import election
 from sardinehill.front import known_leader
+from sardinehill.front import loan_messages
 from sardinehill.front import peer_links
 from sardinehill.front import peer_registry
 from sardinehill.front import store_replication
@@ -158,39 +159,22 @@
     # queries to the leader and peers
 
     async def borrow(
-        self, requests: list[fleet_messages.TokenRequest]
-    ) -> list[fleet_messages.TokenLoan]:
-        """Borrows tokens of client accounts from the leader.
-
-        Raises:
-          PeerLostError: no leader is followed, or it does not answer.
-        """
-        return await self._borrow(
-            message_kinds.MessageKind.TOKEN_REQUESTS, requests
-        )
-
-    async def borrow_cold_sends(
-        self, requests: list[fleet_messages.TokenRequest]
+        self,
+        kind: fleet_messages.LoanKind,
+        requests: list[fleet_messages.TokenRequest],
     ) -> list[fleet_messages.TokenLoan]:
-        """Borrows sends to cold upstreams from the leader.
+        """Borrows tokens of a limit that the fleet shares from the leader.
 
         Raises:
           PeerLostError: no leader is followed, or it does not answer.
         """
-        return await self._borrow(
-            message_kinds.MessageKind.COLD_SEND_REQUESTS, requests
-        )
-
-    async def _borrow(
-        self,
-        kind: message_kinds.MessageKind,
-        requests: list[fleet_messages.TokenRequest],
-    ) -> list[fleet_messages.TokenLoan]:
         link = self._link
         if link is None or not link.is_open:
             raise errors.PeerLostError("no leader is followed")
         answer = await link.ask(
-            kind, fleet.encode_token_requests(requests), QUERY_TIMEOUT_S
+            loan_messages.MESSAGES[kind].requests,
+            fleet.encode_token_requests(requests),
+            QUERY_TIMEOUT_S,
         )
         return fleet.decode_token_loans(answer.payload)
 
--- a/src/sardinehill/front/leader_tasks.py
+++ b/src/sardinehill/front/leader_tasks.py
@@ -149,10 +149,30 @@
                 self._managers[refused.service].regrant_refused(refused)
 
     def lend(
-        self, requests: list[fleet_messages.TokenRequest], daemon_count: int
+        self,
+        kind: fleet_messages.LoanKind,
+        requests: list[fleet_messages.TokenRequest],
+        daemon_count: int,
     ) -> list[fleet_messages.TokenLoan]:
         """Lends the requested tokens as far as they are available.
 
+        Args:
+          kind: what is lent.
+          requests: the requests; those for unknown accounts or upstreams get
+            no answer.
+          daemon_count: the number of daemons that share each limit.
+        """
+        match kind:
+            case fleet_messages.LoanKind.QUOTA:
+                return self._lend_quotas(requests, daemon_count)
+            case fleet_messages.LoanKind.COLD_SENDS:
+                return self._lend_cold_sends(requests)
+
+    def _lend_quotas(
+        self, requests: list[fleet_messages.TokenRequest], daemon_count: int
+    ) -> list[fleet_messages.TokenLoan]:
+        """Lends tokens of client accounts.
+
         Args:
           requests: the requests; those for unknown accounts get no answer.
           daemon_count: the number of daemons that share each account.
@@ -170,7 +190,7 @@
                 )
         return loans
 
-    def lend_cold_sends(
+    def _lend_cold_sends(
         self, requests: list[fleet_messages.TokenRequest]
     ) -> list[fleet_messages.TokenLoan]:
         """Lends sends to cold upstreams.
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -23,6 +23,7 @@
 from sardinehill.front import leader_client
 from sardinehill.front import leader_tasks
 from sardinehill.front import leader_term
+from sardinehill.front import loan_messages
 from sardinehill.front import peer_links
 from sardinehill.front import peer_registry
 from sardinehill.front import store_replication
@@ -153,23 +154,15 @@
                     message_kinds.MessageKind.STORE_STATE,
                     fleet.encode_store_state(state, query.protocol_version),
                 )
-            case message_kinds.MessageKind.TOKEN_REQUESTS:
-                loans = self._lend(fleet.decode_token_requests(payload))
-                self._send_answer(
-                    link,
-                    envelope,
-                    message_kinds.MessageKind.TOKEN_LOANS,
-                    fleet.encode_token_loans(loans),
-                )
-
-            case message_kinds.MessageKind.COLD_SEND_REQUESTS:
-                loans = self._lend_cold_sends(
-                    fleet.decode_token_requests(payload)
+            case request_kind if request_kind in loan_messages.LOAN_KINDS:
+                loan_kind = loan_messages.LOAN_KINDS[request_kind]
+                loans = self._lend(
+                    loan_kind, fleet.decode_token_requests(payload)
                 )
                 self._send_answer(
                     link,
                     envelope,
-                    message_kinds.MessageKind.COLD_SEND_LOANS,
+                    loan_messages.MESSAGES[loan_kind].loans,
                     fleet.encode_token_loans(loans),
                 )
 
@@ -225,42 +218,27 @@
     # token loans
 
     def _lend(
-        self, requests: list[fleet_messages.TokenRequest]
+        self,
+        kind: fleet_messages.LoanKind,
+        requests: list[fleet_messages.TokenRequest],
     ) -> list[fleet_messages.TokenLoan]:
         if self._term is None or self._tasks is None:
             return []
-        return self._tasks.lend(requests, self._term.daemon_count())
+        return self._tasks.lend(kind, requests, self._term.daemon_count())
 
     async def borrow(
-        self, requests: list[fleet_messages.TokenRequest]
-    ) -> list[fleet_messages.TokenLoan]:
-        """Borrows tokens of client accounts from the leader.
-
-        Raises:
-          PeerLostError: no leader is followed, or it does not answer.
-        """
-        if self._term is not None:
-            return self._lend(requests)
-        return await self._leader_client.borrow(requests)
-
-    def _lend_cold_sends(
-        self, requests: list[fleet_messages.TokenRequest]
-    ) -> list[fleet_messages.TokenLoan]:
-        if self._tasks is None:
-            return []
-        return self._tasks.lend_cold_sends(requests)
-
-    async def borrow_cold_sends(
-        self, requests: list[fleet_messages.TokenRequest]
+        self,
+        kind: fleet_messages.LoanKind,
+        requests: list[fleet_messages.TokenRequest],
     ) -> list[fleet_messages.TokenLoan]:
-        """Borrows sends to cold upstreams from the leader.
+        """Borrows tokens of a limit that the fleet shares from the leader.
 
         Raises:
           PeerLostError: no leader is followed, or it does not answer.
         """
         if self._term is not None:
-            return self._lend_cold_sends(requests)
-        return await self._leader_client.borrow_cold_sends(requests)
+            return self._lend(kind, requests)
+        return await self._leader_client.borrow(kind, requests)
 
     # following and leading
 
--- a/tests/cover/test_leader_client.py
+++ b/tests/cover/test_leader_client.py
@@ -109,7 +109,10 @@
 def test_borrowing_fails_without_a_leader():
     async def body():
         try:
-            await new_client({}).borrow([fleet_messages.TokenRequest("a", 1)])
+            await new_client({}).borrow(
+                fleet_messages.LoanKind.QUOTA,
+                [fleet_messages.TokenRequest("a", 1)],
+            )
         except errors.PeerLostError:
             return True
         return False
