Keep the limit that an upstream names over all daemons together

An upstream in need names in its answers how many requests a second it takes from all daemons together. Cause: no daemon read the header.

A daemon that hears a limit reports it to the leader, which tells all others in its tables and lends each send to such an upstream at the rate of the limit, as it does for cold upstreams. Only an answer to a request that was sent after the limit was heard, and that names none, ends it. Nothing is lent by a leader whose term is not confirmed; a restarted daemon gets all limits with its first table.

Both cases of test_daemons_together_send_no_more_than_an_upstream_says_it_takes failed before; in them the leader or a follower is stopped and started again.

--- a/src/sardinehill/core/fleet_messages.py
+++ b/src/sardinehill/core/fleet_messages.py
@@ -55,6 +55,22 @@
     epoch: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitNews:
+    """What a daemon knows of the limit that an upstream names.
+
+    Attributes:
+      upstream: the upstream's id.
+      rate_per_s: the requests a second that it takes from all daemons, or None
+        if it names no limit any more.
+      age_s: the time since the upstream said so.
+    """
+
+    upstream: str
+    rate_per_s: float | None
+    age_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class DaemonReport:
     """The usage report that a daemon sends the leader several times a second.
@@ -71,6 +87,7 @@
       protocol_version: the daemon's `PROTOCOL_VERSION`.
       needs_spans: whether the daemon needs all spans, because it has missed the
         table that the last changes refer to.
+      limits: what upstreams have said of their limits since the last report.
     """
 
     daemon: str
@@ -83,6 +100,7 @@
     store_reachable: bool = True
     protocol_version: int = 0
     needs_spans: bool = False
+    limits: list[LimitNews] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -154,6 +172,8 @@
         named none.
       store_revisions: the store's revisions at the last changes of config,
         upstreams and excluded zones, in this order, as the leader knows them.
+      limits: the limits that upstreams name; those that are not listed have not
+        changed.
     """
 
     term: int
@@ -171,6 +191,7 @@
     resigned: bool = False
     successor: str = ""
     store_revisions: list[int] = dataclasses.field(default_factory=list)
+    limits: list[LimitNews] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -238,10 +259,12 @@
     Attributes:
       QUOTA: requests within a client account's quota.
       COLD_SENDS: sends to an upstream that is cold.
+      LIMITED_SENDS: sends to an upstream that names a limit.
     """
 
     QUOTA = "quota"
     COLD_SENDS = "cold-sends"
+    LIMITED_SENDS = "limited-sends"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -249,7 +272,7 @@
     """A request to the leader for tokens of a limit that the fleet shares.
 
     Attributes:
-      name: the client account, or the id of the cold upstream.
+      name: the client account, or the id of the upstream.
       tokens: the number of tokens, one for each waiting request.
     """
 
@@ -262,7 +285,7 @@
     """The leader's answer to a `TokenRequest`.
 
     Attributes:
-      name: the client account, or the id of the cold upstream.
+      name: the client account, or the id of the upstream.
       tokens: the number of lent tokens.
       wait_s: if fewer are lent than requested, the time until there may be
         more.
--- a/src/sardinehill/core/upstream_state.py
+++ b/src/sardinehill/core/upstream_state.py
@@ -85,6 +85,8 @@
         call of `record_answer`, if any.
       no_cold_sends_until_s: while it is cold, it gets no requests before this
         time, because the fleet's sends to it are used up.
+      no_limited_sends_until_s: while it names a limit, it gets no requests
+        before this time, because the fleet's sends are used up.
     """
 
     slots: int
@@ -101,6 +103,7 @@
     cold_until_s: float = 0.0
     consecutive_unreachable: int = 0
     no_cold_sends_until_s: float = 0.0
+    no_limited_sends_until_s: float = 0.0
 
     def record_send(self) -> None:
         """Records that a request is being sent."""
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -10,6 +10,7 @@
 from sardinehill import events
 from sardinehill.core import cold_lending
 from sardinehill.core import fleet_messages
+from sardinehill.core import named_limits
 from sardinehill.core import quota_shares
 from sardinehill.core import routes
 from sardinehill.daemon import boot_clock
@@ -68,10 +69,9 @@
                 settings.daemon, self._leadership.peer_count
             ),
         )
+        limits = named_limits.NamedLimits()
         self._directory = directory_module.UpstreamDirectory(
-            self._view,
-            settings.drain_limit_s,
-            loop.time,
+            self._view, settings.drain_limit_s, loop.time, limits
         )
         self._counters = counters_module.ReportCounters()
         quota = quota_shares.FleetQuota(
@@ -99,6 +99,7 @@
                 self._request_log,
                 self._counters,
                 self._borrower(fleet_messages.LoanKind.COLD_SENDS),
+                self._borrower(fleet_messages.LoanKind.LIMITED_SENDS),
             ),
             settings.zone,
         )
@@ -114,6 +115,7 @@
             self._directory.apply_table,
             quota,
             cold_lending.ColdBound(settings.cold_ratio, settings.cold_slack),
+            limits,
         )
         self._server = server_module.Server(self._relay.serve, self._limits)
         self._front_metrics.add_gauge_source(self._gauge_values)
--- a/src/sardinehill/front/leader_tasks.py
+++ b/src/sardinehill/front/leader_tasks.py
@@ -6,6 +6,7 @@
 from sardinehill import events
 from sardinehill.core import cold_lending
 from sardinehill.core import fleet_messages
+from sardinehill.core import named_limits
 from sardinehill.core import quota_lending
 from sardinehill.core import quota_shares
 from sardinehill.front import assignment_manager
@@ -43,6 +44,7 @@
         lender: quota_lending.Lender,
         cold_bound: cold_lending.ColdBound,
         earlier_leader_ended: bool,
+        limits: named_limits.NamedLimits,
     ):
         self._term = term
         self._store = store
@@ -60,6 +62,8 @@
         self._cold_lender = cold_lending.ColdSendLender(
             clock_s(), earlier_leader_ended
         )
+        self._limits = limits
+        self._limited_lender = named_limits.LimitedSendLender()
         # The accounts whose quotas are divided, and what they follow from.
         self._preallocated: list[str] = []
         self._preallocated_version = (0, 0, 0)
@@ -167,6 +171,8 @@
                 return self._lend_quotas(requests, daemon_count)
             case fleet_messages.LoanKind.COLD_SENDS:
                 return self._lend_cold_sends(requests)
+            case fleet_messages.LoanKind.LIMITED_SENDS:
+                return self._lend_limited_sends(requests)
 
     def _lend_quotas(
         self, requests: list[fleet_messages.TokenRequest], daemon_count: int
@@ -221,6 +227,25 @@
         self._cold_lender.forget_upstreams(now_s)
         return loans
 
+    def _lend_limited_sends(
+        self, requests: list[fleet_messages.TokenRequest]
+    ) -> list[fleet_messages.TokenLoan]:
+        """Lends sends to upstreams that name a limit.
+
+        Nothing is lent while the term is not confirmed, as another leader may
+        lend then.
+        """
+        if not self._may_send_orders():
+            return []
+        now_s = self._clock_s()
+        self._limited_lender.forget(self._view.upstreams)
+        return [
+            self._limited_lender.lend(
+                request, self._limits.rate_per_s(request.name), now_s
+            )
+            for request in requests
+        ]
+
     def quota_shares(self, daemon: str, daemon_count: int) -> dict[str, float]:
         """Returns a daemon's share of each quota that is preallocated.
 
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import itertools
 from typing import Any
 
@@ -15,6 +16,7 @@
 from sardinehill import events
 from sardinehill.core import cold_lending
 from sardinehill.core import fleet_messages
+from sardinehill.core import named_limits
 from sardinehill.core import quota_lending
 from sardinehill.core import quota_shares
 from sardinehill.front import election
@@ -45,6 +47,22 @@
 # These go to this many followers. The next leader gets them from one of these
 # if it is none itself.
 LENDABLE_FOLLOWERS = 12
+# One in this many periodic tables, and each one after a change, includes the
+# limits that upstreams name.
+LIMITS_PUSH_INTERVAL_COUNT = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _TableNews:
+    """What is equal in the tables that are sent to all daemons at one time.
+
+    Attributes:
+      documents_age_s: for how long the documents may have been outdated.
+      limits: the limits that upstreams name; empty if they are not included.
+    """
+
+    documents_age_s: float
+    limits: list[fleet_messages.LimitNews]
 
 
 class Leadership:
@@ -67,6 +85,7 @@
         on_table: Callable[[fleet_messages.LeaderTable], None],
         quota: quota_shares.FleetQuota,
         cold_bound: cold_lending.ColdBound,
+        limits: named_limits.NamedLimits,
     ):
         self._name = name
         self._address = address
@@ -78,6 +97,7 @@
         self._on_table = on_table
         self._quota = quota
         self._cold_bound = cold_bound
+        self._limits = limits
         self._registry = peer_registry.PeerRegistry(
             name, address, core_share, store
         )
@@ -110,6 +130,7 @@
         )
         self._push_scheduled = False
         self._includes_lendable = False
+        self._includes_limits = False
         self._stopping = False
         view.subscribe(self._on_view_changed)
 
@@ -196,6 +217,7 @@
         if term is not None and report.term > self._known_leader.term:
             term.ended.set()
             return
+        self._limits.record_news(report.limits, self._loop_time_s())
         needs_table = self._followers.note_report(report, link)
         if term is not None and self._tasks is not None:
             term.note_report(report.daemon, report.address)
@@ -205,7 +227,8 @@
                 self._hand_over_if_store_lost(term)
         if needs_table or term is None:
             self._followers.send_table(
-                report.daemon, self._table_for(report.daemon)
+                report.daemon,
+                self._table_for(report.daemon, self._news(needs_table)),
             )
 
     def _hand_over_if_store_lost(self, term: leader_term.LeaderTerm) -> None:
@@ -287,8 +310,12 @@
         report.protocol_version = fleet_messages.PROTOCOL_VERSION
         report.needs_spans = self._known_leader.needs_spans
         report.store_reachable = self._view.store_answered_recently()
+        report.limits = self._limits.take_unreported(self._loop_time_s())
         return report
 
+    def _loop_time_s(self) -> float:
+        return asyncio.get_running_loop().time()
+
     def _on_leader_silent(self) -> None:
         self.replication.leader_lost()
 
@@ -356,6 +383,7 @@
             self._cold_bound,
             is_restart
             or (previous_table is not None and previous_table.resigned),
+            self._limits,
         )
 
     async def _push_periodically(
@@ -365,11 +393,24 @@
             self._includes_lendable = (
                 push_index % LENDABLE_PUSH_INTERVAL_COUNT == 0
             )
+            self._includes_limits |= (
+                push_index % LIMITS_PUSH_INTERVAL_COUNT == 0
+            )
             self._push()
             self._includes_lendable = False
             own_tasks.apply_report(self._make_report())
+            self._note_changed_limits(own_tasks)
             await asyncio.sleep(leader_client.REPORT_INTERVAL_S)
 
+    def _note_changed_limits(self, own_tasks: leader_tasks.LeaderTasks) -> None:
+        """Tells all daemons of limits that have changed, and plans for them."""
+        self._limits.forget(self._view.upstreams, self._loop_time_s())
+        if self._limits.has_changed:
+            self._limits.has_changed = False
+            self._includes_limits = True
+            self._schedule_push()
+            own_tasks.replan()
+
     def resign(self) -> None:
         """Stops leading; the others choose a new leader at once."""
         term = self._term
@@ -408,20 +449,34 @@
 
     def _push(self) -> None:
         self._push_scheduled = False
+        # One for all daemons, as equal tables are encoded once.
+        news = self._news(self._includes_limits)
+        self._includes_limits = False
         if self._term is not None:
-            table = self._table_for(self._name)
+            table = self._table_for(self._name, news)
             self._known_leader.set_own_table(table)
             self._on_table(table)
-        self._followers.broadcast_tables(self._table_for)
+        self._followers.broadcast_tables(
+            lambda name: self._table_for(name, news)
+        )
 
-    def _table_for(self, name: str) -> fleet_messages.LeaderTable:
+    def _news(self, includes_limits: bool) -> _TableNews:
+        now_s = self._loop_time_s()
+        limits = self._limits.all_news(now_s) if includes_limits else []
+        return _TableNews(self._view.documents_age_s(), limits)
+
+    def _table_for(
+        self, name: str, news: _TableNews
+    ) -> fleet_messages.LeaderTable:
         """Returns the complete table to send to the daemon `name`."""
         table = self._summary()
+        table.limits = news.limits
         if self._term is None or self._tasks is None:
             known = self._known_leader.table
             if known is not None and not self._known_leader.needs_spans:
                 table.spans = known.spans
             return table
+        table.documents_age_s = news.documents_age_s
         if self._term.resigned:
             table.successor = self._term.successor()
         table.spans = self._spans(self._tasks)
@@ -457,11 +512,13 @@
             self._view.store_reachable,
             resigned=self._term.resigned,
             store_revisions=self.replication.change_revisions(),
-            documents_age_s=self._view.documents_age_s(),
         )
 
     def _encoded_summary(self) -> bytes:
-        return fleet.encode_table(self._summary())
+        table = self._summary()
+        if self._term is not None:
+            table.documents_age_s = self._view.documents_age_s()
+        return fleet.encode_table(table)
 
     def _send_summary(self, link: peer_links.PeerLink) -> None:
         link.send(
--- a/src/sardinehill/front/loan_messages.py
+++ b/src/sardinehill/front/loan_messages.py
@@ -28,6 +28,10 @@
         message_kinds.MessageKind.COLD_SEND_REQUESTS,
         message_kinds.MessageKind.COLD_SEND_LOANS,
     ),
+    fleet_messages.LoanKind.LIMITED_SENDS: LoanMessages(
+        message_kinds.MessageKind.LIMITED_SEND_REQUESTS,
+        message_kinds.MessageKind.LIMITED_SEND_LOANS,
+    ),
 }
 # The kind of loan by the number of the message that asks for it.
 LOAN_KINDS: dict[int, fleet_messages.LoanKind] = {
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -36,12 +36,14 @@
         log_request: Callable[..., None],
         counters: counters_module.ReportCounters,
         cold_sends: borrowing.TokenBorrower,
+        limited_sends: borrowing.TokenBorrower,
     ):
         self._directory = directory
         self._metrics = metrics
         self._log = log_request
         self._counters = counters
         self._cold_sends = cold_sends
+        self._limited_sends = limited_sends
         self._mean_latencies_s: dict[str, float] = {}
         self._service_times = service_times.ServiceTimes()
 
@@ -78,6 +80,8 @@
           requests.RefusedError: the request has no answer for the caller and
             must not be retried.
         """
+        if not await self._may_send_within_limit(target):
+            return None
         connection = await self._connect(context, target)
         if connection is None:
             return None
@@ -116,6 +120,22 @@
             target.upstream_state.record_end()
             raise
 
+    async def _may_send_within_limit(self, target: requests.Target) -> bool:
+        """Borrows a send if the upstream names a limit; returns if it may go.
+
+        This comes before a connection is opened: of many requests for such an
+        upstream few get a loan.
+        """
+        if not self._directory.is_limited(target.upstream):
+            return True
+        wait_s = await self._limited_sends.borrow(target.upstream.id)
+        if wait_s <= 0:
+            return True
+        target.upstream_state.no_limited_sends_until_s = (
+            asyncio.get_running_loop().time() + wait_s
+        )
+        return False
+
     async def _may_send_while_cold(self, target: requests.Target) -> bool:
         """Borrows a send if the upstream is cold; returns whether it may go.
 
@@ -226,6 +246,7 @@
         latency_s: float,
     ) -> http1.Response | None:
         now_s = asyncio.get_running_loop().time()
+        self._note_limit(context, target, answer, now_s)
         load = http_messages.parse_load(answer)
         if load is not None:
             target.upstream_state.record_load_report(
@@ -263,6 +284,21 @@
             return answer
         raise requests.RefusedError(errors.Reason.CONNECTION_LOST, 502)
 
+    def _note_limit(
+        self,
+        context: requests.RequestContext,
+        target: requests.Target,
+        answer: http1.Response,
+        now_s: float,
+    ) -> None:
+        rate_per_s = http_messages.parse_rate_limit(answer)
+        # Only an answer that the upstream made itself shows that it has no
+        # limit any more.
+        if rate_per_s is not None or http_messages.is_from_upstream(answer):
+            self._directory.note_limit(
+                target.upstream, rate_per_s, context.sent_s, now_s
+            )
+
     def _is_worth_retrying(
         self, context: requests.RequestContext, now_s: float
     ) -> bool:
--- a/src/sardinehill/front/upstream_directory.py
+++ b/src/sardinehill/front/upstream_directory.py
@@ -10,6 +10,7 @@
 
 from sardinehill import events
 from sardinehill.core import fleet_messages
+from sardinehill.core import named_limits
 from sardinehill.core import routes
 from sardinehill.core import upstream_state
 from sardinehill.front import pool as pool_module
@@ -82,8 +83,10 @@
         view: store_view.StoreView,
         drain_limit_s: float,
         clock_s: Callable[[], float],
+        limits: named_limits.NamedLimits,
     ):
         self._view = view
+        self._limits = limits
         self._drain_grace_s = drain_limit_s * DRAIN_GRACE_RATIO
         self._clock_s = clock_s
         self._entries: dict[str, _UpstreamEntry] = {}
@@ -173,6 +176,7 @@
         previous_table = self._table
         self._table = table
         self.daemon_count = max(table.daemons, 1)
+        self._limits.record_news(table.limits, self._clock_s() - table.age_s)
         if previous_table is not None and previous_table.spans is table.spans:
             return
         self._first_keys = {
@@ -328,6 +332,8 @@
         service = self._service(upstream.service)
         if service is None:
             return False
+        if self.is_limited(upstream) and now_s < state.no_limited_sends_until_s:
+            return False
         if not state.may_send(
             now_s,
             upstream_state.connection_limit(
@@ -337,6 +343,29 @@
             return False
         return state.has_room(now_s, service_time_s, objective_s)
 
+    def is_limited(self, upstream: routes.Upstream) -> bool:
+        """Returns whether an upstream names a limit, so that sends are lent."""
+        return self._limits.rate_per_s(upstream.id) is not None
+
+    def note_limit(
+        self,
+        upstream: routes.Upstream,
+        rate_per_s: float | None,
+        sent_s: float,
+        answered_s: float,
+    ) -> None:
+        """Records the limit that an answer names, or that it names none."""
+        before = self._limits.rate_per_s(upstream.id)
+        self._limits.record_answer(upstream.id, rate_per_s, sent_s, answered_s)
+        after = self._limits.rate_per_s(upstream.id)
+        if (before is None) != (after is None):
+            events.log(
+                events.LIMIT_NAMED,
+                upstream=upstream.id,
+                rate_per_s=after,
+                rate_before_per_s=before,
+            )
+
     def _service(self, name: str) -> routes.Service | None:
         configuration = self._view.configuration
         if configuration is None:
--- a/src/sardinehill/platform/http_messages.py
+++ b/src/sardinehill/platform/http_messages.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import dataclasses
 import json
+import math
 
 from sardinehill import http1
 from sardinehill.platform import names
@@ -198,6 +199,22 @@
     return ReportedLoad(numbers[0], numbers[1], max(1, numbers[2]), slowness)
 
 
+def parse_rate_limit(answer: http1.Response) -> float | None:
+    """Returns the requests a second that the upstream takes, or None.
+
+    They are for all daemons together, for as long as answers name them. A value
+    that is no number of this kind is treated as missing.
+    """
+    value = answer.header(names.RATE_LIMIT)
+    if value is None:
+        return None
+    try:
+        rate_per_s = float(value)
+    except ValueError:
+        return None
+    return rate_per_s if 0 <= rate_per_s < math.inf else None
+
+
 def returned_headers(answer: http1.Response) -> Iterable[tuple[bytes, bytes]]:
     """Yields the headers of an answer that are returned to the caller."""
     for name, value in answer.headers:
--- a/src/sardinehill/platform/names.py
+++ b/src/sardinehill/platform/names.py
@@ -15,6 +15,8 @@
 NOT_RUN = b"x-not-executed"
 LOAD = b"x-server-load"
 COLD_MS = b"x-cold-ms"
+# The requests a second that the upstream takes from all daemons together.
+RATE_LIMIT = b"server-limit"
 HANDOVER = b"x-handover"
 ANSWERING_UPSTREAM_ID = b"x-instance-id"
 RETRY_AFTER = b"retry-after"
--- a/src/sardinehill/wire/fleet.capnp
+++ b/src/sardinehill/wire/fleet.capnp
@@ -29,6 +29,17 @@
   epoch @2 :UInt64;
 }
 
+# The limit that an upstream names in its answers.
+struct LimitNews {
+  upstream @0 :Text;
+  # In thousandths of a request a second.
+  rate @1 :UInt32;
+  # Whether the upstream names no limit any more.
+  hasEnded @2 :Bool;
+  # The time since the upstream said so, in milliseconds.
+  ageMs @3 :UInt32;
+}
+
 # Sent by a daemon to the leader several times a second.
 struct Report {
   daemon @0 :Text;
@@ -43,6 +54,7 @@
   # compressed documents.
   protocolVersion @8 :UInt8;
   needsSpans @9 :Bool;
+  limits @10 :List(LimitNews);
 }
 
 struct Span {
@@ -108,6 +120,7 @@
   # For how long the leader's documents may have been outdated when it sent the
   # update, in milliseconds.
   documentsAgeMs @17 :UInt32;
+  limits @18 :List(LimitNews);
 }
 
 # Sent when the store has changed, by a peer to each daemon that follows it.
--- a/src/sardinehill/wire/fleet.py
+++ b/src/sardinehill/wire/fleet.py
@@ -96,6 +96,7 @@
         storeReachable=report.store_reachable,
         protocolVersion=report.protocol_version,
         needsSpans=report.needs_spans,
+        limits=[_encoded_limit(news) for news in report.limits],
     )
     return bytes(message.to_bytes())
 
@@ -132,6 +133,24 @@
         store_reachable=message.storeReachable,
         protocol_version=message.protocolVersion,
         needs_spans=message.needsSpans,
+        limits=[_decoded_limit(item) for item in message.limits],
+    )
+
+
+def _encoded_limit(news: fleet_messages.LimitNews) -> dict[str, Any]:
+    return {
+        "upstream": news.upstream,
+        "rate": _clamped_uint32((news.rate_per_s or 0.0) * _THOUSAND),
+        "hasEnded": news.rate_per_s is None,
+        "ageMs": _clamped_uint32(news.age_s * _THOUSAND),
+    }
+
+
+def _decoded_limit(item: Any) -> fleet_messages.LimitNews:
+    return fleet_messages.LimitNews(
+        item.upstream,
+        None if item.hasEnded else item.rate / _THOUSAND,
+        item.ageMs / _THOUSAND,
     )
 
 
@@ -218,6 +237,7 @@
         resigned=table.resigned,
         successor=table.successor,
         newsRevisions=table.store_revisions,
+        limits=[_encoded_limit(news) for news in table.limits],
         lendable=[
             {"account": account, "tokens": _clamped_uint32(tokens * _THOUSAND)}
             for account, tokens in table.lendable.items()
@@ -279,6 +299,7 @@
         resigned=message.resigned,
         successor=message.successor,
         store_revisions=list(message.newsRevisions),
+        limits=[_decoded_limit(item) for item in message.limits],
         lendable={
             item.account: item.tokens / _THOUSAND for item in message.lendable
         },
--- a/src/sardinehill/wire/message_kinds.py
+++ b/src/sardinehill/wire/message_kinds.py
@@ -33,3 +33,5 @@
     STORE_CHANGE = 57
     COLD_SEND_REQUESTS = 58
     COLD_SEND_LOANS = 59
+    LIMITED_SEND_REQUESTS = 60
+    LIMITED_SEND_LOANS = 61
--- a/standins/users_platform_upstream.py
+++ b/standins/users_platform_upstream.py
@@ -36,6 +36,8 @@
         the answer by 60 s, and `unframed` sends no content length.
       grant_delay_s: delay before it accepts a grant.
       service_time_s: duration of one request.
+      named_limit: the requests a second that its answers name as its limit, or
+        None.
     """
 
     def __init__(self, name: str, is_divided: bool = True):
@@ -46,6 +48,7 @@
         self.mode = "serve"
         self.grant_delay_s = 0.0
         self.service_time_s = 0.002
+        self.named_limit: float | None = None
         self._held_until_s: dict[int, float] = {}
         self._epochs: dict[int, int] = {}
 
@@ -153,11 +156,11 @@
                 "X-Response-Stamp: s\r\nContent-Length: 5\r\n\r\nwrong"
             )
             request.transport.write(stray.encode())
-        return web.Response(
-            text=body,
-            headers={
-                "X-Request-Id": request_id,
-                "X-Response-Stamp": f"stamp-{self.name}",
-                "X-Server-Load": "1,0,3,100",
-            },
-        )
+        headers = {
+            "X-Request-Id": request_id,
+            "X-Response-Stamp": f"stamp-{self.name}",
+            "X-Server-Load": "1,0,3,100",
+        }
+        if self.named_limit is not None:
+            headers["Server-Limit"] = str(self.named_limit)
+        return web.Response(text=body, headers=headers)
--- a/tests/cover/test_sending.py
+++ b/tests/cover/test_sending.py
@@ -25,12 +25,19 @@
 
 def send_to_cold_upstream(borrow, has_left=False):
     """Sends a request to a cold upstream; returns the result and target."""
-    directory = types.SimpleNamespace(has_left=lambda upstream: has_left)
+    directory = types.SimpleNamespace(
+        has_left=lambda upstream: has_left, is_limited=lambda upstream: False
+    )
 
     async def body():
         now_s = asyncio.get_running_loop().time()
         sender = sending.Sender(
-            directory, None, None, None, types.SimpleNamespace(borrow=borrow)
+            directory,
+            None,
+            None,
+            None,
+            types.SimpleNamespace(borrow=borrow),
+            None,
         )
         target = types.SimpleNamespace(
             upstream=types.SimpleNamespace(id="i-1"),
--- a/tests/cover/test_upstream_directory.py
+++ b/tests/cover/test_upstream_directory.py
@@ -6,6 +6,7 @@
 import pytest
 
 from sardinehill.core import fleet_messages
+from sardinehill.core import named_limits
 from sardinehill.front import store_view
 from sardinehill.front import upstream_directory
 
@@ -59,7 +60,7 @@
     clock = [100.0]
     view = store_view.StoreView(lambda: clock[0], lambda: None)
     directory = upstream_directory.UpstreamDirectory(
-        view, DRAIN_LIMIT_S, lambda: clock[0]
+        view, DRAIN_LIMIT_S, lambda: clock[0], named_limits.NamedLimits()
     )
     made = Fixture(view, directory, clock)
     made.read_upstream("ready")
@@ -106,7 +107,7 @@
     clock = fixture.clock
     view = store_view.StoreView(lambda: clock[0], lambda: None)
     directory = upstream_directory.UpstreamDirectory(
-        view, DRAIN_LIMIT_S, lambda: clock[0]
+        view, DRAIN_LIMIT_S, lambda: clock[0], named_limits.NamedLimits()
     )
     restarted = Fixture(view, directory, clock)
     restarted.read_upstream("draining")
