Move keys away from upstreams that limit their requests

The planner took an upstream that names a limit for one that can use all its slots, so the keys it owned stayed, and most requests for them were refused.

The new test in tests/cover/test_keyspace.py plans for 4, 20 and 135 upstreams.

--- a/src/sardinehill/core/key_load.py
+++ b/src/sardinehill/core/key_load.py
@@ -11,6 +11,8 @@
 # The share of a count that is left after one second.
 LONG_TERM_RETENTION_PER_S = 0.8
 SHORT_TERM_RETENTION_PER_S = 0.3
+# The weight of the earlier mean when a request's latency is averaged in.
+LATENCY_RETENTION_RATIO = 0.99
 # When the common decay factor falls below this value, counts up to it are
 # dropped.
 NEGLIGIBLE_COUNT = 1e-4
@@ -60,6 +62,7 @@
     def __init__(self, now_s: float):
         self._long_term = _DecayingCounts(LONG_TERM_RETENTION_PER_S, now_s)
         self._short_term = _DecayingCounts(SHORT_TERM_RETENTION_PER_S, now_s)
+        self._mean_latency_s: float | None = None
 
     def add(self, keys: list[int], latency_s: float, now_s: float) -> None:
         """Counts requests.
@@ -69,9 +72,24 @@
           latency_s: how long such a request takes at an upstream of mean speed.
           now_s: the time.
         """
+        if self._mean_latency_s is None:
+            self._mean_latency_s = latency_s
+        retained_ratio = LATENCY_RETENTION_RATIO ** len(keys)
+        self._mean_latency_s += (1 - retained_ratio) * (
+            latency_s - self._mean_latency_s
+        )
         self._long_term.add(keys, latency_s, now_s)
         self._short_term.add(keys, latency_s, now_s)
 
+    def load_at_rate(self, rate_per_s: float) -> float:
+        """Returns the load of a rate of requests, in requests in flight.
+
+        It is infinite while no request has been counted.
+        """
+        if self._mean_latency_s is None:
+            return math.inf
+        return rate_per_s * self._mean_latency_s
+
     def loads(self, now_s: float) -> dict[int, float]:
         """Returns the load of each used key, in requests in flight."""
         loads = self._long_term.loads(now_s)
--- a/src/sardinehill/core/key_plan.py
+++ b/src/sardinehill/core/key_plan.py
@@ -71,10 +71,18 @@
     Attributes:
       slots: how many requests it runs at once.
       slowness: its latency when idle, relative to the mean of all upstreams.
+      max_load: the load that it takes if it limits its requests, in requests
+        that would be in flight at mean speed.
     """
 
     slots: int
     slowness: float
+    max_load: float = math.inf
+
+    @property
+    def servable_load(self) -> float:
+        """The load that it can serve at most."""
+        return min(self.slots / self.slowness, self.max_load)
 
     def cost(self, load: float) -> float:
         """Returns how many requests are waiting or running at the upstream.
@@ -89,17 +97,16 @@
         """
         # Rounding errors of subtracted loads may make the load negative.
         running = max(load, 0.0) * self.slowness
-        utilization = running / self.slots
+        utilization = max(load, 0.0) / self.servable_load
         if utilization <= SATURATION_RATIO:
             return running * (1 + _mean_wait(utilization, self.slots))
-        saturated_cost = (
-            SATURATION_RATIO
-            * self.slots
-            * (1 + _mean_wait(SATURATION_RATIO, self.slots))
+        saturated_running = running * SATURATION_RATIO / utilization
+        saturated_cost = saturated_running * (
+            1 + _mean_wait(SATURATION_RATIO, self.slots)
         )
         return (
             saturated_cost
-            + (running - SATURATION_RATIO * self.slots) * SATURATED_COST_FACTOR
+            + (running - saturated_running) * SATURATED_COST_FACTOR
         )
 
 
@@ -206,7 +213,7 @@
 ) -> float:
     """Returns the part of the loads to plan for, at most 1."""
     servable_load = sum(
-        capacity.slots / capacity.slowness for capacity in capacities.values()
+        capacity.servable_load for capacity in capacities.values()
     )
     total_load = loads.span_load(0, keyspace.KEY_COUNT - 1)
     if total_load <= 0:
@@ -254,7 +261,7 @@
     def _marginal(self, upstream: keyspace.Incarnation) -> float:
         """Returns an upstream's marginal cost of load."""
         capacity, load = self._capacities[upstream], self._loads[upstream]
-        step = capacity.slots * MARGINAL_STEP_SHARE
+        step = min(capacity.slots, capacity.max_load) * MARGINAL_STEP_SHARE
         return (capacity.cost(load + step) - capacity.cost(load)) / step
 
     def _cheapest_target(self) -> keyspace.Incarnation:
@@ -356,8 +363,7 @@
         }
 
     def _speed_rank(self, upstream: keyspace.Incarnation) -> float:
-        capacity = self._capacities[upstream]
-        return capacity.slowness / capacity.slots
+        return -self._capacities[upstream].servable_load
 
     def _candidate_pieces(
         self, source: keyspace.Incarnation, load: float
--- a/src/sardinehill/front/assignment_manager.py
+++ b/src/sardinehill/front/assignment_manager.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import math
 
 from sardinehill import events
 from sardinehill.core import fleet_messages
@@ -16,6 +17,7 @@
 from sardinehill.core import key_orders
 from sardinehill.core import key_plan
 from sardinehill.core import keyspace
+from sardinehill.core import named_limits
 from sardinehill.front import assignment_store
 from sardinehill.front import key_owners
 from sardinehill.front import order_sender
@@ -61,8 +63,10 @@
         is_exclusive: Callable[[], bool],
         on_spans_changed: Callable[[], None],
         clock_s: Callable[[], float],
+        rate_limit_per_s: Callable[[str], float | None],
     ):
         self._service = service
+        self._rate_limit_per_s = rate_limit_per_s
         self._store = store
         self._owners = owners
         self._may_send_orders = may_send_orders
@@ -218,7 +222,7 @@
         if not self._has_confirmed_owners(assignment, now_s):
             self._plan_due_s = now_s + LOOP_INTERVAL_S
             return
-        capacities = self._owners.capacities(now_s)
+        capacities = self._owners.capacities(now_s, self._max_load)
         began_s = self._clock_s()
         moves = key_plan.plan(
             assignment, capacities, self._key_loads(), key_plan.PlanPolicy()
@@ -290,6 +294,15 @@
             return
         await self._store.write(assignment)
 
+    def _max_load(self, upstream: str) -> float:
+        """Returns the load that an upstream takes, which it may limit."""
+        rate_per_s = self._rate_limit_per_s(upstream)
+        if rate_per_s is None:
+            return math.inf
+        return self._key_load.load_at_rate(
+            max(rate_per_s, named_limits.MIN_RATE_PER_S)
+        )
+
     def _key_loads(self) -> key_plan.KeyLoads:
         return key_plan.KeyLoads(
             self._key_load.loads(self._clock_s()),
--- a/src/sardinehill/front/key_owners.py
+++ b/src/sardinehill/front/key_owners.py
@@ -121,11 +121,15 @@
                 owner.address = upstream.address
 
     def capacities(
-        self, now_s: float
+        self, now_s: float, max_load_of: Callable[[str], float]
     ) -> dict[keyspace.Incarnation, key_plan.UpstreamCapacity]:
         """Returns the capacities of the upstreams that may get keys.
 
         Cold upstreams are included only if there is no warm one.
+
+        Args:
+          now_s: the current time.
+          max_load_of: returns the load that an upstream takes, by its id.
         """
         zones_out = self._zones_out()
         warm: dict[keyspace.Incarnation, key_plan.UpstreamCapacity] = {}
@@ -141,7 +145,9 @@
                 or upstream.incarnation in self.ended
             ):
                 continue
-            capacity = key_plan.UpstreamCapacity(owner.slots, owner.slowness)
+            capacity = key_plan.UpstreamCapacity(
+                owner.slots, owner.slowness, max_load_of(upstream.id)
+            )
             if upstream.cold_remaining_s > 0:
                 cold[upstream.incarnation] = capacity
             else:
--- a/src/sardinehill/front/leader_tasks.py
+++ b/src/sardinehill/front/leader_tasks.py
@@ -121,6 +121,7 @@
                 self._is_exclusive,
                 self._on_spans_changed,
                 self._clock_s,
+                self._limits.rate_per_s,
             )
             self._managers[service] = manager
             try:
--- a/tests/cover/test_keyspace.py
+++ b/tests/cover/test_keyspace.py
@@ -1,5 +1,6 @@
 """Tests of key assignments, their planning and the load of keys."""
 
+import math
 import random
 
 from hypothesis import given
@@ -263,3 +264,26 @@
     for span in assignment.spans:
         owned[span.owner] += key_loads.span_load(span.first, span.last)
     assert max(owned.values()) < 1.5 * total_load / len(owners)
+
+
+@pytest.mark.parametrize("upstreams", [4, 20, 135])
+def test_keys_move_away_from_upstreams_that_limit_their_requests(upstreams):
+    owners = [(f"i-{index}", 1) for index in range(upstreams)]
+    assignment = evenly_owned(owners)
+    load_each = 1.2
+    loads = key_plan.KeyLoads({}, load_each * upstreams / keyspace.KEY_COUNT)
+    limited = owners[: upstreams // 2]
+    capacities = {
+        owner: key_plan.UpstreamCapacity(
+            3, 1.0, max_load=0.3 if owner in limited else math.inf
+        )
+        for owner in owners
+    }
+    plan_repeatedly(assignment, capacities, loads, 30)
+    for owner in limited:
+        owned_load = sum(
+            loads.span_load(span.first, span.last)
+            for span in assignment.spans
+            if span.owner == owner
+        )
+        assert owned_load <= 0.3
