Refuse at once a request that a named limit would hold back too long

A request for a key whose owner names a limit waited for as long as its latency objective allows, also when the next send to the owner, after those for the requests ahead of it, was known to come later than that. It is refused at once now, with that time as Retry-After.

--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -263,13 +263,40 @@
         upstream, epoch = owned
         state, pool = self._directory.state_and_pool(upstream)
         if not self._has_capacity(context, upstream, now_s):
-            return (
-                ("room", upstream.id),
-                self._max_capacity_wait_s(context, state.slowness),
-                errors.Reason.QUEUE_FULL,
+            queue_key = ("room", upstream.id)
+            max_wait_s = self._max_capacity_wait_s(context, state.slowness)
+            self._refuse_if_limited(
+                context, upstream, queue_key, max_wait_s, now_s
             )
+            return queue_key, max_wait_s, errors.Reason.QUEUE_FULL
         return requests.Target(upstream, state, pool, epoch)
 
+    def _refuse_if_limited(
+        self,
+        context: requests.RequestContext,
+        upstream: routes.Upstream,
+        queue_key: object,
+        max_wait_s: float,
+        now_s: float,
+    ) -> None:
+        """Refuses a new request that its owner's limit would hold too long.
+
+        Raises:
+          RefusedError: the request would wait for longer than it may.
+        """
+        if context.waiting_since_s is not None:
+            return
+        wait_s = self._directory.limited_wait_s(
+            upstream, queue_key, context.priority, now_s
+        )
+        if wait_s > max_wait_s:
+            raise requests.RefusedError(
+                errors.Reason.QUEUE_FULL,
+                503,
+                wait_s,
+                limited_wait_s=round(wait_s, 3),
+            )
+
     def _find_any_target(
         self,
         context: requests.RequestContext,
--- a/src/sardinehill/front/upstream_directory.py
+++ b/src/sardinehill/front/upstream_directory.py
@@ -347,6 +347,31 @@
         """Returns whether an upstream names a limit, so that sends are lent."""
         return self._limits.rate_per_s(upstream.id) is not None
 
+    def limited_wait_s(
+        self,
+        upstream: routes.Upstream,
+        queue_key: object,
+        priority: int,
+        now_s: float,
+    ) -> float:
+        """Returns the shortest wait for a send to an upstream with a limit.
+
+        It is longer if other daemons have requests for the upstream.
+
+        Args:
+          upstream: the upstream.
+          queue_key: the queue of the requests that wait for it.
+          priority: the priority of the request that would wait.
+          now_s: the current time.
+        """
+        rate_per_s = self._limits.rate_per_s(upstream.id)
+        if rate_per_s is None:
+            return 0.0
+        rate_per_s = max(rate_per_s, named_limits.MIN_RATE_PER_S)
+        next_send_s = self._entries[upstream.id].state.no_limited_sends_until_s
+        ahead = self.waiting.count_ahead(queue_key, priority)
+        return max(next_send_s - now_s, 0.0) + ahead / rate_per_s
+
     def note_limit(
         self,
         upstream: routes.Upstream,
--- a/src/sardinehill/front/wait_queues.py
+++ b/src/sardinehill/front/wait_queues.py
@@ -55,6 +55,13 @@
             if not woken.done():
                 woken.cancel()
 
+    def count_ahead(self, queue_key: Hashable, priority: int) -> int:
+        """Returns how many requests of at least a priority wait in a queue."""
+        return sum(
+            entry_priority <= priority and not woken.done()
+            for entry_priority, *_, woken in self._queues.get(queue_key, ())
+        )
+
     def next_sequence_number(self) -> int:
         """Returns a number above all that were returned before."""
         return next(self._sequence_numbers)
--- a/tests/cover/test_upstream_directory.py
+++ b/tests/cover/test_upstream_directory.py
@@ -1,5 +1,6 @@
 """Tests of where requests may go, by stored documents and leader tables."""
 
+import asyncio
 import dataclasses
 from typing import Any
 
@@ -7,6 +8,7 @@
 
 from sardinehill.core import fleet_messages
 from sardinehill.core import named_limits
+from sardinehill.core import routes
 from sardinehill.front import store_view
 from sardinehill.front import upstream_directory
 
@@ -23,6 +25,10 @@
     clock: list[float]
     revision: int = 1
 
+    @property
+    def upstream(self) -> routes.Upstream:
+        return self.view.upstreams["i-1"]
+
     def has_owner(self) -> bool:
         return self.directory.owner("orders", KEY, self.clock[0]) is not None
 
@@ -138,3 +144,34 @@
     fixture.clock[0] += DRAIN_LIMIT_S
     fixture.read_upstream("ready", number=1, started_at_ms=6)
     assert fixture.has_owner()
+
+
+def test_the_wait_for_a_limited_upstream_counts_the_requests_ahead(fixture):
+    now_s = fixture.clock[0]
+    directory = fixture.directory
+
+    async def body():
+        for priority in (0, 1, 2):
+            waiters.append(
+                asyncio.ensure_future(
+                    directory.waiting.wait(("room", "i-1"), priority, 1e9, 1)
+                )
+            )
+        await asyncio.sleep(0)
+        waits_s = [
+            directory.limited_wait_s(
+                fixture.upstream, ("room", "i-1"), priority, now_s
+            )
+            for priority in (0, 1, 2)
+        ]
+        for waiter in waiters:
+            waiter.cancel()
+        return waits_s
+
+    waiters = []
+    assert asyncio.run(body()) == [0.0, 0.0, 0.0]
+    waiters.clear()
+    directory.note_limit(fixture.upstream, 4.0, now_s, now_s)
+    state, _ = directory.state_and_pool(fixture.upstream)
+    state.no_limited_sends_until_s = now_s + 0.5
+    assert asyncio.run(body()) == [0.75, 1.0, 1.25]
