Spend a retry only on a request that is sent again

A request that had been sent once took a retry from the budget each time it found an upstream, also when it was then not sent: a cold upstream's or a limited one's sends were used up, no connection could be opened, or the upstream had left. The budget ran out, and other requests were refused with retry-budget-spent.

test_attempts_that_were_not_sent_spend_no_retries failed before.

--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -146,12 +146,18 @@
     async def _send_until_answered(
         self, context: requests.RequestContext
     ) -> http1.Response:
+        # The sends that the budget allows this request so far.
+        allowed_sends = 1
         while True:
             target = await self._wait_for_target(context)
-            if context.sends > 0 and not self._take_retry(context):
-                raise requests.RefusedError(
-                    errors.Reason.RETRY_BUDGET_SPENT, 503, DEFAULT_RETRY_AFTER_S
-                )
+            if context.sends >= allowed_sends:
+                if not self._take_retry(context):
+                    raise requests.RefusedError(
+                        errors.Reason.RETRY_BUDGET_SPENT,
+                        503,
+                        DEFAULT_RETRY_AFTER_S,
+                    )
+                allowed_sends += 1
             answer = await self._sender.send(context, target)
             if answer is not None:
                 return answer
