Choose an upstream that limits its requests last

Of the upstreams of an undivided service those with a limit had the fewest requests and so were tried first; each try asks the leader for a send, and most get none. They count as 2.5 times slower now, as cold ones do.

test_an_upstream_that_limits_its_requests_is_chosen_last failed before.

--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -40,6 +40,9 @@
 # Traffic between availability zones is billed, so an upstream of another zone
 # is chosen only if it is faster by this factor.
 CROSS_ZONE_COST_FACTOR = 1.3
+# An upstream that names a limit is in need, and each send to it must be lent
+# first, so another one is chosen unless it is slower by this factor.
+LIMITED_COST_FACTOR = 2.5
 
 
 class Relay:
@@ -339,9 +342,7 @@
                 (
                     candidate.id,
                     self._directory.state_and_pool(candidate)[0],
-                    1.0
-                    if candidate.zone == self._zone
-                    else CROSS_ZONE_COST_FACTOR,
+                    self._cost_factor(candidate),
                 )
                 for candidate in candidates
             ),
@@ -358,6 +359,14 @@
         state, pool = self._directory.state_and_pool(upstream)
         return requests.Target(upstream, state, pool, 0)
 
+    def _cost_factor(self, upstream: routes.Upstream) -> float:
+        factor = 1.0
+        if upstream.zone != self._zone:
+            factor *= CROSS_ZONE_COST_FACTOR
+        if self._directory.is_limited(upstream):
+            factor *= LIMITED_COST_FACTOR
+        return factor
+
     def _has_capacity(
         self,
         context: requests.RequestContext,
--- a/tests/cover/test_relay.py
+++ b/tests/cover/test_relay.py
@@ -1,8 +1,9 @@
-"""Tests of the relay's retries."""
+"""Tests of the relay's retries and of its choice of upstreams."""
 
 import asyncio
 import types
 
+from sardinehill.core import upstream_state
 from sardinehill.front import front_metrics
 from sardinehill.front import relay as relay_module
 from sardinehill.front import requests
@@ -20,20 +21,28 @@
         return None if self.attempts else "answer"
 
 
+def new_relay(directory, sender, retry_slack=0):
+    return relay_module.Relay(
+        directory,
+        front_metrics.FrontMetrics(),
+        lambda *_, **__: None,
+        0.0,
+        retry_slack,
+        10.0,
+        None,
+        sender,
+        "a",
+    )
+
+
 def answer_of(attempts, retry_slack):
     """Returns the answer, or the reason of the refusal, after attempts."""
 
     async def body():
-        relay = relay_module.Relay(
+        relay = new_relay(
             types.SimpleNamespace(daemon_count=1),
-            front_metrics.FrontMetrics(),
-            lambda *_, **__: None,
-            0.0,
-            retry_slack,
-            10.0,
-            None,
             FakeSender(attempts),
-            "a",
+            retry_slack,
         )
 
         async def find_target(context):
@@ -60,3 +69,31 @@
     attempts = [True, True, True, True]
     assert answer_of(attempts, retry_slack=2) == "retry-budget-spent"
     assert answer_of(attempts, retry_slack=6) == "answer"
+
+
+def test_an_upstream_that_limits_its_requests_is_chosen_last():
+    upstreams = [
+        types.SimpleNamespace(id=f"i-{index}", zone="a") for index in range(5)
+    ]
+    states = {
+        upstream.id: upstream_state.UpstreamState(slots=3)
+        for upstream in upstreams
+    }
+    limited = upstreams[:4]
+    directory = types.SimpleNamespace(
+        usable_upstreams=lambda service, now_s: upstreams,
+        has_capacity=lambda *_: True,
+        state_and_pool=lambda upstream: (states[upstream.id], None),
+        is_limited=lambda upstream: upstream in limited,
+    )
+    sender = types.SimpleNamespace(service_time_s=lambda route: 0.1)
+    relay = new_relay(directory, sender)
+    route = types.SimpleNamespace(
+        name="r", max_attempts=2, latency_objective_s=0.3
+    )
+    context = types.SimpleNamespace(
+        service="s", route=route, tried_upstreams=[]
+    )
+    for _ in range(20):
+        target = relay._find_any_target(context, 0.0, 1.0)
+        assert target.upstream.id == "i-4"
