Reserve the ports of a test process until it ends

Three times the fixture of a platform test found a port of its daemon in use. free_ports drew ports, released them and bound them later; in between another test process could draw the same one, or bind it for a moment as it probed. Only these fixtures use that range of ports, which lies below the kernel's ephemeral ones; who took a port in the three cases was not recorded. A lock on a file for each port now keeps other test processes from drawing or probing it for as long as the process lives that drew it.

--- a/tests/common/platform_fleet.py
+++ b/tests/common/platform_fleet.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 import contextlib
 import dataclasses
+import fcntl
 import json
 import os
 import pathlib
@@ -12,6 +13,7 @@
 import signal
 import socket
 import sys
+import tempfile
 import time
 from typing import Any
 from typing import TypeVar
@@ -32,23 +34,45 @@
 # Below the kernel's ephemeral ports for outgoing connections.
 _PORT_RANGE = range(10_000, 32_000)
 _PORTS_PER_DAEMON = 4
+_LOCK_DIRECTORY = pathlib.Path(tempfile.gettempdir()) / "sardinehill-test-ports"
+# The files whose locks reserve this process's ports until it ends.
+_PORT_LOCKS: list[int] = []
 
 
 def free_ports(count: int) -> list[int]:
     """Returns ports without a listener, in ascending order.
 
-    Ports that are used together must come from one call: separate calls may
-    return the same port.
+    They are reserved for this process until it ends, as a port may be bound
+    long after it was drawn, and no other test process even probes them.
     """
-    with contextlib.ExitStack() as sockets:
-        ports: list[int] = []
-        while len(ports) < count:
-            candidate_socket = sockets.enter_context(socket.socket())
-            port = random.SystemRandom().choice(_PORT_RANGE)
-            with contextlib.suppress(OSError):
-                candidate_socket.bind((HOST, port))
-                ports.append(port)
-        return sorted(ports)
+    _LOCK_DIRECTORY.mkdir(exist_ok=True)
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.SystemRandom().choice(_PORT_RANGE)
+        if _reserve(port) and _is_free(port):
+            ports.append(port)
+    return sorted(ports)
+
+
+def _reserve(port: int) -> bool:
+    """Returns whether the port was not reserved, and reserves it."""
+    lock = os.open(_LOCK_DIRECTORY / str(port), os.O_RDWR | os.O_CREAT)
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        os.close(lock)
+        return False
+    _PORT_LOCKS.append(lock)
+    return True
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 @dataclasses.dataclass
