--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -292,11 +292,21 @@
         now_s: float,
     ) -> None:
         rate_per_s = http_messages.parse_rate_limit(answer)
-        # Only an answer that the upstream made itself shows that it has no
-        # limit any more.
-        if rate_per_s is not None or http_messages.is_from_upstream(answer):
-            self._directory.note_limit(
-                target.upstream, rate_per_s, context.sent_s, now_s
+        # Only an answer that the upstream made itself, and that names nothing,
+        # shows that it has no limit any more.
+        if rate_per_s is None and (
+            http_messages.names_rate_limit(answer)
+            or not http_messages.is_from_upstream(answer)
+        ):
+            return
+        if self._directory.note_limit(
+            target.upstream, rate_per_s, context.sent_s, now_s
+        ):
+            self._log(
+                events.LIMIT_NAMED,
+                upstream=target.upstream.id,
+                rate_per_s=rate_per_s,
+                request=context.metadata.request_id,
             )
 
     def _is_worth_retrying(
--- a/src/sardinehill/front/upstream_directory.py
+++ b/src/sardinehill/front/upstream_directory.py
@@ -378,18 +378,21 @@
         rate_per_s: float | None,
         sent_s: float,
         answered_s: float,
-    ) -> None:
-        """Records the limit that an answer names, or that it names none."""
-        before = self._limits.rate_per_s(upstream.id)
+    ) -> bool:
+        """Records the limit that an answer names, or that it names none.
+
+        Args:
+          upstream: the upstream that answered.
+          rate_per_s: the limit, or None.
+          sent_s: when the request was sent.
+          answered_s: when the answer arrived.
+
+        Returns:
+          Whether the upstream has a limit now and had none, or the reverse.
+        """
+        was_limited = self.is_limited(upstream)
         self._limits.record_answer(upstream.id, rate_per_s, sent_s, answered_s)
-        after = self._limits.rate_per_s(upstream.id)
-        if (before is None) != (after is None):
-            events.log(
-                events.LIMIT_NAMED,
-                upstream=upstream.id,
-                rate_per_s=after,
-                rate_before_per_s=before,
-            )
+        return self.is_limited(upstream) != was_limited
 
     def _service(self, name: str) -> routes.Service | None:
         configuration = self._view.configuration
--- a/src/sardinehill/platform/http_messages.py
+++ b/src/sardinehill/platform/http_messages.py
@@ -199,11 +199,18 @@
     return ReportedLoad(numbers[0], numbers[1], max(1, numbers[2]), slowness)
 
 
+def names_rate_limit(answer: http1.Response) -> bool:
+    """Returns whether an answer names a limit, which may be malformed."""
+    return answer.header(names.RATE_LIMIT) is not None
+
+
 def parse_rate_limit(answer: http1.Response) -> float | None:
-    """Returns the requests a second that the upstream takes, or None.
+    """Returns the requests a second that the upstream takes.
+
+    They are for all daemons together, for as long as answers name them.
 
-    They are for all daemons together, for as long as answers name them. A value
-    that is no number of this kind is treated as missing.
+    Returns:
+      The limit, or None if the answer names none or a malformed one.
     """
     value = answer.header(names.RATE_LIMIT)
     if value is None:
