--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import itertools
 from typing import Any
 
@@ -23,6 +22,7 @@
 from sardinehill.front import followers
 from sardinehill.front import known_leader
 from sardinehill.front import leader_client
+from sardinehill.front import leader_tables
 from sardinehill.front import leader_tasks
 from sardinehill.front import leader_term
 from sardinehill.front import loan_messages
@@ -37,32 +37,6 @@
 from sardinehill.wire import message_kinds
 
 RETRY_INTERVAL_S = 0.1
-# Changes of the leader table within this time are sent together.
-TABLE_PUSH_DELAY_S = 0.004
-# A table takes this much longer to send for each follower, so that sending it
-# takes at most a fixed part of the leader's time.
-TABLE_PUSH_DELAY_PER_FOLLOWER_S = 0.0002
-# One in this many periodic tables includes the lendable tokens.
-LENDABLE_PUSH_INTERVAL_COUNT = 4
-# These go to this many followers. The next leader gets them from one of these
-# if it is none itself.
-LENDABLE_FOLLOWERS = 12
-# One in this many periodic tables, and each one after a change, includes the
-# limits that upstreams name.
-LIMITS_PUSH_INTERVAL_COUNT = 8
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _TableNews:
-    """What is equal in the tables that are sent to all daemons at one time.
-
-    Attributes:
-      documents_age_s: for how long the documents may have been outdated.
-      limits: the limits that upstreams name; empty if they are not included.
-    """
-
-    documents_age_s: float
-    limits: list[fleet_messages.LimitNews]
 
 
 class Leadership:
@@ -88,7 +62,6 @@
         limits: named_limits.NamedLimits,
     ):
         self._name = name
-        self._address = address
         self._store = store
         self._view = view
         self._watch = watch
@@ -123,14 +96,16 @@
         )
         self._term: leader_term.LeaderTerm | None = None
         self._tasks: leader_tasks.LeaderTasks | None = None
-        self._serial = 0
-        self._cached_spans_serial = -1
-        self._cached_spans: dict[str, list[fleet_messages.OwnerSpan]] | None = (
-            None
+        self._tables = leader_tables.LeaderTables(
+            name,
+            address,
+            view,
+            self._known_leader,
+            self._followers,
+            limits,
+            self.replication.change_revisions,
+            on_table,
         )
-        self._push_scheduled = False
-        self._includes_lendable = False
-        self._includes_limits = False
         self._stopping = False
         view.subscribe(self._on_view_changed)
 
@@ -164,7 +139,7 @@
                     link,
                     envelope,
                     message_kinds.MessageKind.LEADER_TABLE,
-                    self._encoded_summary(),
+                    self._tables.encoded_summary(),
                 )
             case message_kinds.MessageKind.STORE_STATE_QUERY:
                 query = fleet.decode_store_state_query(payload)
@@ -208,7 +183,7 @@
         if is_applied:
             self.replication.apply_table(table)
             self._on_table(table)
-            self._schedule_push()
+            self._tables.schedule_push()
 
     def _handle_report(
         self, link: peer_links.PeerLink, report: fleet_messages.DaemonReport
@@ -226,10 +201,7 @@
                 term.note_store_reached(report.daemon)
                 self._hand_over_if_store_lost(term)
         if needs_table or term is None:
-            self._followers.send_table(
-                report.daemon,
-                self._table_for(report.daemon, self._news(needs_table)),
-            )
+            self._tables.send(report.daemon, includes_limits=needs_table)
 
     def _hand_over_if_store_lost(self, term: leader_term.LeaderTerm) -> None:
         # This daemon reached the store when it took the lease, so an outage
@@ -310,7 +282,8 @@
         report.protocol_version = fleet_messages.PROTOCOL_VERSION
         report.needs_spans = self._known_leader.needs_spans
         report.store_reachable = self._view.store_answered_recently()
-        report.limits = self._limits.take_unreported(self._loop_time_s())
+        now_s = self._loop_time_s()
+        report.limits = self._limits.take_unreported(now_s)
         return report
 
     def _loop_time_s(self) -> float:
@@ -329,7 +302,7 @@
         )
         own_tasks = self._new_tasks(term)
         self._term, self._tasks = term, own_tasks
-        self._serial += 1
+        self._tables.begin_term(term, own_tasks)
         self.replication.became_leader()
         events.log(
             events.LEASE_TAKEN,
@@ -345,7 +318,7 @@
                     for coroutine in (
                         term.announce(self._send_summary),
                         term.check_lease(),
-                        self._watch.run_probe(self._schedule_push),
+                        self._watch.run_probe(self._tables.schedule_push),
                         self._push_periodically(own_tasks),
                         own_tasks.run(group),
                     )
@@ -356,6 +329,7 @@
                 own_tasks.cancel()
         finally:
             self._term = self._tasks = None
+            self._tables.end_term()
             self.replication.leader_lost()
             events.log(
                 events.LEASE_LOST, service="all", term=self._known_leader.term
@@ -375,7 +349,7 @@
             self._view,
             term.may_send_orders,
             term.is_exclusive,
-            self._on_spans_changed,
+            self._tables.note_changed_spans,
             term.ended.set,
             self._clock_s,
             self._quota,
@@ -390,14 +364,7 @@
         self, own_tasks: leader_tasks.LeaderTasks
     ) -> None:
         for push_index in itertools.count():
-            self._includes_lendable = (
-                push_index % LENDABLE_PUSH_INTERVAL_COUNT == 0
-            )
-            self._includes_limits |= (
-                push_index % LIMITS_PUSH_INTERVAL_COUNT == 0
-            )
-            self._push()
-            self._includes_lendable = False
+            self._tables.push_periodic(push_index)
             own_tasks.apply_report(self._make_report())
             self._note_changed_limits(own_tasks)
             await asyncio.sleep(leader_client.REPORT_INTERVAL_S)
@@ -407,8 +374,7 @@
         self._limits.forget(self._view.upstreams, self._loop_time_s())
         if self._limits.has_changed:
             self._limits.has_changed = False
-            self._includes_limits = True
-            self._schedule_push()
+            self._tables.note_changed_limits()
             own_tasks.replan()
 
     def resign(self) -> None:
@@ -420,7 +386,7 @@
             events.LEASE_RESIGNED, service="all", term=self._known_leader.term
         )
         term.resigned = True
-        self._push()
+        self._tables.push()
         term.ended.set()
 
     def stop(self) -> None:
@@ -428,101 +394,14 @@
         self._stopping = True
         self.resign()
 
-    # the leader table
-
     def _on_view_changed(self) -> None:
         if self._tasks is not None:
             self._tasks.replan()
 
-    def _on_spans_changed(self) -> None:
-        self._serial += 1
-        self._schedule_push()
-
-    def _schedule_push(self) -> None:
-        if not self._push_scheduled:
-            self._push_scheduled = True
-            asyncio.get_running_loop().call_later(
-                TABLE_PUSH_DELAY_S
-                + TABLE_PUSH_DELAY_PER_FOLLOWER_S * len(self._followers),
-                self._push,
-            )
-
-    def _push(self) -> None:
-        self._push_scheduled = False
-        # One for all daemons, as equal tables are encoded once.
-        news = self._news(self._includes_limits)
-        self._includes_limits = False
-        if self._term is not None:
-            table = self._table_for(self._name, news)
-            self._known_leader.set_own_table(table)
-            self._on_table(table)
-        self._followers.broadcast_tables(
-            lambda name: self._table_for(name, news)
-        )
-
-    def _news(self, includes_limits: bool) -> _TableNews:
-        now_s = self._loop_time_s()
-        limits = self._limits.all_news(now_s) if includes_limits else []
-        return _TableNews(self._view.documents_age_s(), limits)
-
-    def _table_for(
-        self, name: str, news: _TableNews
-    ) -> fleet_messages.LeaderTable:
-        """Returns the complete table to send to the daemon `name`."""
-        table = self._summary()
-        table.limits = news.limits
-        if self._term is None or self._tasks is None:
-            known = self._known_leader.table
-            if known is not None and not self._known_leader.needs_spans:
-                table.spans = known.spans
-            return table
-        table.documents_age_s = news.documents_age_s
-        if self._term.resigned:
-            table.successor = self._term.successor()
-        table.spans = self._spans(self._tasks)
-        table.shares = self._tasks.quota_shares(name, table.daemons)
-        if self._term.resigned or (
-            self._includes_lendable
-            and name in self._followers.first(LENDABLE_FOLLOWERS)
-        ):
-            table.lendable = self._tasks.lendable()
-        return table
-
-    def _spans(
-        self, own_tasks: leader_tasks.LeaderTasks
-    ) -> dict[str, list[fleet_messages.OwnerSpan]] | None:
-        """Returns the owners by service, rebuilt only after a change."""
-        if self._cached_spans_serial != self._serial:
-            self._cached_spans_serial, self._cached_spans = (
-                self._serial,
-                own_tasks.table_spans(),
-            )
-        return self._cached_spans
-
-    def _summary(self) -> fleet_messages.LeaderTable:
-        """Returns what this daemon knows of the leader, without spans."""
-        if self._term is None:
-            return self._known_leader.summary()
-        return fleet_messages.LeaderTable(
-            self._known_leader.term,
-            self._name,
-            self._address,
-            self._serial,
-            self._term.daemon_count(),
-            self._view.store_reachable,
-            resigned=self._term.resigned,
-            store_revisions=self.replication.change_revisions(),
-        )
-
-    def _encoded_summary(self) -> bytes:
-        table = self._summary()
-        if self._term is not None:
-            table.documents_age_s = self._view.documents_age_s()
-        return fleet.encode_table(table)
-
     def _send_summary(self, link: peer_links.PeerLink) -> None:
         link.send(
-            message_kinds.MessageKind.LEADER_TABLE, self._encoded_summary()
+            message_kinds.MessageKind.LEADER_TABLE,
+            self._tables.encoded_summary(),
         )
 
     def status(self) -> dict[str, Any]:
