Forget old limits of upstreams on followers as well

Only the leader dropped limits that had ended and those of upstreams that had left; a daemon that never led kept one for each upstream that ever named one. Each report to the leader drops them now.

--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -284,6 +284,7 @@
         report.store_reachable = self._view.store_answered_recently()
         now_s = self._loop_time_s()
         report.limits = self._limits.take_unreported(now_s)
+        self._limits.forget(self._view.upstreams, now_s)
         return report
 
     def _loop_time_s(self) -> float:
@@ -371,7 +372,6 @@
 
     def _note_changed_limits(self, own_tasks: leader_tasks.LeaderTasks) -> None:
         """Tells all daemons of limits that have changed, and plans for them."""
-        self._limits.forget(self._view.upstreams, self._loop_time_s())
         if self._limits.has_changed:
             self._limits.has_changed = False
             self._tables.note_changed_limits()
