--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -40,9 +40,6 @@
 # Traffic between availability zones is billed, so an upstream of another zone
 # is chosen only if it is faster by this factor.
 CROSS_ZONE_COST_FACTOR = 1.3
-# An upstream that names a limit is in need, and each send to it must be lent
-# first, so another one is chosen unless it is slower by this factor.
-LIMITED_COST_FACTOR = 2.5
 
 
 class Relay:
@@ -360,12 +357,7 @@
         return requests.Target(upstream, state, pool, 0)
 
     def _cost_factor(self, upstream: routes.Upstream) -> float:
-        factor = 1.0
-        if upstream.zone != self._zone:
-            factor *= CROSS_ZONE_COST_FACTOR
-        if self._directory.is_limited(upstream):
-            factor *= LIMITED_COST_FACTOR
-        return factor
+        return 1.0 if upstream.zone == self._zone else CROSS_ZONE_COST_FACTOR
 
     def _has_capacity(
         self,
