Log when the store was restored and which of its news are dropped

After a restore of the store the logs did not tell whether lists and changes were dropped as outdated or missed by a watch. The store's answers name its era; a new one is logged, and so is each list or change that is older than what is known.

--- a/src/sardinehill/events.py
+++ b/src/sardinehill/events.py
@@ -76,6 +76,8 @@
 STORE_HISTORY_GONE = Event(412, "store-history-gone", logging.INFO)
 NEWS_FROM_PEER = Event(413, "news-from-peer", logging.INFO)
 NEWS_MALFORMED = Event(414, "news-malformed", logging.WARNING)
+STORE_RESTORED = Event(415, "store-restored", logging.WARNING)
+NEWS_OUTDATED = Event(416, "news-outdated", logging.INFO)
 
 UPSTREAM_FOUND = Event(501, "upstream-found", logging.INFO)
 UPSTREAM_GONE = Event(502, "upstream-gone", logging.INFO)
--- a/src/sardinehill/front/store_replication.py
+++ b/src/sardinehill/front/store_replication.py
@@ -130,7 +130,16 @@
         watched = self._watched_kind(change.kind)
         # A change at the same revision may remove entries that lapsed during an
         # outage and did not return.
-        if watched is None or change.revision < watched.revision:
+        if watched is None:
+            return
+        if change.revision < watched.revision:
+            events.log(
+                events.NEWS_OUTDATED,
+                kind=change.kind,
+                source="peer",
+                revision=change.revision,
+                known_revision=watched.revision,
+            )
             return
         if watched.revision == 0 or change.since_revision > watched.revision:
             self._resync_needed.set()
--- a/src/sardinehill/front/store_view.py
+++ b/src/sardinehill/front/store_view.py
@@ -250,6 +250,13 @@
         self.note_answered(watched)
         if revision < watched.revision:
             # Lists are linearizable, so an older one was delayed in transit.
+            events.log(
+                events.NEWS_OUTDATED,
+                kind=watched.kind,
+                source="list",
+                revision=revision,
+                known_revision=watched.revision,
+            )
             return
         listed = {item.name: item.document for item in objects}
         for name in watched.documents.keys() - listed.keys():
--- a/src/sardinehill/platform/names.py
+++ b/src/sardinehill/platform/names.py
@@ -20,6 +20,8 @@
 HANDOVER = b"x-handover"
 ANSWERING_UPSTREAM_ID = b"x-instance-id"
 RETRY_AFTER = b"retry-after"
+# In all answers of the store; rises by one each time it is restored.
+STORE_ERA = b"store-era"
 
 # Kinds and names of the platform's objects.
 CONFIG_KIND = "config"
--- a/src/sardinehill/platform/store.py
+++ b/src/sardinehill/platform/store.py
@@ -9,7 +9,9 @@
 import urllib.parse
 
 from sardinehill import errors
+from sardinehill import events
 from sardinehill import http1
+from sardinehill.platform import names
 
 CONNECT_TIMEOUT_S = 0.5
 # A slow store takes some hundred milliseconds to answer.
@@ -20,6 +22,8 @@
 # Added to a watch's waiting time, because the answer may arrive a little later.
 WATCH_TIMEOUT_MARGIN_S = 2.0
 MAX_IDLE_CONNECTIONS = 4
+# Eras with more digits are malformed.
+MAX_ERA_DIGITS = 5
 IDLE_TIMEOUT_S = 5.0
 _MS_PER_S = 1000
 
@@ -74,6 +78,8 @@
       failing_since_s: the time of the first failed call since the last
         answered one, by the loop's clock, or None. Calls of watches do not
         count.
+      era: how often the store was restored from an earlier copy, as its
+        answers said last. 0 if it does not say so.
     """
 
     def __init__(self, address: str):
@@ -81,6 +87,7 @@
         self._idle: list[http1.Connection] = []
         self.call_counts: dict[str, int] = {}
         self.failing_since_s: float | None = None
+        self.era = 0
 
     async def list_objects(
         self, kind: str, may_be_stale: bool = False
@@ -283,6 +290,7 @@
             raise errors.StoreUnavailableError(
                 f"{method} {'/'.join(path)}: {error!r}"
             ) from error
+        self._note_era(response)
         if response.status in (429, 503):
             connection.close()
             raise StoreBusyError(
@@ -299,6 +307,18 @@
             )
         return response.status, reply
 
+    def _note_era(self, response: http1.Response) -> None:
+        """Takes the era from an answer; a malformed one counts as missing."""
+        value = response.header(names.STORE_ERA)
+        if value is None or not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+            return
+        era = int(value)
+        if era <= self.era:
+            return
+        if self.era:
+            events.log(events.STORE_RESTORED, era=era, previous_era=self.era)
+        self.era = era
+
     def _encode(
         self,
         method: str,
