--- a/standins/users_platform_store.py
+++ b/standins/users_platform_store.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import copy
 import dataclasses
 from typing import Any
 
@@ -31,11 +32,25 @@
     history_from: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreCopy:
+    """A copy of the store's objects at one moment.
+
+    Attributes:
+      revision: the store's revision.
+      objects: the documents by kind and name.
+    """
+
+    revision: int
+    objects: dict[tuple[str, str], Json]
+
+
 class UsersPlatformStore:
     """Holds the objects of one store and serves the calls on them."""
 
     def __init__(self) -> None:
         self.revision = 10
+        self.era = 1
         self.faults = UsersPlatformFaults()
         self._objects: dict[tuple[str, str], Json] = {}
         self._events: list[tuple[int, str, Json, bool]] = []
@@ -62,6 +77,21 @@
         document = self._objects.get((kind, name))
         return None if document is None else document.get("spec")
 
+    def take_copy(self) -> StoreCopy:
+        """Returns a copy that `restore` can go back to."""
+        return StoreCopy(self.revision, copy.deepcopy(self._objects))
+
+    async def restore(self, earlier: StoreCopy) -> None:
+        """Goes back to an earlier copy and begins the next era."""
+        self.revision = earlier.revision
+        self._objects = copy.deepcopy(earlier.objects)
+        self._events = [
+            event for event in self._events if event[0] <= earlier.revision
+        ]
+        self.era += 1
+        async with self._changed:
+            self._changed.notify_all()
+
     async def _write(self, kind: str, name: str, document: Json) -> Json:
         self.revision += 1
         previous = self._objects.get((kind, name))
@@ -111,6 +141,7 @@
         async with self._changed:
             await self._changed.wait_for(lambda: not self.faults.silent)
         response: web.StreamResponse = await handler(request)
+        response.headers["Store-Era"] = str(self.era)
         if request.method != "GET" and self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             assert request.transport is not None
@@ -135,7 +166,7 @@
 
     async def _watch(self, request: web.Request, kind: str) -> web.Response:
         since = int(request.query["watch"])
-        if since < self.faults.history_from:
+        if since < self.faults.history_from or since > self.revision:
             return web.json_response({"error": "gone"}, status=410)
         wait_s = int(request.query.get("waitMs", "0")) / _MS_PER_S
 
@@ -149,12 +180,18 @@
         try:
             async with asyncio.timeout(wait_s), self._changed:
                 await self._changed.wait_for(
-                    lambda: bool(events()) or self.faults.busy
+                    lambda: (
+                        bool(events())
+                        or self.faults.busy
+                        or self.revision < since
+                    )
                 )
         except TimeoutError:
             pass
         if self.faults.busy:
             return web.Response(status=503)
+        if self.revision < since:
+            return web.json_response({"error": "gone"}, status=410)
         return web.json_response(
             {"events": events(), "currentRev": self.revision}
         )
--- a/standins/users_platform_upstream.py
+++ b/standins/users_platform_upstream.py
@@ -23,6 +23,25 @@
     headers: Mapping[str, str]
 
 
+@dataclasses.dataclass
+class KeyHolding:
+    """A time for which an upstream held keys under one epoch.
+
+    Attributes:
+      first: the lowest key.
+      last: the highest key.
+      epoch: the epoch of the grants.
+      since_s: when the first of these grants arrived.
+      until_s: when the last one lapsed, or when it was released.
+    """
+
+    first: int
+    last: int
+    epoch: int
+    since_s: float
+    until_s: float
+
+
 class UsersPlatformUpstream:
     """Represents one incarnation of an upstream.
 
@@ -51,6 +70,15 @@
         self.named_limit: float | None = None
         self._held_until_s: dict[int, float] = {}
         self._epochs: dict[int, int] = {}
+        self._holdings: list[KeyHolding] = []
+
+    def holdings_of(self, key: int) -> list[KeyHolding]:
+        """Returns the times for which it held a key, the earliest first."""
+        return [
+            holding
+            for holding in self._holdings
+            if holding.first <= key <= holding.last
+        ]
 
     def holds(self, key: int) -> bool:
         """Returns whether an unexpired grant covers a key."""
@@ -78,12 +106,38 @@
             self._epochs[key] = epoch
             self._held_until_s[key] = arrived_s + body["holdS"]
         self.granted.append((body["from"], body["to"], epoch, arrived_s))
+        self._note_held(
+            body["from"],
+            body["to"],
+            epoch,
+            arrived_s,
+            arrived_s + body["holdS"],
+        )
         return web.json_response({})
 
+    def _note_held(
+        self, first: int, last: int, epoch: int, now_s: float, until_s: float
+    ) -> None:
+        for holding in self._holdings:
+            if (
+                (holding.first, holding.last) == (first, last)
+                and holding.epoch == epoch
+                and holding.until_s >= now_s
+            ):
+                holding.until_s = until_s
+                return
+        self._holdings.append(KeyHolding(first, last, epoch, now_s, until_s))
+
     async def _release(self, request: web.Request) -> web.Response:
         body = await request.json()
-        for key in range(body["from"], body["to"] + 1):
+        first, last = body["from"], body["to"]
+        for key in range(first, last + 1):
             self._held_until_s.pop(key, None)
+        now_s = time.monotonic()
+        for holding in self._holdings:
+            is_within = first <= holding.first and holding.last <= last
+            if is_within and holding.until_s > now_s:
+                holding.until_s = now_s
         return web.json_response({}, headers={"X-Handover": "left"})
 
     async def _health(self, request: web.Request) -> web.Response:
