Order what the store holds by its era and revision

After a restore of the store callers got answers by an older config, were refused on routes that had been added, and requests reached upstreams that had said they leave; the store was listed a hundred times a second. Cause: lists, changes and leader tables were compared by revision alone, and a restored store's revisions go back. So all that it said was dropped as outdated until its revisions had caught up, on some daemons sooner than on others.

Versions are now pairs of era and revision, also between daemons. A change applies only to documents of the era that it builds on, and a leader of an earlier era is not relied on. Peers of an earlier release send no era, which counts as the lowest: beside them a daemon watches the store itself.

--- a/src/sardinehill/core/fleet_messages.py
+++ b/src/sardinehill/core/fleet_messages.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from sardinehill.core import store_versions
+
 # What a daemon understands beyond the first version: from version 1 on, changes
 # of spans and compressed documents.
 PROTOCOL_VERSION = 1
@@ -170,7 +172,7 @@
       resigned: whether the leader has resigned.
       successor: the daemon that is to lead after a resigned leader; empty if it
         named none.
-      store_revisions: the store's revisions at the last changes of config,
+      document_versions: the store's versions at the last changes of config,
         upstreams and excluded zones, in this order, as the leader knows them.
       limits: the limits that upstreams name; those that are not listed have not
         changed.
@@ -190,7 +192,9 @@
     documents_age_s: float = 0.0
     resigned: bool = False
     successor: str = ""
-    store_revisions: list[int] = dataclasses.field(default_factory=list)
+    document_versions: list[store_versions.StoreVersion] = dataclasses.field(
+        default_factory=list
+    )
     limits: list[LimitNews] = dataclasses.field(default_factory=list)
 
 
@@ -200,33 +204,33 @@
 
     Attributes:
       kind: the kind.
-      since_revision: the store's revision at the previous change of the kind.
-      revision: the store's revision when the change was read.
+      since_version: the store's version at the previous change of the kind.
+      version: the store's version when the change was read.
       documents: a JSON object of the new and changed documents by name.
       gone: the names of the removed documents.
     """
 
     kind: str
-    since_revision: int
-    revision: int
+    since_version: store_versions.StoreVersion
+    version: store_versions.StoreVersion
     documents: bytes
     gone: list[str]
 
 
 @dataclasses.dataclass(slots=True)
 class StoreStateQuery:
-    """A request to a peer for all documents newer than the given revisions.
+    """A request to a peer for all documents newer than the given versions.
 
     Attributes:
-      config_revision: the revision of the config that the sender has.
-      upstreams_revision: the revision of its upstreams.
-      zones_revision: the revision of its excluded zones.
+      config_version: the store's version of the config that the sender has.
+      upstreams_version: the store's version of its upstreams.
+      zones_version: the store's version of its excluded zones.
       protocol_version: the sender's `PROTOCOL_VERSION`.
     """
 
-    config_revision: int
-    upstreams_revision: int
-    zones_revision: int
+    config_version: store_versions.StoreVersion
+    upstreams_version: store_versions.StoreVersion
+    zones_version: store_versions.StoreVersion
     protocol_version: int = PROTOCOL_VERSION
 
 
@@ -235,20 +239,20 @@
     """A peer's answer to a `StoreStateQuery`.
 
     Attributes:
-      config_revision: the store's revision of `config`.
+      config_version: the store's version of `config`.
       config: the config documents as JSON; empty if they are not newer.
-      upstreams_revision: the store's revision of `upstreams`.
+      upstreams_version: the store's version of `upstreams`.
       upstreams: the upstreams' documents as JSON; empty if they are not newer.
-      zones_revision: the store's revision of `zones`.
+      zones_version: the store's version of `zones`.
       zones: the zones' documents as JSON; empty if they are not newer.
       age_s: the time since the peer last reached the store.
     """
 
-    config_revision: int = 0
+    config_version: store_versions.StoreVersion = store_versions.NEVER_READ
     config: bytes = b""
-    upstreams_revision: int = 0
+    upstreams_version: store_versions.StoreVersion = store_versions.NEVER_READ
     upstreams: bytes = b""
-    zones_revision: int = 0
+    zones_version: store_versions.StoreVersion = store_versions.NEVER_READ
     zones: bytes = b""
     age_s: float = 0.0
 
--- a/src/sardinehill/front/leader_client.py
+++ b/src/sardinehill/front/leader_client.py
@@ -186,7 +186,7 @@
         The daemon that is followed is asked first, then random peers in turn.
 
         Args:
-          query: the revisions that this daemon has.
+          query: the versions that this daemon has.
 
         Returns:
           The first answer with newer documents, or None.
--- a/src/sardinehill/front/leader_tables.py
+++ b/src/sardinehill/front/leader_tables.py
@@ -6,6 +6,7 @@
 
 from sardinehill.core import fleet_messages
 from sardinehill.core import named_limits
+from sardinehill.core import store_versions
 from sardinehill.front import followers as followers_module
 from sardinehill.front import known_leader
 from sardinehill.front import leader_tasks
@@ -70,7 +71,7 @@
         leader: known_leader.KnownLeader,
         followers: followers_module.Followers,
         limits: named_limits.NamedLimits,
-        store_revisions: Callable[[], list[int]],
+        document_versions: Callable[[], list[store_versions.StoreVersion]],
         on_table: Callable[[fleet_messages.LeaderTable], None],
     ):
         self._name = name
@@ -79,7 +80,7 @@
         self._known_leader = leader
         self._followers = followers
         self._limits = limits
-        self._store_revisions = store_revisions
+        self._document_versions = document_versions
         self._on_table = on_table
         self._leading: _Leading | None = None
         self._serial = 0
@@ -218,5 +219,5 @@
             term.daemon_count(),
             self._view.store_reachable,
             resigned=term.resigned,
-            store_revisions=self._store_revisions(),
+            document_versions=self._document_versions(),
         )
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -103,7 +103,7 @@
             self._known_leader,
             self._followers,
             limits,
-            self.replication.change_revisions,
+            self.replication.change_versions,
             on_table,
         )
         self._stopping = False
--- a/src/sardinehill/front/store_replication.py
+++ b/src/sardinehill/front/store_replication.py
@@ -13,6 +13,7 @@
 
 from sardinehill import events
 from sardinehill.core import fleet_messages
+from sardinehill.core import store_versions
 from sardinehill.front import store_view
 from sardinehill.front import store_watch
 
@@ -50,16 +51,16 @@
 
     # sending
 
-    def change_revisions(self) -> list[int]:
-        """Returns the store's revision at the last change of each kind."""
-        return [watched.changed_revision for watched in self._view.kinds]
+    def change_versions(self) -> list[store_versions.StoreVersion]:
+        """Returns the store's version at the last change of each kind."""
+        return [watched.changed_version for watched in self._view.kinds]
 
     def _forward_change(self, change: store_view.DocumentsChange) -> None:
         self._send_to_followers(
             fleet_messages.StoreChange(
                 change.kind,
-                change.since_revision,
-                change.revision,
+                change.since_version,
+                change.version,
                 json.dumps(change.documents).encode(),
                 change.removed,
             )
@@ -68,17 +69,17 @@
     def documents_for(
         self, query: fleet_messages.StoreStateQuery
     ) -> fleet_messages.StoreState:
-        """Returns the documents that are newer than a peer's revisions."""
+        """Returns the documents that are newer than a peer's versions."""
         config, upstreams, zones = self._view.kinds
         state = fleet_messages.StoreState(age_s=self._view.store_lost_for_s())
-        if config.revision > query.config_revision:
-            state.config_revision = config.revision
+        if config.version > query.config_version:
+            state.config_version = config.version
             state.config = _encode_documents(config)
-        if upstreams.revision > query.upstreams_revision:
-            state.upstreams_revision = upstreams.revision
+        if upstreams.version > query.upstreams_version:
+            state.upstreams_version = upstreams.version
             state.upstreams = _encode_documents(upstreams)
-        if zones.revision > query.zones_revision:
-            state.zones_revision = zones.revision
+        if zones.version > query.zones_version:
+            state.zones_version = zones.version
             state.zones = _encode_documents(zones)
         return state
 
@@ -95,21 +96,32 @@
         self._compare_with_leader(table)
 
     def _compare_with_leader(self, table: fleet_messages.LeaderTable) -> None:
-        own_revisions = [watched.revision for watched in self._view.kinds]
-        is_behind = len(table.store_revisions) != len(own_revisions) or any(
-            leader_revision > own_revision
-            for leader_revision, own_revision in zip(
-                table.store_revisions, own_revisions, strict=False
+        own_versions = [watched.version for watched in self._view.kinds]
+        is_behind = len(table.document_versions) != len(own_versions) or any(
+            leader_version > own_version
+            for leader_version, own_version in zip(
+                table.document_versions, own_versions, strict=False
             )
         )
         if is_behind:
             self._resync_needed.set()
-        is_reliable = table.store_reachable and table.age_s < LEADER_FRESH_S
+        leader_era = max(
+            (version.era for version in table.document_versions), default=0
+        )
+        # A leader that has not noticed that the store was restored sends no
+        # changes of its present era.
+        is_reliable = (
+            table.store_reachable
+            and table.age_s < LEADER_FRESH_S
+            and leader_era >= max(version.era for version in own_versions)
+        )
         if is_reliable and not is_behind:
             for watched in self._view.kinds:
                 self._view.note_current(watched, self._leader_current_s)
         self._watch.rely_on_peers(
-            is_reliable and not is_behind and all(own_revisions)
+            is_reliable
+            and not is_behind
+            and store_versions.NEVER_READ not in own_versions
         )
 
     def leader_lost(self) -> None:
@@ -128,20 +140,24 @@
     def apply_change(self, change: fleet_messages.StoreChange) -> None:
         """Applies a change from a peer, or requests a resync after a gap."""
         watched = self._watched_kind(change.kind)
-        # A change at the same revision may remove entries that lapsed during an
+        # A change at the same version may remove entries that lapsed during an
         # outage and did not return.
         if watched is None:
             return
-        if change.revision < watched.revision:
+        if change.version < watched.version:
             events.log(
                 events.NEWS_OUTDATED,
                 kind=change.kind,
                 source="peer",
-                revision=change.revision,
-                known_revision=watched.revision,
+                version=str(change.version),
+                known_version=str(watched.version),
             )
             return
-        if watched.revision == 0 or change.since_revision > watched.revision:
+        if (
+            watched.version == store_versions.NEVER_READ
+            or change.since_version > watched.version
+            or change.since_version.era != watched.version.era
+        ):
             self._resync_needed.set()
             return
         changed = _decode_documents(change.kind, change.documents)
@@ -153,7 +169,7 @@
             if name not in change.gone
         }
         documents.update(changed)
-        self._view.replace_documents(watched, documents, change.revision)
+        self._view.replace_documents(watched, documents, change.version)
 
     def _watched_kind(self, kind: str) -> store_view.WatchedKind | None:
         for watched in self._view.kinds:
@@ -184,27 +200,29 @@
     def _query(self) -> fleet_messages.StoreStateQuery:
         config, upstreams, zones = self._view.kinds
         return fleet_messages.StoreStateQuery(
-            config.revision, upstreams.revision, zones.revision
+            config.version, upstreams.version, zones.version
         )
 
     def _apply_documents(self, state: fleet_messages.StoreState) -> None:
         received = (
-            (state.config_revision, state.config),
-            (state.upstreams_revision, state.upstreams),
-            (state.zones_revision, state.zones),
+            (state.config_version, state.config),
+            (state.upstreams_version, state.upstreams),
+            (state.zones_version, state.zones),
         )
-        for watched, (revision, data) in zip(
+        for watched, (version, data) in zip(
             self._view.kinds, received, strict=True
         ):
-            if not data or revision <= watched.revision:
+            if not data or version <= watched.version:
                 continue
             documents = _decode_documents(watched.kind, data)
             if documents is None:
                 continue
             events.log(
-                events.NEWS_FROM_PEER, kind=watched.kind, revision=revision
+                events.NEWS_FROM_PEER,
+                kind=watched.kind,
+                revision=version.revision,
             )
-            self._view.replace_documents(watched, documents, revision)
+            self._view.replace_documents(watched, documents, version)
 
 
 def _encode_documents(watched: store_view.WatchedKind) -> bytes:
--- a/src/sardinehill/front/store_view.py
+++ b/src/sardinehill/front/store_view.py
@@ -1,8 +1,8 @@
 """Holds a daemon's view of the stored configuration, upstreams and zones.
 
 Documents come from the store (`store_watch`) or from peers
-(`store_replication`). They are ordered by the store's revision, so that older
-documents never replace newer ones.
+(`store_replication`). They are ordered by the store's era and revision, so that
+older documents never replace newer ones.
 """
 
 from collections.abc import Callable
@@ -12,6 +12,7 @@
 
 from sardinehill import events
 from sardinehill.core import routes
+from sardinehill.core import store_versions
 from sardinehill.platform import documents
 from sardinehill.platform import names
 from sardinehill.platform import store as store_module
@@ -37,8 +38,8 @@
 
     Attributes:
       kind: the platform's kind.
-      revision: the store's revision at the last read.
-      changed_revision: the store's revision at the last change of documents.
+      version: the store's version at the last read.
+      changed_version: the store's version at the last change of documents.
       documents: the documents by name.
       lost_since_s: when the store stopped answering, or None.
       recovered_s: when the store last answered again after an outage.
@@ -52,8 +53,8 @@
     """
 
     kind: str
-    revision: int = 0
-    changed_revision: int = 0
+    version: store_versions.StoreVersion = store_versions.NEVER_READ
+    changed_version: store_versions.StoreVersion = store_versions.NEVER_READ
     documents: dict[str, Json] = dataclasses.field(default_factory=dict)
     lost_since_s: float | None = None
     recovered_s: float = -1e9
@@ -70,15 +71,15 @@
 
     Attributes:
       kind: the platform's kind.
-      since_revision: the store's revision at the previous change.
-      revision: the store's revision at this change.
+      since_version: the store's version at the previous change.
+      version: the store's version at this change.
       documents: the new and changed documents by name.
       removed: the names of removed documents.
     """
 
     kind: str
-    since_revision: int
-    revision: int
+    since_version: store_versions.StoreVersion
+    version: store_versions.StoreVersion
     documents: dict[str, Json]
     removed: list[str]
 
@@ -135,7 +136,8 @@
     def is_complete(self) -> bool:
         """Whether all three kinds have been read once."""
         return self.configuration is not None and all(
-            watched.revision > 0 for watched in self.kinds
+            watched.version != store_versions.NEVER_READ
+            for watched in self.kinds
         )
 
     @property
@@ -236,7 +238,7 @@
         self,
         watched: WatchedKind,
         objects: list[store_module.StoredObject],
-        revision: int,
+        version: store_versions.StoreVersion,
         asked_s: float,
     ) -> None:
         """Applies a list of all objects of a kind.
@@ -244,18 +246,18 @@
         Args:
           watched: the kind.
           objects: all its objects.
-          revision: the store's revision of the list.
+          version: the store's version of the list.
           asked_s: when the list was requested.
         """
         self.note_answered(watched)
-        if revision < watched.revision:
+        if version < watched.version:
             # Lists are linearizable, so an older one was delayed in transit.
             events.log(
                 events.NEWS_OUTDATED,
                 kind=watched.kind,
                 source="list",
-                revision=revision,
-                known_revision=watched.revision,
+                version=str(version),
+                known_version=str(watched.version),
             )
             return
         listed = {item.name: item.document for item in objects}
@@ -263,7 +265,7 @@
             self._keep_if_lapsed(watched, name, listed)
         for name in listed:
             watched.removal_due_s.pop(name, None)
-        self.replace_documents(watched, listed, revision)
+        self.replace_documents(watched, listed, version)
         self.note_current(watched, asked_s)
 
     def _keep_if_lapsed(
@@ -287,12 +289,12 @@
         self,
         watched: WatchedKind,
         changes: list[store_module.ObjectChange],
-        revision: int,
+        version: store_versions.StoreVersion,
     ) -> None:
         """Applies the changes that a watch returned."""
         self.note_answered(watched)
         watched.watch_sent_s = None
-        if revision <= watched.revision and not changes:
+        if version <= watched.version and not changes:
             self.note_current(watched, self._clock_s())
             return
         updated = dict(watched.documents)
@@ -307,9 +309,7 @@
             else:
                 updated[name] = change.object.document
                 watched.removal_due_s.pop(name, None)
-        self.replace_documents(
-            watched, updated, max(watched.revision, revision)
-        )
+        self.replace_documents(watched, updated, max(watched.version, version))
         self.note_current(watched, self._clock_s())
 
     def remove_expired(self) -> None:
@@ -325,36 +325,43 @@
         for name, _ in expired:
             del watched.removal_due_s[name]
             remaining.pop(name, None)
-        self.replace_documents(watched, remaining, watched.revision)
+        self.replace_documents(watched, remaining, watched.version)
 
     def replace_documents(
-        self, watched: WatchedKind, documents: dict[str, Json], revision: int
+        self,
+        watched: WatchedKind,
+        documents: dict[str, Json],
+        version: store_versions.StoreVersion,
     ) -> None:
         """Replaces a kind's documents and notifies subscribers of changes.
 
         Args:
           watched: the kind.
           documents: all its documents by name.
-          revision: the store's revision of these documents.
+          version: the store's version of these documents.
         """
         before = watched.documents
-        is_first_read = watched.revision == 0
+        # Peers compare eras, so they are told of the first read in each.
+        is_first_in_era = (
+            watched.version == store_versions.NEVER_READ
+            or version.era > watched.version.era
+        )
         watched.documents = documents
-        watched.revision = revision
+        watched.version = version
         changed = {
             name: document
             for name, document in documents.items()
             if before.get(name) != document
         }
         removed = [name for name in before if name not in documents]
-        if not (changed or removed or is_first_read):
+        if not (changed or removed or is_first_in_era):
             return
-        since_revision = watched.changed_revision
-        watched.changed_revision = revision
+        since_version = watched.changed_version
+        watched.changed_version = version
         watched.changed_after_s = watched.current_s
         self._decode(watched)
         change = DocumentsChange(
-            watched.kind, since_revision, revision, changed, removed
+            watched.kind, since_version, version, changed, removed
         )
         for callback in self._change_subscribers:
             callback(change)
@@ -385,7 +392,7 @@
         events.log(
             events.CONFIGURATION_ACCEPTED,
             version=configuration.version,
-            revision=self._config.revision,
+            revision=self._config.version.revision,
         )
 
     def _decode_upstreams(self) -> None:
@@ -439,14 +446,14 @@
                 upstream=name,
                 service=upstream.service,
                 zone=upstream.zone,
-                revision=self._upstreams.revision,
+                revision=self._upstreams.version.revision,
             )
         for name in self.upstreams.keys() - upstreams.keys():
             events.log(
                 events.UPSTREAM_GONE,
                 upstream=name,
                 max_age_s=self._change_age_s(),
-                revision=self._upstreams.revision,
+                revision=self._upstreams.version.revision,
             )
         for name, upstream in upstreams.items():
             before = self.upstreams.get(name)
@@ -460,7 +467,7 @@
                     draining=upstream.is_draining,
                     born_ms=upstream.started_at_ms,
                     max_age_s=self._change_age_s(),
-                    revision=self._upstreams.revision,
+                    revision=self._upstreams.version.revision,
                 )
 
     def _change_age_s(self) -> float | None:
--- a/src/sardinehill/front/store_watch.py
+++ b/src/sardinehill/front/store_watch.py
@@ -6,6 +6,7 @@
 
 from sardinehill import errors
 from sardinehill import events
+from sardinehill.core import store_versions
 from sardinehill.front import store_view
 from sardinehill.platform import names
 from sardinehill.platform import store as store_module
@@ -134,7 +135,10 @@
         for watched in self._view.kinds:
             # The first kind is always listed: a list is answered at once, while
             # a watch may be answered only after its wait time.
-            needs_list = watched is self._view.kinds[0] or watched.revision == 0
+            needs_list = (
+                watched is self._view.kinds[0]
+                or watched.version == store_versions.NEVER_READ
+            )
             self._start_watch(watched, needs_list)
         try:
             while not self._relies_on_peers:
@@ -190,12 +194,12 @@
                     retry_s = MIN_RETRY_S
                     if is_first_kind:
                         self._may_try_others.set()
-                stream = self._store.watch(watched.kind, watched.revision)
+                stream = self._store.watch(watched.kind, watched.version)
                 watched.watch_sent_s = loop.time()
-                async for changes, revision in stream:
+                async for changes, version in stream:
                     if not self._is_probing:
                         self._view.note_watch_pending(watched, loop.time())
-                    self._view.apply_changes(watched, changes, revision)
+                    self._view.apply_changes(watched, changes, version)
                     retry_s = MIN_RETRY_S
                     await asyncio.sleep(COALESCE_PAUSES_S[watched.kind])
                     watched.watch_sent_s = loop.time()
--- a/src/sardinehill/platform/store.py
+++ b/src/sardinehill/platform/store.py
@@ -11,6 +11,7 @@
 from sardinehill import errors
 from sardinehill import events
 from sardinehill import http1
+from sardinehill.core import store_versions
 from sardinehill.platform import names
 
 CONNECT_TIMEOUT_S = 0.5
@@ -62,12 +63,30 @@
     deleted: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reply:
+    """The store's answer to a call.
+
+    Attributes:
+      status: the HTTP status.
+      body: the decoded body, or None without one.
+      era: the store's era.
+    """
+
+    status: int
+    body: Json
+    era: int
+
+
 class StoreBusyError(errors.StoreError):
     """Raised when a call was refused or not sent, and so had no effect."""
 
 
 class WatchHistoryExpiredError(errors.StoreError):
-    """Raised when a watch asks for changes that the store has discarded."""
+    """Raised when a watch asks for changes that the store no longer has.
+
+    It has discarded them, or was restored from an earlier copy.
+    """
 
 
 class StoreClient:
@@ -91,8 +110,8 @@
 
     async def list_objects(
         self, kind: str, may_be_stale: bool = False
-    ) -> tuple[list[StoredObject], int]:
-        """Returns all objects of a kind, and the revision to watch from.
+    ) -> tuple[list[StoredObject], store_versions.StoreVersion]:
+        """Returns all objects of a kind, and the version to watch from.
 
         Args:
           kind: the kind.
@@ -103,23 +122,28 @@
         """
         items: list[StoredObject] = []
         after = ""
-        first_revision: int | None = None
+        first_version: store_versions.StoreVersion | None = None
         while True:
             query = {"after": after} if after else {}
             if may_be_stale:
                 query["serializable"] = "1"
             call = "list-stale" if may_be_stale else "list"
-            _, reply = await self._call(call, "GET", (kind,), query)
-            page = reply.get("items") if isinstance(reply, dict) else None
-            revision = reply.get("currentRev") if page is not None else None
+            reply = await self._call(call, "GET", (kind,), query)
+            body = reply.body
+            page = body.get("items") if isinstance(body, dict) else None
+            revision = body.get("currentRev") if page is not None else None
             if not isinstance(page, list) or not isinstance(revision, int):
-                raise errors.StoreReplyError(f"list of {kind}: {reply!r:.200}")
-            if first_revision is None:
+                raise errors.StoreReplyError(f"list of {kind}: {body!r:.200}")
+            if first_version is None:
                 # A watch from here also yields changes between two pages.
-                first_revision = revision
+                first_version = store_versions.StoreVersion(reply.era, revision)
+            if reply.era != first_version.era:
+                # The pages before this one are of an earlier era.
+                items, after, first_version = [], "", None
+                continue
             items.extend(_decode_object(kind, item) for item in page)
-            if not reply.get("hasMore") or not items:
-                return items, first_revision
+            if not body.get("hasMore") or not items:
+                return items, first_version
             after = items[-1].name
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
@@ -128,8 +152,8 @@
         Raises:
           StoreError: the object could not be read.
         """
-        status, reply = await self._call("get", "GET", (kind, name), {})
-        return None if status == 404 else _decode_object(kind, reply)
+        reply = await self._call("get", "GET", (kind, name), {})
+        return None if reply.status == 404 else _decode_object(kind, reply.body)
 
     async def get_stale(
         self, kind: str, name: str, timeout_s: float = CALL_TIMEOUT_S
@@ -141,14 +165,14 @@
         Raises:
           StoreError: the object could not be read in time.
         """
-        status, reply = await self._call(
+        reply = await self._call(
             "get-stale",
             "GET",
             (kind, name),
             {"serializable": "1"},
             timeout_s=timeout_s,
         )
-        return None if status == 404 else _decode_object(kind, reply)
+        return None if reply.status == 404 else _decode_object(kind, reply.body)
 
     async def create(self, kind: str, name: str, spec: Json) -> StoredObject:
         """Creates an object.
@@ -160,8 +184,8 @@
           StoreError: the object was not created.
         """
         body = {"metadata": {"name": name}, "spec": spec}
-        status, reply = await self._call("create", "POST", (kind,), {}, body)
-        return _decode_written_object(kind, name, status, reply)
+        reply = await self._call("create", "POST", (kind,), {}, body)
+        return _decode_written_object(kind, name, reply)
 
     async def replace(
         self, kind: str, name: str, spec: Json, revision: int
@@ -175,10 +199,8 @@
           StoreError: the object was not replaced.
         """
         body = {"metadata": {"name": name, "revision": revision}, "spec": spec}
-        status, reply = await self._call(
-            "replace", "PUT", (kind, name), {}, body
-        )
-        return _decode_written_object(kind, name, status, reply)
+        reply = await self._call("replace", "PUT", (kind, name), {}, body)
+        return _decode_written_object(kind, name, reply)
 
     async def delete(self, kind: str, name: str, revision: int) -> None:
         """Deletes an object if it is still at `revision`.
@@ -186,39 +208,44 @@
         Raises:
           StoreError: the object may still exist.
         """
-        status, reply = await self._call(
+        reply = await self._call(
             "delete", "DELETE", (kind, name), {"revision": str(revision)}
         )
-        if status == 409:
-            raise errors.StoreConflictError(f"{kind}/{name}: {reply!r:.200}", 0)
+        if reply.status == 409:
+            raise errors.StoreConflictError(
+                f"{kind}/{name}: {reply.body!r:.200}", 0
+            )
 
     async def watch(
-        self, kind: str, revision: int
-    ) -> AsyncIterator[tuple[list[ObjectChange], int]]:
-        """Yields the changes of a kind as they occur, with the new revision.
+        self, kind: str, version: store_versions.StoreVersion
+    ) -> AsyncIterator[tuple[list[ObjectChange], store_versions.StoreVersion]]:
+        """Yields the changes of a kind as they occur, with the new version.
 
         An empty list of changes shows that the store has answered.
 
         Raises:
-          WatchHistoryExpiredError: the changes since `revision` are no longer
+          WatchHistoryExpiredError: the changes since `version` are no longer
             available, so the kind must be listed again.
           StoreError: the watch ended.
         """
         connection = await self._open_connection()
         try:
             while True:
-                changes, revision = await self._watch_once(
-                    connection, kind, revision
+                changes, version = await self._watch_once(
+                    connection, kind, version
                 )
-                yield changes, revision
+                yield changes, version
         finally:
             connection.close()
 
     async def _watch_once(
-        self, connection: http1.Connection, kind: str, revision: int
-    ) -> tuple[list[ObjectChange], int]:
-        query = {"watch": str(revision), "waitMs": str(WATCH_WAIT_MS)}
-        status, reply = await self._exchange(
+        self,
+        connection: http1.Connection,
+        kind: str,
+        version: store_versions.StoreVersion,
+    ) -> tuple[list[ObjectChange], store_versions.StoreVersion]:
+        query = {"watch": str(version.revision), "waitMs": str(WATCH_WAIT_MS)}
+        reply = await self._exchange(
             connection,
             "watch",
             "GET",
@@ -227,23 +254,22 @@
             None,
             WATCH_WAIT_MS / _MS_PER_S + WATCH_TIMEOUT_MARGIN_S,
         )
-        if status == 410:
-            raise WatchHistoryExpiredError(
-                f"{kind}: no history from {revision}"
-            )
-        events = reply.get("events") if isinstance(reply, dict) else None
-        newest = reply.get("currentRev") if events is not None else None
-        if not isinstance(events, list) or not isinstance(newest, int):
-            raise errors.StoreReplyError(f"watch of {kind}: {reply!r:.200}")
+        if reply.status == 410:
+            raise WatchHistoryExpiredError(f"{kind}: no history from {version}")
+        body = reply.body
+        found = body.get("events") if isinstance(body, dict) else None
+        newest = body.get("currentRev") if found is not None else None
+        if not isinstance(found, list) or not isinstance(newest, int):
+            raise errors.StoreReplyError(f"watch of {kind}: {body!r:.200}")
         changes = [
             ObjectChange(
                 _decode_object(kind, event.get("object")),
                 bool(event["deleted"]),
             )
-            for event in events
+            for event in found
             if isinstance(event, dict) and "deleted" in event
         ]
-        return changes, newest
+        return changes, store_versions.StoreVersion(reply.era, newest)
 
     async def _call(
         self,
@@ -253,10 +279,10 @@
         query: dict[str, str],
         body: Json = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> tuple[int, Json]:
+    ) -> _Reply:
         try:
             connection = await self._acquire_connection()
-            status, reply = await self._exchange(
+            reply = await self._exchange(
                 connection, call, method, path, query, body, timeout_s
             )
         except errors.StoreError:
@@ -268,7 +294,7 @@
             self._idle.append(connection)
         else:
             connection.close()
-        return status, reply
+        return reply
 
     async def _exchange(
         self,
@@ -279,7 +305,7 @@
         query: dict[str, str],
         body: Json,
         timeout_s: float,
-    ) -> tuple[int, Json]:
+    ) -> _Reply:
         data = self._encode(method, path, query, body)
         self.call_counts[call] = self.call_counts.get(call, 0) + 1
         try:
@@ -290,14 +316,14 @@
             raise errors.StoreUnavailableError(
                 f"{method} {'/'.join(path)}: {error!r}"
             ) from error
-        self._note_era(response)
+        era = self._note_era(response)
         if response.status in (429, 503):
             connection.close()
             raise StoreBusyError(
                 f"{method} {'/'.join(path)}: status {response.status}"
             )
         try:
-            reply = json.loads(response.body) if response.body else None
+            decoded = json.loads(response.body) if response.body else None
         except ValueError as error:
             connection.close()
             raise errors.StoreReplyError(f"{path}: {error}") from error
@@ -305,19 +331,24 @@
             raise errors.StoreReplyError(
                 f"{method} {'/'.join(path)}: status {response.status}"
             )
-        return response.status, reply
+        return _Reply(response.status, decoded, era)
+
+    def _note_era(self, response: http1.Response) -> int:
+        """Returns the era of an answer, which is the last one if it names none.
 
-    def _note_era(self, response: http1.Response) -> None:
-        """Takes the era from an answer; a malformed one counts as missing."""
+        A malformed era counts as missing.
+        """
         value = response.header(names.STORE_ERA)
         if value is None or not value.isdigit() or len(value) > MAX_ERA_DIGITS:
-            return
+            return self.era
         era = int(value)
-        if era <= self.era:
-            return
-        if self.era:
-            events.log(events.STORE_RESTORED, era=era, previous_era=self.era)
-        self.era = era
+        if era > self.era:
+            if self.era:
+                events.log(
+                    events.STORE_RESTORED, era=era, previous_era=self.era
+                )
+            self.era = era
+        return era
 
     def _encode(
         self,
@@ -376,14 +407,13 @@
     return StoredObject(kind, name, revision, document.get("spec"), document)
 
 
-def _decode_written_object(
-    kind: str, name: str, status: int, reply: Json
-) -> StoredObject:
-    if status in (404, 409):
-        metadata = reply.get("metadata") if isinstance(reply, dict) else None
+def _decode_written_object(kind: str, name: str, reply: _Reply) -> StoredObject:
+    if reply.status in (404, 409):
+        body = reply.body
+        metadata = body.get("metadata") if isinstance(body, dict) else None
         revision = metadata.get("revision") if isinstance(metadata, dict) else 0
         raise errors.StoreConflictError(
-            f"{kind}/{name}: status {status}",
+            f"{kind}/{name}: status {reply.status}",
             revision if isinstance(revision, int) else 0,
         )
-    return _decode_object(kind, reply)
+    return _decode_object(kind, reply.body)
--- a/src/sardinehill/wire/fleet.capnp
+++ b/src/sardinehill/wire/fleet.capnp
@@ -121,6 +121,8 @@
   # update, in milliseconds.
   documentsAgeMs @17 :UInt32;
   limits @18 :List(LimitNews);
+  # The store's eras of newsRevisions; missing if the sender does not know eras.
+  newsEras @19 :List(UInt64);
 }
 
 # Sent when the store has changed, by a peer to each daemon that follows it.
@@ -132,15 +134,21 @@
   documents @3 :Data;
   gone @4 :List(Text);
   isCompressed @5 :Bool;
+  sinceEra @6 :UInt64;
+  era @7 :UInt64;
 }
 
-# Asks a peer for the documents of the store that are newer than the revisions.
+# Asks a peer for the documents of the store that are newer than the revisions
+# in these eras.
 struct NewsQuery {
   configRevision @0 :UInt64;
   upstreamsRevision @1 :UInt64;
   zonesRevision @2 :UInt64;
   # As in Report.
   protocolVersion @3 :UInt8;
+  configEra @4 :UInt64;
+  upstreamsEra @5 :UInt64;
+  zonesEra @6 :UInt64;
 }
 
 # The documents as JSON; empty where they are not newer than in the query.
@@ -154,6 +162,9 @@
   ageMs @6 :UInt32;
   configIsCompressed @7 :Bool;
   upstreamsIsCompressed @8 :Bool;
+  configEra @9 :UInt64;
+  upstreamsEra @10 :UInt64;
+  zonesEra @11 :UInt64;
 }
 
 struct Wish {
--- a/src/sardinehill/wire/fleet.py
+++ b/src/sardinehill/wire/fleet.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import functools
+import itertools
 from typing import Any
 from typing import ParamSpec
 from typing import TypeVar
@@ -10,6 +11,7 @@
 
 from sardinehill import errors
 from sardinehill.core import fleet_messages
+from sardinehill.core import store_versions
 from sardinehill.wire import compression
 from sardinehill.wire import schemas
 
@@ -236,7 +238,8 @@
         documentsAgeMs=_clamped_uint32(table.documents_age_s * _THOUSAND),
         resigned=table.resigned,
         successor=table.successor,
-        newsRevisions=table.store_revisions,
+        newsRevisions=[version.revision for version in table.document_versions],
+        newsEras=[version.era for version in table.document_versions],
         limits=[_encoded_limit(news) for news in table.limits],
         lendable=[
             {"account": account, "tokens": _clamped_uint32(tokens * _THOUSAND)}
@@ -254,6 +257,16 @@
     return bytes(message.to_bytes())
 
 
+def _decode_versions(message: Any) -> list[store_versions.StoreVersion]:
+    """Returns the versions in a table; daemons that know no eras send none."""
+    revisions = list(message.newsRevisions)
+    eras = itertools.chain(message.newsEras, itertools.repeat(0))
+    return [
+        store_versions.StoreVersion(era, revision)
+        for era, revision in zip(eras, revisions, strict=False)
+    ]
+
+
 @_raises_peer_frame_error
 def decode_table(data: bytes) -> fleet_messages.LeaderTable:
     """Returns the leader table in a message.
@@ -298,7 +311,7 @@
         documents_age_s=message.documentsAgeMs / _THOUSAND,
         resigned=message.resigned,
         successor=message.successor,
-        store_revisions=list(message.newsRevisions),
+        document_versions=_decode_versions(message),
         limits=[_decoded_limit(item) for item in message.limits],
         lendable={
             item.account: item.tokens / _THOUSAND for item in message.lendable
@@ -320,8 +333,10 @@
     )
     message = _SCHEMA.NewsChange.new_message(
         kind=change.kind,
-        sinceRevision=change.since_revision,
-        revision=change.revision,
+        sinceEra=change.since_version.era,
+        sinceRevision=change.since_version.revision,
+        era=change.version.era,
+        revision=change.version.revision,
         documents=documents,
         gone=change.gone,
         isCompressed=is_compressed,
@@ -339,8 +354,8 @@
     message = schemas.read(_SCHEMA.NewsChange, data)
     return fleet_messages.StoreChange(
         message.kind,
-        message.sinceRevision,
-        message.revision,
+        store_versions.StoreVersion(message.sinceEra, message.sinceRevision),
+        store_versions.StoreVersion(message.era, message.revision),
         _decode_documents(message.documents, message.isCompressed),
         list(message.gone),
     )
@@ -349,9 +364,12 @@
 def encode_store_state_query(query: fleet_messages.StoreStateQuery) -> bytes:
     """Returns the message for a query of the store's state."""
     message = _SCHEMA.NewsQuery.new_message(
-        configRevision=query.config_revision,
-        upstreamsRevision=query.upstreams_revision,
-        zonesRevision=query.zones_revision,
+        configEra=query.config_version.era,
+        configRevision=query.config_version.revision,
+        upstreamsEra=query.upstreams_version.era,
+        upstreamsRevision=query.upstreams_version.revision,
+        zonesEra=query.zones_version.era,
+        zonesRevision=query.zones_version.revision,
         protocolVersion=query.protocol_version,
     )
     return bytes(message.to_bytes())
@@ -366,9 +384,11 @@
     """
     message = schemas.read(_SCHEMA.NewsQuery, data)
     return fleet_messages.StoreStateQuery(
-        message.configRevision,
-        message.upstreamsRevision,
-        message.zonesRevision,
+        store_versions.StoreVersion(message.configEra, message.configRevision),
+        store_versions.StoreVersion(
+            message.upstreamsEra, message.upstreamsRevision
+        ),
+        store_versions.StoreVersion(message.zonesEra, message.zonesRevision),
         message.protocolVersion,
     )
 
@@ -389,13 +409,16 @@
         state.upstreams, receiver_version
     )
     message = _SCHEMA.News.new_message(
-        configRevision=state.config_revision,
+        configEra=state.config_version.era,
+        configRevision=state.config_version.revision,
         config=config,
         configIsCompressed=config_is_compressed,
-        upstreamsRevision=state.upstreams_revision,
+        upstreamsEra=state.upstreams_version.era,
+        upstreamsRevision=state.upstreams_version.revision,
         upstreams=upstreams,
         upstreamsIsCompressed=upstreams_is_compressed,
-        zonesRevision=state.zones_revision,
+        zonesEra=state.zones_version.era,
+        zonesRevision=state.zones_version.revision,
         zones=state.zones,
         ageMs=_clamped_uint32(state.age_s * _THOUSAND),
     )
@@ -411,13 +434,19 @@
     """
     message = schemas.read(_SCHEMA.News, data)
     return fleet_messages.StoreState(
-        config_revision=message.configRevision,
+        config_version=store_versions.StoreVersion(
+            message.configEra, message.configRevision
+        ),
         config=_decode_documents(message.config, message.configIsCompressed),
-        upstreams_revision=message.upstreamsRevision,
+        upstreams_version=store_versions.StoreVersion(
+            message.upstreamsEra, message.upstreamsRevision
+        ),
         upstreams=_decode_documents(
             message.upstreams, message.upstreamsIsCompressed
         ),
-        zones_revision=message.zonesRevision,
+        zones_version=store_versions.StoreVersion(
+            message.zonesEra, message.zonesRevision
+        ),
         zones=bytes(message.zones),
         age_s=message.ageMs / _THOUSAND,
     )
--- a/tests/cover/test_leader_client.py
+++ b/tests/cover/test_leader_client.py
@@ -4,6 +4,7 @@
 
 from sardinehill import errors
 from sardinehill.core import fleet_messages
+from sardinehill.core import store_versions
 from sardinehill.front import known_leader
 from sardinehill.front import leader_client
 from sardinehill.front import peer_links
@@ -12,8 +13,13 @@
 from sardinehill.wire import fleet
 from sardinehill.wire import message_kinds
 
-QUERY_AT_REVISION_1 = fleet_messages.StoreStateQuery(1, 1, 1)
-NEWER_CONFIG = fleet_messages.StoreState(config_revision=5, config=b"{}")
+REVISION_1 = store_versions.StoreVersion(1, 1)
+QUERY_AT_REVISION_1 = fleet_messages.StoreStateQuery(
+    REVISION_1, REVISION_1, REVISION_1
+)
+NEWER_CONFIG = fleet_messages.StoreState(
+    config_version=store_versions.StoreVersion(1, 5), config=b"{}"
+)
 
 
 async def serve_peer(state):
--- a/tests/cover/test_owner_spans.py
+++ b/tests/cover/test_owner_spans.py
@@ -7,12 +7,16 @@
 from sardinehill import errors
 from sardinehill.core import fleet_messages
 from sardinehill.core import owner_spans
+from sardinehill.core import store_versions
 from sardinehill.front import followers
 from sardinehill.front import known_leader
 from sardinehill.wire import fleet
 
 TERM = 1
 
+BEFORE = store_versions.StoreVersion(1, 9)
+AFTER = store_versions.StoreVersion(2, 3)
+
 
 @strategies.composite
 def assignments(draw):
@@ -158,18 +162,22 @@
 @pytest.mark.parametrize("version", [0, 1])
 def test_documents_are_compressed_for_receivers_that_understand_it(version):
     documents = b'{"name": {"address": "10.1.2.3:80"}}' * 40
-    change = fleet_messages.StoreChange("servers", 1, 2, documents, ["gone"])
+    change = fleet_messages.StoreChange(
+        "servers", BEFORE, AFTER, documents, ["gone"]
+    )
     payload = fleet.encode_store_change(change, version)
     assert fleet.decode_store_change(payload) == change
     assert (len(payload) < len(documents) / 4) == (version == 1)
-    state = fleet_messages.StoreState(1, documents, 2, documents, 3, b"{}")
+    state = fleet_messages.StoreState(
+        BEFORE, documents, AFTER, documents, AFTER, b"{}"
+    )
     encoded_state = fleet.encode_store_state(state, version)
     assert fleet.decode_store_state(encoded_state) == state
 
 
 def test_malformed_compressed_documents_are_refused():
     documents = b"x" * 1000
-    change = fleet_messages.StoreChange("servers", 1, 2, documents, [])
+    change = fleet_messages.StoreChange("servers", BEFORE, AFTER, documents, [])
     payload = fleet.encode_store_change(change, 1)
     start = payload.index(b"\x78\x01")
     with pytest.raises(errors.PeerFrameError):
--- a/tests/cover/test_peer_frames.py
+++ b/tests/cover/test_peer_frames.py
@@ -8,6 +8,7 @@
 from sardinehill import errors
 from sardinehill.core import fleet_messages
 from sardinehill.core import owner_spans
+from sardinehill.core import store_versions
 from sardinehill.wire import fleet
 
 SPANS = {
@@ -31,7 +32,11 @@
     lendable={"a": 3.5},
     resigned=True,
     successor="next",
-    store_revisions=[5, 6, 7],
+    document_versions=[
+        store_versions.StoreVersion(2, 5),
+        store_versions.StoreVersion(2, 6),
+        store_versions.StoreVersion(1, 7),
+    ],
 )
 REPORT = fleet_messages.DaemonReport(
     "me",
@@ -45,7 +50,11 @@
     needs_spans=True,
 )
 CHANGE = fleet_messages.StoreChange(
-    "servers", 4, 5, b'{"i-1": {"address": "127.0.0.1:3"}}' * 20, ["i-9"]
+    "servers",
+    store_versions.StoreVersion(1, 9),
+    store_versions.StoreVersion(2, 5),
+    b'{"i-1": {"address": "127.0.0.1:3"}}' * 20,
+    ["i-9"],
 )
 MESSAGES = {
     "table": (fleet.encode_table(TABLE), fleet.decode_table),
@@ -53,7 +62,15 @@
     "change": (fleet.encode_store_change(CHANGE, 1), fleet.decode_store_change),
     "state": (
         fleet.encode_store_state(
-            fleet_messages.StoreState(1, b"{}" * 99, 2, b"[]" * 99, 3, b"{}"), 1
+            fleet_messages.StoreState(
+                store_versions.StoreVersion(2, 1),
+                b"{}" * 99,
+                store_versions.StoreVersion(1, 2),
+                b"[]" * 99,
+                store_versions.StoreVersion(2, 3),
+                b"{}",
+            ),
+            1,
         ),
         fleet.decode_store_state,
     ),
--- a/tests/cover/test_store_replication.py
+++ b/tests/cover/test_store_replication.py
@@ -7,6 +7,7 @@
 
 from sardinehill import errors
 from sardinehill.core import fleet_messages
+from sardinehill.core import store_versions
 from sardinehill.front import store_replication
 from sardinehill.front import store_view
 from sardinehill.front import store_watch
@@ -16,6 +17,10 @@
 KIND = names.UPSTREAMS_KIND
 
 
+def version(revision, era=1):
+    return store_versions.StoreVersion(era, revision)
+
+
 class FakeStore:
     """A store that lists the test's objects and never ends a watch.
 
@@ -25,6 +30,7 @@
     def __init__(self):
         self.failing_since_s = None
         self.objects = {}
+        self.era = 1
         self.revision = 7
         self.listed_kinds = []
         self.is_down = False
@@ -40,13 +46,13 @@
             store_module.StoredObject(kind, name, 1, None, document)
             for name, document in self.objects.get(kind, {}).items()
         ]
-        return found, self.revision
+        return found, store_versions.StoreVersion(self.era, self.revision)
 
-    async def watch(self, kind, revision):
+    async def watch(self, kind, version):
         if self.is_down:
             raise store_module.StoreBusyError("down")
         await asyncio.Event().wait()
-        yield [], revision
+        yield [], version
 
     async def get_stale(self, kind, name, timeout_s):
         if self.is_down or self.is_silent:
@@ -81,8 +87,8 @@
         self.replication.apply_change(
             fleet_messages.StoreChange(
                 KIND,
-                since_revision,
-                revision,
+                version(since_revision),
+                version(revision),
                 json.dumps(documents or {}).encode(),
                 list(gone),
             )
@@ -97,7 +103,7 @@
     async def body():
         daemon = Daemon()
         for watched in daemon.view.kinds:
-            daemon.view.replace_documents(watched, {}, 3)
+            daemon.view.replace_documents(watched, {}, version(3))
         daemon.sent_changes.clear()
         await scenario(daemon)
 
@@ -123,7 +129,7 @@
         1,
         2,
         store_reachable=reachable,
-        store_revisions=revisions,
+        document_versions=[version(revision) for revision in revisions],
     )
 
 
@@ -136,13 +142,13 @@
         assert daemon.upstreams.documents == {
             "u": upstream_document("127.0.0.1:2")
         }
-        assert daemon.upstreams.revision == 6
+        assert daemon.upstreams.version == version(6)
         assert [
-            (change.since_revision, change.revision)
+            (change.since_version, change.version)
             for change in daemon.sent_changes
         ] == [
-            (3, 5),
-            (5, 6),
+            (version(3), version(5)),
+            (version(5), version(6)),
         ]
 
     run(scenario)
@@ -169,7 +175,7 @@
 def test_missed_change_causes_a_full_resync():
     async def scenario(daemon):
         daemon.answer = fleet_messages.StoreState(
-            upstreams_revision=9,
+            upstreams_version=version(9),
             upstreams=json.dumps({"u": upstream_document()}).encode(),
         )
         daemon.change(8, 9, {"w": upstream_document()})
@@ -186,10 +192,12 @@
     async def scenario(daemon):
         daemon.change(3, 5, {"u": upstream_document()})
         daemon.replication.apply_change(
-            fleet_messages.StoreChange(KIND, 5, 6, data, ["u"])
+            fleet_messages.StoreChange(
+                KIND, version(5), version(6), data, ["u"]
+            )
         )
         assert daemon.upstreams.documents == {"u": upstream_document()}
-        assert daemon.upstreams.revision == 5
+        assert daemon.upstreams.version == version(5)
 
     run(scenario)
 
@@ -268,7 +276,7 @@
 
         daemon.view.subscribe_to_changes(fail_once)
         daemon.store.objects = {KIND: {"u": upstream_document()}}
-        daemon.upstreams.revision = 0
+        daemon.upstreams.version = store_versions.NEVER_READ
         task = asyncio.ensure_future(daemon.watch.run())
         await asyncio.sleep(store_watch.WATCH_DELAY_S + 0.1)
         assert not failures
@@ -385,3 +393,75 @@
     first_count = delays_s.count(store_watch.WATCH_DELAY_S)
     assert first_count >= min(daemons, store_watch.FIRST_WATCHERS_COUNT // 3)
     assert first_count <= 3 * store_watch.FIRST_WATCHERS_COUNT
+
+
+def change_between(daemon, since, until, documents):
+    daemon.replication.apply_change(
+        fleet_messages.StoreChange(
+            KIND, since, until, json.dumps(documents).encode(), []
+        )
+    )
+
+
+def test_change_after_a_restore_is_applied_at_a_lower_revision():
+    async def scenario(daemon):
+        daemon.change(3, 90, {"u": upstream_document()})
+        change_between(
+            daemon, version(90), version(40, era=2), {"v": upstream_document()}
+        )
+        assert set(daemon.upstreams.documents) == {"u", "v"}
+        assert daemon.upstreams.version == version(40, era=2)
+
+    run(scenario)
+
+
+def test_change_before_a_restore_is_ignored_at_a_higher_revision():
+    async def scenario(daemon):
+        change_between(daemon, version(3), version(4, era=2), {})
+        change_between(
+            daemon, version(3), version(90), {"u": upstream_document()}
+        )
+        assert daemon.upstreams.documents == {}
+        assert daemon.upstreams.version == version(4, era=2)
+
+    run(scenario)
+
+
+def test_change_that_builds_on_another_era_causes_a_full_resync():
+    async def scenario(daemon):
+        change_between(daemon, version(3), version(4, era=2), {})
+        change_between(
+            daemon, version(90), version(7, era=2), {"u": upstream_document()}
+        )
+        assert daemon.upstreams.documents == {}
+        await run_for(daemon, 0.05)
+        assert daemon.query_count == 1
+
+    run(scenario)
+
+
+def test_leader_that_missed_a_restore_is_not_relied_on():
+    async def scenario(daemon):
+        daemon.store.era = 2
+        for watched in daemon.view.kinds:
+            daemon.view.replace_documents(watched, {}, version(2, era=2))
+        daemon.replication.apply_table(table([9, 9, 9]))
+        await run_for(daemon, store_watch.WATCH_DELAY_S * 2)
+        assert "config" in daemon.store.listed_kinds
+
+    run(scenario)
+
+
+def test_list_after_a_restore_replaces_documents_at_a_lower_revision():
+    async def scenario(daemon):
+        daemon.change(3, 90, {"u": upstream_document()})
+        listed = store_module.StoredObject(
+            KIND, "v", 6, None, upstream_document()
+        )
+        daemon.view.apply_list(
+            daemon.upstreams, [listed], version(7, era=2), asked_s=0.0
+        )
+        assert "v" in daemon.upstreams.documents
+        assert daemon.upstreams.version == version(7, era=2)
+
+    run(scenario)
--- a/tests/cover/test_upstream_directory.py
+++ b/tests/cover/test_upstream_directory.py
@@ -9,6 +9,7 @@
 from sardinehill.core import fleet_messages
 from sardinehill.core import named_limits
 from sardinehill.core import routes
+from sardinehill.core import store_versions
 from sardinehill.front import store_view
 from sardinehill.front import upstream_directory
 
@@ -41,7 +42,9 @@
         if state is not None:
             documents["i-1"] = upstream_document(state, number, started_at_ms)
         self.view.replace_documents(
-            self.view.kinds[1], documents, self.revision
+            self.view.kinds[1],
+            documents,
+            store_versions.StoreVersion(1, self.revision),
         )
 
     def confirm(self) -> None:
