End a watch that began before the store was restored

A watch whose revision the restored store has given out again went on without an error, so that the changes below that revision were missed; a watch that such a store leaves pending was kept.

An answer of another era now ends the watch like one whose history is gone, and a leader whose probe names a new era lists all kinds anew.

--- a/src/sardinehill/front/store_view.py
+++ b/src/sardinehill/front/store_view.py
@@ -140,6 +140,11 @@
             for watched in self.kinds
         )
 
+    @property
+    def era(self) -> int:
+        """The earliest of the store's eras that any kind was read in."""
+        return min(watched.version.era for watched in self.kinds)
+
     @property
     def store_reachable(self) -> bool:
         """Whether the store answers the watches of all kinds."""
--- a/src/sardinehill/front/store_watch.py
+++ b/src/sardinehill/front/store_watch.py
@@ -164,7 +164,8 @@
     def _replace_pending_watches(self) -> None:
         """Lists all kinds anew whose watch was sent before an outage ended.
 
-        The store may never answer such a watch, even once it is back.
+        The store may never answer such a watch, even once it is back, nor one
+        that was sent before it was restored.
         """
         for watched in self._view.kinds:
             if (
@@ -269,7 +270,7 @@
             else:
                 was_lost = first.lost_since_s is not None
                 self._view.note_answered(first)
-                if was_lost:
+                if was_lost or self._view.era < self._store.era:
                     self._replace_pending_watches()
                 for watched in self._view.kinds:
                     self._view.note_watch_pending(watched, probe_started_s)
--- a/src/sardinehill/platform/store.py
+++ b/src/sardinehill/platform/store.py
@@ -254,7 +254,7 @@
             None,
             WATCH_WAIT_MS / _MS_PER_S + WATCH_TIMEOUT_MARGIN_S,
         )
-        if reply.status == 410:
+        if reply.status == 410 or reply.era != version.era:
             raise WatchHistoryExpiredError(f"{kind}: no history from {version}")
         body = reply.body
         found = body.get("events") if isinstance(body, dict) else None
--- a/standins/users_platform_store.py
+++ b/standins/users_platform_store.py
@@ -51,6 +51,7 @@
     def __init__(self) -> None:
         self.revision = 10
         self.era = 1
+        self.page_size = 500
         self.faults = UsersPlatformFaults()
         self._objects: dict[tuple[str, str], Json] = {}
         self._events: list[tuple[int, str, Json, bool]] = []
@@ -160,7 +161,11 @@
                 if stored_kind == kind and name > after
             ]
             return web.json_response(
-                {"items": items, "hasMore": False, "currentRev": self.revision}
+                {
+                    "items": items[: self.page_size],
+                    "hasMore": len(items) > self.page_size,
+                    "currentRev": self.revision,
+                }
             )
         return await self._watch(request, kind)
 
--- /dev/null
+++ b/tests/cover/test_store_client.py
@@ -0,0 +1,101 @@
+"""Tests of the store's client across a restore from an earlier copy."""
+
+import asyncio
+
+from aiohttp import test_utils
+import pytest
+
+from sardinehill.core import store_versions
+from sardinehill.platform import store as store_module
+from standins import users_platform_store
+
+KIND = "servers"
+
+
+def run(scenario):
+    async def body():
+        store = users_platform_store.UsersPlatformStore()
+        async with test_utils.TestServer(store.application()) as server:
+            client = store_module.StoreClient(f"{server.host}:{server.port}")
+            try:
+                await scenario(store, client)
+            finally:
+                client.close()
+
+    asyncio.run(body())
+
+
+async def names_listed(client):
+    objects, _ = await client.list_objects(KIND)
+    return [item.name for item in objects]
+
+
+def test_versions_name_the_era_of_the_answer():
+    async def scenario(store, client):
+        _, version = await client.list_objects(KIND)
+        assert version == store_versions.StoreVersion(1, store.revision)
+        await store.restore(store.take_copy())
+        _, version = await client.list_objects(KIND)
+        assert version == store_versions.StoreVersion(2, store.revision)
+        assert client.era == 2
+
+    run(scenario)
+
+
+def test_watch_does_not_go_on_over_a_restore_that_its_revision_survives():
+    async def scenario(store, client):
+        copy = store.take_copy()
+        await store.put(KIND, "lost", spec=None)
+        _, version = await client.list_objects(KIND)
+        await store.restore(copy)
+        await store.put(KIND, "missed", spec=None)
+        await store.put(KIND, "seen", spec=None)
+        assert store.revision > version.revision
+        with pytest.raises(store_module.WatchHistoryExpiredError):
+            await anext(client.watch(KIND, version))
+
+    run(scenario)
+
+
+def test_pending_watch_ends_with_the_first_change_after_a_restore():
+    async def scenario(store, client):
+        _, version = await client.list_objects(KIND)
+        change = asyncio.ensure_future(anext(client.watch(KIND, version)))
+        await asyncio.sleep(0.05)
+        await store.restore(store.take_copy())
+        await store.put(KIND, "seen", spec=None)
+        with pytest.raises(store_module.WatchHistoryExpiredError):
+            await change
+
+    run(scenario)
+
+
+def test_list_has_no_pages_of_an_earlier_era():
+    async def scenario(store, client):
+        store.page_size = 2
+        for name in "abc":
+            await store.put(KIND, name, spec=None)
+        copy = store.take_copy()
+        await store.put(KIND, "aa", spec=None)
+        call = client._call
+
+        async def restore_after_the_first_page(*arguments, **options):
+            reply = await call(*arguments, **options)
+            if store.era == 1:
+                await store.restore(copy)
+            return reply
+
+        client._call = restore_after_the_first_page
+        assert await names_listed(client) == ["a", "b", "c"]
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("era", ["", "x", "-1", "9" * 5000])
+def test_malformed_era_counts_as_missing(era):
+    async def scenario(store, client):
+        store.era = era
+        _, version = await client.list_objects(KIND)
+        assert version.era == 0
+
+    run(scenario)
--- a/tests/cover/test_store_replication.py
+++ b/tests/cover/test_store_replication.py
@@ -266,6 +266,25 @@
     run(scenario)
 
 
+def test_leader_lists_all_kinds_when_a_probe_finds_the_store_restored():
+    async def scenario(daemon):
+        daemon.replication.became_leader()
+        tasks = [
+            asyncio.ensure_future(daemon.watch.run()),
+            asyncio.ensure_future(daemon.watch.run_probe(lambda: None)),
+        ]
+        await asyncio.sleep(0.05)
+        daemon.store.era = 2
+        daemon.store.objects = {KIND: {"u": upstream_document()}}
+        await asyncio.sleep(store_watch.PROBE_INTERVAL_S * 2)
+        assert "u" in daemon.upstreams.documents
+        assert all(watched.version.era == 2 for watched in daemon.view.kinds)
+        for task in tasks:
+            task.cancel()
+
+    run(scenario)
+
+
 def test_watch_goes_on_after_an_unexpected_error():
     async def scenario(daemon):
         failures = [RuntimeError("unexpected")]
