Let terms contain the store's era, and epochs the term

With the leader lost while the store was restored, keys were given to another server under a lower epoch than before, so a fenced order could win over a later one. Cause: the next term and epoch followed from what the store says alone, and it had forgotten the latest ones; a daemon that starts after the restore knows nothing else.

A term now contains the store's era, and an epoch the term, so that both grow across restores, whatever the store has forgotten. A lease that was taken while the store was being restored is not led with.

--- a/src/sardinehill/core/keyspace.py
+++ b/src/sardinehill/core/keyspace.py
@@ -110,6 +110,11 @@
     return KeyAssignment([Span(0, KEY_COUNT - 1, None, 0)], 0)
 
 
+def has_owners(assignment: KeyAssignment) -> bool:
+    """Returns whether any key has an owner."""
+    return any(span.owner is not None for span in assignment.spans)
+
+
 def find_span(spans: Sequence[Span], key: int) -> Span:
     """Returns the span that a key belongs to."""
     index = bisect.bisect_right(spans, key, key=lambda span: span.first)
--- a/src/sardinehill/front/assignment_manager.py
+++ b/src/sardinehill/front/assignment_manager.py
@@ -215,7 +215,7 @@
         self, assignment: keyspace.KeyAssignment, now_s: float
     ) -> None:
         if (
-            assignment.top_epoch == 0
+            not keyspace.has_owners(assignment)
             and now_s - self._owners.last_joined_s < FIRST_PLAN_QUIET_S
         ):
             return
--- a/src/sardinehill/front/assignment_store.py
+++ b/src/sardinehill/front/assignment_store.py
@@ -7,6 +7,7 @@
 
 from sardinehill import errors
 from sardinehill import events
+from sardinehill.core import fencing
 from sardinehill.core import keyspace
 from sardinehill.platform import store as store_module
 
@@ -40,6 +41,9 @@
     ) -> keyspace.KeyAssignment | None:
         """Returns the stored assignment, or None if the read fails.
 
+        Its top epoch is above all that were used in earlier terms, also if the
+        store has forgotten them.
+
         Args:
           may_hold_until_s: the time until which each stored owner may still
             hold its keys.
@@ -48,9 +52,16 @@
             stored = await self._store.get(ASSIGNMENTS_KIND, self._service)
             if stored is None:
                 self.revision = 0
-                return keyspace.empty_assignment()
-            self.revision = stored.revision
-            return keyspace.from_document(stored.spec, may_hold_until_s)
+                assignment = keyspace.empty_assignment()
+            else:
+                self.revision = stored.revision
+                assignment = keyspace.from_document(
+                    stored.spec, may_hold_until_s
+                )
+            assignment.top_epoch = fencing.top_epoch(
+                assignment.top_epoch, self._term
+            )
+            return assignment
         except (errors.StoreError, ValueError) as error:
             self._log_failure(error)
             return None
--- a/src/sardinehill/front/election.py
+++ b/src/sardinehill/front/election.py
@@ -5,6 +5,7 @@
 import random
 
 from sardinehill import errors
+from sardinehill.core import fencing
 from sardinehill.core import fleet_messages
 from sardinehill.front import known_leader
 from sardinehill.front import peer_links
@@ -156,13 +157,16 @@
         await self.read_lease()
         if self._registry.lease.term > known_term:
             return False
+        era = self._registry.store_era
         is_acquired = await self._registry.acquire_lease(
-            self._known_leader.term + 1
+            fencing.next_term(self._known_leader.term, era)
         )
         self._known_leader.note_term(self._registry.lease.term)
         if is_acquired:
             await self._registry.read_peers()
-        return is_acquired
+        # A lease that was read before the store was restored may not be the one
+        # that was replaced.
+        return is_acquired and self._registry.store_era == era
 
     def _rank(self, name: str) -> tuple[float, bytes]:
         """Returns the sort key of a candidate; the lowest goes first.
--- a/src/sardinehill/front/peer_registry.py
+++ b/src/sardinehill/front/peer_registry.py
@@ -63,6 +63,11 @@
         self.lease = LeaderLease()
         self.lease_revision = 0
 
+    @property
+    def store_era(self) -> int:
+        """The store's era, as its last answers said."""
+        return self._store.era
+
     @property
     def holds_lease(self) -> bool:
         """Whether the lease names this incarnation of this daemon."""
--- a/tests/cover/test_election.py
+++ b/tests/cover/test_election.py
@@ -13,6 +13,8 @@
 class FakePeerRegistry(peer_registry.PeerRegistry):
     """A registry with a free lease and peers that do not answer."""
 
+    store_era = 1
+
     def __init__(self, name, core_shares):
         super().__init__(name, "127.0.0.1:1", core_shares[name], None)
         self.peer_addresses = dict.fromkeys(core_shares, "127.0.0.1:1")
