Wait for owners that a restored store has forgotten

With the leader lost while the store was restored, two upstreams held the same keys for up to a second and both ran requests for them. Cause: the next leader granted keys at once to the owners that the store named, which were those before the copy was made.

An assignment names the era in which it was written. If the store is in a later era, any upstream may hold any key: each span waits for an unknown former owner, until all grants of earlier leaders have certainly lapsed. That is stored as well, so that a further leader waits too. Assignments of earlier releases name no era and are trusted.

--- a/src/sardinehill/core/keyspace.py
+++ b/src/sardinehill/core/keyspace.py
@@ -16,6 +16,9 @@
 
 # An upstream's id and the time of its start.
 Incarnation = tuple[str, int]
+# Stands for any upstream, as a former owner of keys whose last owners are not
+# known.
+UNKNOWN_OWNER: Incarnation = ("", 0)
 
 
 @dataclasses.dataclass(slots=True)
@@ -183,6 +186,22 @@
     return span
 
 
+def suspect_unknown_owners(
+    assignment: KeyAssignment, may_hold_until_s: float
+) -> None:
+    """Makes all keys wait for owners that the assignment does not know.
+
+    Args:
+      assignment: an assignment that may have been replaced by a later one,
+        which is lost.
+      may_hold_until_s: until then any upstream may hold any key.
+    """
+    for span in assignment.spans:
+        span.former_owner = FormerOwner(
+            UNKNOWN_OWNER, 0, may_hold_until_s, may_hold_until_s
+        )
+
+
 def split_at(assignment: KeyAssignment, key: int) -> None:
     """Splits a span so that one begins at `key`; both parts keep its state."""
     if key <= 0 or key >= KEY_COUNT:
@@ -205,7 +224,7 @@
     A span that waits for a former owner may not move again; otherwise it would
     have two former owners to wait for.
     """
-    return span.former_owner is None
+    return span.former_owner is None or span.owner is None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sardinehill/front/assignment_store.py
+++ b/src/sardinehill/front/assignment_store.py
@@ -13,11 +13,16 @@
 
 ASSIGNMENTS_KIND = "sardinehill-assignments"
 READ_BACK_RETRY_S = 0.2
+# The era of a store that was never restored.
+FIRST_ERA = 1
 
 
 class AssignmentStore:
     """Stores the assignment of one service for the leader of one term.
 
+    Each write names the store's era. An object of an earlier era may be older
+    than what was written last, as the store has lost what followed.
+
     Public attributes:
       revision: the object's revision as last read or written; 0 while there is
         no object.
@@ -34,38 +39,80 @@
         self._term = term
         self._store = store
         self._on_superseded = on_superseded
+        self._era = 0
         self.revision = 0
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the store was restored since the last read or write."""
+        return self._era < self._store.era
+
     async def read(
         self, may_hold_until_s: float
     ) -> keyspace.KeyAssignment | None:
         """Returns the stored assignment, or None if the read fails.
 
         Its top epoch is above all that were used in earlier terms, also if the
-        store has forgotten them.
+        store has forgotten them. If it is of an earlier era, any upstream may
+        hold any key.
 
         Args:
           may_hold_until_s: the time until which each stored owner may still
             hold its keys.
         """
         try:
-            stored = await self._store.get(ASSIGNMENTS_KIND, self._service)
+            stored = await self._get()
             if stored is None:
-                self.revision = 0
                 assignment = keyspace.empty_assignment()
+                written_era = FIRST_ERA
             else:
-                self.revision = stored.revision
                 assignment = keyspace.from_document(
                     stored.spec, may_hold_until_s
                 )
+                # Earlier releases wrote no era.
+                written_era = int(stored.spec.get("era", self._era))
+            if written_era < self._era:
+                events.log(
+                    events.ASSIGNMENT_OUTDATED,
+                    service=self._service,
+                    era=self._era,
+                    written_era=written_era,
+                )
+                keyspace.suspect_unknown_owners(assignment, may_hold_until_s)
             assignment.top_epoch = fencing.top_epoch(
                 assignment.top_epoch, self._term
             )
             return assignment
-        except (errors.StoreError, ValueError) as error:
+        except (errors.StoreError, TypeError, ValueError) as error:
             self._log_failure(error)
             return None
 
+    async def _get(self) -> store_module.StoredObject | None:
+        """Reads the object and notes its revision and the store's era.
+
+        Raises:
+          StoreError: the object could not be read.
+        """
+        stored = await self._store.get(ASSIGNMENTS_KIND, self._service)
+        self._era = self._store.era
+        self.revision = stored.revision if stored is not None else 0
+        return stored
+
+    async def write_again(self, assignment: keyspace.KeyAssignment) -> bool:
+        """Writes an assignment that a restored store has lost.
+
+        Returns:
+          Whether the assignment is certainly stored in the present era.
+        """
+        try:
+            stored = await self._get()
+        except errors.StoreError as error:
+            self._log_failure(error)
+            return False
+        if self._is_superseded_by(stored):
+            return False
+        return await self.write(assignment) and not self.is_lost
+
     def _log_failure(self, error: Exception) -> None:
         events.log(
             events.ASSIGNMENT_CONFLICT,
@@ -83,6 +130,7 @@
         """
         spec: dict[str, Any] = keyspace.to_document(assignment)
         spec["term"] = self._term
+        spec["era"] = self._era
         spec["writer"] = f"{self._term}-{time.monotonic_ns()}"
         try:
             if self.revision == 0:
@@ -118,18 +166,31 @@
         until a read succeeds. Nothing else is written at the same revision
         before that.
         """
+        era = self._era
         while True:
             try:
-                stored = await self._store.get(ASSIGNMENTS_KIND, self._service)
+                stored = await self._get()
             except errors.StoreError:
                 await asyncio.sleep(READ_BACK_RETRY_S)
                 continue
-            found = stored.spec if stored is not None else {}
-            if not isinstance(found, dict):
-                found = {}
-            self.revision = stored.revision if stored is not None else 0
-            if found.get("writer") == spec["writer"]:
+            # An era that is new here makes the caller write it again.
+            self._era = era
+            if _spec_of(stored).get("writer") == spec["writer"]:
                 return True
-            if int(found.get("term", 0)) > self._term:
-                self._on_superseded()
+            self._is_superseded_by(stored)
             return False
+
+    def _is_superseded_by(
+        self, stored: store_module.StoredObject | None
+    ) -> bool:
+        """Returns whether a later leader has written; ends this term then."""
+        if int(_spec_of(stored).get("term", 0)) <= self._term:
+            return False
+        self._on_superseded()
+        return True
+
+
+def _spec_of(stored: store_module.StoredObject | None) -> dict[str, Any]:
+    """Returns the object's content; empty if there is none."""
+    spec = stored.spec if stored is not None else None
+    return spec if isinstance(spec, dict) else {}
--- /dev/null
+++ b/tests/cover/test_assignment_store.py
@@ -0,0 +1,196 @@
+"""Tests of the stored assignment across a restore of the store."""
+
+import asyncio
+
+from aiohttp import test_utils
+import pytest
+
+from sardinehill.core import key_orders
+from sardinehill.core import keyspace
+from sardinehill.front import assignment_store
+from sardinehill.platform import store as store_module
+from standins import users_platform_store
+
+SERVICE = "stock"
+TERM = 1 << 16
+A, B = ("a", 1), ("b", 1)
+MAY_HOLD_UNTIL_S = 50.0
+
+
+class Harness:
+    """A stand-in for the store, and stored assignments of several terms."""
+
+    def __init__(self, store, client):
+        self.store = store
+        self._client = client
+        self.superseded = []
+
+    def assignments(self, term):
+        return assignment_store.AssignmentStore(
+            SERVICE, term, self._client, lambda: self.superseded.append(term)
+        )
+
+    async def restore(self, copy):
+        """Restores the store, and lets the client notice it."""
+        await self.store.restore(copy)
+        await self._client.get("any", "any")
+
+
+def run(scenario):
+    async def body():
+        store = users_platform_store.UsersPlatformStore()
+        async with test_utils.TestServer(store.application()) as server:
+            client = store_module.StoreClient(f"{server.host}:{server.port}")
+            try:
+                await scenario(Harness(store, client))
+            finally:
+                client.close()
+
+    asyncio.run(body())
+
+
+async def move_all_keys(stored, owner):
+    """Reads an assignment, gives all keys to an owner, and writes it."""
+    assignment = await stored.read(MAY_HOLD_UNTIL_S)
+    for span in assignment.spans:
+        span.owner, span.epoch = owner, assignment.next_epoch()
+        span.former_owner = None
+    assert await stored.write(assignment)
+    return assignment
+
+
+def waits_for_unknown_owner(span, now_s):
+    is_unknown = span.former_owner.incarnation == keyspace.UNKNOWN_OWNER
+    return is_unknown and not key_orders.former_owner_no_longer_holds(
+        span, now_s, is_dead=False
+    )
+
+
+def test_owners_of_an_earlier_era_are_not_trusted_by_the_next_leader():
+    async def scenario(harness):
+        await move_all_keys(harness.assignments(TERM), A)
+        copy = harness.store.take_copy()
+        await move_all_keys(harness.assignments(TERM), B)
+        await harness.restore(copy)
+        found = await harness.assignments(2 * TERM).read(MAY_HOLD_UNTIL_S)
+        assert [span.owner for span in found.spans] == [A]
+        for span in found.spans:
+            assert waits_for_unknown_owner(span, MAY_HOLD_UNTIL_S - 1)
+            assert not waits_for_unknown_owner(span, MAY_HOLD_UNTIL_S)
+
+    run(scenario)
+
+
+def test_keys_that_a_restored_store_knows_nothing_of_wait_for_any_owner():
+    async def scenario(harness):
+        copy = harness.store.take_copy()
+        await move_all_keys(harness.assignments(TERM), A)
+        await harness.restore(copy)
+        found = await harness.assignments(2 * TERM).read(MAY_HOLD_UNTIL_S)
+        keyspace.apply_moves(
+            found, [keyspace.KeyMove(0, keyspace.KEY_COUNT - 1, B)]
+        )
+        assert [span.owner for span in found.spans] == [B]
+        for span in found.spans:
+            assert waits_for_unknown_owner(span, MAY_HOLD_UNTIL_S - 1)
+
+    run(scenario)
+
+
+def test_unknown_owners_are_waited_for_by_a_further_leader():
+    async def scenario(harness):
+        await move_all_keys(harness.assignments(TERM), A)
+        await harness.restore(harness.store.take_copy())
+        second = harness.assignments(2 * TERM)
+        assert await second.write(await second.read(MAY_HOLD_UNTIL_S))
+        found = await harness.assignments(3 * TERM).read(MAY_HOLD_UNTIL_S)
+        for span in found.spans:
+            assert waits_for_unknown_owner(span, MAY_HOLD_UNTIL_S - 1)
+
+    run(scenario)
+
+
+def test_owners_of_the_present_era_are_trusted():
+    async def scenario(harness):
+        await harness.restore(harness.store.take_copy())
+        found = await move_all_keys(harness.assignments(TERM), A)
+        found = await harness.assignments(2 * TERM).read(MAY_HOLD_UNTIL_S)
+        assert [span.former_owner for span in found.spans] == [None]
+
+    run(scenario)
+
+
+def test_owners_stored_by_an_earlier_release_are_trusted():
+    async def scenario(harness):
+        await move_all_keys(harness.assignments(TERM), A)
+        kind = assignment_store.ASSIGNMENTS_KIND
+        spec = dict(harness.store.spec(kind, SERVICE))
+        del spec["era"]
+        await harness.store.put(kind, SERVICE, spec=spec)
+        await harness.restore(harness.store.take_copy())
+        found = await harness.assignments(2 * TERM).read(MAY_HOLD_UNTIL_S)
+        assert [span.former_owner for span in found.spans] == [None]
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("era", [None, "x", [], 10**400, {}])
+def test_malformed_era_of_an_assignment_is_a_failed_read(era):
+    async def scenario(harness):
+        await move_all_keys(harness.assignments(TERM), A)
+        kind = assignment_store.ASSIGNMENTS_KIND
+        spec = {**harness.store.spec(kind, SERVICE), "era": era}
+        await harness.store.put(kind, SERVICE, spec=spec)
+        stored = harness.assignments(2 * TERM)
+        found = await stored.read(MAY_HOLD_UNTIL_S)
+        assert found is None or found.spans[0].owner == A
+
+    run(scenario)
+
+
+def test_leader_writes_an_assignment_again_that_the_store_has_lost():
+    async def scenario(harness):
+        stored = harness.assignments(TERM)
+        await move_all_keys(stored, A)
+        copy = harness.store.take_copy()
+        assignment = await move_all_keys(stored, B)
+        assert not stored.is_lost
+        await harness.restore(copy)
+        assert stored.is_lost
+        assert await stored.write_again(assignment)
+        assert not stored.is_lost
+        found = await harness.assignments(2 * TERM).read(MAY_HOLD_UNTIL_S)
+        assert [span.owner for span in found.spans] == [B]
+        assert [span.former_owner for span in found.spans] == [None]
+
+    run(scenario)
+
+
+def test_leader_does_not_overwrite_what_a_later_one_wrote_after_a_restore():
+    async def scenario(harness):
+        stored = harness.assignments(TERM)
+        assignment = await move_all_keys(stored, A)
+        await harness.restore(harness.store.take_copy())
+        await move_all_keys(harness.assignments(2 * TERM), B)
+        assert not await stored.write_again(assignment)
+        assert harness.superseded == [TERM]
+        found = await harness.assignments(3 * TERM).read(MAY_HOLD_UNTIL_S)
+        assert [span.owner for span in found.spans] == [B]
+
+    run(scenario)
+
+
+def test_write_that_meets_a_revision_given_out_again_is_repeated():
+    async def scenario(harness):
+        stored = harness.assignments(TERM)
+        copy = harness.store.take_copy()
+        assignment = await move_all_keys(stored, A)
+        await harness.store.restore(copy)
+        await harness.store.put(
+            assignment_store.ASSIGNMENTS_KIND, SERVICE, spec={}
+        )
+        # The client learns of the restore only from the answer to this write.
+        assert await stored.write(assignment)
+        assert stored.is_lost
+
+    run(scenario)
