Write the lease and the owners again that a restored store has lost

A leader that lived through a restore went on, but the store kept the earlier lease and the earlier owners: the next leader began from these. Cause: what was acknowledged once was believed to be stored for good.

A leader compares the era of its last read or write with that of the store's answers. After a restore it takes the lease again under its own term, unless a later leader holds it, and then writes the assignment that it holds in memory, with its epochs.

--- a/src/sardinehill/front/assignment_manager.py
+++ b/src/sardinehill/front/assignment_manager.py
@@ -193,7 +193,10 @@
         async with self._write_lock:
             if now_s >= self._plan_due_s:
                 self._plan_due_s = now_s + PLAN_INTERVAL_S
-                await self._plan(assignment, now_s)
+                if self._store.is_lost:
+                    await self._store.write_again(assignment)
+                else:
+                    await self._plan(assignment, now_s)
             elif self._clean_up_due_s and now_s >= self._clean_up_due_s:
                 await self._clean_up(assignment)
 
--- a/src/sardinehill/front/election.py
+++ b/src/sardinehill/front/election.py
@@ -157,7 +157,7 @@
         await self.read_lease()
         if self._registry.lease.term > known_term:
             return False
-        era = self._registry.store_era
+        era = self._registry.lease_era
         is_acquired = await self._registry.acquire_lease(
             fencing.next_term(self._known_leader.term, era)
         )
--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -24,6 +24,8 @@
 # frame can arrive.
 ANNOUNCE_LINK_OPEN_S = 0.05
 LEASE_CHECK_INTERVAL_S = 1.0
+# How often a leader looks whether the store was restored.
+ERA_CHECK_INTERVAL_S = 0.1
 # The registration of a daemon that has been silent for this long is removed.
 REGISTRATION_EXPIRY_S = 10.0
 _NEVER_S = -1e9
@@ -55,6 +57,9 @@
         self._followers = followers
         self._clock_s = clock_s
         self._began_s = self._confirmed_s = clock_s()
+        self._number = registry.lease.term
+        # The store's era in which the lease was last known to be held.
+        self._lease_era = registry.lease_era
         self._heard_s: dict[str, float] = {}
         self._reached_store_s: dict[str, float] = {}
         self._reached_by_others_since_s: float | None = None
@@ -209,28 +214,54 @@
     async def check_lease(self) -> None:
         """Confirms the term from the store while no majority follows it.
 
-        Also removes the registrations of daemons that have been silent for
+        Also writes the lease again if a restored store has lost it, and removes
+        the registrations of daemons that have been silent for
         `REGISTRATION_EXPIRY_S`.
         """
+        check_due_s = self._clock_s() + LEASE_CHECK_INTERVAL_S
         removal_due_s = self._clock_s() + REGISTRATION_EXPIRY_S
         while True:
-            await asyncio.sleep(LEASE_CHECK_INTERVAL_S)
-            if self._count_heard(FOLLOWER_TIMEOUT_S) < self._majority():
-                query_started_s = self._clock_s()
+            await asyncio.sleep(ERA_CHECK_INTERVAL_S)
+            is_lost = self._lease_era < self._registry.store_era
+            if self._clock_s() < check_due_s and not is_lost:
+                continue
+            check_due_s = self._clock_s() + LEASE_CHECK_INTERVAL_S
+            if is_lost or not self._is_followed_by_majority():
                 try:
-                    await self._election.read_lease()
+                    await self._confirm_lease()
                 except errors.StoreError:
                     # The next read may succeed. Otherwise the confirmation
                     # expires and no more orders are sent.
                     continue
-                if not self._registry.holds_lease:
-                    self.ended.set()
+                if self.ended.is_set():
                     return
-                self._confirmed_s = query_started_s
             if self._clock_s() > removal_due_s:
                 removal_due_s = self._clock_s() + REGISTRATION_EXPIRY_S
                 await self._registry.remove_peers(self._silent_peers())
 
+    def _is_followed_by_majority(self) -> bool:
+        return self._count_heard(FOLLOWER_TIMEOUT_S) >= self._majority()
+
+    async def _confirm_lease(self) -> None:
+        """Reads the lease, and ends the term if another daemon holds it.
+
+        The lease of an earlier leader, which a restored store went back to, is
+        replaced.
+
+        Raises:
+          StoreError: the lease could not be read, or its outcome is not known.
+        """
+        query_started_s = self._clock_s()
+        await self._election.read_lease()
+        era = self._registry.store_era
+        if self._registry.lease.term < self._number:
+            await self._registry.acquire_lease(self._number)
+        if not self._registry.holds_lease:
+            self.ended.set()
+            return
+        self._confirmed_s = query_started_s
+        self._lease_era = era
+
     def _silent_peers(self) -> list[str]:
         now_s = self._clock_s()
         return [
--- a/src/sardinehill/front/peer_registry.py
+++ b/src/sardinehill/front/peer_registry.py
@@ -44,6 +44,7 @@
       lease: the lease as last read or written.
       lease_revision: the revision of the lease's object; 0 while there is no
         lease.
+      lease_era: the store's era when the lease was last read or written.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         self.core_shares = {name: core_share}
         self.lease = LeaderLease()
         self.lease_revision = 0
+        self.lease_era = 0
 
     @property
     def store_era(self) -> int:
@@ -116,6 +118,7 @@
         self._set_lease(stored)
 
     def _set_lease(self, stored: store_module.StoredObject | None) -> None:
+        self.lease_era = self._store.era
         if stored is None:
             self.lease, self.lease_revision = LeaderLease(), 0
             return
--- a/tests/cover/test_election.py
+++ b/tests/cover/test_election.py
@@ -19,6 +19,7 @@
         super().__init__(name, "127.0.0.1:1", core_shares[name], None)
         self.peer_addresses = dict.fromkeys(core_shares, "127.0.0.1:1")
         self.core_shares = core_shares
+        self.lease_era = 1
 
     async def read_peers(self):
         return
--- a/tests/cover/test_leader_term.py
+++ b/tests/cover/test_leader_term.py
@@ -1,7 +1,10 @@
 """Tests of when a leader resigns and whom it names as its successor."""
 
+import asyncio
 import dataclasses
 
+import pytest
+
 from sardinehill.front import followers
 from sardinehill.front import leader_term
 from sardinehill.front import peer_registry
@@ -67,3 +70,59 @@
     assert term.successor() == "a"
     clock.now_s += 2 * leader_term.FOLLOWER_TIMEOUT_S
     assert term.successor() == ""
+
+
+class FakeLease(peer_registry.PeerRegistry):
+    """A registry whose store holds the lease of an earlier copy, or none."""
+
+    def __init__(self, stored):
+        super().__init__("me", "127.0.0.1:1", 1.0, None)
+        self.stored = stored
+        self.store_era = 1
+        self.acquired_terms = []
+        self.lease = peer_registry.LeaderLease(7, "me", "", self._incarnation)
+        self.peer_addresses = {"me": "127.0.0.1:1"}
+
+    store_era = 1
+
+    async def read_lease(self):
+        self.lease = self.stored
+
+    async def acquire_lease(self, term):
+        self.acquired_terms.append(term)
+        self.lease = peer_registry.LeaderLease(
+            term, "me", "", self._incarnation
+        )
+        return True
+
+
+def ends_after_a_restore(registry):
+    """Returns whether the term of a leader ends after a restore."""
+
+    async def body():
+        loop = asyncio.get_running_loop()
+        term = leader_term.LeaderTerm(
+            "me", registry, registry, followers.Followers(), loop.time
+        )
+        registry.store_era = 2
+        checking = asyncio.ensure_future(term.check_lease())
+        await asyncio.sleep(3 * leader_term.ERA_CHECK_INTERVAL_S)
+        checking.cancel()
+        return term.ended.is_set()
+
+    return asyncio.run(body())
+
+
+@pytest.mark.parametrize("stored_term", [0, 6])
+def test_leader_takes_the_lease_again_that_a_restored_store_has_lost(
+    stored_term,
+):
+    registry = FakeLease(peer_registry.LeaderLease(stored_term, "other"))
+    assert not ends_after_a_restore(registry)
+    assert registry.acquired_terms == [7]
+
+
+def test_leader_ends_if_another_one_took_the_lease_after_a_restore():
+    registry = FakeLease(peer_registry.LeaderLease(8, "other", "", "x"))
+    assert ends_after_a_restore(registry)
+    assert registry.acquired_terms == []
