Register daemons again after a restore of the store

A daemon that had registered after the copy was made was missing in the restored store for good: a later leader did not know it, counted a majority without it, and did not announce itself to it. Cause: a registration was written once, at the start.

Each daemon registers again when it learns of a new era, from its own calls or from its peers, within half a second of each other. Daemons that were known before a restore are known for one more read.

--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -240,7 +240,7 @@
     async def run(self) -> None:
         """Follows the leader, or leads, until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._registry.register())
+            group.create_task(self._registry.register(lambda: self._view.era))
             group.create_task(self._lead_or_follow())
 
     async def _lead_or_follow(self) -> None:
--- a/src/sardinehill/front/peer_registry.py
+++ b/src/sardinehill/front/peer_registry.py
@@ -1,7 +1,9 @@
 """Stores the registrations of daemons and the lease of their leader."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
+import random
 import secrets
 
 from sardinehill import errors
@@ -12,6 +14,8 @@
 LEASE_NAME = "leader"
 DAEMONS_KIND = "sardinehill-daemons"
 REGISTRATION_RETRY_S = 0.1
+REGISTRATION_CHECK_INTERVAL_S = 0.5
+REGISTRATION_SPREAD_S = 0.5
 
 _Spec = dict[str, str | float]
 
@@ -64,6 +68,7 @@
         self.lease = LeaderLease()
         self.lease_revision = 0
         self.lease_era = 0
+        self._peers_era = 0
 
     @property
     def store_era(self) -> int:
@@ -75,8 +80,28 @@
         """Whether the lease names this incarnation of this daemon."""
         return self.lease.incarnation == self._incarnation
 
-    async def register(self) -> None:
-        """Registers this daemon's address, retrying until that succeeds."""
+    async def register(self, known_era: Callable[[], int]) -> None:
+        """Keeps this daemon's address registered until cancelled.
+
+        It is registered again when the store was restored, as the registration
+        may be lost.
+
+        Args:
+          known_era: returns the store's era as far as this daemon knows, which
+            may not have called the store itself since it was restored.
+        """
+        await self._register_once()
+        registered_era = self.store_era
+        while True:
+            await asyncio.sleep(REGISTRATION_CHECK_INTERVAL_S)
+            if max(self.store_era, known_era()) <= registered_era:
+                continue
+            # Not all daemons of the fleet call the store at the same time.
+            await asyncio.sleep(random.uniform(0, REGISTRATION_SPREAD_S))
+            await self._register_once()
+            registered_era = self.store_era
+
+    async def _register_once(self) -> None:
         spec: _Spec = {
             "address": self._address,
             "coreShare": self._core_share,
@@ -141,14 +166,22 @@
         Raises:
           StoreError: the registrations could not be read.
         """
-        objects, _ = await self._store.list_objects(DAEMONS_KIND, may_be_stale)
-        self.peer_addresses = {
+        objects, version = await self._store.list_objects(
+            DAEMONS_KIND, may_be_stale
+        )
+        if version.era == self._peers_era:
+            self.peer_addresses = {}
+            self.core_shares = {}
+        # A restored store has lost the daemons that registered last, so those
+        # that were known before are kept until the next read.
+        self._peers_era = version.era
+        self.peer_addresses |= {
             stored.name: address
             for stored in objects
             if (address := _decode_address(stored))
         }
         self.peer_addresses[self._name] = self._address
-        self.core_shares = {
+        self.core_shares |= {
             stored.name: _decode_core_share(stored) for stored in objects
         }
         self.core_shares[self._name] = self._core_share
