Remove upstreams that stay away after an outage of the store

An upstream whose entry had lapsed in an outage, and whose upstream was gone for good, stayed in use: the daemon that listed the upstreams after the outage never removed it. Cause: entries that are kept for a grace were added to the list first, and then counted as listed, which cancelled their removal. After a watch's change they were removed.

test_upstream_that_lapsed_in_an_outage_is_removed_after_the_grace, which follows with the tests of restored stores, failed before.

--- a/src/sardinehill/front/store_view.py
+++ b/src/sardinehill/front/store_view.py
@@ -266,10 +266,10 @@
             )
             return
         listed = {item.name: item.document for item in objects}
-        for name in watched.documents.keys() - listed.keys():
-            self._keep_if_lapsed(watched, name, listed)
         for name in listed:
             watched.removal_due_s.pop(name, None)
+        for name in watched.documents.keys() - listed.keys():
+            self._keep_if_lapsed(watched, name, listed)
         self.replace_documents(watched, listed, version)
         self.note_current(watched, asked_s)
 
