Keep what was known before a restore of the store

A restored store lists upstreams that have left as ready again, lacks those that joined last and zones that were taken out last, and has an earlier config until operators write theirs again. Daemons took all of that for news: a daemon that starts then, or a peer that asks, got the earlier config, and a zone that was out was in use again.

Upstreams that were removed within the last minute are known; an entry that they wrote before is ignored. Vanished upstreams and zones are kept for the grace that follows an outage, and a config is never replaced by one of a lower version, also not in what peers are sent.

--- a/src/sardinehill/front/store_view.py
+++ b/src/sardinehill/front/store_view.py
@@ -11,14 +11,16 @@
 from typing import Any
 
 from sardinehill import events
+from sardinehill.core import removed_upstreams
 from sardinehill.core import routes
 from sardinehill.core import store_versions
-from sardinehill.platform import documents
+from sardinehill.platform import documents as documents_module
 from sardinehill.platform import names
 from sardinehill.platform import store as store_module
 
 # Entries of upstreams that lapsed during an outage of the store return within
-# two seconds, so vanished entries are kept for this long after an outage.
+# two seconds, so vanished entries are kept for this long after an outage. So
+# are entries that a restored store has lost, until they are written again.
 LAPSED_ENTRY_GRACE_S = 2.1
 # A shorter outage is taken as a lost connection, in which no entries lapse.
 MIN_OUTAGE_S = 1.0
@@ -43,6 +45,7 @@
       documents: the documents by name.
       lost_since_s: when the store stopped answering, or None.
       recovered_s: when the store last answered again after an outage.
+      restored_s: when the first answer came after the store was restored.
       last_answer_s: when the store last answered.
       current_s: a time at which the documents were the store's newest.
       changed_after_s: the last change of the documents occurred in the store
@@ -58,6 +61,7 @@
     documents: dict[str, Json] = dataclasses.field(default_factory=dict)
     lost_since_s: float | None = None
     recovered_s: float = -1e9
+    restored_s: float = -1e9
     last_answer_s: float = -1e9
     current_s: float = -math.inf
     changed_after_s: float = -math.inf
@@ -116,6 +120,7 @@
         self._change_subscribers: list[Callable[[DocumentsChange], None]] = []
         self._malformed: dict[str, str] = {}
         self._decoded: dict[str, tuple[Json, routes.Upstream]] = {}
+        self._removed = removed_upstreams.RemovedUpstreams(clock_s)
         self._store_was_reachable = True
         self._lost_since_s = 0.0
         self.configuration: routes.Configuration | None = None
@@ -265,6 +270,9 @@
                 known_version=str(watched.version),
             )
             return
+        was_read = watched.version != store_versions.NEVER_READ
+        if was_read and version.era > watched.version.era:
+            watched.restored_s = self._clock_s()
         listed = {item.name: item.document for item in objects}
         for name in listed:
             watched.removal_due_s.pop(name, None)
@@ -276,18 +284,18 @@
     def _keep_if_lapsed(
         self, watched: WatchedKind, name: str, kept_documents: dict[str, Json]
     ) -> None:
-        """Keeps a vanished upstream that may have lapsed in an outage.
+        """Keeps a vanished entry that an outage or a restore may have removed.
 
         Adds its document to `kept_documents` until the grace is over.
         """
-        recovered_for_s = self._clock_s() - watched.recovered_s
-        if (
-            watched is self._upstreams
-            and recovered_for_s < LAPSED_ENTRY_GRACE_S
-        ):
+        # Only entries of upstreams lapse in an outage.
+        back_since_s = watched.restored_s
+        if watched is self._upstreams:
+            back_since_s = max(back_since_s, watched.recovered_s)
+        if self._clock_s() - back_since_s < LAPSED_ENTRY_GRACE_S:
             kept_documents[name] = watched.documents[name]
             watched.removal_due_s.setdefault(
-                name, watched.recovered_s + LAPSED_ENTRY_GRACE_S
+                name, back_since_s + LAPSED_ENTRY_GRACE_S
             )
 
     def apply_changes(
@@ -319,7 +327,10 @@
 
     def remove_expired(self) -> None:
         """Removes vanished entries whose grace is over."""
-        watched = self._upstreams
+        for watched in self.kinds:
+            self._remove_expired_of(watched)
+
+    def _remove_expired_of(self, watched: WatchedKind) -> None:
         now_s = self._clock_s()
         expired = [
             item for item in watched.removal_due_s.items() if item[1] <= now_s
@@ -346,6 +357,8 @@
           version: the store's version of these documents.
         """
         before = watched.documents
+        if watched is self._config:
+            documents = _with_newest_configuration(before, documents)
         # Peers compare eras, so they are told of the first read in each.
         is_first_in_era = (
             watched.version == store_versions.NEVER_READ
@@ -386,8 +399,8 @@
         if document is None:
             return
         try:
-            configuration = documents.decode_configuration(document)
-        except documents.MalformedDocumentError as error:
+            configuration = documents_module.decode_configuration(document)
+        except documents_module.MalformedDocumentError as error:
             events.log(events.CONFIGURATION_REFUSED, error=str(error))
             return
         current = self.configuration
@@ -409,13 +422,18 @@
                 upstream = cached[1]
             else:
                 try:
-                    upstream = documents.decode_upstream(name, document)
-                except documents.MalformedDocumentError as error:
+                    upstream = documents_module.decode_upstream(name, document)
+                except documents_module.MalformedDocumentError as error:
                     self._note_malformed(name, str(error))
                     continue
                 upstream = self._newest_report(upstream)
             decoded[name] = (document, upstream)
-            upstreams[name] = upstream
+            if self._removed.includes(upstream):
+                self._log_outdated(upstream)
+            else:
+                upstreams[name] = upstream
+        for name in self.upstreams.keys() - upstreams.keys():
+            self._removed.add(self.upstreams[name])
         self._log_upstreams(upstreams)
         self._decoded = decoded
         self.upstreams = upstreams
@@ -429,14 +447,16 @@
         known = self.upstreams.get(upstream.id)
         if known is None or not upstream.is_outdated_by(known):
             return upstream
+        self._log_outdated(upstream)
+        return known
+
+    def _log_outdated(self, upstream: routes.Upstream) -> None:
         events.log(
             events.REPORT_OUTDATED,
             upstream=upstream.id,
             number=upstream.report_number,
-            known_number=known.report_number,
-            draining=known.is_draining,
+            revision=self._upstreams.version.revision,
         )
-        return known
 
     def _note_malformed(self, name: str, error: str) -> None:
         if self._malformed.get(name) != error:
@@ -486,8 +506,30 @@
         zones_out = frozenset(
             name
             for name, document in self._zones.documents.items()
-            if documents.is_evacuation_active(document)
+            if documents_module.is_evacuation_active(document)
         )
         if zones_out != self.zones_out:
             events.log(events.PLACEMENT_ACCEPTED, zones_out=sorted(zones_out))
         self.zones_out = zones_out
+
+
+def _with_newest_configuration(
+    known: dict[str, Json], found: dict[str, Json]
+) -> dict[str, Json]:
+    """Returns documents with the known configuration if that is newer.
+
+    A restored store has an earlier one until operators write theirs again.
+    Peers and daemons that start must not get it from here.
+    """
+    known_document = known.get(names.CONFIG_NAME)
+    if known_document is None:
+        return found
+    document = found.get(names.CONFIG_NAME)
+    try:
+        if document is not None and documents_module.configuration_version(
+            document
+        ) >= documents_module.configuration_version(known_document):
+            return found
+    except documents_module.MalformedDocumentError:
+        return found
+    return {**found, names.CONFIG_NAME: known_document}
--- a/src/sardinehill/platform/documents.py
+++ b/src/sardinehill/platform/documents.py
@@ -77,6 +77,17 @@
     )
 
 
+@_raises_malformed_document_error
+def configuration_version(document: Json) -> int:
+    """Returns the version of the configuration that an object holds.
+
+    Raises:
+      MalformedDocumentError: the object has no valid version.
+    """
+    spec = document.get("spec")
+    return parse_version(spec.get("version"))
+
+
 @_raises_malformed_document_error
 def decode_configuration(document: Json) -> routes.Configuration:
     """Decodes the object that holds the whole configuration.
