Bound what a reader visits by the length of the message

A damaged frame of 56 bytes kept a daemon busy for 0.26 s, and a crafted one could for much longer: it claimed 49,152 loans.

The bound now follows from the length. Found by a fuzz test, which exceeded its time once and then each time with the same example; the example has a test of its own, which failed before.

--- a/src/sardinehill/adapters/peers.py
+++ b/src/sardinehill/adapters/peers.py
@@ -20,9 +20,6 @@
 from sardinehill.wire import message_kinds
 from sardinehill.wire import schemas
 
-# The limit is in words of 8 bytes and amounts to 16 MiB. A reader counts a word
-# again each time that it is read.
-TRAVERSAL_LIMIT_WORDS = 2 * 1024 * 1024
 NESTING_LIMIT = 8
 # Limit on a decompressed body, larger than any value that the store accepts.
 MAX_BODY_BYTES = 2 * 1024 * 1024
@@ -106,7 +103,7 @@
     # Python exception.
     return schema.from_bytes(
         payload,
-        traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS,
+        traversal_limit_in_words=schemas.traversal_limit_words(payload),
         nesting_limit=NESTING_LIMIT,
     )
 
--- a/tests/cover/test_peer_frames.py
+++ b/tests/cover/test_peer_frames.py
@@ -114,6 +114,26 @@
         return
 
 
+def test_short_message_cannot_claim_many_empty_items():
+    damaged = bytearray(MESSAGES["loans"][0])
+    damaged[20] = 0
+    damaged[22] = 6
+    with pytest.raises(errors.PeerFrameError):
+        fleet.decode_token_loans(bytes(damaged))
+
+
+def test_long_message_is_read():
+    spans = {
+        f"service-{service}": [
+            fleet_messages.OwnerSpan(key, key, f"i-{key % 500}", key, True)
+            for key in range(20_000)
+        ]
+        for service in range(3)
+    }
+    table = fleet_messages.LeaderTable(2, "a", "127.0.0.1:1", 7, 1, spans=spans)
+    assert fleet.decode_table(fleet.encode_table(table)) == table
+
+
 @pytest.mark.parametrize("name", sorted(MESSAGES))
 @given(data=strategies.binary(max_size=400))
 def test_any_bytes_are_read_or_refused(name, data):
