Write down what is known of requests that end their upstreams

One request, sent again and again, ended upstream after upstream. Lines of lost connections carry a digest of caller, path and body, without which the log did not tell such a request from independent failures.

--- a/src/sardinehill/front/requests.py
+++ b/src/sardinehill/front/requests.py
@@ -4,6 +4,7 @@
 
 from sardinehill import errors
 from sardinehill import http1
+from sardinehill.core import request_digests
 from sardinehill.core import routes
 from sardinehill.core import upstream_state as state_module
 from sardinehill.front import pool as pool_module
@@ -114,6 +115,16 @@
     last_failure: str = ""
 
 
+def digest(context: RequestContext) -> bytes:
+    """Returns the digest of a request, which its repetitions share."""
+    return request_digests.digest(
+        context.account.name if context.account else None,
+        context.request.method,
+        context.request.target,
+        context.request.body,
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Target:
     """The upstream that a request is sent to next.
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -228,14 +228,21 @@
             return
         context.may_have_run = True
         context.last_failure = "connection-lost"
+        digest = requests.digest(context).hex()
         if not context.route.is_idempotent:
-            raise requests.RefusedError(errors.Reason.CONNECTION_LOST, 502)
+            raise requests.RefusedError(
+                errors.Reason.CONNECTION_LOST,
+                502,
+                digest=digest,
+                error=str(error),
+            )
         self._log(
             events.REQUEST_TRIED_AGAIN,
             request=context.metadata.request_id,
             reason="connection-lost",
             upstream=target.upstream.id,
             error=str(error),
+            digest=digest,
         )
 
     def _evaluate_answer(
