Quarantine a request that has ended three upstreams

One request, sent again and again, ended each upstream that became the owner of its key, every 2.7 s: callers of other keys of these upstreams lost their requests, and of the same key got 503. Cause: each arrival was taken for a new request, by nine daemons.

A request is identified by a digest of caller, path and body. A connection that breaks without an answer, and whose upstream then refuses connections or starts again, is one end against the digests that were under way there. After three ends all daemons refuse the request at once, for ten minutes; any answer of an upstream that ran it clears it. Reports and leader tables carry this; each daemon tells a new leader all it knows. A suspect that was lost is not sent again by the daemon itself.

--- a/src/sardinehill/core/fleet_messages.py
+++ b/src/sardinehill/core/fleet_messages.py
@@ -73,6 +73,22 @@
     age_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectNews:
+    """What a daemon knows of a request that may end upstreams.
+
+    Attributes:
+      digest: the digest of the request.
+      ending_ages_s: the time since upstreams ended while they ran it, by
+        incarnation.
+      survived_age_s: the time since an upstream ran it to an end, or None.
+    """
+
+    digest: bytes
+    ending_ages_s: dict[str, float]
+    survived_age_s: float | None
+
+
 @dataclasses.dataclass(slots=True)
 class DaemonReport:
     """The usage report that a daemon sends the leader several times a second.
@@ -90,6 +106,8 @@
       needs_spans: whether the daemon needs all spans, because it has missed the
         table that the last changes refer to.
       limits: what upstreams have said of their limits since the last report.
+      suspects: what has become known since then of requests that may end
+        upstreams.
     """
 
     daemon: str
@@ -103,6 +121,7 @@
     protocol_version: int = 0
     needs_spans: bool = False
     limits: list[LimitNews] = dataclasses.field(default_factory=list)
+    suspects: list[SuspectNews] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -176,6 +195,8 @@
         upstreams and excluded zones, in this order, as the leader knows them.
       limits: the limits that upstreams name; those that are not listed have not
         changed.
+      suspects: the requests that may end upstreams; those that are not listed
+        have not changed.
     """
 
     term: int
@@ -196,6 +217,7 @@
         default_factory=list
     )
     limits: list[LimitNews] = dataclasses.field(default_factory=list)
+    suspects: list[SuspectNews] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sardinehill/errors.py
+++ b/src/sardinehill/errors.py
@@ -47,6 +47,7 @@
     NO_UPSTREAM = "no-upstream"
     OVER_LIMIT = "over-limit"
     OVER_RATE = "over-rate"
+    QUARANTINED = "quarantined"
     QUEUE_FULL = "queue-full"
     RATE_UNKNOWN = "rate-unknown"
     RETRY_BUDGET_SPENT = "retry-budget-spent"
--- a/src/sardinehill/events.py
+++ b/src/sardinehill/events.py
@@ -95,6 +95,7 @@
 REQUEST_UNCERTAIN = Event(702, "request-uncertain", logging.WARNING)
 REQUEST_TRIED_AGAIN = Event(704, "request-tried-again", logging.INFO)
 REQUEST_ANSWERED = Event(705, "request-answered", logging.INFO)
+REQUEST_SUSPECTED = Event(707, "request-suspected", logging.WARNING)
 LINES_DROPPED = Event(706, "lines-dropped", logging.WARNING)
 REQUEST_FAILED_INSIDE = Event(703, "request-failed-inside", logging.ERROR)
 
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -9,6 +9,7 @@
 from sardinehill import errors
 from sardinehill import events
 from sardinehill.core import cold_lending
+from sardinehill.core import crash_suspects
 from sardinehill.core import fleet_messages
 from sardinehill.core import named_limits
 from sardinehill.core import quota_shares
@@ -16,6 +17,7 @@
 from sardinehill.daemon import boot_clock
 from sardinehill.front import admission as admission_module
 from sardinehill.front import borrowing
+from sardinehill.front import crash_evidence
 from sardinehill.front import front_metrics as metrics_module
 from sardinehill.front import leadership as leadership_module
 from sardinehill.front import log as log_module
@@ -70,8 +72,9 @@
             ),
         )
         limits = named_limits.NamedLimits()
+        suspects = crash_suspects.CrashSuspects()
         self._directory = directory_module.UpstreamDirectory(
-            self._view, settings.drain_limit_s, loop.time, limits
+            self._view, settings.drain_limit_s, loop.time, limits, suspects
         )
         self._counters = counters_module.ReportCounters()
         quota = quota_shares.FleetQuota(
@@ -100,6 +103,10 @@
                 self._counters,
                 self._borrower(fleet_messages.LoanKind.COLD_SENDS),
                 self._borrower(fleet_messages.LoanKind.LIMITED_SENDS),
+                suspects,
+                crash_evidence.CrashEvidence(
+                    suspects, lambda: self._view.upstreams, loop.time
+                ),
             ),
             settings.zone,
         )
@@ -116,6 +123,7 @@
             quota,
             cold_lending.ColdBound(settings.cold_ratio, settings.cold_slack),
             limits,
+            suspects,
         )
         self._server = server_module.Server(self._relay.serve, self._limits)
         self._front_metrics.add_gauge_source(self._gauge_values)
--- a/src/sardinehill/front/leader_tables.py
+++ b/src/sardinehill/front/leader_tables.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import dataclasses
 
+from sardinehill.core import crash_suspects
 from sardinehill.core import fleet_messages
 from sardinehill.core import named_limits
 from sardinehill.core import store_versions
@@ -49,11 +50,14 @@
     Attributes:
       documents_age_s: for how long the documents may have been outdated.
       limits: the limits that upstreams name; empty if they are not included.
+      suspects: the requests that may end upstreams; empty if they are not
+        included.
       includes_lendable: whether the lendable tokens are included.
     """
 
     documents_age_s: float
     limits: list[fleet_messages.LimitNews]
+    suspects: list[fleet_messages.SuspectNews]
     includes_lendable: bool = False
 
 
@@ -71,6 +75,7 @@
         leader: known_leader.KnownLeader,
         followers: followers_module.Followers,
         limits: named_limits.NamedLimits,
+        suspects: crash_suspects.CrashSuspects,
         document_versions: Callable[[], list[store_versions.StoreVersion]],
         on_table: Callable[[fleet_messages.LeaderTable], None],
     ):
@@ -80,6 +85,7 @@
         self._known_leader = leader
         self._followers = followers
         self._limits = limits
+        self._suspects = suspects
         self._document_versions = document_versions
         self._on_table = on_table
         self._leading: _Leading | None = None
@@ -90,6 +96,7 @@
         )
         self._push_scheduled = False
         self._includes_limits = False
+        self._includes_suspects = False
 
     def begin_term(
         self, term: leader_term.LeaderTerm, tasks: leader_tasks.LeaderTasks
@@ -114,6 +121,11 @@
         self._includes_limits = True
         self.schedule_push()
 
+    def note_changed_suspects(self) -> None:
+        """Sends tables soon, as another request may end upstreams."""
+        self._includes_suspects = True
+        self.schedule_push()
+
     def schedule_push(self) -> None:
         """Sends tables to all followers soon."""
         if not self._push_scheduled:
@@ -138,8 +150,10 @@
         """Sends tables to all followers now."""
         self._push_scheduled = False
         # One for all daemons, as equal tables are encoded once.
-        news = self._news(self._includes_limits, includes_lendable)
-        self._includes_limits = False
+        news = self._news(
+            self._includes_limits, self._includes_suspects, includes_lendable
+        )
+        self._includes_limits = self._includes_suspects = False
         if self._leading is not None:
             table = self._table_for(self._name, news)
             self._known_leader.set_own_table(table)
@@ -148,9 +162,14 @@
             lambda name: self._table_for(name, news)
         )
 
-    def send(self, name: str, includes_limits: bool) -> None:
-        """Sends one follower its table."""
-        table = self._table_for(name, self._news(includes_limits))
+    def send(self, name: str, is_first: bool) -> None:
+        """Sends one follower its table.
+
+        Args:
+          name: the follower.
+          is_first: whether it has not been told yet what changes rarely.
+        """
+        table = self._table_for(name, self._news(is_first, is_first))
         self._followers.send_table(name, table)
 
     # building
@@ -163,12 +182,17 @@
         return fleet.encode_table(table)
 
     def _news(
-        self, includes_limits: bool, includes_lendable: bool = False
+        self,
+        includes_limits: bool,
+        includes_suspects: bool,
+        includes_lendable: bool = False,
     ) -> _TableNews:
         now_s = asyncio.get_running_loop().time()
-        limits = self._limits.all_news(now_s) if includes_limits else []
         return _TableNews(
-            self._view.documents_age_s(), limits, includes_lendable
+            self._view.documents_age_s(),
+            self._limits.all_news(now_s) if includes_limits else [],
+            self._suspects.all_news(now_s) if includes_suspects else [],
+            includes_lendable,
         )
 
     def _table_for(
@@ -177,6 +201,7 @@
         """Returns the complete table to send to the daemon `name`."""
         table = self._summary()
         table.limits = news.limits
+        table.suspects = news.suspects
         if self._leading is None:
             known = self._known_leader.table
             if known is not None and not self._known_leader.needs_spans:
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -14,6 +14,7 @@
 from sardinehill import errors
 from sardinehill import events
 from sardinehill.core import cold_lending
+from sardinehill.core import crash_suspects
 from sardinehill.core import fleet_messages
 from sardinehill.core import named_limits
 from sardinehill.core import quota_lending
@@ -60,6 +61,7 @@
         quota: quota_shares.FleetQuota,
         cold_bound: cold_lending.ColdBound,
         limits: named_limits.NamedLimits,
+        suspects: crash_suspects.CrashSuspects,
     ):
         self._name = name
         self._store = store
@@ -71,6 +73,9 @@
         self._quota = quota
         self._cold_bound = cold_bound
         self._limits = limits
+        self._suspects = suspects
+        # The term of the leader that was last told of all suspects.
+        self._reported_term = 0
         self._registry = peer_registry.PeerRegistry(
             name, address, core_share, store
         )
@@ -103,6 +108,7 @@
             self._known_leader,
             self._followers,
             limits,
+            suspects,
             self.replication.change_versions,
             on_table,
         )
@@ -183,6 +189,7 @@
         if is_applied:
             self.replication.apply_table(table)
             self._on_table(table)
+            self._note_changed_suspects()
             self._tables.schedule_push()
 
     def _handle_report(
@@ -192,7 +199,11 @@
         if term is not None and report.term > self._known_leader.term:
             term.ended.set()
             return
-        self._limits.record_news(report.limits, self._loop_time_s())
+        now_s = self._loop_time_s()
+        self._limits.record_news(report.limits, now_s)
+        self._suspects.record_news(
+            report.suspects, now_s, is_passed_on=term is None
+        )
         needs_table = self._followers.note_report(report, link)
         if term is not None and self._tasks is not None:
             term.note_report(report.daemon, report.address)
@@ -201,7 +212,7 @@
                 term.note_store_reached(report.daemon)
                 self._hand_over_if_store_lost(term)
         if needs_table or term is None:
-            self._tables.send(report.daemon, includes_limits=needs_table)
+            self._tables.send(report.daemon, is_first=needs_table)
 
     def _hand_over_if_store_lost(self, term: leader_term.LeaderTerm) -> None:
         # This daemon reached the store when it took the lease, so an outage
@@ -285,6 +296,11 @@
         now_s = self._loop_time_s()
         report.limits = self._limits.take_unreported(now_s)
         self._limits.forget(self._view.upstreams, now_s)
+        if self._reported_term != report.term:
+            self._reported_term = report.term
+            self._suspects.report_all()
+        report.suspects = self._suspects.take_unreported(now_s)
+        self._suspects.forget(now_s)
         return report
 
     def _loop_time_s(self) -> float:
@@ -368,8 +384,15 @@
             self._tables.push_periodic(push_index)
             own_tasks.apply_report(self._make_report())
             self._note_changed_limits(own_tasks)
+            self._note_changed_suspects()
             await asyncio.sleep(leader_client.REPORT_INTERVAL_S)
 
+    def _note_changed_suspects(self) -> None:
+        """Tells the daemons that follow this one of changed suspects."""
+        if self._suspects.has_changed:
+            self._suspects.has_changed = False
+            self._tables.note_changed_suspects()
+
     def _note_changed_limits(self, own_tasks: leader_tasks.LeaderTasks) -> None:
         """Tells all daemons of limits that have changed, and plans for them."""
         if self._limits.has_changed:
--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -106,6 +106,7 @@
         )
         try:
             async with asyncio.timeout_at(context.deadline_s):
+                self._sender.refuse_if_quarantined(context)
                 await self._admission.take_token(context)
                 self._sender.count_arrival(context)
                 answer = await self._send_until_answered(context)
@@ -150,6 +151,7 @@
         allowed_sends = 1
         while True:
             target = await self._wait_for_target(context)
+            self._sender.refuse_if_quarantined(context)
             if context.sends >= allowed_sends:
                 if not self._take_retry(context):
                     raise requests.RefusedError(
--- a/src/sardinehill/front/requests.py
+++ b/src/sardinehill/front/requests.py
@@ -115,6 +115,15 @@
     last_failure: str = ""
 
 
+def head_digest(context: RequestContext) -> bytes:
+    """Returns the beginning of the digest of a request."""
+    return request_digests.head_digest(
+        context.account.name if context.account else None,
+        context.request.method,
+        context.request.target,
+    )
+
+
 def digest(context: RequestContext) -> bytes:
     """Returns the digest of a request, which its repetitions share."""
     return request_digests.digest(
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -11,8 +11,10 @@
 from sardinehill import events
 from sardinehill import http1
 from sardinehill.core import cold_lending
+from sardinehill.core import crash_suspects
 from sardinehill.core import service_times
 from sardinehill.front import borrowing
+from sardinehill.front import crash_evidence
 from sardinehill.front import front_metrics as metrics_module
 from sardinehill.front import report_counters as counters_module
 from sardinehill.front import requests
@@ -24,6 +26,8 @@
 # The mean latency of a route that has had no answer yet.
 INITIAL_LATENCY_S = 0.05
 MIN_SERVER_ERROR_STATUS = 500
+# The Retry-After of a request that was lost and is not sent again.
+QUARANTINE_RETRY_AFTER_S = 1.0
 
 
 class Sender:
@@ -37,6 +41,8 @@
         counters: counters_module.ReportCounters,
         cold_sends: borrowing.TokenBorrower,
         limited_sends: borrowing.TokenBorrower,
+        suspects: crash_suspects.CrashSuspects,
+        evidence: crash_evidence.CrashEvidence,
     ):
         self._directory = directory
         self._metrics = metrics
@@ -44,6 +50,8 @@
         self._counters = counters
         self._cold_sends = cold_sends
         self._limited_sends = limited_sends
+        self._suspects = suspects
+        self._evidence = evidence
         self._mean_latencies_s: dict[str, float] = {}
         self._service_times = service_times.ServiceTimes()
 
@@ -55,6 +63,41 @@
         """Returns a route's service time at an upstream of usual speed."""
         return self._service_times.service_time_s(route)
 
+    def refuse_if_quarantined(self, context: requests.RequestContext) -> None:
+        """Refuses a request that ends the upstreams that run it.
+
+        One that is only suspected is sent, but not again after it was lost.
+
+        Raises:
+          requests.RefusedError: the request is not to be sent.
+        """
+        if self._suspects.is_empty or not self._suspects.may_include(
+            requests.head_digest(context)
+        ):
+            return
+        digest = requests.digest(context)
+        now_s = asyncio.get_running_loop().time()
+        quarantine_s = self._suspects.quarantine_s(digest, now_s)
+        is_repeated = (
+            context.may_have_run and self._suspects.ending_count(digest) > 1
+        )
+        if quarantine_s > 0 or is_repeated:
+            raise requests.RefusedError(
+                errors.Reason.QUARANTINED,
+                503,
+                max(quarantine_s, QUARANTINE_RETRY_AFTER_S),
+                digest=digest.hex(),
+            )
+
+    def _note_survived(self, context: requests.RequestContext) -> None:
+        """Clears a suspect that an upstream has run to an end."""
+        if not self._suspects.is_empty and self._suspects.may_include(
+            requests.head_digest(context)
+        ):
+            self._suspects.record_survival(
+                requests.digest(context), asyncio.get_running_loop().time()
+            )
+
     def count_arrival(self, context: requests.RequestContext) -> None:
         """Counts a request for a key, whether or not it will be served.
 
@@ -88,9 +131,9 @@
         may_send = False
         try:
             # The upstream may have left while the connection was opened.
-            may_send = await self._may_send_while_cold(
-                target
-            ) and not self._directory.has_left(target.upstream)
+            is_lent = await self._may_send_while_cold(target)
+            self.refuse_if_quarantined(context)
+            may_send = is_lent and not self._directory.has_left(target.upstream)
         finally:
             if not may_send:
                 target.upstream_state.record_end()
@@ -228,12 +271,14 @@
             return
         context.may_have_run = True
         context.last_failure = "connection-lost"
-        digest = requests.digest(context).hex()
+        digest = requests.digest(context)
+        if not error.response_started:
+            self._evidence.note_broken(target.upstream, digest)
         if not context.route.is_idempotent:
             raise requests.RefusedError(
                 errors.Reason.CONNECTION_LOST,
                 502,
-                digest=digest,
+                digest=digest.hex(),
                 error=str(error),
             )
         self._log(
@@ -242,7 +287,7 @@
             reason="connection-lost",
             upstream=target.upstream.id,
             error=str(error),
-            digest=digest,
+            digest=digest.hex(),
         )
 
     def _evaluate_answer(
@@ -267,6 +312,8 @@
             self._record_upstream_refusal(context, target, answer, now_s)
             return None
         is_genuine = http_messages.is_from_upstream(answer)
+        if is_genuine:
+            self._note_survived(context)
         ok = is_genuine and answer.status < MIN_SERVER_ERROR_STATUS
         mean_s = self.mean_latency_s(context.route.name)
         target.upstream_state.record_answer(latency_s, mean_s, ok)
--- a/src/sardinehill/front/upstream_directory.py
+++ b/src/sardinehill/front/upstream_directory.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from sardinehill import events
+from sardinehill.core import crash_suspects
 from sardinehill.core import fleet_messages
 from sardinehill.core import named_limits
 from sardinehill.core import routes
@@ -84,9 +85,11 @@
         drain_limit_s: float,
         clock_s: Callable[[], float],
         limits: named_limits.NamedLimits,
+        suspects: crash_suspects.CrashSuspects,
     ):
         self._view = view
         self._limits = limits
+        self._suspects = suspects
         self._drain_grace_s = drain_limit_s * DRAIN_GRACE_RATIO
         self._clock_s = clock_s
         self._entries: dict[str, _UpstreamEntry] = {}
@@ -176,7 +179,9 @@
         previous_table = self._table
         self._table = table
         self.daemon_count = max(table.daemons, 1)
-        self._limits.record_news(table.limits, self._clock_s() - table.age_s)
+        heard_s = self._clock_s() - table.age_s
+        self._limits.record_news(table.limits, heard_s)
+        self._suspects.record_news(table.suspects, heard_s, is_passed_on=False)
         if previous_table is not None and previous_table.spans is table.spans:
             return
         self._first_keys = {
--- a/src/sardinehill/wire/fleet.capnp
+++ b/src/sardinehill/wire/fleet.capnp
@@ -40,6 +40,22 @@
   ageMs @3 :UInt32;
 }
 
+struct Ending {
+  # The id of an upstream and its start.
+  incarnation @0 :Text;
+  # The time since it ended, in milliseconds.
+  ageMs @1 :UInt32;
+}
+
+# What is known of a request that may end the upstreams that run it.
+struct Suspect {
+  digest @0 :Data;
+  endings @1 :List(Ending);
+  hasSurvived @2 :Bool;
+  # The time since an upstream ran it to an end, in milliseconds.
+  survivedAgeMs @3 :UInt32;
+}
+
 # Sent by a daemon to the leader several times a second.
 struct Report {
   daemon @0 :Text;
@@ -55,6 +71,7 @@
   protocolVersion @8 :UInt8;
   needsSpans @9 :Bool;
   limits @10 :List(LimitNews);
+  suspects @11 :List(Suspect);
 }
 
 struct Span {
@@ -123,6 +140,7 @@
   limits @18 :List(LimitNews);
   # The store's eras of newsRevisions; missing if the sender does not know eras.
   newsEras @19 :List(UInt64);
+  suspects @20 :List(Suspect);
 }
 
 # Sent when the store has changed, by a peer to each daemon that follows it.
--- a/src/sardinehill/wire/fleet.py
+++ b/src/sardinehill/wire/fleet.py
@@ -99,6 +99,7 @@
         protocolVersion=report.protocol_version,
         needsSpans=report.needs_spans,
         limits=[_encoded_limit(news) for news in report.limits],
+        suspects=[_encoded_suspect(news) for news in report.suspects],
     )
     return bytes(message.to_bytes())
 
@@ -136,6 +137,7 @@
         protocol_version=message.protocolVersion,
         needs_spans=message.needsSpans,
         limits=[_decoded_limit(item) for item in message.limits],
+        suspects=[_decoded_suspect(item) for item in message.suspects],
     )
 
 
@@ -156,6 +158,34 @@
     )
 
 
+def _encoded_suspect(news: fleet_messages.SuspectNews) -> dict[str, Any]:
+    return {
+        "digest": news.digest,
+        "endings": [
+            {
+                "incarnation": incarnation,
+                "ageMs": _clamped_uint32(age_s * _THOUSAND),
+            }
+            for incarnation, age_s in news.ending_ages_s.items()
+        ],
+        "hasSurvived": news.survived_age_s is not None,
+        "survivedAgeMs": _clamped_uint32(
+            (news.survived_age_s or 0.0) * _THOUSAND
+        ),
+    }
+
+
+def _decoded_suspect(item: Any) -> fleet_messages.SuspectNews:
+    return fleet_messages.SuspectNews(
+        bytes(item.digest),
+        {
+            ending.incarnation: ending.ageMs / _THOUSAND
+            for ending in item.endings
+        },
+        item.survivedAgeMs / _THOUSAND if item.hasSurvived else None,
+    )
+
+
 def _service_table(
     service: str, spans: list[fleet_messages.OwnerSpan]
 ) -> dict[str, Any]:
@@ -241,6 +271,7 @@
         newsRevisions=[version.revision for version in table.document_versions],
         newsEras=[version.era for version in table.document_versions],
         limits=[_encoded_limit(news) for news in table.limits],
+        suspects=[_encoded_suspect(news) for news in table.suspects],
         lendable=[
             {"account": account, "tokens": _clamped_uint32(tokens * _THOUSAND)}
             for account, tokens in table.lendable.items()
@@ -313,6 +344,7 @@
         successor=message.successor,
         document_versions=_decode_versions(message),
         limits=[_decoded_limit(item) for item in message.limits],
+        suspects=[_decoded_suspect(item) for item in message.suspects],
         lendable={
             item.account: item.tokens / _THOUSAND for item in message.lendable
         },
--- a/standins/users_platform_upstream.py
+++ b/standins/users_platform_upstream.py
@@ -1,6 +1,7 @@
 """Stands in for an upstream of the users' platform that accepts grants."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
 import itertools
@@ -57,6 +58,9 @@
       service_time_s: duration of one request.
       named_limit: the requests a second that its answers name as its limit, or
         None.
+      deadly_path: a path whose requests end it as soon as it runs them, or
+        None.
+      on_deadly_request: called when such a request ends it.
     """
 
     def __init__(self, name: str, is_divided: bool = True):
@@ -68,6 +72,8 @@
         self.grant_delay_s = 0.0
         self.service_time_s = 0.002
         self.named_limit: float | None = None
+        self.deadly_path: str | None = None
+        self.on_deadly_request: Callable[[], None] = lambda: None
         self._held_until_s: dict[int, float] = {}
         self._epochs: dict[int, int] = {}
         self._holdings: list[KeyHolding] = []
@@ -182,6 +188,10 @@
             )
         )
         await asyncio.sleep(self.service_time_s)
+        if request.path == self.deadly_path:
+            self.on_deadly_request()
+            assert request.transport is not None
+            request.transport.abort()
         if self.mode == "silent":
             await asyncio.sleep(60)
         assert request.transport is not None
--- a/tests/common/platform_fleet.py
+++ b/tests/common/platform_fleet.py
@@ -240,6 +240,10 @@
             status={"state": state, "seqNo": 1, "coldLeftS": 0},
         )
 
+    def running(self) -> set[str]:
+        """Returns the names of the upstreams that have not been stopped."""
+        return self._sites.keys() & self.upstreams.keys()
+
     async def stop_upstream(self, name: str) -> None:
         """Stops an upstream; its port then refuses connections."""
         await self._sites.pop(name).cleanup()
--- a/tests/cover/test_peer_frames.py
+++ b/tests/cover/test_peer_frames.py
@@ -32,6 +32,7 @@
     lendable={"a": 3.5},
     resigned=True,
     successor="next",
+    suspects=[fleet_messages.SuspectNews(b"d" * 32, {}, 1.25)],
     document_versions=[
         store_versions.StoreVersion(2, 5),
         store_versions.StoreVersion(2, 6),
@@ -48,6 +49,11 @@
     refused=[fleet_messages.RefusedKey("seats", 9, 4)],
     protocol_version=1,
     needs_spans=True,
+    suspects=[
+        fleet_messages.SuspectNews(
+            b"d" * 32, {"i-1@5": 2.5, "i-2@0": 0.5}, None
+        )
+    ],
 )
 CHANGE = fleet_messages.StoreChange(
     "servers",
--- a/tests/cover/test_relay.py
+++ b/tests/cover/test_relay.py
@@ -15,6 +15,9 @@
     def __init__(self, attempts):
         self.attempts = list(attempts)
 
+    def refuse_if_quarantined(self, context):
+        return
+
     async def send(self, context, target):
         if self.attempts.pop(0):
             context.sends += 1
--- a/tests/cover/test_sending.py
+++ b/tests/cover/test_sending.py
@@ -6,6 +6,7 @@
 import pytest
 
 from sardinehill.core import cold_lending
+from sardinehill.core import crash_suspects
 from sardinehill.core import upstream_state
 from sardinehill.front import sending
 
@@ -38,6 +39,8 @@
             None,
             types.SimpleNamespace(borrow=borrow),
             None,
+            crash_suspects.CrashSuspects(),
+            None,
         )
         target = types.SimpleNamespace(
             upstream=types.SimpleNamespace(id="i-1"),
--- a/tests/cover/test_upstream_directory.py
+++ b/tests/cover/test_upstream_directory.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sardinehill.core import crash_suspects
 from sardinehill.core import fleet_messages
 from sardinehill.core import named_limits
 from sardinehill.core import routes
@@ -69,7 +70,11 @@
     clock = [100.0]
     view = store_view.StoreView(lambda: clock[0], lambda: None)
     directory = upstream_directory.UpstreamDirectory(
-        view, DRAIN_LIMIT_S, lambda: clock[0], named_limits.NamedLimits()
+        view,
+        DRAIN_LIMIT_S,
+        lambda: clock[0],
+        named_limits.NamedLimits(),
+        crash_suspects.CrashSuspects(),
     )
     made = Fixture(view, directory, clock)
     made.read_upstream("ready")
@@ -116,7 +121,11 @@
     clock = fixture.clock
     view = store_view.StoreView(lambda: clock[0], lambda: None)
     directory = upstream_directory.UpstreamDirectory(
-        view, DRAIN_LIMIT_S, lambda: clock[0], named_limits.NamedLimits()
+        view,
+        DRAIN_LIMIT_S,
+        lambda: clock[0],
+        named_limits.NamedLimits(),
+        crash_suspects.CrashSuspects(),
     )
     restarted = Fixture(view, directory, clock)
     restarted.read_upstream("draining")
