Heed an upstream that says in its answers that it leaves

An upstream that leaves says so in all its answers (Server-Leaving), also when the store is away or is told later. Nothing read that: in the new test both kinds of service sent on to such an upstream, as the store said nothing.

A daemon counts the drain grace from the first such answer, and chooses others at once where any upstream may serve. The leader hears it in the answers to its grants and moves the upstream's keys away.

--- a/src/sardinehill/front/key_owners.py
+++ b/src/sardinehill/front/key_owners.py
@@ -33,6 +33,7 @@
       confirmed_s: when it last confirmed a grant, or when it was first seen.
       failing_since_s: when it stopped answering, or None.
       unusable_until_s: it gets no new keys before this time.
+      says_leaving: whether it has said in an answer that it leaves.
       connections: idle connections to it.
     """
 
@@ -43,6 +44,7 @@
     confirmed_s: float = 0.0
     failing_since_s: float | None = None
     unusable_until_s: float = 0.0
+    says_leaving: bool = False
     connections: list[http1.Connection] = dataclasses.field(
         default_factory=list
     )
@@ -142,6 +144,7 @@
                 continue
             if (
                 now_s < owner.unusable_until_s
+                or owner.says_leaving
                 or upstream.incarnation in self.ended
             ):
                 continue
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -289,6 +289,8 @@
     ) -> None:
         """Updates an owner's availability from the outcome of a grant."""
         now_s = self._clock_s()
+        if result.status != 421 and _says_leaving(result):
+            self._note_leaving(owner)
         if result.status == 200:
             if owner.failing_since_s is not None:
                 owner.failing_since_s = None
@@ -315,6 +317,12 @@
             return
         self._note_unanswered(owner, result, now_s)
 
+    def _note_leaving(self, owner: key_owners.KeyOwner) -> None:
+        if not owner.says_leaving:
+            owner.says_leaving = True
+            events.log(events.UPSTREAM_LEAVES, upstream=owner.incarnation[0])
+            self._on_owners_changed()
+
     def _note_unanswered(
         self,
         owner: key_owners.KeyOwner,
@@ -341,6 +349,12 @@
             owner.unusable_until_s = now_s + OWNER_EXCLUSION_S
 
 
+def _says_leaving(result: key_owners.OrderResult) -> bool:
+    return result.answer is not None and http_messages.says_leaving(
+        result.answer
+    )
+
+
 def _grant_outcome(
     result: key_owners.OrderResult,
 ) -> key_orders.GrantOutcome:
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -299,6 +299,8 @@
     ) -> http1.Response | None:
         now_s = asyncio.get_running_loop().time()
         self._note_limit(context, target, answer, now_s)
+        if http_messages.says_leaving(answer) and answer.status != 421:
+            self._directory.note_leaving(target.upstream)
         load = http_messages.parse_load(answer)
         if load is not None:
             target.upstream_state.record_load_report(
--- a/src/sardinehill/front/upstream_directory.py
+++ b/src/sardinehill/front/upstream_directory.py
@@ -47,6 +47,7 @@
       pool: the connections to it.
       leaving_since_s: the earliest time at which it may have begun to drain or
         left the store, or None.
+      said_leaving_s: when it first said in an answer that it leaves, or None.
       has_ended: whether its address belongs to another upstream now.
     """
 
@@ -54,6 +55,7 @@
     state: upstream_state.UpstreamState
     pool: pool_module.ConnectionPool
     leaving_since_s: float | None = None
+    said_leaving_s: float | None = None
     has_ended: bool = False
 
 
@@ -228,6 +230,20 @@
                 error="its address answers for another upstream",
             )
 
+    def note_leaving(self, upstream: routes.Upstream) -> None:
+        """Records that an upstream has said in an answer that it leaves.
+
+        The store may say so later, or not at all.
+        """
+        entry = self._entries.get(upstream.id)
+        if (
+            entry is not None
+            and entry.upstream.incarnation == upstream.incarnation
+            and entry.said_leaving_s is None
+        ):
+            entry.said_leaving_s = self._clock_s()
+            events.log(events.UPSTREAM_LEAVES, upstream=upstream.id)
+
     def wake_next(self, upstream: routes.Upstream, service: str) -> None:
         """Wakes the next waiting request after capacity became free."""
         if not self.waiting.wake_one(("room", upstream.id)):
@@ -293,6 +309,7 @@
         """Returns whether the grace for an upstream that leaves is over."""
         left_times_s = (
             entry.leaving_since_s,
+            entry.said_leaving_s,
             self._zones_out_since_s.get(entry.upstream.zone),
         )
         now_s = self._clock_s()
@@ -309,6 +326,7 @@
             upstream
             for upstream in self._by_service.get(service, ())
             if not self._entries[upstream.id].has_ended
+            and self._entries[upstream.id].said_leaving_s is None
         ]
 
     def state_and_pool(
--- a/src/sardinehill/platform/http_messages.py
+++ b/src/sardinehill/platform/http_messages.py
@@ -199,6 +199,11 @@
     return ReportedLoad(numbers[0], numbers[1], max(1, numbers[2]), slowness)
 
 
+def says_leaving(answer: http1.Response) -> bool:
+    """Returns whether the upstream says that it is leaving."""
+    return answer.header(names.LEAVING) == b"1"
+
+
 def names_rate_limit(answer: http1.Response) -> bool:
     """Returns whether an answer names a limit, which may be malformed."""
     return answer.header(names.RATE_LIMIT) is not None
--- a/src/sardinehill/platform/names.py
+++ b/src/sardinehill/platform/names.py
@@ -17,6 +17,8 @@
 COLD_MS = b"x-cold-ms"
 # The requests a second that the upstream takes from all daemons together.
 RATE_LIMIT = b"server-limit"
+# Present in all answers of an upstream that is leaving.
+LEAVING = b"server-leaving"
 HANDOVER = b"x-handover"
 ANSWERING_UPSTREAM_ID = b"x-instance-id"
 RETRY_AFTER = b"retry-after"
--- a/standins/users_platform_upstream.py
+++ b/standins/users_platform_upstream.py
@@ -58,6 +58,10 @@
       service_time_s: duration of one request.
       named_limit: the requests a second that its answers name as its limit, or
         None.
+      says_leaving: whether its answers say that it leaves.
+      retry_after_s: the time that its refusals in the mode `shed` name, or
+        None.
+      refused_s: when it refused requests in that mode.
       deadly_path: a path whose requests end it as soon as it runs them, or
         None.
       on_deadly_request: called when such a request ends it.
@@ -72,6 +76,9 @@
         self.grant_delay_s = 0.0
         self.service_time_s = 0.002
         self.named_limit: float | None = None
+        self.says_leaving = False
+        self.retry_after_s: float | None = None
+        self.refused_s: list[float] = []
         self.deadly_path: str | None = None
         self.on_deadly_request: Callable[[], None] = lambda: None
         self._held_until_s: dict[int, float] = {}
@@ -119,7 +126,8 @@
             arrived_s,
             arrived_s + body["holdS"],
         )
-        return web.json_response({})
+        headers = {"Server-Leaving": "1"} if self.says_leaving else None
+        return web.json_response({}, headers=headers)
 
     def _note_held(
         self, first: int, last: int, epoch: int, now_s: float, until_s: float
@@ -169,10 +177,11 @@
                 headers={"X-Request-Id": request_id, "X-Not-Executed": "1"},
             )
         if self.mode == "shed":
-            return web.Response(
-                status=503,
-                headers={"X-Request-Id": request_id, "X-Not-Executed": "1"},
-            )
+            self.refused_s.append(time.monotonic())
+            headers = {"X-Request-Id": request_id, "X-Not-Executed": "1"}
+            if self.retry_after_s is not None:
+                headers["Retry-After"] = str(self.retry_after_s)
+            return web.Response(status=503, headers=headers)
         return await self._run(request, request_id, number)
 
     async def _run(
@@ -225,6 +234,8 @@
             "X-Response-Stamp": f"stamp-{self.name}",
             "X-Server-Load": "1,0,3,100",
         }
+        if self.says_leaving:
+            headers["Server-Leaving"] = "1"
         if self.named_limit is not None:
             headers["Server-Limit"] = str(self.named_limit)
         return web.Response(text=body, headers=headers)
--- /dev/null
+++ b/tests/process/test_leaving_upstream.py
@@ -0,0 +1,79 @@
+"""Tests that daemons heed what an upstream says of itself in its answers."""
+
+import asyncio
+import itertools
+import time
+
+import pytest
+
+from tests.common import platform_fleet
+
+# The drain limit in the daemons' settings.
+DRAIN_LIMIT_S = 2.0
+KEY = 100
+SERVICES = {
+    "divided": ("/stock/a", "prenota"),
+    "undivided": ("/view/a", "conti"),
+}
+
+
+@pytest.fixture(params=["divided", "undivided"])
+def fleet(tmp_path, request):
+    fleet = platform_fleet.PlatformFleet(tmp_path, daemons=2, upstreams=2)
+    try:
+        fleet.path, service = SERVICES[request.param]
+        fleet.run(
+            fleet.add_upstream("i-other", service, request.param == "divided")
+        )
+        for daemon in fleet.daemons:
+            fleet.run(fleet.wait_until_served(daemon))
+        yield fleet
+    finally:
+        fleet.close()
+
+
+async def send_for(fleet, seconds, replies):
+    """Sends one request after the other, to each daemon in turn."""
+    end_s = time.monotonic() + seconds
+    for number, daemon in zip(
+        itertools.count(), itertools.cycle(fleet.daemons)
+    ):
+        sent_s = time.monotonic()
+        if sent_s > end_s:
+            return
+        reply = await fleet.send_request(
+            daemon, fleet.path, KEY, f"{sent_s}-{number}"
+        )
+        replies.append((sent_s, time.monotonic(), reply))
+        await asyncio.sleep(0.02)
+
+
+async def serving_upstream(fleet):
+    """Returns an upstream that serves the requests of the test."""
+    await send_for(fleet, 0.5, [])
+    return max(
+        fleet.upstreams.values(),
+        key=lambda upstream: sum(
+            run.headers["X-Request-Id"].startswith("wait") is False
+            for run in upstream.runs
+        ),
+    )
+
+
+def test_upstream_whose_answers_say_that_it_leaves_gets_no_requests(fleet):
+    async def scenario():
+        upstream = await serving_upstream(fleet)
+        upstream.says_leaving = True
+        said_s = time.monotonic()
+        replies = []
+        await send_for(fleet, DRAIN_LIMIT_S + 2.0, replies)
+        late = [
+            run.at_s
+            for run in upstream.runs
+            if run.at_s > said_s + DRAIN_LIMIT_S + 0.2
+        ]
+        assert late == []
+        last = [reply.status for _, _, reply in replies[-20:]]
+        assert set(last) == {200}
+
+    fleet.run(scenario())
