Leave an upstream alone for the time that its refusal names

An upstream that turns a request away with 503 may say for how long it wants nothing from that daemon (Retry-After).

The daemon sends it nothing until that time is over, 300 s at most. Where any upstream may serve, others do; a request for a key of its own, or where all want nothing for longer than it may wait, is refused at once and told when to come back.

--- a/src/sardinehill/core/upstream_state.py
+++ b/src/sardinehill/core/upstream_state.py
@@ -85,6 +85,7 @@
         call of `record_answer`, if any.
       no_cold_sends_until_s: while it is cold, it gets no requests before this
         time, because the fleet's sends to it are used up.
+      refuses_until_s: it has refused a request and wants none before this time.
       no_limited_sends_until_s: while it names a limit, it gets no requests
         before this time, because the fleet's sends are used up.
     """
@@ -103,6 +104,7 @@
     cold_until_s: float = 0.0
     consecutive_unreachable: int = 0
     no_cold_sends_until_s: float = 0.0
+    refuses_until_s: float = 0.0
     no_limited_sends_until_s: float = 0.0
 
     def record_send(self) -> None:
@@ -113,6 +115,10 @@
         """Returns whether it is cold, so that each send must be lent."""
         return now_s < self.cold_until_s
 
+    def is_refusing(self, now_s: float) -> bool:
+        """Returns whether it has said that it wants no requests now."""
+        return now_s < self.refuses_until_s
+
     def record_end(self) -> None:
         """Records that a request is no longer in flight."""
         self.in_flight -= 1
@@ -169,6 +175,10 @@
         """Records that the upstream refused a request because it is full."""
         self.blocked_until_s = max(self.blocked_until_s, now_s + FULL_PAUSE_S)
 
+    def record_retry_after(self, now_s: float, retry_after_s: float) -> None:
+        """Records that the upstream wants no requests for a time."""
+        self.refuses_until_s = max(self.refuses_until_s, now_s + retry_after_s)
+
     def record_reset(self, now_s: float, on_new_connection: bool) -> None:
         """Records that the upstream has reset a connection without an answer.
 
@@ -247,7 +257,9 @@
         """
         if now_s < self.single_request_until_s:
             max_in_flight = 1
-        if now_s < self.blocked_until_s or self.in_flight >= max_in_flight:
+        if now_s < max(self.blocked_until_s, self.refuses_until_s):
+            return False
+        if self.in_flight >= max_in_flight:
             return False
         return not self.is_cold(now_s) or now_s >= self.no_cold_sends_until_s
 
--- a/src/sardinehill/events.py
+++ b/src/sardinehill/events.py
@@ -88,6 +88,7 @@
 UPSTREAM_REACHED = Event(506, "upstream-reached", logging.INFO)
 REPORT_OUTDATED = Event(507, "report-outdated", logging.INFO)
 LIMIT_NAMED = Event(508, "limit-named", logging.INFO)
+UPSTREAM_PAUSED = Event(510, "upstream-paused", logging.INFO)
 UPSTREAM_LEAVES = Event(509, "upstream-leaves", logging.INFO)
 
 ACCOUNT_KEYS_ACCEPTED = Event(601, "account-keys-accepted", logging.INFO)
--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import random
 
 from sardinehill import errors
@@ -273,12 +274,41 @@
         if not self._has_capacity(context, upstream, now_s):
             queue_key = ("room", upstream.id)
             max_wait_s = self._max_capacity_wait_s(context, state.slowness)
+            self._refuse_if_paused(context, [upstream], max_wait_s, now_s)
             self._refuse_if_limited(
                 context, upstream, queue_key, max_wait_s, now_s
             )
             return queue_key, max_wait_s, errors.Reason.QUEUE_FULL
         return requests.Target(upstream, state, pool, epoch)
 
+    def _refuse_if_paused(
+        self,
+        context: requests.RequestContext,
+        upstreams: Iterable[routes.Upstream],
+        max_wait_s: float,
+        now_s: float,
+    ) -> None:
+        """Refuses a request if its upstreams want none for too long.
+
+        Raises:
+          RefusedError: the request would wait for longer than it may.
+        """
+        pause_s = min(
+            (
+                self._directory.pause_s(upstream, now_s)
+                for upstream in upstreams
+            ),
+            default=0.0,
+        )
+        waited_s = now_s - (context.waiting_since_s or now_s)
+        if pause_s > max(max_wait_s - waited_s, 0.0):
+            raise requests.RefusedError(
+                errors.Reason.QUEUE_FULL,
+                503,
+                pause_s,
+                pause_s=round(pause_s, 3),
+            )
+
     def _refuse_if_limited(
         self,
         context: requests.RequestContext,
@@ -349,9 +379,11 @@
             self._random.random,
         )
         if name is None:
+            max_wait_s = self._max_capacity_wait_s(context, 1.0)
+            self._refuse_if_paused(context, usable, max_wait_s, now_s)
             return (
                 ("any", context.service),
-                self._max_capacity_wait_s(context, 1.0),
+                max_wait_s,
                 errors.Reason.QUEUE_FULL,
             )
         upstream = by_id[name]
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -133,7 +133,12 @@
             # The upstream may have left while the connection was opened.
             is_lent = await self._may_send_while_cold(target)
             self.refuse_if_quarantined(context)
-            may_send = is_lent and not self._directory.has_left(target.upstream)
+            may_send = is_lent and not (
+                self._directory.has_left(target.upstream)
+                or target.upstream_state.is_refusing(
+                    asyncio.get_running_loop().time()
+                )
+            )
         finally:
             if not may_send:
                 target.upstream_state.record_end()
@@ -386,6 +391,7 @@
         if answer.status != 421:
             target.upstream_state.record_full(now_s)
             context.last_failure = "shed"
+            self._note_retry_after(target, answer, now_s)
             return
         context.last_failure = "fenced"
         answering_id = http_messages.answering_upstream_id(answer)
@@ -399,6 +405,19 @@
                 context.service, key, target.epoch, now_s
             )
 
+    def _note_retry_after(
+        self, target: requests.Target, answer: http1.Response, now_s: float
+    ) -> None:
+        retry_after_s = http_messages.parse_retry_after_s(answer)
+        if answer.status != 503 or retry_after_s is None:
+            return
+        target.upstream_state.record_retry_after(now_s, retry_after_s)
+        events.log(
+            events.UPSTREAM_PAUSED,
+            upstream=target.upstream.id,
+            retry_after_s=retry_after_s,
+        )
+
     def _record_success(
         self,
         context: requests.RequestContext,
--- a/src/sardinehill/front/upstream_directory.py
+++ b/src/sardinehill/front/upstream_directory.py
@@ -370,6 +370,11 @@
         """Returns whether an upstream names a limit, so that sends are lent."""
         return self._limits.rate_per_s(upstream.id) is not None
 
+    def pause_s(self, upstream: routes.Upstream, now_s: float) -> float:
+        """Returns for how long an upstream still wants no requests, or 0."""
+        state = self._entries[upstream.id].state
+        return max(state.refuses_until_s - now_s, 0.0)
+
     def limited_wait_s(
         self,
         upstream: routes.Upstream,
--- a/src/sardinehill/platform/http_messages.py
+++ b/src/sardinehill/platform/http_messages.py
@@ -11,6 +11,8 @@
 _MS_PER_S = 1000
 _PERCENT = 100
 SHARD_KEY_COUNT = 65536
+# An upstream that names a longer time is tried again after this one.
+MAX_RETRY_AFTER_S = 300.0
 
 # Hop-by-hop headers, and those that a daemon sets itself or keeps secret.
 _NOT_FORWARDED_HEADERS = frozenset(
@@ -199,6 +201,25 @@
     return ReportedLoad(numbers[0], numbers[1], max(1, numbers[2]), slowness)
 
 
+def parse_retry_after_s(answer: http1.Response) -> float | None:
+    """Returns for how long an upstream that refuses wants no requests.
+
+    Returns:
+      The time, at most `MAX_RETRY_AFTER_S`, or None if the answer names none
+      or a malformed one.
+    """
+    value = answer.header(names.RETRY_AFTER)
+    if value is None:
+        return None
+    try:
+        retry_after_s = float(value)
+    except ValueError:
+        return None
+    if not retry_after_s > 0:
+        return None
+    return min(retry_after_s, MAX_RETRY_AFTER_S)
+
+
 def says_leaving(answer: http1.Response) -> bool:
     """Returns whether the upstream says that it is leaving."""
     return answer.header(names.LEAVING) == b"1"
--- a/tests/cover/test_platform_formats.py
+++ b/tests/cover/test_platform_formats.py
@@ -267,3 +267,24 @@
     ]
     forwarded = http_messages.forwarded_headers(headers)
     assert forwarded == b"host: h\r\nx-shard-key: 9\r\nx-request-id: r\r\n"
+
+
+@pytest.mark.parametrize(
+    ("value", "expected_s"),
+    [
+        (b"2", 2.0),
+        (b"0.25", 0.25),
+        (b"1e9", http_messages.MAX_RETRY_AFTER_S),
+        (b"inf", http_messages.MAX_RETRY_AFTER_S),
+        (b"0", None),
+        (b"-3", None),
+        (b"nan", None),
+        (b"", None),
+        (b"Sat, 05 Dec 2026 04:00:00 GMT", None),
+    ],
+)
+def test_retry_after_is_bounded_and_malformed_ones_are_ignored(
+    value, expected_s
+):
+    refusal = http1.Response(503, [(b"retry-after", value)])
+    assert http_messages.parse_retry_after_s(refusal) == expected_s
--- a/tests/cover/test_upstream_state.py
+++ b/tests/cover/test_upstream_state.py
@@ -124,3 +124,11 @@
     assert upstream.may_send(5.1, max_in_flight=10)
     later_s = 5.0 + upstream_state.RESET_REPORT_TTL_S
     assert upstream.has_room(later_s, service_time_s=0.1, objective_s=0.6)
+
+
+def test_upstream_that_refused_with_a_time_gets_nothing_until_it_is_over():
+    upstream = upstream_state.UpstreamState(slots=3)
+    upstream.record_retry_after(1.0, 4.0)
+    upstream.record_retry_after(1.5, 0.5)
+    assert not upstream.may_send(4.9, max_in_flight=5)
+    assert upstream.may_send(5.0, max_in_flight=5)
--- a/tests/process/test_leaving_upstream.py
+++ b/tests/process/test_leaving_upstream.py
@@ -1,6 +1,7 @@
 """Tests that daemons heed what an upstream says of itself in its answers."""
 
 import asyncio
+import collections
 import itertools
 import time
 
@@ -10,6 +11,10 @@
 
 # The drain limit in the daemons' settings.
 DRAIN_LIMIT_S = 2.0
+RETRY_AFTER_S = 4.0
+# Requests that are under way when an upstream refuses one may still arrive.
+UNDER_WAY_S = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
 KEY = 100
 SERVICES = {
     "divided": ("/stock/a", "prenota"),
@@ -77,3 +82,32 @@
         assert set(last) == {200}
 
     fleet.run(scenario())
+
+
+def test_upstream_that_names_a_retry_after_is_left_alone_for_that_time(fleet):
+    async def scenario():
+        upstream = await serving_upstream(fleet)
+        upstream.retry_after_s = RETRY_AFTER_S
+        upstream.mode = "shed"
+        replies = []
+        await send_for(fleet, RETRY_AFTER_S - 0.5, replies)
+        first_s = upstream.refused_s[0]
+        in_pause = [
+            refused_s
+            for refused_s in upstream.refused_s
+            if refused_s > first_s + UNDER_WAY_S
+        ]
+        assert len(in_pause) <= MAX_REQUESTS_IN_PAUSE * len(fleet.daemons)
+        return replies
+
+    replies = fleet.run(scenario())
+    statuses = collections.Counter(reply.status for _, _, reply in replies)
+    if fleet.path == SERVICES["undivided"][0]:
+        assert statuses[200] > 0.9 * len(replies)
+        return
+    # No other upstream may run the requests, so callers are told at once.
+    refused = [item for item in replies if item[2].status == 503]
+    assert len(refused) > 0.9 * len(replies)
+    for sent_s, answered_s, reply in refused[20:]:
+        assert answered_s - sent_s < 0.1
+        assert float(reply.headers["Retry-After"]) > 0.1
