Take no interim response for an answer when the connection ends

A connection that ended after an interim response (1xx) and before the final one gave an empty answer with the status of the interim one, as if its body had ended with the connection. It reached no caller, as answers without an upstream's stamp are refused; one with a stamp would have. Looked for after operators reported answers that broke off within the head: no prefix of a final answer with a length is taken for a whole one.

--- a/src/sardinehill/http1.py
+++ b/src/sardinehill/http1.py
@@ -246,6 +246,8 @@
             return
         assert self._parser is not None
         if self._response.status // 100 == 1:
+            # The connection may end before the final response begins.
+            self._headers_done = False
             return
         self._response.keep_alive = self._parser.should_keep_alive()
         if self._headers_done and self._has_body_length:
