Take numbers of thousands of digits in headers for malformed

A request with a deadline or key of over 4,300 digits ended with a closed connection, and an answer with such a load was lost, as an unexpected error: Python refuses to convert such numbers, which the code did not expect of digits.

Numbers in headers have at most twelve digits now; others count as missing.

--- a/src/sardinehill/platform/http_messages.py
+++ b/src/sardinehill/platform/http_messages.py
@@ -10,6 +10,8 @@
 
 _MS_PER_S = 1000
 _PERCENT = 100
+# Longer numbers in headers are malformed.
+_MAX_COUNT_DIGITS = 12
 SHARD_KEY_COUNT = 65536
 # An upstream that names a longer time is tried again after this one.
 MAX_RETRY_AFTER_S = 300.0
@@ -91,20 +93,26 @@
 def parse_request_metadata(headers: http1.Headers) -> RequestMetadata:
     """Parses a caller's headers; malformed values are treated as missing."""
     header_values = dict(headers)
-    timeout_ms = header_values.get(names.DEADLINE_MS, b"")
-    key = header_values.get(names.SHARD_KEY, b"")
-    shard_key = int(key) if key.isdigit() else None
+    timeout_ms = _parse_count(header_values.get(names.DEADLINE_MS, b""))
+    shard_key = _parse_count(header_values.get(names.SHARD_KEY, b""))
     if shard_key is not None and shard_key >= SHARD_KEY_COUNT:
         shard_key = None
     return RequestMetadata(
         host=header_values.get(b"host", b""),
         request_id=header_values.get(names.REQUEST_ID, b""),
-        timeout_s=int(timeout_ms) / _MS_PER_S if timeout_ms.isdigit() else None,
+        timeout_s=None if timeout_ms is None else timeout_ms / _MS_PER_S,
         account_key=header_values.get(names.ACCOUNT_KEY),
         shard_key=shard_key,
     )
 
 
+def _parse_count(value: bytes) -> int | None:
+    """Returns the number that a header holds; None if it is malformed."""
+    if not value.isdigit() or len(value) > _MAX_COUNT_DIGITS:
+        return None
+    return int(value)
+
+
 def forwarded_headers(headers: http1.Headers) -> bytes:
     """Returns the header lines that are forwarded to an upstream unchanged."""
     dropped = _NOT_FORWARDED_HEADERS
@@ -193,10 +201,14 @@
     value = answer.header(names.LOAD)
     if value is None:
         return None
-    parts = value.split(b",")
-    if len(parts) < 3 or not all(part.strip().isdigit() for part in parts):
+    numbers = []
+    for part in value.split(b","):
+        number = _parse_count(part.strip())
+        if number is None:
+            return None
+        numbers.append(number)
+    if len(numbers) < 3:
         return None
-    numbers = [int(part) for part in parts]
     slowness = numbers[3] / _PERCENT if len(numbers) > 3 else 1.0
     return ReportedLoad(numbers[0], numbers[1], max(1, numbers[2]), slowness)
 
--- a/tests/cover/test_platform_formats.py
+++ b/tests/cover/test_platform_formats.py
@@ -1,5 +1,6 @@
 """Tests of the decoding and encoding of the platform's formats."""
 
+import asyncio
 import copy
 
 import pytest
@@ -288,3 +289,42 @@
 ):
     refusal = http1.Response(503, [(b"retry-after", value)])
     assert http_messages.parse_retry_after_s(refusal) == expected_s
+
+
+LONG_NUMBER = b"9" * 10_000
+
+
+@pytest.mark.parametrize("value", [LONG_NUMBER, b"", b"-1", b"1.5", b"\xb2"])
+def test_odd_numbers_in_a_callers_headers_count_as_missing(value):
+    metadata = http_messages.parse_request_metadata(
+        [(b"x-deadline-ms", value), (b"x-shard-key", value)]
+    )
+    assert metadata.timeout_s is None
+    assert metadata.shard_key is None
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        LONG_NUMBER + b",0,3",
+        b"1,%b,3" % LONG_NUMBER,
+        b"1,0,3,%b" % LONG_NUMBER,
+        b"1,0",
+        b"1,0,x",
+        b",,,",
+        b"1,0,3,\xb2",
+    ],
+)
+def test_odd_load_in_an_answer_counts_as_missing(value):
+    reply = http1.Response(200, [(b"x-server-load", value)])
+    assert http_messages.parse_load(reply) is None
+
+
+@pytest.mark.parametrize(
+    "value", [b"timeout=%b" % LONG_NUMBER, b"timeout=\xb2"]
+)
+def test_odd_idle_timeout_of_a_server_is_survived(value):
+    connection = http1.Connection(asyncio.new_event_loop())
+    connection._read_server_idle_timeout(
+        http1.Response(200, [(b"keep-alive", value)])
+    )
