Take keys back from owners that a restored store has forgotten

With the leader lost while the store was restored, all keys of divided services went unserved for four seconds, until grants that the next leader could not know of had lapsed: six seconds after the loss, where five are wanted.

Once no order of an earlier leader can arrive any more, two seconds after the next one leads alone, each upstream is asked to release all keys that are not its own by the stored assignment. Releases are never refused; when all listed upstreams have answered, keys are granted. Those that do not answer are waited out as before.

--- a/src/sardinehill/core/key_orders.py
+++ b/src/sardinehill/core/key_orders.py
@@ -290,7 +290,9 @@
 
 
 def extend_for_previous_leader(
-    assignment: keyspace.KeyAssignment, may_hold_until_s: float
+    assignment: keyspace.KeyAssignment,
+    may_hold_until_s: float,
+    in_flight_until_s: float,
 ) -> None:
     """Extends all times by which orders of a previous leader have expired.
 
@@ -298,6 +300,7 @@
       assignment: the assignment as read from the store, with this leader's
         first changes.
       may_hold_until_s: until then such an order may still have an effect.
+      in_flight_until_s: until then such an order may still arrive.
     """
     for span in assignment.spans:
         if span.previous_leader_until_s > 0:
@@ -310,11 +313,34 @@
             former.may_hold_until_s = max(
                 former.may_hold_until_s, may_hold_until_s
             )
+            # A known former owner is asked to release its keys before that.
+            is_unknown = former.incarnation == keyspace.UNKNOWN_OWNER
             former.in_flight_until_s = max(
-                former.in_flight_until_s, may_hold_until_s
+                former.in_flight_until_s,
+                in_flight_until_s if is_unknown else may_hold_until_s,
             )
 
 
+def record_released_by_all(
+    assignment: keyspace.KeyAssignment, asked_s: float
+) -> None:
+    """Records that no upstream holds keys of another any more.
+
+    Args:
+      assignment: the present assignment, changed in place.
+      asked_s: when the first upstream was asked to release them.
+    """
+    for span in assignment.spans:
+        former = span.former_owner
+        if (
+            former is not None
+            and former.incarnation == keyspace.UNKNOWN_OWNER
+            and asked_s >= former.in_flight_until_s
+        ):
+            former.released = True
+            span.next_order_s = 0.0
+
+
 def raise_epoch(
     assignment: keyspace.KeyAssignment, grant: KeyGrant, increment: int
 ) -> bool:
--- a/src/sardinehill/core/keyspace.py
+++ b/src/sardinehill/core/keyspace.py
@@ -186,8 +186,17 @@
     return span
 
 
+def waits_for_unknown_owners(assignment: KeyAssignment) -> bool:
+    """Returns whether any key waits for an owner that is not known."""
+    return any(
+        span.former_owner is not None
+        and span.former_owner.incarnation == UNKNOWN_OWNER
+        for span in assignment.spans
+    )
+
+
 def suspect_unknown_owners(
-    assignment: KeyAssignment, may_hold_until_s: float
+    assignment: KeyAssignment, may_hold_until_s: float, in_flight_until_s: float
 ) -> None:
     """Makes all keys wait for owners that the assignment does not know.
 
@@ -195,13 +204,30 @@
       assignment: an assignment that may have been replaced by a later one,
         which is lost.
       may_hold_until_s: until then any upstream may hold any key.
+      in_flight_until_s: until then an order of an earlier leader may still
+        arrive, also after a release.
     """
     for span in assignment.spans:
         span.former_owner = FormerOwner(
-            UNKNOWN_OWNER, 0, may_hold_until_s, may_hold_until_s
+            UNKNOWN_OWNER, 0, may_hold_until_s, in_flight_until_s
         )
 
 
+def ranges_of_others(
+    assignment: KeyAssignment, owner: Incarnation
+) -> list[tuple[int, int]]:
+    """Returns the first and last keys of the ranges that are not an owner's."""
+    ranges: list[tuple[int, int]] = []
+    for span in assignment.spans:
+        if span.owner == owner:
+            continue
+        if ranges and ranges[-1][1] == span.first - 1:
+            ranges[-1] = (ranges[-1][0], span.last)
+        else:
+            ranges.append((span.first, span.last))
+    return ranges
+
+
 def split_at(assignment: KeyAssignment, key: int) -> None:
     """Splits a span so that one begins at `key`; both parts keep its state."""
     if key <= 0 or key >= KEY_COUNT:
--- a/src/sardinehill/events.py
+++ b/src/sardinehill/events.py
@@ -60,6 +60,7 @@
 LEADER_FOLLOWED = Event(313, "leader-followed", logging.INFO)
 LEADER_LOST = Event(314, "leader-lost", logging.WARNING)
 LEASE_RESIGNED = Event(315, "lease-resigned", logging.INFO)
+KEYS_TAKEN_BACK = Event(317, "keys-taken-back", logging.INFO)
 ASSIGNMENT_OUTDATED = Event(316, "assignment-outdated", logging.WARNING)
 
 STORE_LOST = Event(401, "store-lost", logging.WARNING)
--- a/src/sardinehill/front/assignment_manager.py
+++ b/src/sardinehill/front/assignment_manager.py
@@ -160,8 +160,10 @@
     async def _read_and_store(self) -> keyspace.KeyAssignment:
         """Reads the assignment and stores it with new, higher epochs."""
         while True:
+            now_s = self._clock_s()
             assignment = await self._store.read(
-                order_sender.earlier_orders_end_s(self._clock_s())
+                order_sender.earlier_orders_end_s(now_s),
+                order_sender.earlier_orders_arrived_s(now_s),
             )
             if assignment is not None:
                 keyspace.renew_epochs(assignment)
--- a/src/sardinehill/front/assignment_store.py
+++ b/src/sardinehill/front/assignment_store.py
@@ -48,7 +48,7 @@
         return self._era < self._store.era
 
     async def read(
-        self, may_hold_until_s: float
+        self, may_hold_until_s: float, in_flight_until_s: float
     ) -> keyspace.KeyAssignment | None:
         """Returns the stored assignment, or None if the read fails.
 
@@ -59,6 +59,8 @@
         Args:
           may_hold_until_s: the time until which each stored owner may still
             hold its keys.
+          in_flight_until_s: the time until which an order of an earlier leader
+            may still arrive.
         """
         try:
             stored = await self._get()
@@ -78,7 +80,9 @@
                     era=self._era,
                     written_era=written_era,
                 )
-                keyspace.suspect_unknown_owners(assignment, may_hold_until_s)
+                keyspace.suspect_unknown_owners(
+                    assignment, may_hold_until_s, in_flight_until_s
+                )
             assignment.top_epoch = fencing.top_epoch(
                 assignment.top_epoch, self._term
             )
--- a/src/sardinehill/front/key_owners.py
+++ b/src/sardinehill/front/key_owners.py
@@ -122,6 +122,17 @@
             else:
                 owner.address = upstream.address
 
+    def listed(self) -> list[KeyOwner]:
+        """Returns the upstreams that are listed now and have not ended."""
+        return [
+            owner
+            for upstream in self._upstreams().values()
+            if upstream.service == self._service
+            and upstream.incarnation not in self.ended
+            and (owner := self.by_incarnation.get(upstream.incarnation))
+            is not None
+        ]
+
     def capacities(
         self, now_s: float, max_load_of: Callable[[str], float]
     ) -> dict[keyspace.Incarnation, key_plan.UpstreamCapacity]:
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -7,6 +7,7 @@
 from sardinehill.core import key_orders
 from sardinehill.core import keyspace
 from sardinehill.front import key_owners
+from sardinehill.front import unknown_owners
 from sardinehill.platform import http_messages
 
 # The duration of a grant. It is short enough that keys of a vanished upstream
@@ -41,6 +42,20 @@
     )
 
 
+def earlier_orders_arrived_s(now_s: float) -> float:
+    """Returns when orders of an earlier leader have certainly arrived.
+
+    Args:
+      now_s: the latest time at which that leader's term was confirmed.
+    """
+    return (
+        now_s
+        + TERM_VALIDITY_S
+        + ORDER_TIMEOUT_S
+        + key_orders.IN_FLIGHT_MARGIN_S
+    )
+
+
 class OrderSender:
     """Renews the grants of one assignment's owners during one term.
 
@@ -74,6 +89,9 @@
         self._on_fenced = on_fenced
         self._clock_s = clock_s
         self._was_exclusive = False
+        self._unknown_owners = unknown_owners.UnknownOwners(
+            service, assignment, owners, group, may_send_orders, clock_s
+        )
 
     def send_due(self) -> None:
         """Sends the grants and releases that are due."""
@@ -81,6 +99,8 @@
         if not self._may_send_orders():
             return
         self._note_exclusive()
+        if self._was_exclusive:
+            self._unknown_owners.release_due()
         for span in self.assignment.spans:
             self._send_due_for_span(span, self._clock_s())
 
@@ -92,8 +112,11 @@
         """
         if not self._was_exclusive and self._is_exclusive():
             self._was_exclusive = True
+            now_s = self._clock_s()
             key_orders.extend_for_previous_leader(
-                self.assignment, earlier_orders_end_s(self._clock_s())
+                self.assignment,
+                earlier_orders_end_s(now_s),
+                earlier_orders_arrived_s(now_s),
             )
 
     def _send_due_for_span(self, span: keyspace.Span, now_s: float) -> None:
--- a/tests/cover/test_assignment_store.py
+++ b/tests/cover/test_assignment_store.py
@@ -15,6 +15,7 @@
 TERM = 1 << 16
 A, B = ("a", 1), ("b", 1)
 MAY_HOLD_UNTIL_S = 50.0
+ORDERS_ARRIVED_S = 48.0
 
 
 class Harness:
@@ -51,7 +52,7 @@
 
 async def move_all_keys(stored, owner):
     """Reads an assignment, gives all keys to an owner, and writes it."""
-    assignment = await stored.read(MAY_HOLD_UNTIL_S)
+    assignment = await stored.read(MAY_HOLD_UNTIL_S, ORDERS_ARRIVED_S)
     for span in assignment.spans:
         span.owner, span.epoch = owner, assignment.next_epoch()
         span.former_owner = None
@@ -72,7 +73,9 @@
         copy = harness.store.take_copy()
         await move_all_keys(harness.assignments(TERM), B)
         await harness.restore(copy)
-        found = await harness.assignments(2 * TERM).read(MAY_HOLD_UNTIL_S)
+        found = await harness.assignments(2 * TERM).read(
+            MAY_HOLD_UNTIL_S, ORDERS_ARRIVED_S
+        )
         assert [span.owner for span in found.spans] == [A]
         for span in found.spans:
             assert waits_for_unknown_owner(span, MAY_HOLD_UNTIL_S - 1)
@@ -86,7 +89,9 @@
         copy = harness.store.take_copy()
         await move_all_keys(harness.assignments(TERM), A)
         await harness.restore(copy)
-        found = await harness.assignments(2 * TERM).read(MAY_HOLD_UNTIL_S)
+        found = await harness.assignments(2 * TERM).read(
+            MAY_HOLD_UNTIL_S, ORDERS_ARRIVED_S
+        )
         keyspace.apply_moves(
             found, [keyspace.KeyMove(0, keyspace.KEY_COUNT - 1, B)]
         )
@@ -102,8 +107,12 @@
         await move_all_keys(harness.assignments(TERM), A)
         await harness.restore(harness.store.take_copy())
         second = harness.assignments(2 * TERM)
-        assert await second.write(await second.read(MAY_HOLD_UNTIL_S))
-        found = await harness.assignments(3 * TERM).read(MAY_HOLD_UNTIL_S)
+        assert await second.write(
+            await second.read(MAY_HOLD_UNTIL_S, ORDERS_ARRIVED_S)
+        )
+        found = await harness.assignments(3 * TERM).read(
+            MAY_HOLD_UNTIL_S, ORDERS_ARRIVED_S
+        )
         for span in found.spans:
             assert waits_for_unknown_owner(span, MAY_HOLD_UNTIL_S - 1)
 
@@ -114,7 +123,9 @@
     async def scenario(harness):
         await harness.restore(harness.store.take_copy())
         found = await move_all_keys(harness.assignments(TERM), A)
-        found = await harness.assignments(2 * TERM).read(MAY_HOLD_UNTIL_S)
+        found = await harness.assignments(2 * TERM).read(
+            MAY_HOLD_UNTIL_S, ORDERS_ARRIVED_S
+        )
         assert [span.former_owner for span in found.spans] == [None]
 
     run(scenario)
@@ -128,7 +139,9 @@
         del spec["era"]
         await harness.store.put(kind, SERVICE, spec=spec)
         await harness.restore(harness.store.take_copy())
-        found = await harness.assignments(2 * TERM).read(MAY_HOLD_UNTIL_S)
+        found = await harness.assignments(2 * TERM).read(
+            MAY_HOLD_UNTIL_S, ORDERS_ARRIVED_S
+        )
         assert [span.former_owner for span in found.spans] == [None]
 
     run(scenario)
@@ -142,7 +155,7 @@
         spec = {**harness.store.spec(kind, SERVICE), "era": era}
         await harness.store.put(kind, SERVICE, spec=spec)
         stored = harness.assignments(2 * TERM)
-        found = await stored.read(MAY_HOLD_UNTIL_S)
+        found = await stored.read(MAY_HOLD_UNTIL_S, ORDERS_ARRIVED_S)
         assert found is None or found.spans[0].owner == A
 
     run(scenario)
@@ -159,7 +172,9 @@
         assert stored.is_lost
         assert await stored.write_again(assignment)
         assert not stored.is_lost
-        found = await harness.assignments(2 * TERM).read(MAY_HOLD_UNTIL_S)
+        found = await harness.assignments(2 * TERM).read(
+            MAY_HOLD_UNTIL_S, ORDERS_ARRIVED_S
+        )
         assert [span.owner for span in found.spans] == [B]
         assert [span.former_owner for span in found.spans] == [None]
 
@@ -174,7 +189,9 @@
         await move_all_keys(harness.assignments(2 * TERM), B)
         assert not await stored.write_again(assignment)
         assert harness.superseded == [TERM]
-        found = await harness.assignments(3 * TERM).read(MAY_HOLD_UNTIL_S)
+        found = await harness.assignments(3 * TERM).read(
+            MAY_HOLD_UNTIL_S, ORDERS_ARRIVED_S
+        )
         assert [span.owner for span in found.spans] == [B]
 
     run(scenario)
