Write no assignment any more once a later leader has written

Cause: a leader that had been frozen tried to raise the epochs of its refused grants. Its first write met a conflict, read the later leader's object and ended the term, but noted the revision that it had found; a second write, which had waited for the lock, went out at that revision before it was cancelled, and put the old owners back.

test_leader_that_was_replaced_does_not_overwrite_the_next_ones_owners failed before.

--- a/src/sardinehill/front/assignment_store.py
+++ b/src/sardinehill/front/assignment_store.py
@@ -40,6 +40,7 @@
         self._store = store
         self._on_superseded = on_superseded
         self._era = 0
+        self._is_superseded = False
         self.revision = 0
 
     @property
@@ -113,8 +114,7 @@
         except errors.StoreError as error:
             self._log_failure(error)
             return False
-        if self._is_superseded_by(stored):
-            return False
+        self._check_term(stored)
         return await self.write(assignment) and not self.is_lost
 
     def _log_failure(self, error: Exception) -> None:
@@ -128,10 +128,13 @@
         """Writes an assignment.
 
         If the answer is lost, the object is read back to learn the outcome.
+        Once a later leader has written, nothing is written any more.
 
         Returns:
           Whether the assignment is certainly stored.
         """
+        if self._is_superseded:
+            return False
         spec: dict[str, Any] = keyspace.to_document(assignment)
         spec["term"] = self._term
         spec["era"] = self._era
@@ -181,17 +184,14 @@
             self._era = era
             if _spec_of(stored).get("writer") == spec["writer"]:
                 return True
-            self._is_superseded_by(stored)
+            self._check_term(stored)
             return False
 
-    def _is_superseded_by(
-        self, stored: store_module.StoredObject | None
-    ) -> bool:
-        """Returns whether a later leader has written; ends this term then."""
-        if int(_spec_of(stored).get("term", 0)) <= self._term:
-            return False
-        self._on_superseded()
-        return True
+    def _check_term(self, stored: store_module.StoredObject | None) -> None:
+        """Ends this term if a later leader has written."""
+        if int(_spec_of(stored).get("term", 0)) > self._term:
+            self._is_superseded = True
+            self._on_superseded()
 
 
 def _spec_of(stored: store_module.StoredObject | None) -> dict[str, Any]:
--- a/tests/cover/test_assignment_store.py
+++ b/tests/cover/test_assignment_store.py
@@ -211,3 +211,21 @@
         assert stored.is_lost
 
     run(scenario)
+
+
+def test_leader_that_was_replaced_does_not_overwrite_the_next_ones_owners():
+    # Each of its writes that meets a conflict reads the object, and the next
+    # write would be made at the revision that was found.
+    async def scenario(harness):
+        stored = harness.assignments(TERM)
+        assignment = await move_all_keys(stored, A)
+        await move_all_keys(harness.assignments(2 * TERM), B)
+        assert not await stored.write(assignment)
+        assert harness.superseded == [TERM]
+        assert not await stored.write(assignment)
+        found = await harness.assignments(3 * TERM).read(
+            MAY_HOLD_UNTIL_S, ORDERS_ARRIVED_S
+        )
+        assert [span.owner for span in found.spans] == [B]
+
+    run(scenario)
