Count monitors that answer as live whatever the platform lists

A coordinator whose platform list was empty, and whose link to one member was cut, removed that member though all others reached it: monitors that the list omits did not count, so that nobody was left to disagree. Only those that do not answer the coordinator either are left out now.

test_member_stays_when_its_monitors_are_live_but_not_listed failed before.

--- a/src/sardinehill/core/membership_coordinator.py
+++ b/src/sardinehill/core/membership_coordinator.py
@@ -217,13 +217,14 @@
             name
             for name in sorted(suspected.union(self._leaves))
             if (host := members.by_name.get(name)) is not None
-            and self._should_remove(host, overlay, now_s)
+            and self._should_remove(host, members, overlay, now_s)
         ]
         return removable[:max_removals]
 
     def _should_remove(
         self,
         host: fleet.DaemonHost,
+        members: membership.MemberList,
         overlay: membership.Overlay,
         now_s: float,
     ) -> bool:
@@ -233,20 +234,36 @@
             return False
         unlisted_since_s = self._unlisted_since_s.get(host.name, now_s)
         if now_s - unlisted_since_s >= UNLISTED_BEFORE_REMOVAL_S:
-            return self._all_listed_monitors_alarmed(host, overlay)
+            return self._all_live_monitors_alarmed(host, members, overlay)
         return self._has_quorum(host, overlay)
 
-    def _all_listed_monitors_alarmed(
-        self, host: fleet.DaemonHost, overlay: membership.Overlay
+    def _all_live_monitors_alarmed(
+        self,
+        host: fleet.DaemonHost,
+        members: membership.MemberList,
+        overlay: membership.Overlay,
     ) -> bool:
         # The platform's list may omit a live member while this daemon's own
-        # link to it is cut, so its monitors must agree. Monitors that are
-        # missing from that list as well don't count, because otherwise a
-        # completely replaced fleet would never remove its dead members.
+        # link to it is cut, so its monitors must agree. Those that are gone as
+        # well don't count, because otherwise a completely replaced fleet would
+        # never remove its dead members.
         return all(
             (monitor, host.name, host.incarnation) in self._alarms
             for monitor in overlay.monitors_of(host.name)
-            if monitor not in self._unlisted_since_s and monitor != self.name
+            if monitor != self.name and not self._is_gone(monitor, members)
+        )
+
+    def _is_gone(self, name: str, members: membership.MemberList) -> bool:
+        """Returns whether the platform does not list a member that is silent.
+
+        The platform's list may omit live members, so one that answers this
+        daemon is not gone.
+        """
+        incarnation = members.incarnation_of(name)
+        return (
+            name in self._unlisted_since_s
+            and incarnation is not None
+            and (name, incarnation) in self._failed_own_probes
         )
 
     def _has_quorum(
--- a/tests/cover/test_membership.py
+++ b/tests/cover/test_membership.py
@@ -341,3 +341,17 @@
     # If the member had been removed, it would have rejoined by now, after two
     # writes and a move of its roles.
     assert _write_count(network) == writes
+
+
+def test_member_stays_when_its_monitors_are_live_but_not_listed() -> None:
+    network = _network()
+    coordinator_name = network.daemons["d00"].protocol.roles.coordinators()[0]
+    target = next(name for name in network.daemons if name != coordinator_name)
+    network.cut_links.add((target, coordinator_name))
+
+    def _update_platform_hosts() -> None:
+        protocol = network.daemons[coordinator_name].protocol
+        protocol.update_platform_hosts([], network.now_s)
+
+    network.run(30.0, _update_platform_hosts)
+    assert _write_count(network) == 1
