Give a daemon that starts after a restore the config that its peers know

A daemon that started between a restore and the moment at which operators wrote their config again took the earlier one from the store, with keys that had been withdrawn since: its peers kept the newer one, but at the same store version, so that it asked none of them.

Leader tables name the version of the leader's configuration, queries that of the sender; a peer sends its own if that is newer, whatever the store's versions say.

--- a/src/sardinehill/core/fleet_messages.py
+++ b/src/sardinehill/core/fleet_messages.py
@@ -193,6 +193,8 @@
         named none.
       document_versions: the store's versions at the last changes of config,
         upstreams and excluded zones, in this order, as the leader knows them.
+      configuration: the version of the configuration that the leader has. It
+        may be newer than the one in a store that was restored.
       limits: the limits that upstreams name; those that are not listed have not
         changed.
       suspects: the requests that may end upstreams; those that are not listed
@@ -216,6 +218,7 @@
     document_versions: list[store_versions.StoreVersion] = dataclasses.field(
         default_factory=list
     )
+    configuration: int = 0
     limits: list[LimitNews] = dataclasses.field(default_factory=list)
     suspects: list[SuspectNews] = dataclasses.field(default_factory=list)
 
@@ -247,12 +250,14 @@
       config_version: the store's version of the config that the sender has.
       upstreams_version: the store's version of its upstreams.
       zones_version: the store's version of its excluded zones.
+      configuration: the version of the configuration that the sender has.
       protocol_version: the sender's `PROTOCOL_VERSION`.
     """
 
     config_version: store_versions.StoreVersion
     upstreams_version: store_versions.StoreVersion
     zones_version: store_versions.StoreVersion
+    configuration: int = 0
     protocol_version: int = PROTOCOL_VERSION
 
 
--- a/src/sardinehill/front/leader_tables.py
+++ b/src/sardinehill/front/leader_tables.py
@@ -245,4 +245,5 @@
             self._view.store_reachable,
             resigned=term.resigned,
             document_versions=self._document_versions(),
+            configuration=self._view.configuration_version,
         )
--- a/src/sardinehill/front/store_replication.py
+++ b/src/sardinehill/front/store_replication.py
@@ -17,6 +17,7 @@
 from sardinehill.core import store_versions
 from sardinehill.front import store_view
 from sardinehill.front import store_watch
+from sardinehill.platform import names
 
 # Peers are queried this often while the view is incomplete or the store does
 # not answer.
@@ -73,7 +74,10 @@
         """Returns the documents that are newer than a peer's versions."""
         config, upstreams, zones = self._view.kinds
         state = fleet_messages.StoreState(age_s=self._view.store_lost_for_s())
-        if config.version > query.config_version:
+        if (
+            config.version > query.config_version
+            or self._view.configuration_version > query.configuration
+        ):
             state.config_version = config.version
             state.config = _encode_documents(config)
         if upstreams.version > query.upstreams_version:
@@ -104,6 +108,8 @@
                 table.document_versions, own_versions, strict=False
             )
         )
+        # That of a restored store may be earlier than the leader's.
+        is_behind |= table.configuration > self._view.configuration_version
         if is_behind:
             self._resync_needed.set()
         leader_era = max(
@@ -201,7 +207,10 @@
     def _query(self) -> fleet_messages.StoreStateQuery:
         config, upstreams, zones = self._view.kinds
         return fleet_messages.StoreStateQuery(
-            config.version, upstreams.version, zones.version
+            config.version,
+            upstreams.version,
+            zones.version,
+            self._view.configuration_version,
         )
 
     def _apply_documents(self, state: fleet_messages.StoreState) -> None:
@@ -213,11 +222,14 @@
         for watched, (version, data) in zip(
             self._view.kinds, received, strict=True
         ):
-            if not data or version <= watched.version:
+            # Peers send a newer configuration than a restored store has.
+            is_config = watched.kind == names.CONFIG_KIND
+            if not data or (version <= watched.version and not is_config):
                 continue
             documents = _decode_documents(watched.kind, data)
             if documents is None:
                 continue
+            version = max(version, watched.version)
             events.log(
                 events.NEWS_FROM_PEER,
                 kind=watched.kind,
--- a/src/sardinehill/front/store_view.py
+++ b/src/sardinehill/front/store_view.py
@@ -173,6 +173,11 @@
         """The last change of the zones out occurred in the store after this."""
         return self._zones.changed_after_s
 
+    @property
+    def configuration_version(self) -> int:
+        """The version of the configuration in force; 0 without one."""
+        return self.configuration.version if self.configuration else 0
+
     def documents_age_s(self) -> float:
         """Returns for how long the documents may have been outdated."""
         oldest_s = min(watched.current_s for watched in self.kinds)
--- a/src/sardinehill/wire/fleet.capnp
+++ b/src/sardinehill/wire/fleet.capnp
@@ -141,6 +141,8 @@
   # The store's eras of newsRevisions; missing if the sender does not know eras.
   newsEras @19 :List(UInt64);
   suspects @20 :List(Suspect);
+  # The version of the configuration that the leader has.
+  configuration @21 :UInt64;
 }
 
 # Sent when the store has changed, by a peer to each daemon that follows it.
@@ -167,6 +169,8 @@
   configEra @4 :UInt64;
   upstreamsEra @5 :UInt64;
   zonesEra @6 :UInt64;
+  # The version of the configuration that the sender has.
+  configuration @7 :UInt64;
 }
 
 # The documents as JSON; empty where they are not newer than in the query.
--- a/src/sardinehill/wire/fleet.py
+++ b/src/sardinehill/wire/fleet.py
@@ -270,6 +270,7 @@
         successor=table.successor,
         newsRevisions=[version.revision for version in table.document_versions],
         newsEras=[version.era for version in table.document_versions],
+        configuration=table.configuration,
         limits=[_encoded_limit(news) for news in table.limits],
         suspects=[_encoded_suspect(news) for news in table.suspects],
         lendable=[
@@ -343,6 +344,7 @@
         resigned=message.resigned,
         successor=message.successor,
         document_versions=_decode_versions(message),
+        configuration=message.configuration,
         limits=[_decoded_limit(item) for item in message.limits],
         suspects=[_decoded_suspect(item) for item in message.suspects],
         lendable={
@@ -402,6 +404,7 @@
         upstreamsRevision=query.upstreams_version.revision,
         zonesEra=query.zones_version.era,
         zonesRevision=query.zones_version.revision,
+        configuration=query.configuration,
         protocolVersion=query.protocol_version,
     )
     return bytes(message.to_bytes())
@@ -421,6 +424,7 @@
             message.upstreamsEra, message.upstreamsRevision
         ),
         store_versions.StoreVersion(message.zonesEra, message.zonesRevision),
+        message.configuration,
         message.protocolVersion,
     )
 
--- a/tests/cover/test_peer_frames.py
+++ b/tests/cover/test_peer_frames.py
@@ -32,6 +32,7 @@
     lendable={"a": 3.5},
     resigned=True,
     successor="next",
+    configuration=12,
     suspects=[fleet_messages.SuspectNews(b"d" * 32, {}, 1.25)],
     document_versions=[
         store_versions.StoreVersion(2, 5),
--- a/tests/cover/test_store_replication.py
+++ b/tests/cover/test_store_replication.py
@@ -484,3 +484,51 @@
         assert daemon.upstreams.version == version(7, era=2)
 
     run(scenario)
+
+
+def config_document(config_version):
+    spec = {"version": config_version, "virtualHosts": [], "services": []}
+    return {names.CONFIG_NAME: {"spec": spec}}
+
+
+def test_daemon_that_starts_after_a_restore_takes_the_newer_config_of_peers():
+    async def scenario(daemon):
+        config = daemon.view.kinds[0]
+        daemon.view.replace_documents(
+            config, config_document("r7"), version(5, era=2)
+        )
+        peer = Daemon()
+        for watched in peer.view.kinds:
+            peer.view.replace_documents(watched, {}, version(4, era=2))
+        peer.view.replace_documents(
+            peer.view.kinds[0], config_document("r9"), version(5, era=2)
+        )
+        daemon.answer = peer.replication.documents_for(
+            daemon.replication._query()
+        )
+        leader_table = table([5, 3, 3])
+        leader_table.configuration = 9
+        daemon.replication.apply_table(leader_table)
+        await run_for(daemon, 0.05)
+        assert daemon.query_count >= 1
+        assert daemon.view.configuration.version == 9
+
+    run(scenario)
+
+
+def test_config_of_a_peer_that_is_not_newer_changes_nothing():
+    async def scenario(daemon):
+        config = daemon.view.kinds[0]
+        daemon.view.replace_documents(
+            config, config_document("r9"), version(5, era=2)
+        )
+        daemon.answer = fleet_messages.StoreState(
+            config_version=version(5, era=2),
+            config=json.dumps(config_document("r7")).encode(),
+        )
+        daemon.replication._resync_needed.set()
+        await run_for(daemon, 0.05)
+        assert daemon.view.configuration.version == 9
+        assert config.documents == config_document("r9")
+
+    run(scenario)
