--- /dev/null
+++ b/src/sardinehill/front/listed_upstreams.py
@@ -0,0 +1,136 @@
+"""Decodes the stored entries of upstreams and logs how they change."""
+
+from collections.abc import Callable
+from typing import Any
+
+from sardinehill import events
+from sardinehill.core import removed_upstreams
+from sardinehill.core import routes
+from sardinehill.platform import documents as documents_module
+
+Json = Any
+
+
+class ListedUpstreams:
+    """The upstreams that the store lists, without malformed and old entries.
+
+    Public attributes:
+      by_id: the upstreams by id, including those that drain.
+    """
+
+    def __init__(self, clock_s: Callable[[], float]):
+        self._removed = removed_upstreams.RemovedUpstreams(clock_s)
+        self._decoded: dict[str, tuple[Json, routes.Upstream]] = {}
+        # The errors that were logged, by the name of the entry.
+        self._malformed: dict[str, str] = {}
+        self.by_id: dict[str, routes.Upstream] = {}
+
+    def update(
+        self,
+        documents: dict[str, Json],
+        revision: int,
+        max_age_s: float | None,
+    ) -> None:
+        """Decodes the entries of all upstreams.
+
+        Args:
+          documents: the entries by name.
+          revision: the store's revision, for logs.
+          max_age_s: how long ago the last change may have occurred, for logs;
+            None if that is not known.
+        """
+        upstreams: dict[str, routes.Upstream] = {}
+        decoded: dict[str, tuple[Json, routes.Upstream]] = {}
+        for name, document in documents.items():
+            upstream = self._decode(name, document, revision)
+            if upstream is None:
+                continue
+            decoded[name] = (document, upstream)
+            if self._removed.includes(upstream):
+                _log_outdated(upstream, revision)
+            else:
+                upstreams[name] = upstream
+        for name in self.by_id.keys() - upstreams.keys():
+            self._removed.add(self.by_id[name])
+        _log_changes(self.by_id, upstreams, revision, max_age_s)
+        self._decoded = decoded
+        self.by_id = upstreams
+
+    def _decode(
+        self, name: str, document: Json, revision: int
+    ) -> routes.Upstream | None:
+        known_document, known_upstream = self._decoded.get(name, (None, None))
+        if known_upstream is not None and known_document is document:
+            return known_upstream
+        try:
+            upstream = documents_module.decode_upstream(name, document)
+        except documents_module.MalformedDocumentError as error:
+            self._note_malformed(name, str(error))
+            return None
+        return self._newest_report(upstream, revision)
+
+    def _newest_report(
+        self, upstream: routes.Upstream, revision: int
+    ) -> routes.Upstream:
+        """Returns the known upstream if it wrote its entry later than this.
+
+        A write that the store did not answer may take effect seconds later, and
+        then overwrites what the upstream has written since. A restored store
+        goes back to an earlier entry.
+        """
+        known = self.by_id.get(upstream.id)
+        if known is None or not upstream.is_outdated_by(known):
+            return upstream
+        _log_outdated(upstream, revision)
+        return known
+
+    def _note_malformed(self, name: str, error: str) -> None:
+        if self._malformed.get(name) != error:
+            self._malformed[name] = error
+            events.log(events.ENTRY_MALFORMED, name=name, error=error)
+
+
+def _log_outdated(upstream: routes.Upstream, revision: int) -> None:
+    events.log(
+        events.REPORT_OUTDATED,
+        upstream=upstream.id,
+        number=upstream.report_number,
+        revision=revision,
+    )
+
+
+def _log_changes(
+    before: dict[str, routes.Upstream],
+    after: dict[str, routes.Upstream],
+    revision: int,
+    max_age_s: float | None,
+) -> None:
+    for name in after.keys() - before.keys():
+        events.log(
+            events.UPSTREAM_FOUND,
+            upstream=name,
+            service=after[name].service,
+            zone=after[name].zone,
+            revision=revision,
+        )
+    for name in before.keys() - after.keys():
+        events.log(
+            events.UPSTREAM_GONE,
+            upstream=name,
+            max_age_s=max_age_s,
+            revision=revision,
+        )
+    for name in before.keys() & after.keys():
+        known, upstream = before[name], after[name]
+        if (
+            upstream.is_draining != known.is_draining
+            or upstream.started_at_ms != known.started_at_ms
+        ):
+            events.log(
+                events.UPSTREAM_CHANGED,
+                upstream=name,
+                draining=upstream.is_draining,
+                born_ms=upstream.started_at_ms,
+                max_age_s=max_age_s,
+                revision=revision,
+            )
--- a/src/sardinehill/front/store_replication.py
+++ b/src/sardinehill/front/store_replication.py
@@ -17,6 +17,7 @@
 from sardinehill.core import store_versions
 from sardinehill.front import store_view
 from sardinehill.front import store_watch
+from sardinehill.front import watched_kinds
 from sardinehill.platform import names
 
 # Peers are queried this often while the view is incomplete or the store does
@@ -57,7 +58,7 @@
         """Returns the store's version at the last change of each kind."""
         return [watched.changed_version for watched in self._view.kinds]
 
-    def _forward_change(self, change: store_view.DocumentsChange) -> None:
+    def _forward_change(self, change: watched_kinds.DocumentsChange) -> None:
         self._send_to_followers(
             fleet_messages.StoreChange(
                 change.kind,
@@ -178,7 +179,7 @@
         documents.update(changed)
         self._view.replace_documents(watched, documents, change.version)
 
-    def _watched_kind(self, kind: str) -> store_view.WatchedKind | None:
+    def _watched_kind(self, kind: str) -> watched_kinds.WatchedKind | None:
         for watched in self._view.kinds:
             if watched.kind == kind:
                 return watched
@@ -238,7 +239,7 @@
             self._view.replace_documents(watched, documents, version)
 
 
-def _encode_documents(watched: store_view.WatchedKind) -> bytes:
+def _encode_documents(watched: watched_kinds.WatchedKind) -> bytes:
     return json.dumps(watched.documents).encode()
 
 
--- a/src/sardinehill/front/store_view.py
+++ b/src/sardinehill/front/store_view.py
@@ -6,14 +6,14 @@
 """
 
 from collections.abc import Callable
-import dataclasses
 import math
 from typing import Any
 
 from sardinehill import events
-from sardinehill.core import removed_upstreams
 from sardinehill.core import routes
 from sardinehill.core import store_versions
+from sardinehill.front import listed_upstreams
+from sardinehill.front import watched_kinds
 from sardinehill.platform import documents as documents_module
 from sardinehill.platform import names
 from sardinehill.platform import store as store_module
@@ -34,60 +34,6 @@
 Json = Any
 
 
-@dataclasses.dataclass
-class WatchedKind:
-    """The objects of one kind, as last read.
-
-    Attributes:
-      kind: the platform's kind.
-      version: the store's version at the last read.
-      changed_version: the store's version at the last change of documents.
-      documents: the documents by name.
-      lost_since_s: when the store stopped answering, or None.
-      recovered_s: when the store last answered again after an outage.
-      restored_s: when the first answer came after the store was restored.
-      last_answer_s: when the store last answered.
-      current_s: a time at which the documents were the store's newest.
-      changed_after_s: the last change of the documents occurred in the store
-        after this time; minus infinity if nothing is known.
-      watch_sent_s: when the pending watch was sent, or None.
-      removal_due_s: the time at which an entry that vanished after an outage is
-        removed, by name.
-    """
-
-    kind: str
-    version: store_versions.StoreVersion = store_versions.NEVER_READ
-    changed_version: store_versions.StoreVersion = store_versions.NEVER_READ
-    documents: dict[str, Json] = dataclasses.field(default_factory=dict)
-    lost_since_s: float | None = None
-    recovered_s: float = -1e9
-    restored_s: float = -1e9
-    last_answer_s: float = -1e9
-    current_s: float = -math.inf
-    changed_after_s: float = -math.inf
-    watch_sent_s: float | None = None
-    removal_due_s: dict[str, float] = dataclasses.field(default_factory=dict)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DocumentsChange:
-    """A change of the documents of one kind.
-
-    Attributes:
-      kind: the platform's kind.
-      since_version: the store's version at the previous change.
-      version: the store's version at this change.
-      documents: the new and changed documents by name.
-      removed: the names of removed documents.
-    """
-
-    kind: str
-    since_version: store_versions.StoreVersion
-    version: store_versions.StoreVersion
-    documents: dict[str, Json]
-    removed: list[str]
-
-
 class StoreView:
     """Holds and decodes the three watched kinds.
 
@@ -112,15 +58,15 @@
         """
         self._clock_s = clock_s
         self._failing_since_s = failing_since_s
-        self._config = WatchedKind(names.CONFIG_KIND)
-        self._upstreams = WatchedKind(names.UPSTREAMS_KIND)
-        self._zones = WatchedKind(names.EVACUATIONS_KIND)
+        self._config = watched_kinds.WatchedKind(names.CONFIG_KIND)
+        self._upstreams = watched_kinds.WatchedKind(names.UPSTREAMS_KIND)
+        self._zones = watched_kinds.WatchedKind(names.EVACUATIONS_KIND)
         self.kinds = (self._config, self._upstreams, self._zones)
         self._subscribers: list[Callable[[], None]] = []
-        self._change_subscribers: list[Callable[[DocumentsChange], None]] = []
-        self._malformed: dict[str, str] = {}
-        self._decoded: dict[str, tuple[Json, routes.Upstream]] = {}
-        self._removed = removed_upstreams.RemovedUpstreams(clock_s)
+        self._change_subscribers: list[
+            Callable[[watched_kinds.DocumentsChange], None]
+        ] = []
+        self._listed_upstreams = listed_upstreams.ListedUpstreams(clock_s)
         self._store_was_reachable = True
         self._lost_since_s = 0.0
         self.configuration: routes.Configuration | None = None
@@ -132,7 +78,7 @@
         self._subscribers.append(callback)
 
     def subscribe_to_changes(
-        self, callback: Callable[[DocumentsChange], None]
+        self, callback: Callable[[watched_kinds.DocumentsChange], None]
     ) -> None:
         """Registers a callback that receives each change of documents."""
         self._change_subscribers.append(callback)
@@ -199,7 +145,9 @@
 
     # updates from the store
 
-    def note_lost(self, watched: WatchedKind, error: Exception) -> None:
+    def note_lost(
+        self, watched: watched_kinds.WatchedKind, error: Exception
+    ) -> None:
         """Records that the store did not answer a watch."""
         if watched.lost_since_s is None:
             watched.lost_since_s = self._clock_s()
@@ -210,7 +158,7 @@
                 events.STORE_LOST, kind=watched.kind, error=str(error)[:200]
             )
 
-    def note_answered(self, watched: WatchedKind) -> None:
+    def note_answered(self, watched: watched_kinds.WatchedKind) -> None:
         """Records that the store answered a watch."""
         watched.last_answer_s = self._clock_s()
         if watched.lost_since_s is not None:
@@ -221,11 +169,15 @@
         if not self._store_was_reachable and self.store_reachable:
             self._note_store_back(through="store")
 
-    def note_current(self, watched: WatchedKind, at_s: float) -> None:
+    def note_current(
+        self, watched: watched_kinds.WatchedKind, at_s: float
+    ) -> None:
         """Records that the documents were the store's newest at `at_s`."""
         watched.current_s = max(watched.current_s, at_s)
 
-    def note_watch_pending(self, watched: WatchedKind, at_s: float) -> None:
+    def note_watch_pending(
+        self, watched: watched_kinds.WatchedKind, at_s: float
+    ) -> None:
         """Records that the store answered others, but not the watch, at `at_s`.
 
         The documents were current then, unless the watch had just been sent.
@@ -251,7 +203,7 @@
 
     def apply_list(
         self,
-        watched: WatchedKind,
+        watched: watched_kinds.WatchedKind,
         objects: list[store_module.StoredObject],
         version: store_versions.StoreVersion,
         asked_s: float,
@@ -287,7 +239,10 @@
         self.note_current(watched, asked_s)
 
     def _keep_if_lapsed(
-        self, watched: WatchedKind, name: str, kept_documents: dict[str, Json]
+        self,
+        watched: watched_kinds.WatchedKind,
+        name: str,
+        kept_documents: dict[str, Json],
     ) -> None:
         """Keeps a vanished entry that an outage or a restore may have removed.
 
@@ -305,7 +260,7 @@
 
     def apply_changes(
         self,
-        watched: WatchedKind,
+        watched: watched_kinds.WatchedKind,
         changes: list[store_module.ObjectChange],
         version: store_versions.StoreVersion,
     ) -> None:
@@ -335,7 +290,7 @@
         for watched in self.kinds:
             self._remove_expired_of(watched)
 
-    def _remove_expired_of(self, watched: WatchedKind) -> None:
+    def _remove_expired_of(self, watched: watched_kinds.WatchedKind) -> None:
         now_s = self._clock_s()
         expired = [
             item for item in watched.removal_due_s.items() if item[1] <= now_s
@@ -350,7 +305,7 @@
 
     def replace_documents(
         self,
-        watched: WatchedKind,
+        watched: watched_kinds.WatchedKind,
         documents: dict[str, Json],
         version: store_versions.StoreVersion,
     ) -> None:
@@ -383,13 +338,13 @@
         watched.changed_version = version
         watched.changed_after_s = watched.current_s
         self._decode(watched)
-        change = DocumentsChange(
+        change = watched_kinds.DocumentsChange(
             watched.kind, since_version, version, changed, removed
         )
         for callback in self._change_subscribers:
             callback(change)
 
-    def _decode(self, watched: WatchedKind) -> None:
+    def _decode(self, watched: watched_kinds.WatchedKind) -> None:
         if watched is self._config:
             self._decode_configuration()
         elif watched is self._upstreams:
@@ -419,86 +374,12 @@
         )
 
     def _decode_upstreams(self) -> None:
-        upstreams: dict[str, routes.Upstream] = {}
-        decoded: dict[str, tuple[Json, routes.Upstream]] = {}
-        for name, document in self._upstreams.documents.items():
-            cached = self._decoded.get(name)
-            if cached is not None and cached[0] is document:
-                upstream = cached[1]
-            else:
-                try:
-                    upstream = documents_module.decode_upstream(name, document)
-                except documents_module.MalformedDocumentError as error:
-                    self._note_malformed(name, str(error))
-                    continue
-                upstream = self._newest_report(upstream)
-            decoded[name] = (document, upstream)
-            if self._removed.includes(upstream):
-                self._log_outdated(upstream)
-            else:
-                upstreams[name] = upstream
-        for name in self.upstreams.keys() - upstreams.keys():
-            self._removed.add(self.upstreams[name])
-        self._log_upstreams(upstreams)
-        self._decoded = decoded
-        self.upstreams = upstreams
-
-    def _newest_report(self, upstream: routes.Upstream) -> routes.Upstream:
-        """Returns the known upstream if it wrote its entry later than this.
-
-        A write that the store did not answer may take effect seconds later, and
-        then overwrites what the upstream has written since.
-        """
-        known = self.upstreams.get(upstream.id)
-        if known is None or not upstream.is_outdated_by(known):
-            return upstream
-        self._log_outdated(upstream)
-        return known
-
-    def _log_outdated(self, upstream: routes.Upstream) -> None:
-        events.log(
-            events.REPORT_OUTDATED,
-            upstream=upstream.id,
-            number=upstream.report_number,
-            revision=self._upstreams.version.revision,
+        self._listed_upstreams.update(
+            self._upstreams.documents,
+            self._upstreams.version.revision,
+            self._change_age_s(),
         )
-
-    def _note_malformed(self, name: str, error: str) -> None:
-        if self._malformed.get(name) != error:
-            self._malformed[name] = error
-            events.log(events.ENTRY_MALFORMED, name=name, error=error)
-
-    def _log_upstreams(self, upstreams: dict[str, routes.Upstream]) -> None:
-        for name in upstreams.keys() - self.upstreams.keys():
-            upstream = upstreams[name]
-            events.log(
-                events.UPSTREAM_FOUND,
-                upstream=name,
-                service=upstream.service,
-                zone=upstream.zone,
-                revision=self._upstreams.version.revision,
-            )
-        for name in self.upstreams.keys() - upstreams.keys():
-            events.log(
-                events.UPSTREAM_GONE,
-                upstream=name,
-                max_age_s=self._change_age_s(),
-                revision=self._upstreams.version.revision,
-            )
-        for name, upstream in upstreams.items():
-            before = self.upstreams.get(name)
-            if before is not None and (
-                upstream.is_draining != before.is_draining
-                or upstream.started_at_ms != before.started_at_ms
-            ):
-                events.log(
-                    events.UPSTREAM_CHANGED,
-                    upstream=name,
-                    draining=upstream.is_draining,
-                    born_ms=upstream.started_at_ms,
-                    max_age_s=self._change_age_s(),
-                    revision=self._upstreams.version.revision,
-                )
+        self.upstreams = self._listed_upstreams.by_id
 
     def _change_age_s(self) -> float | None:
         """Returns how long ago the last change may have occurred, for logs."""
--- a/src/sardinehill/front/store_watch.py
+++ b/src/sardinehill/front/store_watch.py
@@ -8,6 +8,7 @@
 from sardinehill import events
 from sardinehill.core import store_versions
 from sardinehill.front import store_view
+from sardinehill.front import watched_kinds
 from sardinehill.platform import names
 from sardinehill.platform import store as store_module
 
@@ -155,7 +156,7 @@
         self._view.note_unwatched()
 
     def _start_watch(
-        self, watched: store_view.WatchedKind, needs_list: bool
+        self, watched: watched_kinds.WatchedKind, needs_list: bool
     ) -> None:
         self._watches[watched.kind] = asyncio.ensure_future(
             self._watch(watched, needs_list)
@@ -177,7 +178,7 @@
                 self._start_watch(watched, needs_list=True)
 
     async def _watch(
-        self, watched: store_view.WatchedKind, needs_list: bool
+        self, watched: watched_kinds.WatchedKind, needs_list: bool
     ) -> None:
         loop = asyncio.get_running_loop()
         retry_s = MIN_RETRY_S
