Move the selection of targets out of the relay

Only moved; how a request waits is a named type in place of a tuple. The one test that called it directly calls the new class.

--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -6,18 +6,16 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Iterable
-import random
 
 from sardinehill import errors
 from sardinehill import events
 from sardinehill import http1
-from sardinehill.core import routes
 from sardinehill.core import upstream_state as state_module
 from sardinehill.front import admission as admission_module
 from sardinehill.front import front_metrics as metrics_module
 from sardinehill.front import requests
 from sardinehill.front import sending
+from sardinehill.front import target_selection
 from sardinehill.front import upstream_directory as directory_module
 from sardinehill.platform import http_messages
 
@@ -26,21 +24,12 @@
 MIN_REMAINING_TIME_RATIO = 0.3
 # The Retry-After of refusals without a more precise estimate.
 DEFAULT_RETRY_AFTER_S = 0.25
-# The longest time that a request waits until its key has a known owner or its
-# service has an upstream, as a ratio to the time from arrival to deadline.
-MAX_OWNER_WAIT_RATIO = 0.5
-# A request may wait for capacity for at least this part of its route's latency
-# objective.
-MIN_CAPACITY_WAIT_RATIO = 0.3
 # The Retry-After of refusals because the upstream's queue is full.
 QUEUE_FULL_RETRY_AFTER_S = 0.5
 MAX_SENDS_PER_REQUEST = 8
 # Each daemon spends only this part of its retry budget, because a restarted
 # daemon no longer knows which retries it has sent.
 RETRY_BUDGET_SAFETY_RATIO = 0.75
-# Traffic between availability zones is billed, so an upstream of another zone
-# is chosen only if it is faster by this factor.
-CROSS_ZONE_COST_FACTOR = 1.3
 
 
 class Relay:
@@ -68,9 +57,10 @@
         self._retry_limits = (retry_ratio, retry_slack, retry_window_s)
         self._admission = admission
         self._sender = sender
-        self._zone = zone
+        self._selector = target_selection.TargetSelector(
+            directory, sender, zone
+        )
         self._retry_budgets: dict[str, state_module.WindowedRetryBudget] = {}
-        self._random = random.Random()
         self.in_flight = 0
 
     # serving
@@ -210,217 +200,34 @@
                 raise requests.RefusedError(
                     errors.Reason.DEADLINE_PASSED, 503, DEFAULT_RETRY_AFTER_S
                 )
-            found = self._find_target(context, now_s)
+            found = self._selector.find(context, now_s)
             if isinstance(found, requests.Target):
                 return found
-            queue_key, max_wait_s, reason = found
             if context.waiting_since_s is None:
                 context.waiting_since_s = now_s
             wait_until_s = min(
-                context.waiting_since_s + max_wait_s,
+                context.waiting_since_s + found.max_wait_s,
                 context.deadline_s - min_remaining_s,
             )
             if now_s >= wait_until_s:
-                is_full = reason is errors.Reason.QUEUE_FULL
+                is_full = found.reason is errors.Reason.QUEUE_FULL
                 raise requests.RefusedError(
-                    reason,
+                    found.reason,
                     503,
                     QUEUE_FULL_RETRY_AFTER_S
                     if is_full
                     else DEFAULT_RETRY_AFTER_S,
                 )
             await self._directory.waiting.wait(
-                queue_key,
+                found.queue_key,
                 context.priority,
                 min(
                     wait_until_s,
-                    self._directory.recheck_due_s(queue_key, now_s),
+                    self._directory.recheck_due_s(found.queue_key, now_s),
                 ),
                 context.sequence_number,
             )
 
-    def _find_target(
-        self, context: requests.RequestContext, now_s: float
-    ) -> requests.Target | tuple[object, float, errors.Reason]:
-        """Returns a target with capacity, or how to wait for one.
-
-        Returns:
-          The target; or the key of the queue to wait in, the longest wait in
-          seconds, and the reason of the refusal after that wait.
-        """
-        total_time_s = context.deadline_s - context.request.arrived_s
-        if self._directory.is_divided(context.service):
-            return self._find_owner_target(context, now_s, total_time_s)
-        return self._find_any_target(context, now_s, total_time_s)
-
-    def _find_owner_target(
-        self,
-        context: requests.RequestContext,
-        now_s: float,
-        total_time_s: float,
-    ) -> requests.Target | tuple[object, float, errors.Reason]:
-        key = context.metadata.shard_key
-        if key is None:
-            return self._find_any_target(context, now_s, total_time_s)
-        owned = self._directory.owner(context.service, key, now_s)
-        if owned is None:
-            return (
-                ("owner", context.service),
-                total_time_s * MAX_OWNER_WAIT_RATIO,
-                errors.Reason.UNOWNED,
-            )
-        upstream, epoch = owned
-        state, pool = self._directory.state_and_pool(upstream)
-        if not self._has_capacity(context, upstream, now_s):
-            queue_key = ("room", upstream.id)
-            max_wait_s = self._max_capacity_wait_s(context, state.slowness)
-            self._refuse_if_paused(context, [upstream], max_wait_s, now_s)
-            self._refuse_if_limited(
-                context, upstream, queue_key, max_wait_s, now_s
-            )
-            return queue_key, max_wait_s, errors.Reason.QUEUE_FULL
-        return requests.Target(upstream, state, pool, epoch)
-
-    def _refuse_if_paused(
-        self,
-        context: requests.RequestContext,
-        upstreams: Iterable[routes.Upstream],
-        max_wait_s: float,
-        now_s: float,
-    ) -> None:
-        """Refuses a request if its upstreams want none for too long.
-
-        Raises:
-          RefusedError: the request would wait for longer than it may.
-        """
-        pause_s = min(
-            (
-                self._directory.pause_s(upstream, now_s)
-                for upstream in upstreams
-            ),
-            default=0.0,
-        )
-        waited_s = now_s - (context.waiting_since_s or now_s)
-        if pause_s > max(max_wait_s - waited_s, 0.0):
-            raise requests.RefusedError(
-                errors.Reason.QUEUE_FULL,
-                503,
-                pause_s,
-                pause_s=round(pause_s, 3),
-            )
-
-    def _refuse_if_limited(
-        self,
-        context: requests.RequestContext,
-        upstream: routes.Upstream,
-        queue_key: object,
-        max_wait_s: float,
-        now_s: float,
-    ) -> None:
-        """Refuses a new request that its owner's limit would hold too long.
-
-        Raises:
-          RefusedError: the request would wait for longer than it may.
-        """
-        if context.waiting_since_s is not None:
-            return
-        wait_s = self._directory.limited_wait_s(
-            upstream, queue_key, context.priority, now_s
-        )
-        if wait_s > max_wait_s:
-            raise requests.RefusedError(
-                errors.Reason.QUEUE_FULL,
-                503,
-                wait_s,
-                limited_wait_s=round(wait_s, 3),
-            )
-
-    def _find_any_target(
-        self,
-        context: requests.RequestContext,
-        now_s: float,
-        total_time_s: float,
-    ) -> requests.Target | tuple[object, float, errors.Reason]:
-        usable = self._directory.usable_upstreams(context.service, now_s)
-        if not usable:
-            return (
-                ("any", context.service),
-                total_time_s * MAX_OWNER_WAIT_RATIO,
-                errors.Reason.NO_UPSTREAM,
-            )
-        candidates = [
-            upstream
-            for upstream in usable
-            if self._has_capacity(context, upstream, now_s)
-        ]
-        tried = set(context.tried_upstreams)
-        if len(tried) >= context.route.max_attempts:
-            candidates = [
-                candidate for candidate in candidates if candidate.id in tried
-            ]
-        else:
-            untried = [
-                candidate
-                for candidate in candidates
-                if candidate.id not in tried
-            ]
-            candidates = untried or candidates
-        by_id = {candidate.id: candidate for candidate in candidates}
-        name = state_module.choose_upstream(
-            (
-                (
-                    candidate.id,
-                    self._directory.state_and_pool(candidate)[0],
-                    self._cost_factor(candidate),
-                )
-                for candidate in candidates
-            ),
-            now_s,
-            self._random.random,
-        )
-        if name is None:
-            max_wait_s = self._max_capacity_wait_s(context, 1.0)
-            self._refuse_if_paused(context, usable, max_wait_s, now_s)
-            return (
-                ("any", context.service),
-                max_wait_s,
-                errors.Reason.QUEUE_FULL,
-            )
-        upstream = by_id[name]
-        state, pool = self._directory.state_and_pool(upstream)
-        return requests.Target(upstream, state, pool, 0)
-
-    def _cost_factor(self, upstream: routes.Upstream) -> float:
-        return 1.0 if upstream.zone == self._zone else CROSS_ZONE_COST_FACTOR
-
-    def _has_capacity(
-        self,
-        context: requests.RequestContext,
-        upstream: routes.Upstream,
-        now_s: float,
-    ) -> bool:
-        return self._directory.has_capacity(
-            upstream,
-            now_s,
-            self._sender.service_time_s(context.route.name),
-            context.route.latency_objective_s,
-        )
-
-    def _max_capacity_wait_s(
-        self, context: requests.RequestContext, slowness: float
-    ) -> float:
-        """Returns how long a request waits for capacity at a full upstream.
-
-        A request that waits longer misses its latency objective and delays
-        the requests behind it.
-        """
-        objective_s = context.route.latency_objective_s
-        spare_s = (
-            objective_s
-            - self._sender.mean_latency_s(context.route.name) * slowness
-        )
-        return max(spare_s, objective_s * MIN_CAPACITY_WAIT_RATIO)
-
     # replies
 
     def _finish_answered(
--- a/tests/cover/test_relay.py
+++ b/tests/cover/test_relay.py
@@ -7,6 +7,7 @@
 from sardinehill.front import front_metrics
 from sardinehill.front import relay as relay_module
 from sardinehill.front import requests
+from sardinehill.front import target_selection
 
 
 class FakeSender:
@@ -92,7 +93,7 @@
         is_limited=lambda upstream: upstream is limited,
     )
     sender = types.SimpleNamespace(service_time_s=lambda route: 0.1)
-    relay = new_relay(directory, sender)
+    selector = target_selection.TargetSelector(directory, sender, "a")
     route = types.SimpleNamespace(
         name="r", max_attempts=2, latency_objective_s=0.3
     )
@@ -100,5 +101,5 @@
         service="s", route=route, tried_upstreams=[]
     )
     for _ in range(20):
-        target = relay._find_any_target(context, 0.0, 1.0)
+        target = selector._find_any_target(context, 0.0, 1.0)
         assert target.upstream.id == "i-4"
