Page on after objects with odd names in a list of the store

A page that held only objects with odd names was asked for over and over, as the next page began after the last name that was taken over.

test_list_goes_on_after_a_page_of_objects_with_odd_names failed before (it did not end).

--- a/src/sardinehill/platform/store.py
+++ b/src/sardinehill/platform/store.py
@@ -143,9 +143,10 @@
                 items, after, first_version = [], "", None
                 continue
             items.extend(_decode_objects(kind, page))
-            if not body.get("hasMore") or not items:
+            last_name = _name_of(page[-1]) if page else None
+            if not body.get("hasMore") or last_name in (None, after):
                 return items, first_version
-            after = items[-1].name
+            after = last_name or ""
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Returns one object, or None if it does not exist.
@@ -396,6 +397,12 @@
                 self._idle.pop().close()
 
 
+def _name_of(document: Json) -> str | None:
+    metadata = document.get("metadata") if isinstance(document, dict) else None
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    return name if isinstance(name, str) else None
+
+
 def _decode_objects(kind: str, documents: list[Json]) -> list[StoredObject]:
     """Returns the objects that can be decoded; the others are logged."""
     decoded = []
--- a/tests/cover/test_store_client.py
+++ b/tests/cover/test_store_client.py
@@ -113,3 +113,14 @@
         assert [change.object.name for change in changes] == ["z"]
 
     run(scenario)
+
+
+def test_list_goes_on_after_a_page_of_objects_with_odd_names():
+    async def scenario(store, client):
+        store.page_size = 2
+        for name in ("a", "b\r", "b\n", "c\r", "d", "e"):
+            await store.put(KIND, name, spec=None)
+        async with asyncio.timeout(5.0):
+            assert await names_listed(client) == ["a", "d", "e"]
+
+    run(scenario)
