Go on writing an assignment again until the restored store has it

A leader whose assignment met a conflict while it was written again after a restore took it for stored: the present era had been noted when the object was read. The store kept the earlier owners until the next move. Found while reading the change again.

test_assignment_stays_lost_until_it_is_written_again failed before.

--- a/src/sardinehill/front/assignment_store.py
+++ b/src/sardinehill/front/assignment_store.py
@@ -109,13 +109,17 @@
         Returns:
           Whether the assignment is certainly stored in the present era.
         """
+        lost_era = self._era
         try:
             stored = await self._get()
         except errors.StoreError as error:
             self._log_failure(error)
             return False
         self._check_term(stored)
-        return await self.write(assignment) and not self.is_lost
+        if await self.write(assignment):
+            return not self.is_lost
+        self._era = lost_era
+        return False
 
     def _log_failure(self, error: Exception) -> None:
         events.log(
--- a/tests/cover/test_assignment_store.py
+++ b/tests/cover/test_assignment_store.py
@@ -229,3 +229,26 @@
         assert [span.owner for span in found.spans] == [B]
 
     run(scenario)
+
+
+def test_assignment_stays_lost_until_it_is_written_again():
+    async def scenario(harness):
+        stored = harness.assignments(TERM)
+        assignment = await move_all_keys(stored, A)
+        await harness.restore(harness.store.take_copy())
+        read = stored._get
+
+        async def overtaken():
+            found = await read()
+            kind = assignment_store.ASSIGNMENTS_KIND
+            await harness.store.put(kind, SERVICE, spec=found.spec)
+            return found
+
+        stored._get = overtaken
+        assert not await stored.write_again(assignment)
+        assert stored.is_lost
+        stored._get = read
+        assert await stored.write_again(assignment)
+        assert not stored.is_lost
+
+    run(scenario)
