--- a/tests/process/test_standins.py
+++ b/tests/process/test_standins.py
@@ -290,7 +290,8 @@
 
 def test_upstream_sheds_drains_and_enforces_deadlines(harness, upstream):
     send_grant(harness, upstream, 1)
-    path = "/x?service_time_ms=200"
+    # Long enough that no slot is free again before all requests have arrived.
+    path = "/x?service_time_ms=2000"
     answers = harness.ask_concurrently(
         *(
             (
