Overload a cold upstream of a test while one request is running

The stand-in did what it promises: it loses what it runs when it collapses.

One request now runs when the others arrive, so that it must be lost. Nothing else is checked than before.

--- a/tests/process/test_standins.py
+++ b/tests/process/test_standins.py
@@ -265,9 +265,24 @@
 
 def test_cold_upstream_collapses_under_overload(harness):
     cold = harness.start("upstream", *UPSTREAM, "--no-fencing")
-    answers = harness.ask_concurrently(
-        *((cold, "GET", "/x", request_headers(f"r{n}"), None) for n in range(4))
-    )
+
+    async def overload():
+        # One is running when the others arrive.
+        path = "/x?service_time_ms=1000"
+        running = asyncio.ensure_future(
+            harness._ask(cold, "GET", path, request_headers("r0"), None)
+        )
+        for _ in range(200):
+            if "started" in journaled_events(harness, "upstream"):
+                break
+            await asyncio.sleep(0.02)
+        others = (
+            harness._ask(cold, "GET", "/x", request_headers(f"r{n}"), None)
+            for n in range(1, 4)
+        )
+        return await asyncio.gather(running, *others, return_exceptions=True)
+
+    answers = harness.runner.run(overload())
     assert "collapsed" in journaled_events(harness, "upstream")
     assert any(isinstance(answer, aiohttp.ClientError) for answer in answers)
     assert harness.ask(cold, "GET", "/-/health")[1]["state"] == "cold"
