--- a/src/sardinehill/front/target_selection.py
+++ b/src/sardinehill/front/target_selection.py
@@ -166,23 +166,7 @@
                 total_time_s * MAX_OWNER_WAIT_RATIO,
                 errors.Reason.NO_UPSTREAM,
             )
-        candidates = [
-            upstream
-            for upstream in usable
-            if self._has_capacity(context, upstream, now_s)
-        ]
-        tried = set(context.tried_upstreams)
-        if len(tried) >= context.route.max_attempts:
-            candidates = [
-                candidate for candidate in candidates if candidate.id in tried
-            ]
-        else:
-            untried = [
-                candidate
-                for candidate in candidates
-                if candidate.id not in tried
-            ]
-            candidates = untried or candidates
+        candidates = self._candidates(context, usable, now_s)
         by_id = {candidate.id: candidate for candidate in candidates}
         name = state_module.choose_upstream(
             (
@@ -208,6 +192,29 @@
         state, pool = self._directory.state_and_pool(upstream)
         return requests.Target(upstream, state, pool, 0)
 
+    def _candidates(
+        self,
+        context: requests.RequestContext,
+        usable: Iterable[routes.Upstream],
+        now_s: float,
+    ) -> list[routes.Upstream]:
+        """Returns the upstreams with capacity that a request may go to.
+
+        One that was not tried goes first, up to the route's number of attempts.
+        """
+        candidates = [
+            upstream
+            for upstream in usable
+            if self._has_capacity(context, upstream, now_s)
+        ]
+        tried = set(context.tried_upstreams)
+        untried = [
+            candidate for candidate in candidates if candidate.id not in tried
+        ]
+        if len(tried) < context.route.max_attempts:
+            return untried or candidates
+        return [candidate for candidate in candidates if candidate.id in tried]
+
     def _cost_factor(self, upstream: routes.Upstream) -> float:
         return 1.0 if upstream.zone == self._zone else CROSS_ZONE_COST_FACTOR
 
