Keep the limits of orders to owners in one place

The timeout of a release and the pause before a retry stood twice, in order_sender and in unknown_owners, with the same 1.5 s and 0.15 s: one could have been changed without the other. Both modules use those of key_owners. No value changes; one test names the new place.

--- a/src/sardinehill/front/key_owners.py
+++ b/src/sardinehill/front/key_owners.py
@@ -14,6 +14,9 @@
 from sardinehill.core import routes
 
 CONNECT_TIMEOUT_S = 0.3
+# A release is answered when the requests that are running have ended.
+RELEASE_TIMEOUT_S = 1.5
+ORDER_RETRY_S = 0.15
 MAX_IDLE_S = 5.0
 # The weight of an upstream's earlier slowness when an answer is averaged in.
 SLOWNESS_DECAY_RATIO = 0.95
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -17,8 +17,6 @@
 # A confirmed grant is renewed this long after it was created.
 GRANT_RENEWAL_S = 0.65
 ORDER_TIMEOUT_S = 0.4
-RELEASE_TIMEOUT_S = 1.5
-ORDER_RETRY_S = 0.15
 # A leader may send orders for this long after the store or a majority of
 # daemons last confirmed its term, even if it is being replaced.
 TERM_VALIDITY_S = 1.6
@@ -137,7 +135,7 @@
             return
         owner = self._owners.by_incarnation.get(span.owner)
         if owner is None:
-            span.next_order_s = now_s + ORDER_RETRY_S
+            span.next_order_s = now_s + key_owners.ORDER_RETRY_S
             return
         delivery_deadline_s = (
             now_s + key_owners.CONNECT_TIMEOUT_S + ORDER_TIMEOUT_S
@@ -185,7 +183,7 @@
         assert span.former_owner is not None
         owner = self._owners.by_incarnation.get(span.former_owner.incarnation)
         if owner is None:
-            span.next_order_s = now_s + ORDER_RETRY_S
+            span.next_order_s = now_s + key_owners.ORDER_RETRY_S
             return
         release = key_orders.create_release(span, now_s)
         self._group.create_task(self._release(release, owner))
@@ -203,7 +201,7 @@
         result = await self._owners.send_order(
             owner,
             request,
-            RELEASE_TIMEOUT_S,
+            key_owners.RELEASE_TIMEOUT_S,
             self._may_send_orders,
             on_new_connection=True,
         )
@@ -219,7 +217,9 @@
             self._owners.ended.add(release.incarnation)
         is_settled = result.status in (200, 421)
         for span in spans:
-            span.next_order_s = 0.0 if is_settled else now_s + ORDER_RETRY_S
+            span.next_order_s = (
+                0.0 if is_settled else now_s + key_owners.ORDER_RETRY_S
+            )
         if is_released:
             events.log(
                 events.KEYS_RELEASED,
@@ -269,7 +269,7 @@
             else:
                 is_fenced = result.status == 409
                 span.next_order_s = now_s + (
-                    FENCED_RETRY_S if is_fenced else ORDER_RETRY_S
+                    FENCED_RETRY_S if is_fenced else key_owners.ORDER_RETRY_S
                 )
         if not result.superseded:
             self._update_owner(owner, grant, result)
--- a/src/sardinehill/front/unknown_owners.py
+++ b/src/sardinehill/front/unknown_owners.py
@@ -14,9 +14,6 @@
 from sardinehill.front import key_owners
 from sardinehill.platform import http_messages
 
-RELEASE_TIMEOUT_S = 1.5
-RELEASE_RETRY_S = 0.15
-
 
 class UnknownOwners:
     """Asks upstreams to release what the assignment gives to others."""
@@ -98,7 +95,7 @@
         result = await self._owners.send_order(
             owner,
             request,
-            RELEASE_TIMEOUT_S,
+            key_owners.RELEASE_TIMEOUT_S,
             self._may_send_orders,
             on_new_connection=True,
         )
@@ -107,5 +104,5 @@
         elif result.status == 421:
             self._owners.ended.add(owner.incarnation)
         else:
-            await asyncio.sleep(RELEASE_RETRY_S)
+            await asyncio.sleep(key_owners.ORDER_RETRY_S)
         self._asked.discard((owner.incarnation, keys))
--- a/tests/cover/test_orders.py
+++ b/tests/cover/test_orders.py
@@ -212,7 +212,7 @@
         await settle_tasks()
         first_unanswered_s = harness.now_s
         for _ in range(6):
-            harness.now_s += order_sender_module.ORDER_RETRY_S + 0.01
+            harness.now_s += key_owners_module.ORDER_RETRY_S + 0.01
             orders.send_due()
             await settle_tasks()
         expiry_s = key_orders.latest_expiry_s(
