Notice that this daemon is cut off, and hold no failures against upstreams then

A daemon that was cut off from all upstreams paused each of them for up to 3 s, counted their failures and went on. Failures while cut off pause nothing; those from before are forgotten at each change. Log events daemon-cut-off and reach-regained, gauge cut_off_seconds.

--- a/src/sardinehill/core/upstream_reach.py
+++ b/src/sardinehill/core/upstream_reach.py
@@ -69,9 +69,19 @@
         if self._is_cut_off and self._has_regained():
             self._change(False, now_s)
 
-    def record_failed(self, upstream_id: str, now_s: float) -> None:
-        """Records that a new connection to an upstream could not be opened."""
-        self._failing_since_s.setdefault(upstream_id, now_s)
+    def record_failed(
+        self, upstream_id: str, now_s: float, began_s: float | None = None
+    ) -> None:
+        """Records that a new connection to an upstream could not be opened.
+
+        Args:
+          upstream_id: the upstream.
+          now_s: the current time.
+          began_s: when the attempt began; now if it failed at once.
+        """
+        self._failing_since_s.setdefault(
+            upstream_id, now_s if began_s is None else began_s
+        )
         self._failed_s[upstream_id] = now_s
         self._reached_s.pop(upstream_id, None)
         if not self._is_cut_off and self._shows_cut(now_s):
--- a/src/sardinehill/core/upstream_state.py
+++ b/src/sardinehill/core/upstream_state.py
@@ -203,6 +203,17 @@
         self.consecutive_unreachable += 1
         self.blocked_until_s = max(self.blocked_until_s, now_s + pause_s)
 
+    def forget_failures(self) -> None:
+        """Forgets what followed from failures to reach the upstream.
+
+        Those were not the upstream's own.
+        """
+        self.consecutive_unreachable = 0
+        self.failure_ratio = 0.0
+        self.blocked_until_s = 0.0
+        self.single_request_until_s = 0.0
+        self.other_requests = 0.0
+
     def estimated_requests(self, now_s: float) -> float:
         """Returns the estimated number of requests at the upstream."""
         age_s = now_s - self.load_reported_s
--- a/src/sardinehill/events.py
+++ b/src/sardinehill/events.py
@@ -91,6 +91,8 @@
 LIMIT_NAMED = Event(508, "limit-named", logging.INFO)
 UPSTREAM_PAUSED = Event(510, "upstream-paused", logging.INFO)
 UPSTREAM_LEAVES = Event(509, "upstream-leaves", logging.INFO)
+DAEMON_CUT_OFF = Event(511, "daemon-cut-off", logging.WARNING)
+REACH_REGAINED = Event(512, "reach-regained", logging.INFO)
 
 ACCOUNT_KEYS_ACCEPTED = Event(601, "account-keys-accepted", logging.INFO)
 
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -22,6 +22,7 @@
 from sardinehill.front import leadership as leadership_module
 from sardinehill.front import log as log_module
 from sardinehill.front import peer_links
+from sardinehill.front import reach_monitor
 from sardinehill.front import relay as relay_module
 from sardinehill.front import report_counters as counters_module
 from sardinehill.front import requests
@@ -73,8 +74,22 @@
         )
         limits = named_limits.NamedLimits()
         suspects = crash_suspects.CrashSuspects()
+        self._reach = reach_monitor.ReachMonitor(
+            lambda: self._view.upstreams,
+            lambda upstream: self._directory.pool(upstream),
+            loop.time,
+        )
         self._directory = directory_module.UpstreamDirectory(
-            self._view, settings.drain_limit_s, loop.time, limits, suspects
+            self._view,
+            settings.drain_limit_s,
+            loop.time,
+            limits,
+            suspects,
+            self._reach.note_attempt,
+        )
+        # Failures shortly before a cut was noticed followed from it, too.
+        self._reach.reach.subscribe(
+            lambda is_cut_off: self._directory.forget_failures()
         )
         self._counters = counters_module.ReportCounters()
         quota = quota_shares.FleetQuota(
@@ -105,8 +120,11 @@
                 self._borrower(fleet_messages.LoanKind.LIMITED_SENDS),
                 suspects,
                 crash_evidence.CrashEvidence(
-                    suspects, lambda: self._view.upstreams, loop.time
+                    suspects,
+                    lambda: self._view.upstreams,
+                    loop.time,
                 ),
+                self._reach,
             ),
             settings.zone,
         )
@@ -161,6 +179,7 @@
                 ("news", self._leadership.replication.run),
                 ("leadership", self._leadership.run),
                 ("connections", self._directory.sweep),
+                ("reach", self._reach.run),
                 ("callers", self._server.enforce_limits),
                 ("logs", self._flush_logs),
             )
@@ -238,6 +257,7 @@
             "requests_in_flight": self._relay.in_flight,
             "callers": len(self._server.connections),
             "upstreams": len(self._view.upstreams),
+            "cut_off_seconds": self._reach.cut_off_for_s(),
             "log_lines_dropped": self._log_output.dropped_lines
             + self._request_log.dropped_lines,
         }
--- a/src/sardinehill/front/pool.py
+++ b/src/sardinehill/front/pool.py
@@ -1,6 +1,7 @@
 """Pools a daemon's connections to one incarnation of an upstream."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Container
 
 from sardinehill import http1
@@ -11,6 +12,13 @@
 IDLE_TIMEOUT_RATIO = 0.7
 CONNECT_TIMEOUT_S = 0.3
 
+# Is told whether an attempt to connect succeeded, and when it began. Not told
+# of one that had less time than `CONNECT_TIMEOUT_S`, or whose end this process
+# noticed late.
+AttemptListener = Callable[[bool, float], None]
+# A timeout that is noticed later than this shows that the process was paused.
+MAX_TIMEOUT_DELAY_S = 0.2
+
 
 class ConnectionPool:
     """Idle connections to one address; the most recently used is reused first.
@@ -20,8 +28,9 @@
       opened_count: how many attempts to open a connection were made.
     """
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, on_attempt: AttemptListener | None = None):
         self.address = address
+        self._on_attempt = on_attempt
         self._idle: list[http1.Connection] = []
         self.opened_count = 0
 
@@ -63,10 +72,34 @@
         connection = self.acquire_idle(now_s, avoided)
         if connection is not None:
             return connection
+        return await self.open(min(timeout_s, CONNECT_TIMEOUT_S))
+
+    async def open(self, timeout_s: float) -> http1.Connection:
+        """Opens a connection, although there may be an idle one.
+
+        Raises:
+          ConnectionFailedError: the upstream could not be reached.
+        """
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
         self.opened_count += 1
-        return await http1.connect(
-            self.address, min(timeout_s, CONNECT_TIMEOUT_S)
-        )
+        try:
+            connection = await http1.connect(self.address, timeout_s)
+        except http1.ConnectionFailedError as error:
+            took_s = loop.time() - began_s
+            is_timeout = isinstance(error.__cause__, TimeoutError)
+            if self._on_attempt is not None and (
+                not is_timeout or _is_full_timeout(took_s)
+            ):
+                self._on_attempt(False, began_s)
+            raise
+        if self._on_attempt is not None:
+            self._on_attempt(True, began_s)
+        return connection
+
+    def has_idle(self) -> bool:
+        """Returns whether there is an idle connection, perhaps a stale one."""
+        return bool(self._idle)
 
     def release(self, connection: http1.Connection) -> None:
         """Returns a connection to the pool, or closes it if it is unusable."""
@@ -92,6 +125,10 @@
         self._idle = []
 
 
+def _is_full_timeout(took_s: float) -> bool:
+    return CONNECT_TIMEOUT_S <= took_s < CONNECT_TIMEOUT_S + MAX_TIMEOUT_DELAY_S
+
+
 def _idle_limit_s(connection: http1.Connection) -> float:
     if connection.server_idle_timeout_s is None:
         return DEFAULT_IDLE_TIMEOUT_S
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -16,6 +16,7 @@
 from sardinehill.front import borrowing
 from sardinehill.front import crash_evidence
 from sardinehill.front import front_metrics as metrics_module
+from sardinehill.front import reach_monitor
 from sardinehill.front import report_counters as counters_module
 from sardinehill.front import requests
 from sardinehill.front import upstream_directory as directory_module
@@ -43,6 +44,7 @@
         limited_sends: borrowing.TokenBorrower,
         suspects: crash_suspects.CrashSuspects,
         evidence: crash_evidence.CrashEvidence,
+        reach: reach_monitor.ReachMonitor,
     ):
         self._directory = directory
         self._metrics = metrics
@@ -52,6 +54,7 @@
         self._limited_sends = limited_sends
         self._suspects = suspects
         self._evidence = evidence
+        self._reach = reach
         self._mean_latencies_s: dict[str, float] = {}
         self._service_times = service_times.ServiceTimes()
 
@@ -218,6 +221,7 @@
             context.tried_upstreams.append(target.upstream.id)
         request_id = context.metadata.request_id
         context.in_flight = True
+        self._reach.note_sent(connection)
         try:
             answer = await connection.exchange(
                 _encode_request(context, target),
@@ -227,7 +231,8 @@
                 context.request.method == b"HEAD",
             )
         except http1.ConnectionFailedError as error:
-            if error.reset and not error.response_started:
+            is_cut_off = self._reach.is_cut_off()
+            if error.reset and not error.response_started and not is_cut_off:
                 target.upstream_state.record_reset(
                     loop.time(), connection.exchange_count == 1
                 )
@@ -235,10 +240,12 @@
             return None
         finally:
             # After a cancelled exchange the upstream may still run the request.
+            self._reach.note_done(connection)
             context.in_flight = context.in_flight and not connection.usable
             target.upstream_state.record_end()
             self._directory.wake_next(target.upstream, context.service)
         context.in_flight = False
+        self._reach.note_answer(target.upstream.id)
         return answer
 
     def _record_connect_failure(
@@ -248,7 +255,8 @@
         error: http1.ConnectionFailedError,
     ) -> None:
         now_s = asyncio.get_running_loop().time()
-        target.upstream_state.record_unreachable(now_s)
+        if not self._reach.is_cut_off():
+            target.upstream_state.record_unreachable(now_s)
         context.last_failure = "connect-failed"
         self._metrics.increment("connect_failures", target.upstream.service)
         self._log(
@@ -273,7 +281,9 @@
           requests.RefusedError: the request may have run and is not idempotent.
         """
         context.in_flight = False
-        target.upstream_state.record_answer(0.0, 1.0, ok=False)
+        self._reach.note_broken(target.upstream.id)
+        if not self._reach.is_cut_off():
+            target.upstream_state.record_answer(0.0, 1.0, ok=False)
         if not error.written:
             context.last_failure = "connection-lost"
             return
--- a/src/sardinehill/front/upstream_directory.py
+++ b/src/sardinehill/front/upstream_directory.py
@@ -7,6 +7,7 @@
 import bisect
 from collections.abc import Callable
 import dataclasses
+import functools
 
 from sardinehill import events
 from sardinehill.core import crash_suspects
@@ -37,6 +38,10 @@
 UPSTREAM_RETENTION_S = 15.0
 
 
+def _ignore_attempt(upstream_id: str, is_success: bool, began_s: float) -> None:
+    """Ignores an attempt to connect to an upstream."""
+
+
 @dataclasses.dataclass(slots=True)
 class _UpstreamEntry:
     """One incarnation of an upstream, as this daemon uses it.
@@ -88,10 +93,23 @@
         clock_s: Callable[[], float],
         limits: named_limits.NamedLimits,
         suspects: crash_suspects.CrashSuspects,
+        on_attempt: Callable[[str, bool, float], None] = _ignore_attempt,
     ):
+        """Creates a directory of the upstreams in a view.
+
+        Args:
+          view: the view of the store.
+          drain_limit_s: the time that an upstream has to drain.
+          clock_s: the event loop's clock.
+          limits: the limits that upstreams name.
+          suspects: the requests that may end upstreams.
+          on_attempt: is told of attempts to connect to upstreams: the
+            upstream's id, whether it succeeded, and when it began.
+        """
         self._view = view
         self._limits = limits
         self._suspects = suspects
+        self._on_attempt = on_attempt
         self._drain_grace_s = drain_limit_s * DRAIN_GRACE_RATIO
         self._clock_s = clock_s
         self._entries: dict[str, _UpstreamEntry] = {}
@@ -164,7 +182,10 @@
             entry = _UpstreamEntry(
                 upstream,
                 upstream_state.UpstreamState(upstream.slots),
-                pool_module.ConnectionPool(upstream.address),
+                pool_module.ConnectionPool(
+                    upstream.address,
+                    functools.partial(self._on_attempt, upstream.id),
+                ),
             )
             self._entries[upstream.id] = entry
             entry.state.cold_until_s = now_s + upstream.cold_remaining_s
@@ -244,6 +265,15 @@
             entry.said_leaving_s = self._clock_s()
             events.log(events.UPSTREAM_LEAVES, upstream=upstream.id)
 
+    def forget_failures(self) -> None:
+        """Ends all pauses that followed from failures to reach upstreams.
+
+        To be called when these were failures of this daemon's own links.
+        """
+        for entry in self._entries.values():
+            entry.state.forget_failures()
+        self.waiting.wake_all()
+
     def wake_next(self, upstream: routes.Upstream, service: str) -> None:
         """Wakes the next waiting request after capacity became free."""
         if not self.waiting.wake_one(("room", upstream.id)):
@@ -336,6 +366,13 @@
         entry = self._entries[upstream.id]
         return entry.state, entry.pool
 
+    def pool(
+        self, upstream: routes.Upstream
+    ) -> pool_module.ConnectionPool | None:
+        """Returns the pool of an upstream, or None if it is not known."""
+        entry = self._entries.get(upstream.id)
+        return entry.pool if entry is not None else None
+
     def has_capacity(
         self,
         upstream: routes.Upstream,
--- a/tests/cover/test_sending.py
+++ b/tests/cover/test_sending.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from sardinehill import http1
 from sardinehill.core import cold_lending
 from sardinehill.core import crash_suspects
 from sardinehill.core import upstream_state
@@ -41,6 +42,7 @@
             None,
             crash_suspects.CrashSuspects(),
             None,
+            None,
         )
         target = types.SimpleNamespace(
             upstream=types.SimpleNamespace(id="i-1"),
@@ -101,3 +103,48 @@
     assert answer is None
     assert target.pool.released == ["connection"]
     assert target.upstream_state.in_flight == 0
+
+
+class UnreachablePool:
+    """Refuses connections."""
+
+    async def acquire(self, timeout_s, avoided):
+        raise http1.ConnectionFailedError("", written=False, refused=True)
+
+
+@pytest.mark.parametrize("is_cut_off", [False, True])
+def test_failures_of_a_daemon_that_is_cut_off_do_not_pause_an_upstream(
+    is_cut_off,
+):
+    directory = types.SimpleNamespace(is_limited=lambda upstream: False)
+    metrics = types.SimpleNamespace(increment=lambda *labels: None)
+    reach = types.SimpleNamespace(is_cut_off=lambda: is_cut_off)
+
+    async def body():
+        now_s = asyncio.get_running_loop().time()
+        sender = sending.Sender(
+            directory,
+            metrics,
+            lambda *args, **fields: None,
+            None,
+            None,
+            None,
+            crash_suspects.CrashSuspects(),
+            None,
+            reach,
+        )
+        target = types.SimpleNamespace(
+            upstream=types.SimpleNamespace(id="i-1", service="stock"),
+            upstream_state=upstream_state.UpstreamState(slots=2),
+            pool=UnreachablePool(),
+        )
+        context = types.SimpleNamespace(
+            deadline_s=now_s + 10.0,
+            used_connections=[],
+            metadata=types.SimpleNamespace(request_id=b"r"),
+        )
+        assert await sender.send(context, target) is None
+        may_send = target.upstream_state.may_send(now_s + 0.1, max_in_flight=9)
+        assert may_send == is_cut_off
+
+    asyncio.run(body())
--- a/tests/cover/test_upstream_state.py
+++ b/tests/cover/test_upstream_state.py
@@ -132,3 +132,14 @@
     upstream.record_retry_after(1.5, 0.5)
     assert not upstream.may_send(4.9, max_in_flight=5)
     assert upstream.may_send(5.0, max_in_flight=5)
+
+
+def test_failures_that_were_not_the_upstreams_own_are_forgotten():
+    state = upstream_state.UpstreamState(slots=2)
+    state.record_unreachable(10.0)
+    state.record_reset(10.0, on_new_connection=True)
+    state.record_answer(0.0, 1.0, ok=False)
+    assert not state.may_send(10.1, max_in_flight=9)
+    state.forget_failures()
+    assert state.may_send(10.1, max_in_flight=9)
+    assert state.expected_latency_ratio(10.1) == 1.0
