Take a refused connection for an upstream's end only if others are reached

A cut can refuse connections too: a daemon that reached no upstream counted each request whose connection broke as one that ends upstreams, and three of them quarantined it in the whole fleet. Another upstream, of the same zone first, is connected to before the refusal counts; else only a later start of the upstream does.

The new test counts [1] ending instead of [0] without the condition.

--- a/src/sardinehill/front/crash_evidence.py
+++ b/src/sardinehill/front/crash_evidence.py
@@ -1,6 +1,7 @@
 """Finds out whether an upstream has ended when a connection to it breaks."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 from sardinehill import events
@@ -23,6 +24,7 @@
         suspects: crash_suspects.CrashSuspects,
         upstreams: Callable[[], dict[str, routes.Upstream]],
         clock_s: Callable[[], float],
+        reaches_others: Callable[[routes.Upstream], Awaitable[bool]],
     ):
         """Creates an object without pending checks.
 
@@ -30,10 +32,13 @@
           suspects: is told of requests whose upstream has ended.
           upstreams: returns the listed upstreams by id.
           clock_s: the clock of `suspects`.
+          reaches_others: returns whether another upstream, if possible on the
+            same path as the given one, is reached now.
         """
         self._suspects = suspects
         self._upstreams = upstreams
         self._clock_s = clock_s
+        self._reaches_others = reaches_others
         # The requests whose connection broke, by upstream, while that is
         # checked.
         self._pending: dict[tuple[str, int], set[bytes]] = {}
@@ -52,7 +57,10 @@
 
     async def _check(self, upstream: routes.Upstream) -> None:
         try:
-            has_ended = await _refuses_connections(upstream.address)
+            # A broken path may refuse connections, too.
+            has_ended = await _refuses_connections(
+                upstream.address
+            ) and await self._reaches_others(upstream)
             if not has_ended:
                 has_ended = await self._starts_again(upstream)
         finally:
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -123,6 +123,7 @@
                     suspects,
                     lambda: self._view.upstreams,
                     loop.time,
+                    self._reach.reaches_others,
                 ),
                 self._reach,
             ),
--- a/tests/cover/test_crash_evidence.py
+++ b/tests/cover/test_crash_evidence.py
@@ -26,15 +26,18 @@
     )
 
 
-def endings_after(port, listed=(), digests=(DIGEST,)):
+def endings_after(port, listed=(), digests=(DIGEST,), reaches_others=True):
     """Returns how many endings a broken connection leads to."""
 
+    async def answer(upstream):
+        return reaches_others
+
     async def body():
         loop = asyncio.get_running_loop()
         suspects = crash_suspects.CrashSuspects()
         upstreams = {}
         evidence = crash_evidence.CrashEvidence(
-            suspects, lambda: upstreams, loop.time
+            suspects, lambda: upstreams, loop.time, answer
         )
         for digest in digests:
             evidence.note_broken(new_upstream(port), digest)
@@ -65,6 +68,12 @@
     assert endings_after(port, digests=(DIGEST, b"e" * 32)) == [1, 1]
 
 
+def test_refused_connection_of_a_daemon_that_reaches_no_one_is_no_evidence():
+    # A daemon that was cut off had requests quarantined by the whole fleet.
+    (port,) = platform_fleet.free_ports(1)
+    assert endings_after(port, reaches_others=False) == [0]
+
+
 def test_broken_connection_to_a_live_upstream_is_no_evidence(open_port):
     assert endings_after(open_port, [new_upstream(open_port)]) == [0]
 
