Hand the lead to a daemon that reaches upstreams

A leader that was cut off from all upstreams led on: the store and a majority of daemons confirmed its term, its grants got no answer, and the whole fleet refused keys as unowned. Daemons report whether they reach upstreams (an older one counts as reaching them). A leader that has been cut off for 0.3 s resigns if a follower reaches them, and names such a one; in an election a daemon that is cut off waits 1.2 s for others, also if it was named. A leader without requests probes after 0.6 s of silence, so that it notices, too. Nobody takes the lead from a leader that reaches upstreams, so two daemons cannot take it from each other in turn.

Tests of the leader's term, the election, the message and the monitor; those of the term and the election fail without the conditions.

--- a/src/sardinehill/core/fleet_messages.py
+++ b/src/sardinehill/core/fleet_messages.py
@@ -108,6 +108,7 @@
       limits: what upstreams have said of their limits since the last report.
       suspects: what has become known since then of requests that may end
         upstreams.
+      upstreams_reachable: whether the daemon reaches upstreams.
     """
 
     daemon: str
@@ -122,6 +123,7 @@
     needs_spans: bool = False
     limits: list[LimitNews] = dataclasses.field(default_factory=list)
     suspects: list[SuspectNews] = dataclasses.field(default_factory=list)
+    upstreams_reachable: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -78,6 +78,7 @@
             lambda: self._view.upstreams,
             lambda upstream: self._directory.pool(upstream),
             loop.time,
+            lambda: self._leadership.leads,
         )
         self._directory = directory_module.UpstreamDirectory(
             self._view,
@@ -143,6 +144,7 @@
             cold_lending.ColdBound(settings.cold_ratio, settings.cold_slack),
             limits,
             suspects,
+            self._reach.cut_off_for_s,
         )
         self._server = server_module.Server(self._relay.serve, self._limits)
         self._front_metrics.add_gauge_source(self._gauge_values)
--- a/src/sardinehill/front/election.py
+++ b/src/sardinehill/front/election.py
@@ -1,6 +1,7 @@
 """Elects the leader: a daemon takes the lease if no other daemon leads."""
 
 import asyncio
+from collections.abc import Callable
 import hashlib
 import random
 
@@ -26,6 +27,9 @@
 # A daemon that a resigned leader has named as its successor takes the lease at
 # once. The others become candidates only after this time.
 SUCCESSOR_DELAY_S = 0.3
+# A daemon that reaches no upstream waits for this time before it becomes a
+# candidate, so that daemons that reach some go first.
+CUT_OFF_DELAY_S = 1.2
 STORE_RETRY_S = 0.1
 # If no peer has heard from a leader for this long, no tokens were lent in that
 # time and the whole fleet counts as restarted.
@@ -92,10 +96,12 @@
         name: str,
         leader: known_leader.KnownLeader,
         registry: peer_registry.PeerRegistry,
+        is_cut_off: Callable[[], bool] = lambda: False,
     ):
         self._name = name
         self._known_leader = leader
         self._registry = registry
+        self._is_cut_off = is_cut_off
         self.is_restart = False
 
     async def read_lease(self) -> None:
@@ -113,10 +119,12 @@
         Returns:
           Whether this daemon holds the lease now.
         """
-        if self._known_leader.successor == self._name:
+        if self._is_cut_off():
+            await self._wait_for_newer_term(CUT_OFF_DELAY_S)
+        elif self._known_leader.successor == self._name:
             self.is_restart = False
             return await self._try_to_take_lease()
-        if self._known_leader.successor:
+        elif self._known_leader.successor:
             await self._wait_for_newer_term(SUCCESSOR_DELAY_S)
         else:
             await self._wait_for_larger_hosts()
--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -19,6 +19,9 @@
 # answers some daemons before others.
 STORE_LOST_HANDOVER_S = 1.0
 MIN_REACHED_BY_OTHERS_S = 0.5
+# A leader that has been cut off from the upstreams for this long resigns if a
+# follower reaches them.
+CUT_OFF_HANDOVER_S = 0.3
 ANNOUNCE_INTERVAL_S = 0.25
 # A link that carries only an announcement stays open for this long, so that its
 # frame can arrive.
@@ -62,6 +65,8 @@
         self._lease_era = registry.lease_era
         self._heard_s: dict[str, float] = {}
         self._reached_store_s: dict[str, float] = {}
+        # The daemons that reached no upstreams when they last reported.
+        self._cut_off: set[str] = set()
         self._reached_by_others_since_s: float | None = None
         self._is_exclusive = False
         self._ended_peers: set[str] = set()
@@ -72,9 +77,21 @@
         """Returns the time since the term began."""
         return self._clock_s() - self._began_s
 
-    def note_report(self, daemon: str, address: str) -> None:
-        """Records that a daemon reported now, and its address if unknown."""
+    def note_report(
+        self, daemon: str, address: str, reaches_upstreams: bool = True
+    ) -> None:
+        """Records that a daemon reported now, and its address if unknown.
+
+        Args:
+          daemon: the daemon.
+          address: where its peers connect to it.
+          reaches_upstreams: whether it reaches the upstreams.
+        """
         self._heard_s[daemon] = self._clock_s()
+        if reaches_upstreams:
+            self._cut_off.discard(daemon)
+        else:
+            self._cut_off.add(daemon)
         self._registry.peer_addresses.setdefault(daemon, address)
 
     def note_store_reached(self, daemon: str) -> None:
@@ -102,30 +119,50 @@
             and reached_s >= MIN_REACHED_BY_OTHERS_S
         )
 
-    def successor(self) -> str:
-        """Returns the daemon that should lead next; empty if there is none.
+    def should_hand_over_if_cut_off(self, cut_off_s: float) -> bool:
+        """Returns whether followers reach upstreams and this leader does not.
+
+        A leader that has regained them has handed over for good: nobody takes
+        the lead from a leader that reaches upstreams.
 
-        Among the daemons that follow this term, those on larger hosts go first:
-        a new leader sends all spans to each daemon, which takes a small host's
-        link over a second in a large fleet. Among equal hosts, those that have
-        just reached the store themselves go first.
+        Args:
+          cut_off_s: how long the leader has been cut off from all upstreams; 0
+            if it reaches them.
         """
+        return cut_off_s >= CUT_OFF_HANDOVER_S and any(
+            name not in self._cut_off for name in self._following()
+        )
+
+    def _following(self) -> list[str]:
+        """Returns the daemons that follow this term."""
         now_s = self._clock_s()
-        following = [
+        return [
             name
             for name, heard_s in self._heard_s.items()
             if name != self._name and now_s - heard_s < FOLLOWER_TIMEOUT_S
         ]
 
-        def preference(name: str) -> tuple[float, bool, str]:
+    def successor(self) -> str:
+        """Returns the daemon that should lead next; empty if there is none.
+
+        Among the daemons that follow this term, those that reach upstreams go
+        first, then those on larger hosts: a new leader sends all spans to each
+        daemon, which takes a small host's link over a second in a large fleet.
+        Among equal hosts, those that have just reached the store themselves go
+        first.
+        """
+        now_s = self._clock_s()
+
+        def preference(name: str) -> tuple[bool, float, bool, str]:
             reached_s = self._reached_store_s.get(name, _NEVER_S)
             return (
+                name not in self._cut_off,
                 self._registry.core_shares.get(name, 0.0),
                 now_s - reached_s < FOLLOWER_TIMEOUT_S,
                 name,
             )
 
-        return max(following, key=preference, default="")
+        return max(self._following(), key=preference, default="")
 
     def _majority(self) -> int:
         return len(self._registry.peer_addresses) // 2 + 1
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -62,8 +62,10 @@
         cold_bound: cold_lending.ColdBound,
         limits: named_limits.NamedLimits,
         suspects: crash_suspects.CrashSuspects,
+        cut_off_for_s: Callable[[], float],
     ):
         self._name = name
+        self._cut_off_for_s = cut_off_for_s
         self._store = store
         self._view = view
         self._watch = watch
@@ -81,7 +83,10 @@
         )
         self._known_leader = known_leader.KnownLeader(name, clock_s)
         self._election = election.Election(
-            name, self._known_leader, self._registry
+            name,
+            self._known_leader,
+            self._registry,
+            lambda: cut_off_for_s() > 0,
         )
         self._followers = followers.Followers()
         self._leader_client = leader_client.LeaderClient(
@@ -115,6 +120,11 @@
         self._stopping = False
         view.subscribe(self._on_view_changed)
 
+    @property
+    def leads(self) -> bool:
+        """Whether this daemon leads the fleet."""
+        return self._term is not None
+
     @property
     def peer_count(self) -> int:
         """The number of registered daemons, as far as known."""
@@ -206,8 +216,12 @@
         )
         needs_table = self._followers.note_report(report, link)
         if term is not None and self._tasks is not None:
-            term.note_report(report.daemon, report.address)
+            term.note_report(
+                report.daemon, report.address, report.upstreams_reachable
+            )
             self._tasks.apply_report(report)
+            if term.should_hand_over_if_cut_off(self._cut_off_for_s()):
+                self.resign()
             if report.store_reachable:
                 term.note_store_reached(report.daemon)
                 self._hand_over_if_store_lost(term)
@@ -293,6 +307,7 @@
         report.protocol_version = fleet_messages.PROTOCOL_VERSION
         report.needs_spans = self._known_leader.needs_spans
         report.store_reachable = self._view.store_answered_recently()
+        report.upstreams_reachable = self._cut_off_for_s() <= 0
         now_s = self._loop_time_s()
         report.limits = self._limits.take_unreported(now_s)
         self._limits.forget(self._view.upstreams, now_s)
--- a/src/sardinehill/front/reach_monitor.py
+++ b/src/sardinehill/front/reach_monitor.py
@@ -20,6 +20,8 @@
 # No upstream has sent anything for this long, although a request was sent at
 # least as long ago.
 MAX_SILENCE_S = 0.3
+# The same for a leader, also while it has no requests.
+MAX_LEADER_SILENCE_S = 0.6
 PROBES_PER_ROUND = 3
 # While this daemon is cut off, and after a round that reached an upstream.
 CUT_OFF_PROBE_INTERVAL_S = 0.25
@@ -43,6 +45,7 @@
         upstreams: Callable[[], Mapping[str, routes.Upstream]],
         pool_of: PoolOf,
         clock_s: Callable[[], float],
+        leads: Callable[[], bool] = lambda: False,
     ):
         """Creates a monitor; nothing is probed until `run` is called.
 
@@ -50,11 +53,14 @@
           upstreams: returns the listed upstreams by id.
           pool_of: returns the pool of an upstream, or None.
           clock_s: the event loop's clock.
+          leads: returns whether this daemon leads the fleet. It must notice a
+            cut then even if it has no requests.
         """
         self.reach = upstream_reach.UpstreamReach(upstreams)
         self._upstreams = upstreams
         self._pool_of = pool_of
         self._clock_s = clock_s
+        self._leads = leads
         # When the request on each connection was sent, oldest first.
         self._sent_s: dict[http1.Connection, float] = {}
         self._probes: set[asyncio.Task[bool]] = set()
@@ -124,11 +130,11 @@
         return self.reach.is_doubtful(now_s) or self._is_silent(now_s)
 
     def _is_silent(self, now_s: float) -> bool:
+        heard_s = self.reach.last_heard_s()
+        if self._leads() and now_s - heard_s >= MAX_LEADER_SILENCE_S:
+            return True
         oldest_sent_s = next(iter(self._sent_s.values()), now_s)
-        return (
-            now_s - max(oldest_sent_s, self.reach.last_heard_s())
-            >= MAX_SILENCE_S
-        )
+        return now_s - max(oldest_sent_s, heard_s) >= MAX_SILENCE_S
 
     def _start_round(self, now_s: float) -> None:
         for upstream in self._choose(now_s):
--- a/src/sardinehill/wire/fleet.capnp
+++ b/src/sardinehill/wire/fleet.capnp
@@ -72,6 +72,7 @@
   needsSpans @9 :Bool;
   limits @10 :List(LimitNews);
   suspects @11 :List(Suspect);
+  upstreamsReachable @12 :Bool = true;
 }
 
 struct Span {
--- a/src/sardinehill/wire/fleet.py
+++ b/src/sardinehill/wire/fleet.py
@@ -100,6 +100,7 @@
         needsSpans=report.needs_spans,
         limits=[_encoded_limit(news) for news in report.limits],
         suspects=[_encoded_suspect(news) for news in report.suspects],
+        upstreamsReachable=report.upstreams_reachable,
     )
     return bytes(message.to_bytes())
 
@@ -138,6 +139,7 @@
         needs_spans=message.needsSpans,
         limits=[_decoded_limit(item) for item in message.limits],
         suspects=[_decoded_suspect(item) for item in message.suspects],
+        upstreams_reachable=message.upstreamsReachable,
     )
 
 
--- a/tests/cover/test_election.py
+++ b/tests/cover/test_election.py
@@ -38,7 +38,7 @@
     )
 
 
-def candidate_wait_s(name, core_shares, table=None):
+def candidate_wait_s(name, core_shares, table=None, is_cut_off=False):
     """Returns how long a candidate waits before it takes the lease."""
 
     async def body():
@@ -48,7 +48,10 @@
             leader.note_term(table.term)
             leader.apply_table(table)
         candidate = election.Election(
-            name, leader, FakePeerRegistry(name, core_shares)
+            name,
+            leader,
+            FakePeerRegistry(name, core_shares),
+            lambda: is_cut_off,
         )
         began_s = loop.time()
         assert await candidate.try_to_lead()
@@ -71,6 +74,15 @@
     )
 
 
+@pytest.mark.parametrize("table", [None, resigned_table("a")])
+def test_candidate_that_reaches_no_upstream_lets_others_go_first(table):
+    # It leads if nobody else does, also if it was named as the successor.
+    shares = {"a": 0.72, "b": 0.43}
+    waited_s = candidate_wait_s("a", shares, table, is_cut_off=True)
+    assert waited_s >= election.CUT_OFF_DELAY_S
+    assert waited_s > candidate_wait_s("b", shares) + 3 * election.RANK_DELAY_S
+
+
 def test_the_successor_that_a_resigned_leader_names_asks_no_one():
     class RecordingRegistry(FakePeerRegistry):
         calls = ()
--- a/tests/cover/test_leader_term.py
+++ b/tests/cover/test_leader_term.py
@@ -72,6 +72,31 @@
     assert term.successor() == ""
 
 
+def test_a_leader_that_is_cut_off_from_the_upstreams_hands_over():
+    clock = Clock()
+    term = new_term(clock, large=2.0, small=0.4, silent=1.0)
+    term.note_report("silent", "127.0.0.1:1")
+    clock.now_s += 2 * leader_term.FOLLOWER_TIMEOUT_S
+    term.note_report("large", "127.0.0.1:1", reaches_upstreams=False)
+    cut_off_s = leader_term.CUT_OFF_HANDOVER_S
+    # Nobody that is heard reaches more.
+    assert not term.should_hand_over_if_cut_off(cut_off_s)
+    term.note_report("small", "127.0.0.1:1", reaches_upstreams=True)
+    assert not term.should_hand_over_if_cut_off(0.0)
+    assert not term.should_hand_over_if_cut_off(cut_off_s / 2)
+    assert term.should_hand_over_if_cut_off(cut_off_s)
+    assert term.successor() == "small"
+
+
+def test_a_follower_that_reaches_the_upstreams_again_may_lead():
+    term = new_term(Clock(), large=2.0, small=0.4)
+    term.note_report("small", "127.0.0.1:1", reaches_upstreams=True)
+    term.note_report("large", "127.0.0.1:1", reaches_upstreams=False)
+    assert term.successor() == "small"
+    term.note_report("large", "127.0.0.1:1", reaches_upstreams=True)
+    assert term.successor() == "large"
+
+
 class FakeLease(peer_registry.PeerRegistry):
     """A registry whose store holds the lease of an earlier copy, or none."""
 
--- a/tests/cover/test_peer_frames.py
+++ b/tests/cover/test_peer_frames.py
@@ -10,6 +10,7 @@
 from sardinehill.core import owner_spans
 from sardinehill.core import store_versions
 from sardinehill.wire import fleet
+from sardinehill.wire import schemas
 
 SPANS = {
     "seats": [
@@ -55,6 +56,7 @@
             b"d" * 32, {"i-1@5": 2.5, "i-2@0": 0.5}, None
         )
     ],
+    upstreams_reachable=False,
 )
 CHANGE = fleet_messages.StoreChange(
     "servers",
@@ -98,6 +100,11 @@
     assert fleet.decode_store_change(MESSAGES["change"][0]) == CHANGE
 
 
+def test_older_daemon_that_does_not_say_so_reaches_the_upstreams():
+    message = schemas.load("fleet").Report.new_message(daemon="older")
+    assert fleet.decode_report(message.to_bytes()).upstreams_reachable
+
+
 @pytest.mark.parametrize("name", sorted(MESSAGES))
 @settings(max_examples=300)
 @given(
--- a/tests/cover/test_reach_monitor.py
+++ b/tests/cover/test_reach_monitor.py
@@ -36,11 +36,14 @@
 
     Public attributes:
       way: "open", "refuse" or "hang".
+      leads: whether the daemon leads the fleet.
+      lost: the ids of upstreams that refuse connections anyway.
       opened: the ids of the upstreams to which connections were tried.
     """
 
     def __init__(self, monkeypatch):
         self.way = "open"
+        self.leads = False
         self.lost = ()
         self.opened = []
         self.upstreams = new_upstreams()
@@ -48,6 +51,7 @@
             lambda: self.upstreams,
             lambda upstream: self.pools[upstream.id],
             asyncio.get_running_loop().time,
+            lambda: self.leads,
         )
         self.pools = {
             name: pool_module.ConnectionPool(
@@ -104,16 +108,13 @@
 
 @pytest.fixture
 def run_in_network(monkeypatch):
-    def run(body):
+    def run(body, has_requests=True):
         async def run_with_monitor():
             network = Network(monkeypatch)
             tasks = [asyncio.ensure_future(network.monitor.run())]
-            tasks += [
-                asyncio.ensure_future(
-                    network.serve([first, *network.upstreams])
-                )
-                for first in network.upstreams
-            ]
+            for first in network.upstreams if has_requests else ():
+                names = [first, *network.upstreams]
+                tasks.append(asyncio.ensure_future(network.serve(names)))
             await asyncio.sleep(0.5)
             await body(network)
             for task in tasks:
@@ -146,6 +147,17 @@
     run_in_network(body)
 
 
+def test_leader_without_requests_notices_a_cut(run_in_network):
+    async def body(network):
+        network.way = "hang"
+        await asyncio.sleep(0.5)
+        assert network.opened == []
+        network.leads = True
+        assert await network.time_until(True) < DETECTION_LIMIT_S
+
+    run_in_network(body, has_requests=False)
+
+
 @pytest.mark.parametrize("lost", ["-a", "stock-"])
 def test_lost_zone_or_service_is_no_cut(run_in_network, lost):
     async def body(network):
