Notice a cut although open connections live on, and no cut just after one

One failure now leads to a probe, of an upstream that has just answered if there is one; six upstreams that failed for 0.5 s, in all zones and services from which answers come, show a cut; attempts that began before another one succeeded do not count.

Both new tests fail without the change.

--- a/src/sardinehill/core/upstream_reach.py
+++ b/src/sardinehill/core/upstream_reach.py
@@ -18,11 +18,13 @@
 # No other upstream has answered for this long since the first of them. Several
 # upstreams may end at once while the others go on answering.
 MIN_SILENCE_S = 0.1
+# While others answer on open connections, attempts at so many upstreams have
+# failed for so long, and none has succeeded.
+MIN_FAILED_AMONG_ANSWERING = 6
+MIN_FAILING_AMONG_ANSWERING_S = 0.5
 # It is connected again when attempts at this many upstreams have succeeded, or
 # at all of them if there are fewer.
 MIN_REACHED_UPSTREAMS = 2
-# The state is doubtful when this many upstreams have failed.
-MIN_DOUBTFUL_UPSTREAMS = 2
 _NEVER_S = float("-inf")
 
 ReachListener = Callable[[bool], None]
@@ -49,7 +51,7 @@
         # The last successful attempt, and the last answer.
         self._reached_s: dict[str, float] = {}
         self._answered_s: dict[str, float] = {}
-        self._last_heard_s = _NEVER_S
+        self._last_reached_s = self._last_heard_s = _NEVER_S
         self._is_cut_off = False
         self._changed_s = _NEVER_S
         self._listeners: list[ReachListener] = []
@@ -62,7 +64,8 @@
 
     def record_reached(self, upstream_id: str, now_s: float) -> None:
         """Records that a new connection to an upstream was opened."""
-        self._reached_s[upstream_id] = self._last_heard_s = now_s
+        self._reached_s[upstream_id] = now_s
+        self._last_reached_s = self._last_heard_s = now_s
         self._failing_since_s.clear()
         self._failed_s.clear()
         self._broken_s.clear()
@@ -74,14 +77,17 @@
     ) -> None:
         """Records that a new connection to an upstream could not be opened.
 
+        An attempt that began before another one succeeded does not count.
+
         Args:
           upstream_id: the upstream.
           now_s: the current time.
           began_s: when the attempt began; now if it failed at once.
         """
-        self._failing_since_s.setdefault(
-            upstream_id, now_s if began_s is None else began_s
-        )
+        since_s = now_s if began_s is None else began_s
+        if since_s < self._last_reached_s:
+            return
+        self._failing_since_s.setdefault(upstream_id, since_s)
         self._failed_s[upstream_id] = now_s
         self._reached_s.pop(upstream_id, None)
         if not self._is_cut_off and self._shows_cut(now_s):
@@ -122,9 +128,10 @@
 
     def is_doubtful(self, now_s: float) -> bool:
         """Returns whether new connections should be tried now."""
-        failed = self.failed(now_s) | self._recent(self._broken_s, now_s)
-        return self._is_cut_off or len(failed) >= min(
-            MIN_DOUBTFUL_UPSTREAMS, max(len(self._upstreams()), 1)
+        return (
+            self._is_cut_off
+            or bool(self.failed(now_s))
+            or bool(self._recent(self._broken_s, now_s))
         )
 
     def last_heard_s(self) -> float:
@@ -165,7 +172,29 @@
         if answering_count >= MIN_FAILED_UPSTREAMS:
             # Their open connections live on, and new ones fail.
             return True
-        return self._are_others_silent(failing, now_s)
+        return self._fail_among_answering(
+            failing, now_s
+        ) or self._are_others_silent(failing, now_s)
+
+    def _fail_among_answering(self, failing: set[str], now_s: float) -> bool:
+        """Returns whether new connections fail wherever open ones live on."""
+        first_s = min(self._failing_since_s[name] for name in failing)
+        if (
+            len(failing) < MIN_FAILED_AMONG_ANSWERING
+            or now_s - first_s < MIN_FAILING_AMONG_ANSWERING_S
+        ):
+            return False
+        listed = self._upstreams()
+        answering = [
+            listed[name]
+            for name in self.answered_since(first_s)
+            if name in listed
+        ]
+        return all(
+            {group_of(upstream) for upstream in answering}
+            <= {group_of(listed[name]) for name in failing}
+            for group_of in (_zone, _service)
+        )
 
     def _is_sufficient(self, failing: set[str]) -> bool:
         """Returns whether so many failures can show a cut of this daemon.
--- a/src/sardinehill/front/reach_monitor.py
+++ b/src/sardinehill/front/reach_monitor.py
@@ -25,7 +25,7 @@
 PROBES_PER_ROUND = 3
 # While this daemon is cut off, and after a round that reached an upstream.
 CUT_OFF_PROBE_INTERVAL_S = 0.25
-REACHED_PROBE_INTERVAL_S = 0.6
+REACHED_PROBE_INTERVAL_S = 0.4
 # How many others are tried to tell the end of an upstream from a cut.
 MAX_OTHERS_TRIED = 2
 MAX_LOGGED_UPSTREAMS = 8
@@ -145,8 +145,8 @@
     def _choose(self, now_s: float) -> list[routes.Upstream]:
         """Returns upstreams to probe, in different zones and services.
 
-        Those that failed last are left for the end, and those that answered
-        while others failed come first.
+        Those that failed last are left for the end. Those that have just
+        answered come first; if there is one, a single probe shows enough.
         """
         failed = self.reach.failed(now_s)
         answering = self.reach.answered_since(now_s - CHECK_INTERVAL_S)
@@ -162,8 +162,10 @@
                 upstream.id not in answering,
             )
         )
+        is_single = answering and not self.is_cut_off()
+        count = 1 if is_single else PROBES_PER_ROUND
         chosen: list[routes.Upstream] = []
-        while remaining and len(chosen) < PROBES_PER_ROUND:
+        while remaining and len(chosen) < count:
             best = min(remaining, key=lambda other: _overlap(other, chosen))
             remaining.remove(best)
             chosen.append(best)
--- a/tests/cover/test_upstream_reach.py
+++ b/tests/cover/test_upstream_reach.py
@@ -170,6 +170,31 @@
     assert reach.is_cut_off(10.4)
 
 
+def test_answers_on_open_connections_of_others_do_not_hide_a_cut_for_long():
+    # Few requests go to each upstream, so those that fail answer rarely.
+    upstreams = new_upstreams()
+    reach = new_reach(upstreams)
+    failing = list(upstreams)[::2]
+    now_s = 10.0
+    for name in failing:
+        assert not reach.is_cut_off(now_s)
+        reach.record_failed(name, now_s)
+        now_s += 0.11
+        reach.record_answer("stock-a-1", now_s)
+    assert reach.is_cut_off(now_s)
+
+
+def test_an_attempt_that_began_before_a_success_does_not_count():
+    # Daemons took themselves for cut off again just after a cut had ended.
+    reach = cut_off_reach()
+    for name in ("stock-a-0", "basket-b-0"):
+        reach.record_reached(name, 12.0)
+    for name in ("stock-a-1", "basket-b-1", "stock-c-0", "basket-c-0"):
+        reach.record_failed(name, 12.2, began_s=11.9)
+    assert not reach.is_cut_off(12.2)
+    assert not reach.is_doubtful(12.2)
+
+
 def test_connections_that_broke_make_the_state_doubtful_only():
     upstreams = new_upstreams()
     reach = new_reach(upstreams)
