Move no keys while the leader hears no upstream

Before a cut-off leader had noticed the cut and handed over, it took upstreams for unreachable and wrote new owners for 24 spans of 3 of them. After the first write of a term, owners are not changed while the leader is cut off or no request was answered for 0.3 s.

The new test of the stored assignment fails without the condition.

--- a/src/sardinehill/front/assignment_store.py
+++ b/src/sardinehill/front/assignment_store.py
@@ -34,11 +34,24 @@
         term: int,
         store: store_module.StoreClient,
         on_superseded: Callable[[], None],
+        may_change: Callable[[], bool] = lambda: True,
     ):
+        """Creates an object that has not read anything.
+
+        Args:
+          service: the service.
+          term: the leader's term.
+          store: the store.
+          on_superseded: called when a later leader has written.
+          may_change: returns whether the leader may change owners now. One that
+            hears no upstream would take keys from owners that others reach.
+        """
         self._service = service
         self._term = term
         self._store = store
         self._on_superseded = on_superseded
+        self._may_change = may_change
+        self._has_written = False
         self._era = 0
         self._is_superseded = False
         self.revision = 0
@@ -116,7 +129,7 @@
             self._log_failure(error)
             return False
         self._check_term(stored)
-        if await self.write(assignment):
+        if await self._write(assignment):
             return not self.is_lost
         self._era = lost_era
         return False
@@ -132,11 +145,20 @@
         """Writes an assignment.
 
         If the answer is lost, the object is read back to learn the outcome.
-        Once a later leader has written, nothing is written any more.
+        Once a later leader has written, nothing is written any more. After the
+        first write of a term, nothing is written either while the leader may
+        not change owners.
 
         Returns:
           Whether the assignment is certainly stored.
         """
+        if self._has_written and not self._may_change():
+            return False
+        is_written = await self._write(assignment)
+        self._has_written = self._has_written or is_written
+        return is_written
+
+    async def _write(self, assignment: keyspace.KeyAssignment) -> bool:
         if self._is_superseded:
             return False
         spec: dict[str, Any] = keyspace.to_document(assignment)
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -144,7 +144,7 @@
             cold_lending.ColdBound(settings.cold_ratio, settings.cold_slack),
             limits,
             suspects,
-            self._reach.cut_off_for_s,
+            self._reach,
         )
         self._server = server_module.Server(self._relay.serve, self._limits)
         self._front_metrics.add_gauge_source(self._gauge_values)
--- a/src/sardinehill/front/leader_tasks.py
+++ b/src/sardinehill/front/leader_tasks.py
@@ -45,6 +45,7 @@
         cold_bound: cold_lending.ColdBound,
         earlier_leader_ended: bool,
         limits: named_limits.NamedLimits,
+        may_move_keys: Callable[[], bool],
     ):
         self._term = term
         self._store = store
@@ -63,6 +64,7 @@
             clock_s(), earlier_leader_ended
         )
         self._limits = limits
+        self._may_move_keys = may_move_keys
         self._limited_lender = named_limits.LimitedSendLender()
         # The accounts whose quotas are divided, and what they follow from.
         self._preallocated: list[str] = []
@@ -109,7 +111,11 @@
             manager = assignment_manager.AssignmentManager(
                 service,
                 assignment_store.AssignmentStore(
-                    service, self._term, self._store, self._on_superseded
+                    service,
+                    self._term,
+                    self._store,
+                    self._on_superseded,
+                    self._may_move_keys,
                 ),
                 key_owners.KeyOwners(
                     service,
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -29,6 +29,7 @@
 from sardinehill.front import loan_messages
 from sardinehill.front import peer_links
 from sardinehill.front import peer_registry
+from sardinehill.front import reach_monitor
 from sardinehill.front import store_replication
 from sardinehill.front import store_view
 from sardinehill.front import store_watch
@@ -62,10 +63,10 @@
         cold_bound: cold_lending.ColdBound,
         limits: named_limits.NamedLimits,
         suspects: crash_suspects.CrashSuspects,
-        cut_off_for_s: Callable[[], float],
+        reach: reach_monitor.ReachMonitor,
     ):
         self._name = name
-        self._cut_off_for_s = cut_off_for_s
+        self._reach = reach
         self._store = store
         self._view = view
         self._watch = watch
@@ -86,7 +87,7 @@
             name,
             self._known_leader,
             self._registry,
-            lambda: cut_off_for_s() > 0,
+            reach.is_cut_off,
         )
         self._followers = followers.Followers()
         self._leader_client = leader_client.LeaderClient(
@@ -220,7 +221,7 @@
                 report.daemon, report.address, report.upstreams_reachable
             )
             self._tasks.apply_report(report)
-            if term.should_hand_over_if_cut_off(self._cut_off_for_s()):
+            if term.should_hand_over_if_cut_off(self._reach.cut_off_for_s()):
                 self.resign()
             if report.store_reachable:
                 term.note_store_reached(report.daemon)
@@ -307,7 +308,7 @@
         report.protocol_version = fleet_messages.PROTOCOL_VERSION
         report.needs_spans = self._known_leader.needs_spans
         report.store_reachable = self._view.store_answered_recently()
-        report.upstreams_reachable = self._cut_off_for_s() <= 0
+        report.upstreams_reachable = not self._reach.is_cut_off()
         now_s = self._loop_time_s()
         report.limits = self._limits.take_unreported(now_s)
         self._limits.forget(self._view.upstreams, now_s)
@@ -390,6 +391,7 @@
             is_restart
             or (previous_table is not None and previous_table.resigned),
             self._limits,
+            self._reach.hears_upstreams,
         )
 
     async def _push_periodically(
--- a/src/sardinehill/front/reach_monitor.py
+++ b/src/sardinehill/front/reach_monitor.py
@@ -78,6 +78,14 @@
             return 0.0
         return self._clock_s() - self._last_change_s
 
+    def hears_upstreams(self) -> bool:
+        """Returns whether upstreams are reached and requests are answered.
+
+        False already before it is certain that this daemon is cut off.
+        """
+        now_s = self._clock_s()
+        return not self.is_cut_off() and not self._is_unanswered(now_s)
+
     # what requests show
 
     def note_attempt(
@@ -133,6 +141,11 @@
         heard_s = self.reach.last_heard_s()
         if self._leads() and now_s - heard_s >= MAX_LEADER_SILENCE_S:
             return True
+        return self._is_unanswered(now_s)
+
+    def _is_unanswered(self, now_s: float) -> bool:
+        """Returns whether no request was answered for `MAX_SILENCE_S`."""
+        heard_s = self.reach.last_heard_s()
         oldest_sent_s = next(iter(self._sent_s.values()), now_s)
         return now_s - max(oldest_sent_s, heard_s) >= MAX_SILENCE_S
 
--- a/tests/cover/test_assignment_store.py
+++ b/tests/cover/test_assignment_store.py
@@ -26,9 +26,13 @@
         self._client = client
         self.superseded = []
 
-    def assignments(self, term):
+    def assignments(self, term, may_change=lambda: True):
         return assignment_store.AssignmentStore(
-            SERVICE, term, self._client, lambda: self.superseded.append(term)
+            SERVICE,
+            term,
+            self._client,
+            lambda: self.superseded.append(term),
+            may_change,
         )
 
     async def restore(self, copy):
@@ -67,6 +71,21 @@
     )
 
 
+def test_leader_that_hears_no_upstream_changes_no_owners():
+    # It took keys from 3 of 27 owners before it handed over; the next leader
+    # had to wait until the grants of those could no longer take effect.
+    async def scenario(harness):
+        stored = harness.assignments(TERM, may_change=lambda: False)
+        assignment = await move_all_keys(stored, A)
+        assert not await stored.write(assignment)
+        assert stored.revision == harness.store.revision
+        # What a restored store has lost is still written again.
+        await harness.restore(harness.store.take_copy())
+        assert await stored.write_again(assignment)
+
+    run(scenario)
+
+
 def test_owners_of_an_earlier_era_are_not_trusted_by_the_next_leader():
     async def scenario(harness):
         await move_all_keys(harness.assignments(TERM), A)
