Pause an upstream briefly while this daemon is cut off

An upstream that a cut-off daemon cannot reach is paused for 0.1 s, so that open connections that live on can still be used.

test_sending fails without the pause.

--- a/src/sardinehill/core/upstream_state.py
+++ b/src/sardinehill/core/upstream_state.py
@@ -34,6 +34,8 @@
 MIN_UNREACHABLE_PAUSE_S = 0.4
 # The longest pause after a failure to reach an upstream.
 MAX_UNREACHABLE_PAUSE_S = 3.0
+# After a failure that is not the upstream's own, it gets nothing for this time.
+LOST_PATH_PAUSE_S = 0.1
 # After an upstream reported that it is full, it gets nothing for this time.
 FULL_PAUSE_S = 0.03
 # The random variation of expected latencies. It prevents all daemons from
@@ -203,6 +205,15 @@
         self.consecutive_unreachable += 1
         self.blocked_until_s = max(self.blocked_until_s, now_s + pause_s)
 
+    def record_lost_path(self, now_s: float) -> None:
+        """Records that it could not be reached as this daemon is cut off.
+
+        The pause is short, as open connections to it may live on.
+        """
+        self.blocked_until_s = max(
+            self.blocked_until_s, now_s + LOST_PATH_PAUSE_S
+        )
+
     def forget_failures(self) -> None:
         """Forgets what followed from failures to reach the upstream.
 
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -255,7 +255,9 @@
         error: http1.ConnectionFailedError,
     ) -> None:
         now_s = asyncio.get_running_loop().time()
-        if not self._reach.is_cut_off():
+        if self._reach.is_cut_off():
+            target.upstream_state.record_lost_path(now_s)
+        else:
             target.upstream_state.record_unreachable(now_s)
         context.last_failure = "connect-failed"
         self._metrics.increment("connect_failures", target.upstream.service)
--- a/tests/cover/test_sending.py
+++ b/tests/cover/test_sending.py
@@ -113,9 +113,10 @@
 
 
 @pytest.mark.parametrize("is_cut_off", [False, True])
-def test_failures_of_a_daemon_that_is_cut_off_do_not_pause_an_upstream(
+def test_failures_of_a_daemon_that_is_cut_off_pause_an_upstream_briefly(
     is_cut_off,
 ):
+    # Without any pause, a request was tried again each 3 ms.
     directory = types.SimpleNamespace(is_limited=lambda upstream: False)
     metrics = types.SimpleNamespace(increment=lambda *labels: None)
     reach = types.SimpleNamespace(is_cut_off=lambda: is_cut_off)
@@ -144,7 +145,8 @@
             metadata=types.SimpleNamespace(request_id=b"r"),
         )
         assert await sender.send(context, target) is None
-        may_send = target.upstream_state.may_send(now_s + 0.1, max_in_flight=9)
-        assert may_send == is_cut_off
+        state = target.upstream_state
+        assert not state.may_send(now_s + 0.05, max_in_flight=9)
+        assert state.may_send(now_s + 0.2, max_in_flight=9) == is_cut_off
 
     asyncio.run(body())
