Move what an answer shows of its upstream out of the sender

A daemon that sends a peer's requests must heed the same signals (leaving, named limits, load, Retry-After), so they are noted in a module of their own. No change of behaviour; test_sending, test_relay and test_named_limits pass.

--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -13,6 +13,7 @@
 from sardinehill.core import cold_lending
 from sardinehill.core import crash_suspects
 from sardinehill.core import service_times
+from sardinehill.front import answer_signals
 from sardinehill.front import borrowing
 from sardinehill.front import crash_evidence
 from sardinehill.front import front_metrics as metrics_module
@@ -48,6 +49,7 @@
         self._metrics = metrics
         self._log = log_request
         self._counters = counters
+        self._signals = answer_signals.AnswerSignals(directory, log_request)
         self._cold_sends = cold_sends
         self._limited_sends = limited_sends
         self._suspects = suspects
@@ -306,18 +308,14 @@
         latency_s: float,
     ) -> http1.Response | None:
         now_s = asyncio.get_running_loop().time()
-        self._note_limit(context, target, answer, now_s)
-        if http_messages.says_leaving(answer) and answer.status != 421:
-            self._directory.note_leaving(target.upstream)
-        load = http_messages.parse_load(answer)
-        if load is not None:
-            target.upstream_state.record_load_report(
-                load.running,
-                load.waiting,
-                load.slowness,
-                self.service_time_s(context.route.name),
-                now_s,
-            )
+        self._signals.note(
+            target.upstream,
+            target.upstream_state,
+            answer,
+            context.metadata.request_id,
+            context.sent_s,
+            self.service_time_s(context.route.name),
+        )
         if http_messages.reports_not_run(answer):
             self._record_upstream_refusal(context, target, answer, now_s)
             return None
@@ -328,7 +326,7 @@
         mean_s = self.mean_latency_s(context.route.name)
         target.upstream_state.record_answer(latency_s, mean_s, ok)
         if ok:
-            self._record_success(context, target, load, latency_s, mean_s)
+            self._record_success(context, target, answer, latency_s, mean_s)
             return answer
         context.may_have_run = True
         context.last_failure = (
@@ -348,31 +346,6 @@
             return answer
         raise requests.RefusedError(errors.Reason.CONNECTION_LOST, 502)
 
-    def _note_limit(
-        self,
-        context: requests.RequestContext,
-        target: requests.Target,
-        answer: http1.Response,
-        now_s: float,
-    ) -> None:
-        rate_per_s = http_messages.parse_rate_limit(answer)
-        # Only an answer that the upstream made itself, and that names nothing,
-        # shows that it has no limit any more.
-        if rate_per_s is None and (
-            http_messages.names_rate_limit(answer)
-            or not http_messages.is_from_upstream(answer)
-        ):
-            return
-        if self._directory.note_limit(
-            target.upstream, rate_per_s, context.sent_s, now_s
-        ):
-            self._log(
-                events.LIMIT_NAMED,
-                upstream=target.upstream.id,
-                rate_per_s=rate_per_s,
-                request=context.metadata.request_id,
-            )
-
     def _is_worth_retrying(
         self, context: requests.RequestContext, now_s: float
     ) -> bool:
@@ -392,14 +365,10 @@
         """Records why an upstream did not run a request."""
         self._metrics.increment("upstream_refusals", str(answer.status))
         if answer.status != 421:
-            target.upstream_state.record_full(now_s)
             context.last_failure = "shed"
-            self._note_retry_after(target, answer, now_s)
             return
         context.last_failure = "fenced"
-        answering_id = http_messages.answering_upstream_id(answer)
-        if answering_id is not None and answering_id != target.upstream.id:
-            self._directory.note_ended(target.upstream)
+        if answer_signals.is_from_another(target.upstream, answer):
             return
         key = context.metadata.shard_key
         if key is not None:
@@ -408,28 +377,16 @@
                 context.service, key, target.epoch, now_s
             )
 
-    def _note_retry_after(
-        self, target: requests.Target, answer: http1.Response, now_s: float
-    ) -> None:
-        retry_after_s = http_messages.parse_retry_after_s(answer)
-        if answer.status != 503 or retry_after_s is None:
-            return
-        target.upstream_state.record_retry_after(now_s, retry_after_s)
-        events.log(
-            events.UPSTREAM_PAUSED,
-            upstream=target.upstream.id,
-            retry_after_s=retry_after_s,
-        )
-
     def _record_success(
         self,
         context: requests.RequestContext,
         target: requests.Target,
-        load: http_messages.ReportedLoad | None,
+        answer: http1.Response,
         latency_s: float,
         mean_s: float,
     ) -> None:
         name = context.route.name
+        load = http_messages.parse_load(answer)
         self._mean_latencies_s[name] = mean_s + (1 - LATENCY_HISTORY_WEIGHT) * (
             latency_s - mean_s
         )
