Send requests through peers while this daemon reaches no upstream

Cause: a daemon that is cut off from all upstreams had nobody to hand its requests to, so each was refused or timed out, and its readiness cannot help when a whole zone is cut off.

Change: the entry daemon decides all as before; only the exchange with the chosen upstream goes over a link to a peer that says it reaches them. The peer sends directly or states that it did not, heeds what answers say of the upstream, and ends the exchange when the link or the caller is gone. A lost link counts as may-have-run.

--- a/src/sardinehill/core/upstream_state.py
+++ b/src/sardinehill/core/upstream_state.py
@@ -69,7 +69,9 @@
 
     Attributes:
       slots: how many requests the upstream runs at once.
-      in_flight: this daemon's requests that it has not answered.
+      in_flight: the requests that this daemon has sent and that it has not
+        answered.
+      forwarded_in_flight: those of them that are sent for peers.
       slowness: its smoothed latency relative to the route's mean over all
         upstreams.
       host_slowness: the slowness that it last reported for its host.
@@ -92,6 +94,7 @@
 
     slots: int
     in_flight: int = 0
+    forwarded_in_flight: int = 0
     slowness: float = 1.0
     host_slowness: float = 1.0
     mean_host_slowness: float | None = None
@@ -123,6 +126,20 @@
         """Records that a request is no longer in flight."""
         self.in_flight -= 1
 
+    def record_forward(self) -> None:
+        """Records that a peer's request is being sent."""
+        self.in_flight += 1
+        self.forwarded_in_flight += 1
+
+    def record_forward_end(self) -> None:
+        """Records that a peer's request is no longer in flight."""
+        self.in_flight -= 1
+        self.forwarded_in_flight -= 1
+
+    def record_reached(self) -> None:
+        """Records that the upstream has answered."""
+        self.consecutive_unreachable = 0
+
     def record_answer(
         self, latency_s: float, mean_latency_s: float, ok: bool
     ) -> None:
@@ -133,7 +150,7 @@
           mean_latency_s: the route's mean over all upstreams.
           ok: whether the answer is not a failure of the upstream.
         """
-        self.consecutive_unreachable = 0
+        self.record_reached()
         self.failure_ratio *= FAILURE_RETENTION_RATIO
         if not ok:
             self.failure_ratio += 1 - FAILURE_RETENTION_RATIO
@@ -263,14 +280,14 @@
 
         Args:
           now_s: the current time.
-          max_in_flight: how many requests of this daemon may be in flight
-            there.
+          max_in_flight: how many requests of this daemon's own callers may be
+            in flight there. A peer counts its requests itself.
         """
         if now_s < self.single_request_until_s:
             max_in_flight = 1
         if now_s < max(self.blocked_until_s, self.refuses_until_s):
             return False
-        if self.in_flight >= max_in_flight:
+        if self.in_flight - self.forwarded_in_flight >= max_in_flight:
             return False
         return not self.is_cold(now_s) or now_s >= self.no_cold_sends_until_s
 
--- a/src/sardinehill/errors.py
+++ b/src/sardinehill/errors.py
@@ -34,6 +34,7 @@
     CONFIGURATION_MISSING = "configuration-missing"
     CONNECT_FAILED = "connect-failed"
     CONNECTION_LOST = "connection-lost"
+    CUT_OFF = "cut-off"
     DEADLINE_PASSED = "deadline-passed"
     DRAINING = "draining"
     DUPLICATE_UNKNOWN = "duplicate-unknown"
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -18,6 +18,8 @@
 from sardinehill.front import admission as admission_module
 from sardinehill.front import borrowing
 from sardinehill.front import crash_evidence
+from sardinehill.front import forward_server
+from sardinehill.front import forwarding
 from sardinehill.front import front_metrics as metrics_module
 from sardinehill.front import leadership as leadership_module
 from sardinehill.front import log as log_module
@@ -87,10 +89,16 @@
             suspects,
             self._reach.note_attempt,
         )
-        # Failures shortly before a cut was noticed followed from it, too.
-        self._reach.reach.subscribe(
-            lambda is_cut_off: self._directory.forget_failures()
+        self._forwarder = forwarding.Forwarder(
+            settings.daemon, lambda: self._leadership.peer_addresses
+        )
+        self._forwards = forward_server.ForwardServer(
+            self._directory,
+            self._reach,
+            self._front_metrics,
+            self._request_log,
         )
+        self._reach.reach.subscribe(self._note_reach)
         self._counters = counters_module.ReportCounters()
         quota = quota_shares.FleetQuota(
             settings.allowance_window_s,
@@ -126,6 +134,7 @@
                     self._reach.reaches_others,
                 ),
                 self._reach,
+                self._forwarder,
             ),
             settings.zone,
         )
@@ -165,7 +174,7 @@
             settings.peer_port,
             settings.daemon,
             self._receive,
-            self._leadership.link_lost,
+            self._note_link_lost,
         )
         events.log(
             events.DAEMON_STARTED,
@@ -218,13 +227,25 @@
         self, link: peer_links.PeerLink, envelope: envelopes.Envelope
     ) -> None:
         try:
-            self._leadership.receive(link, envelope)
+            if not self._forwards.receive(link, envelope):
+                self._leadership.receive(link, envelope)
         except errors.PeerFrameError as error:
             events.log(
                 events.PEER_REFUSED, peer=envelope.sender, error=str(error)
             )
             link.close()
 
+    def _note_link_lost(self, link: peer_links.PeerLink) -> None:
+        self._forwards.link_lost(link)
+        self._leadership.link_lost(link)
+
+    def _note_reach(self, is_cut_off: bool) -> None:
+        # Failures shortly before a cut was noticed followed from it, too.
+        self._directory.forget_failures()
+        if is_cut_off:
+            self._directory.close_idle_connections()
+        self._forwarder.note_reach(is_cut_off)
+
     def _borrower(
         self, kind: fleet_messages.LoanKind
     ) -> borrowing.TokenBorrower:
@@ -258,6 +279,8 @@
             "requests_in_flight": self._relay.in_flight,
             "callers": len(self._server.connections),
             "upstreams": len(self._view.upstreams),
+            "forwarding_peers": len(self._forwarder.peers),
+            "peer_requests_in_flight": self._forwards.in_flight,
             "cut_off_seconds": self._reach.cut_off_for_s(),
             "log_lines_dropped": self._log_output.dropped_lines
             + self._request_log.dropped_lines,
@@ -324,6 +347,7 @@
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         self._leadership.stop()
+        self._forwards.stop()
         self._server.draining = True
         deadline_s = started_s + self._settings.stop_limit_s - STOP_MARGIN_S
         while loop.time() < deadline_s:
@@ -332,7 +356,7 @@
                 continue
             callers.close()
             self._server.close_idle_connections()
-            if not self._server.connections:
+            if not self._server.connections and not self._forwards.in_flight:
                 break
         if self._relay.in_flight:
             events.log(events.STOP_CUT_SHORT, in_flight=self._relay.in_flight)
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 import itertools
 from typing import Any
 
@@ -120,6 +121,11 @@
         """The number of registered daemons, as far as known."""
         return len(self._registry.peer_addresses)
 
+    @property
+    def peer_addresses(self) -> Mapping[str, str]:
+        """The addresses of the registered daemons by name, with this one."""
+        return self._registry.peer_addresses
+
     # messages from peers
 
     def receive(
--- a/src/sardinehill/front/peer_links.py
+++ b/src/sardinehill/front/peer_links.py
@@ -40,6 +40,9 @@
             int, asyncio.Future[envelopes.Envelope]
         ] = {}
         self._message_ids = itertools.count(1)
+        self._closes_when_idle = False
+        self._may_write = asyncio.Event()
+        self._may_write.set()
         self.peer = ""
         self.sent_bytes = 0
 
@@ -86,8 +89,26 @@
             if not answer.done():
                 answer.set_exception(errors.PeerLostError("link lost"))
         self._pending_answers.clear()
+        self._may_write.set()
         self._on_lost(self)
 
+    def pause_writing(self) -> None:
+        """Makes `drain` wait, as the peer reads slowly."""
+        self._may_write.clear()
+
+    def resume_writing(self) -> None:
+        """Lets `drain` return."""
+        self._may_write.set()
+
+    async def drain(self) -> None:
+        """Waits until little is buffered for the peer or the link is lost."""
+        await self._may_write.wait()
+
+    @property
+    def is_congested(self) -> bool:
+        """Whether much is buffered for the peer."""
+        return not self._may_write.is_set()
+
     @property
     def is_open(self) -> bool:
         """Whether the connection is open."""
@@ -119,10 +140,21 @@
         self._transport.write(frame)
 
     async def ask(
-        self, kind: message_kinds.MessageKind, payload: bytes, timeout_s: float
+        self,
+        kind: message_kinds.MessageKind,
+        payload: bytes,
+        timeout_s: float,
+        cancel_kind: message_kinds.MessageKind | None = None,
     ) -> envelopes.Envelope:
         """Sends a request and returns the answer.
 
+        Args:
+          kind: the kind of the request.
+          payload: its payload.
+          timeout_s: how long to wait for the answer.
+          cancel_kind: the kind of a message that is sent with the same id if
+            the caller stops waiting, or None.
+
         Raises:
           PeerLostError: the link was lost or no answer came in time.
         """
@@ -137,7 +169,17 @@
         except TimeoutError as error:
             raise errors.PeerLostError("no answer in time") from error
         finally:
-            self._pending_answers.pop(message_id, None)
+            was_pending = self._pending_answers.pop(message_id, None)
+            if was_pending is not None and cancel_kind is not None:
+                self.send(cancel_kind, b"", message_id)
+            if self._closes_when_idle:
+                self.close_when_idle()
+
+    def close_when_idle(self) -> None:
+        """Closes the connection as soon as no request waits for an answer."""
+        self._closes_when_idle = True
+        if not self._pending_answers:
+            self.close()
 
     def close(self) -> None:
         """Closes the connection and discards unsent frames."""
--- a/src/sardinehill/front/pool.py
+++ b/src/sardinehill/front/pool.py
@@ -35,7 +35,7 @@
         self.opened_count = 0
 
     def acquire_idle(
-        self, now_s: float, avoided: Container[http1.Connection] = ()
+        self, now_s: float, avoided: Container[object] = ()
     ) -> http1.Connection | None:
         """Returns an idle connection within its idle timeout, or None.
 
@@ -57,7 +57,7 @@
         return found
 
     async def acquire(
-        self, timeout_s: float, avoided: Container[http1.Connection] = ()
+        self, timeout_s: float, avoided: Container[object] = ()
     ) -> http1.Connection:
         """Returns an idle connection, or opens one.
 
--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -242,6 +242,7 @@
             answer.status >= sending.MIN_SERVER_ERROR_STATUS
             or context.sends > 1
             or is_late
+            or context.peer
         ):
             load = http_messages.parse_load(answer)
             self._log(
@@ -252,6 +253,7 @@
                 service=context.service,
                 upstreams=context.tried_upstreams,
                 sends=context.sends,
+                peer=context.peer,
                 key=context.metadata.shard_key,
                 latency_s=round(latency_s, 4),
                 at_upstream_s=round(now_s - context.sent_s, 4),
--- a/src/sardinehill/front/requests.py
+++ b/src/sardinehill/front/requests.py
@@ -7,9 +7,12 @@
 from sardinehill.core import request_digests
 from sardinehill.core import routes
 from sardinehill.core import upstream_state as state_module
+from sardinehill.front import forwarding
 from sardinehill.front import pool as pool_module
 from sardinehill.platform import http_messages
 
+AnyConnection = http1.Connection | forwarding.ForwardedConnection
+
 
 @dataclasses.dataclass(slots=True)
 class Request:
@@ -98,6 +101,8 @@
       sent_s: when it was last sent.
       waiting_since_s: when it first had to wait for capacity, or None.
       last_failure: why the last attempt failed; empty if none has.
+      peer: the peer through which it was last sent; empty if it was sent
+        directly.
     """
 
     request: Request
@@ -110,7 +115,7 @@
     sequence_number: int
     sends: int = 0
     tried_upstreams: list[str] = dataclasses.field(default_factory=list)
-    used_connections: list[http1.Connection] = dataclasses.field(
+    used_connections: list[AnyConnection] = dataclasses.field(
         default_factory=list
     )
     may_have_run: bool = False
@@ -118,6 +123,7 @@
     sent_s: float = 0.0
     waiting_since_s: float | None = None
     last_failure: str = ""
+    peer: str = ""
 
 
 def head_digest(context: RequestContext) -> bytes:
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -12,10 +12,12 @@
 from sardinehill import http1
 from sardinehill.core import cold_lending
 from sardinehill.core import crash_suspects
+from sardinehill.core import exchange_messages
 from sardinehill.core import service_times
 from sardinehill.front import answer_signals
 from sardinehill.front import borrowing
 from sardinehill.front import crash_evidence
+from sardinehill.front import forwarding
 from sardinehill.front import front_metrics as metrics_module
 from sardinehill.front import reach_monitor
 from sardinehill.front import report_counters as counters_module
@@ -30,6 +32,8 @@
 MIN_SERVER_ERROR_STATUS = 500
 # The Retry-After of a request that was lost and is not sent again.
 QUARANTINE_RETRY_AFTER_S = 1.0
+# The Retry-After of a request that this daemon cannot send in any way.
+NO_PEER_RETRY_AFTER_S = 0.25
 
 
 class Sender:
@@ -46,6 +50,7 @@
         suspects: crash_suspects.CrashSuspects,
         evidence: crash_evidence.CrashEvidence,
         reach: reach_monitor.ReachMonitor,
+        forwarder: forwarding.Forwarder,
     ):
         self._directory = directory
         self._metrics = metrics
@@ -57,6 +62,7 @@
         self._suspects = suspects
         self._evidence = evidence
         self._reach = reach
+        self._forwarder = forwarder
         self._mean_latencies_s: dict[str, float] = {}
         self._service_times = service_times.ServiceTimes()
 
@@ -147,23 +153,31 @@
         finally:
             if not may_send:
                 target.upstream_state.record_end()
-                target.pool.release(connection)
+                _release(target, connection)
         if not may_send:
             return None
         answer = await self._exchange(context, target, connection)
         if answer is None:
             return None
-        target.pool.release(connection)
+        _release(target, connection)
         latency_s = asyncio.get_running_loop().time() - context.sent_s
         return self._evaluate_answer(context, target, answer, latency_s)
 
     async def _connect(
         self, context: requests.RequestContext, target: requests.Target
-    ) -> http1.Connection | None:
-        """Returns a connection, or None if the upstream is unreachable."""
+    ) -> requests.AnyConnection | None:
+        """Returns a connection, or None if the upstream is unreachable.
+
+        It leads through a peer while this daemon reaches no upstream.
+
+        Raises:
+          requests.RefusedError: no peer sends the request either.
+        """
         loop = asyncio.get_running_loop()
         target.upstream_state.record_send()
         try:
+            if self._reach.is_cut_off():
+                return await self._connect_via_peer(context, target)
             return await target.pool.acquire(
                 context.deadline_s - loop.time(), context.used_connections
             )
@@ -175,6 +189,33 @@
             target.upstream_state.record_end()
             raise
 
+    async def _connect_via_peer(
+        self, context: requests.RequestContext, target: requests.Target
+    ) -> forwarding.ForwardedConnection:
+        used_peers = {
+            connection.peer
+            for connection in context.used_connections
+            if isinstance(connection, forwarding.ForwardedConnection)
+            and connection.upstream_id == target.upstream.id
+        }
+        try:
+            return await self._forwarder.connect(
+                target.upstream,
+                context.metadata.request_id,
+                len(context.request.body),
+                used_peers,
+                context.deadline_s,
+                self.service_time_s(context.route.name),
+            )
+        except forwarding.NoPeerError as error:
+            self._metrics.increment("forwards", "no-peer")
+            raise requests.RefusedError(
+                errors.Reason.CUT_OFF,
+                503,
+                NO_PEER_RETRY_AFTER_S,
+                error=str(error),
+            ) from error
+
     async def _may_send_within_limit(self, target: requests.Target) -> bool:
         """Borrows a send if the upstream names a limit; returns if it may go.
 
@@ -212,18 +253,13 @@
         self,
         context: requests.RequestContext,
         target: requests.Target,
-        connection: http1.Connection,
+        connection: requests.AnyConnection,
     ) -> http1.Response | None:
         """Sends a request over a connection; returns the complete answer."""
-        loop = asyncio.get_running_loop()
-        context.sent_s = loop.time()
-        context.sends += 1
-        context.used_connections.append(connection)
-        if target.upstream.id not in context.tried_upstreams:
-            context.tried_upstreams.append(target.upstream.id)
+        is_first_try = _record_send(context, target, connection)
         request_id = context.metadata.request_id
-        context.in_flight = True
-        self._reach.note_sent(connection)
+        if isinstance(connection, http1.Connection):
+            self._reach.note_sent(connection)
         try:
             answer = await connection.exchange(
                 _encode_request(context, target),
@@ -232,24 +268,57 @@
                 ),
                 context.request.method == b"HEAD",
             )
+        except forwarding.NotForwardedError as error:
+            if is_first_try:
+                context.tried_upstreams.remove(target.upstream.id)
+            self._record_not_forwarded(context, target, error)
+            return None
         except http1.ConnectionFailedError as error:
-            is_cut_off = self._reach.is_cut_off()
-            if error.reset and not error.response_started and not is_cut_off:
-                target.upstream_state.record_reset(
-                    loop.time(), connection.exchange_count == 1
-                )
-            self._record_broken_exchange(context, target, error)
+            self._record_broken_exchange(context, target, connection, error)
             return None
         finally:
             # After a cancelled exchange the upstream may still run the request.
-            self._reach.note_done(connection)
+            if isinstance(connection, http1.Connection):
+                self._reach.note_done(connection)
             context.in_flight = context.in_flight and not connection.usable
             target.upstream_state.record_end()
             self._directory.wake_next(target.upstream, context.service)
         context.in_flight = False
-        self._reach.note_answer(target.upstream.id)
+        if isinstance(connection, http1.Connection):
+            self._reach.note_answer(target.upstream.id)
+        else:
+            self._metrics.increment("forwards", "answered")
         return answer
 
+    def _record_not_forwarded(
+        self,
+        context: requests.RequestContext,
+        target: requests.Target,
+        error: forwarding.NotForwardedError,
+    ) -> None:
+        """Records that a peer did not send a request."""
+        now_s = asyncio.get_running_loop().time()
+        context.in_flight = False
+        context.sends -= 1
+        context.used_connections.pop()
+        context.last_failure = f"not-forwarded-{error.reason.value}"
+        state = target.upstream_state
+        match error.reason:
+            case exchange_messages.NotSentReason.LEFT:
+                state.record_full(now_s)
+            case exchange_messages.NotSentReason.PAUSED:
+                state.record_retry_after(now_s, error.retry_after_s)
+            case exchange_messages.NotSentReason.UNREACHABLE:
+                state.record_unreachable(now_s)
+        self._metrics.increment("forwards", error.reason.value)
+        self._log(
+            events.REQUEST_NOT_FORWARDED,
+            request=context.metadata.request_id,
+            peer=context.peer,
+            upstream=target.upstream.id,
+            reason=error.reason.value,
+        )
+
     def _record_connect_failure(
         self,
         context: requests.RequestContext,
@@ -273,6 +342,7 @@
         self,
         context: requests.RequestContext,
         target: requests.Target,
+        connection: requests.AnyConnection,
         error: http1.ConnectionFailedError,
     ) -> None:
         """Records an exchange that ended without an answer.
@@ -283,22 +353,28 @@
           requests.RefusedError: the request may have run and is not idempotent.
         """
         context.in_flight = False
-        self._reach.note_broken(target.upstream.id)
-        if not self._reach.is_cut_off():
-            target.upstream_state.record_answer(0.0, 1.0, ok=False)
+        is_peers_fault = isinstance(error, forwarding.PeerFailedError)
+        if isinstance(connection, http1.Connection):
+            self._reach.note_broken(target.upstream.id)
+            is_upstreams_fault = not self._reach.is_cut_off()
+        else:
+            self._metrics.increment("forwards", "broken")
+            is_upstreams_fault = not is_peers_fault
+        if is_upstreams_fault:
+            _record_failure(target, connection, error)
+        context.last_failure = "connection-lost"
         if not error.written:
-            context.last_failure = "connection-lost"
             return
         context.may_have_run = True
-        context.last_failure = "connection-lost"
         digest = requests.digest(context)
-        if not error.response_started:
+        if not error.response_started and not is_peers_fault:
             self._evidence.note_broken(target.upstream, digest)
         if not context.route.is_idempotent:
             raise requests.RefusedError(
                 errors.Reason.CONNECTION_LOST,
                 502,
                 digest=digest.hex(),
+                peer=context.peer,
                 error=str(error),
             )
         self._log(
@@ -306,6 +382,7 @@
             request=context.metadata.request_id,
             reason="connection-lost",
             upstream=target.upstream.id,
+            peer=context.peer,
             error=str(error),
             digest=digest.hex(),
         )
@@ -428,3 +505,51 @@
         target.upstream.id,
         context.account.name if context.account else None,
     )
+
+
+def _record_send(
+    context: requests.RequestContext,
+    target: requests.Target,
+    connection: requests.AnyConnection,
+) -> bool:
+    """Records that a request is about to be sent.
+
+    Returns:
+      Whether it was not sent to this upstream before.
+    """
+    context.sent_s = asyncio.get_running_loop().time()
+    context.sends += 1
+    context.used_connections.append(connection)
+    context.peer = (
+        connection.peer
+        if isinstance(connection, forwarding.ForwardedConnection)
+        else ""
+    )
+    context.in_flight = True
+    if target.upstream.id in context.tried_upstreams:
+        return False
+    context.tried_upstreams.append(target.upstream.id)
+    return True
+
+
+def _release(
+    target: requests.Target, connection: requests.AnyConnection
+) -> None:
+    """Gives back a connection without an exchange."""
+    if isinstance(connection, forwarding.ForwardedConnection):
+        connection.close()
+    else:
+        target.pool.release(connection)
+
+
+def _record_failure(
+    target: requests.Target,
+    connection: requests.AnyConnection,
+    error: http1.ConnectionFailedError,
+) -> None:
+    """Records a broken exchange in the state of the upstream."""
+    if error.reset and not error.response_started:
+        target.upstream_state.record_reset(
+            asyncio.get_running_loop().time(), connection.exchange_count == 1
+        )
+    target.upstream_state.record_answer(0.0, 1.0, ok=False)
--- a/src/sardinehill/front/upstream_directory.py
+++ b/src/sardinehill/front/upstream_directory.py
@@ -274,6 +274,14 @@
             entry.state.forget_failures()
         self.waiting.wake_all()
 
+    def close_idle_connections(self) -> None:
+        """Closes all idle connections to upstreams.
+
+        To be called when this daemon's own links are broken.
+        """
+        for entry in self._entries.values():
+            entry.pool.close()
+
     def wake_next(self, upstream: routes.Upstream, service: str) -> None:
         """Wakes the next waiting request after capacity became free."""
         if not self.waiting.wake_one(("room", upstream.id)):
@@ -359,6 +367,16 @@
             and self._entries[upstream.id].said_leaving_s is None
         ]
 
+    def find(self, incarnation: tuple[str, int]) -> routes.Upstream | None:
+        """Returns the upstream with an incarnation, or None if it is unknown.
+
+        One that left the store a while ago is unknown.
+        """
+        entry = self._entries.get(incarnation[0])
+        if entry is None or entry.upstream.incarnation != incarnation:
+            return None
+        return entry.upstream
+
     def state_and_pool(
         self, upstream: routes.Upstream
     ) -> tuple[upstream_state.UpstreamState, pool_module.ConnectionPool]:
