Log each grant that ends without an answer

Two upstreams held the same keys beside late grants and a cut zone. The new event names keys, epoch and age of each such grant.

--- a/src/sardinehill/events.py
+++ b/src/sardinehill/events.py
@@ -62,6 +62,7 @@
 LEASE_RESIGNED = Event(315, "lease-resigned", logging.INFO)
 KEYS_TAKEN_BACK = Event(317, "keys-taken-back", logging.INFO)
 ASSIGNMENT_OUTDATED = Event(316, "assignment-outdated", logging.WARNING)
+GRANT_ABANDONED = Event(318, "grant-abandoned", logging.INFO)
 
 STORE_LOST = Event(401, "store-lost", logging.WARNING)
 STORE_BACK = Event(402, "store-back", logging.INFO)
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -260,6 +260,17 @@
         )
         now_s = self._clock_s()
         outcome = _grant_outcome(result)
+        if outcome is key_orders.GrantOutcome.UNANSWERED:
+            events.log(
+                events.GRANT_ABANDONED,
+                service=self._service,
+                upstream=grant.incarnation[0],
+                first=grant.first,
+                last=grant.last,
+                epoch=grant.epoch,
+                age_s=round(now_s - grant.created_s, 3),
+                error=result.error,
+            )
         spans = key_orders.record_grant_outcome(
             self.assignment, grant, outcome, now_s, GRANT_HOLD_S
         )
