Discard requests that were given up with their connections

Callers saw nothing, but two upstreams held the same keys for up to 2.4 s: a key went to its former owner under a lower epoch than the present one's.

Cause: a grant was sent into a cut 0.03 s after it had begun, and given up after 0.4 s. Closing its connection does not discard what the kernel has not delivered: it was delivered when the cut ended, long after the grant counted as lapsed. The same holds when the process that has sent it ends, or stands still for longer.

Late grants without a cut break nothing. Three tests on the kernel's own sockets (given up, killed, frozen) failed before: all of 16384 bytes arrived.

Change: a connection that ends during an exchange is reset, also by the kernel when the process ends, which discards what is not delivered. On connections for orders the kernel itself gives up after 0.4 s, the time that waits for orders of an earlier leader already count on.

--- a/src/sardinehill/front/key_owners.py
+++ b/src/sardinehill/front/key_owners.py
@@ -18,6 +18,9 @@
 RELEASE_TIMEOUT_S = 1.5
 ORDER_RETRY_S = 0.15
 MAX_IDLE_S = 5.0
+# The kernel discards an order that stays unacknowledged this long, also while
+# this process does not run.
+MAX_UNACKNOWLEDGED_S = 0.4
 # The weight of an upstream's earlier slowness when an answer is averaged in.
 SLOWNESS_DECAY_RATIO = 0.95
 MIN_SLOWNESS_RATIO = 0.4
@@ -211,7 +214,9 @@
         try:
             if connection is None:
                 connection = await http1.connect(
-                    owner.address, CONNECT_TIMEOUT_S
+                    owner.address,
+                    CONNECT_TIMEOUT_S,
+                    user_timeout_ms=int(MAX_UNACKNOWLEDGED_S * 1000),
                 )
             if not may_send():
                 owner.connections.append(connection)
--- a/src/sardinehill/http1.py
+++ b/src/sardinehill/http1.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import dataclasses
 import socket
+import struct
 from typing import cast
 
 import httptools
@@ -86,19 +87,24 @@
         self.reset = reset
 
 
-def set_tcp_options(transport: asyncio.BaseTransport, keepalive: bool) -> None:
+def set_tcp_options(
+    transport: asyncio.BaseTransport,
+    keepalive: bool,
+    user_timeout_ms: int = TCP_USER_TIMEOUT_MS,
+) -> None:
     """Disables Nagle's algorithm and makes the kernel detect lost peers.
 
     Args:
       transport: a TCP transport; one without a socket is left as it is.
       keepalive: whether to send TCP keepalive probes while it is idle.
+      user_timeout_ms: how long sent data may stay unacknowledged.
     """
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms
     )
     if keepalive:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -113,9 +119,33 @@
         )
 
 
+def discard_unsent_on_close(
+    transport: asyncio.BaseTransport, discards: bool
+) -> None:
+    """Selects what happens to data that the peer has not acknowledged.
+
+    By default the kernel goes on sending it after the connection is closed,
+    also when the process has ended, so that it may arrive much later.
+
+    Args:
+      transport: a TCP transport; one without a socket is left as it is.
+      discards: whether closing resets the connection and discards such data.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_LINGER,
+            struct.pack("ii", int(discards), 0),
+        )
+
+
 class Connection(asyncio.Protocol):
     """A client's connection to one server.
 
+    A connection that ends during an exchange is reset, so that a request that
+    was given up does not arrive later.
+
     Attributes:
       exchange_count: number of exchanges begun.
       idle_since_s: event loop time at which the last exchange ended.
@@ -129,10 +159,12 @@
         loop: asyncio.AbstractEventLoop,
         on_lost: Callable[["Connection"], None] | None = None,
         keepalive: bool = False,
+        user_timeout_ms: int = TCP_USER_TIMEOUT_MS,
     ):
         self._loop = loop
         self._on_lost = on_lost
         self._keepalive = keepalive
+        self._user_timeout_ms = user_timeout_ms
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._response = Response()
@@ -156,7 +188,8 @@
         """Stores the transport and sets its socket options."""
         # uvloop's transports are not subclasses of `asyncio.Transport`.
         self._transport = cast(asyncio.Transport, transport)
-        set_tcp_options(transport, self._keepalive)
+        set_tcp_options(transport, self._keepalive, self._user_timeout_ms)
+        discard_unsent_on_close(transport, True)
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser; unsolicited data closes the connection."""
@@ -297,8 +330,12 @@
     def close(self) -> None:
         """Aborts the connection without waiting for the peer."""
         self.usable = False
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None or self._transport.is_closing():
+            return
+        is_idle = self._transport.get_write_buffer_size() == 0
+        if self._pending_response is None and is_idle:
+            discard_unsent_on_close(self._transport, False)
+        self._transport.abort()
 
     def is_reusable(self, now_s: float, idle_timeout_s: float) -> bool:
         """Returns whether the server probably still keeps the connection.
@@ -355,6 +392,7 @@
                 self.server_idle_timeout_s = float(number)
 
     def _fail(self, reason: str, reset: bool = False) -> None:
+        self.close()
         pending, self._pending_response = self._pending_response, None
         if pending is not None and not pending.done():
             pending.set_exception(
@@ -365,7 +403,6 @@
                     reset=reset,
                 )
             )
-        self.close()
 
 
 async def connect(
@@ -373,6 +410,7 @@
     timeout_s: float,
     on_lost: Callable[[Connection], None] | None = None,
     keepalive: bool = False,
+    user_timeout_ms: int = TCP_USER_TIMEOUT_MS,
 ) -> Connection:
     """Opens a connection.
 
@@ -381,6 +419,7 @@
       timeout_s: maximum time for opening the connection.
       on_lost: called once the connection has ended.
       keepalive: whether to send TCP keepalive probes while it is idle.
+      user_timeout_ms: how long sent data may stay unacknowledged.
 
     Raises:
       ConnectionFailedError: it could not be opened; nothing was written.
@@ -390,7 +429,9 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: Connection(loop, on_lost, keepalive), host, int(port)
+                lambda: Connection(loop, on_lost, keepalive, user_timeout_ms),
+                host,
+                int(port),
             )
     except ConnectionRefusedError as error:
         raise ConnectionFailedError(
--- /dev/null
+++ b/tests/cover/test_abandoned_orders.py
@@ -0,0 +1,117 @@
+"""Tests that an order to an upstream that was given up does not arrive later.
+
+A receiver that reads nothing stands for a network that holds bytes back: they
+stay in the sender's kernel until it reads again.
+"""
+
+import asyncio
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from sardinehill.front import key_owners
+
+# The kernel of the sender takes an order of this size as a whole, the receiver
+# only its beginning.
+ORDER_BYTES = 16 * 1024
+RECEIVE_BUFFER_BYTES = 2048
+ORDER_TIMEOUT_S = 0.2
+ROOT = pathlib.Path(__file__).parents[2]
+SENDING_PROCESS = f"""
+import asyncio
+import sys
+
+from sardinehill.front import key_owners
+
+async def run():
+    owners = key_owners.KeyOwners("stock", dict, frozenset, 0.0)
+    owner = key_owners.KeyOwner(("a", 1), sys.argv[1], 3)
+    order = asyncio.create_task(
+        owners.send_order(owner, b"x" * {ORDER_BYTES}, 60.0, lambda: True)
+    )
+    await asyncio.sleep(0.2)
+    print("sent", flush=True)
+    await order
+
+asyncio.run(run())
+"""
+
+
+@pytest.fixture
+def listener():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        yield listener
+
+
+def owner_at(listener):
+    host, port = listener.getsockname()
+    return key_owners.KeyOwner(("a", 1), f"{host}:{port}", 3)
+
+
+async def send_order(listener, may_send=lambda: True):
+    owners = key_owners.KeyOwners("stock", dict, frozenset, 0.0)
+    return await owners.send_order(
+        owner_at(listener), b"x" * ORDER_BYTES, ORDER_TIMEOUT_S, may_send
+    )
+
+
+def freeze(duration_s):
+    time.sleep(duration_s)
+
+
+def count_arriving_bytes(listener):
+    """Returns how much arrives on the connection once the receiver reads."""
+    connection, _ = listener.accept()
+    received = 0
+    with connection:
+        connection.settimeout(5.0)
+        while True:
+            try:
+                data = connection.recv(ORDER_BYTES)
+            except ConnectionResetError:
+                break
+            if not data:
+                break
+            received += len(data)
+    return received
+
+
+def test_order_given_up_behind_a_cut_does_not_arrive_after_it(listener):
+    result = asyncio.run(send_order(listener))
+    assert result.status is None
+    assert result.written
+    assert count_arriving_bytes(listener) < ORDER_BYTES
+
+
+def test_order_of_a_killed_daemon_does_not_arrive_after_a_cut(listener):
+    # The kernel closes the connections of a process that has ended.
+    host, port = listener.getsockname()
+    process = subprocess.Popen(
+        [sys.executable, "-c", SENDING_PROCESS, f"{host}:{port}"],
+        env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+        stdout=subprocess.PIPE,
+    )
+    with process:
+        process.stdout.readline()
+        process.kill()
+    assert count_arriving_bytes(listener) < ORDER_BYTES
+
+
+def test_order_of_a_frozen_daemon_does_not_arrive_after_a_cut(listener):
+    async def freeze_while_waiting():
+        order = asyncio.create_task(send_order(listener))
+        await asyncio.sleep(ORDER_TIMEOUT_S / 2)
+        freeze(2 * key_owners.MAX_UNACKNOWLEDGED_S)
+        received = await asyncio.to_thread(count_arriving_bytes, listener)
+        await order
+        return received
+
+    assert asyncio.run(freeze_while_waiting()) < ORDER_BYTES
