Discard what a closed link to a peer has not delivered

Nobody has seen this; it is the class of the order that a cut had held back. A daemon that gives up a silent leader closes its link to it, and its last reports were delivered when the cut ended. The leader counts a report as a sign that its term is confirmed when it arrives, so a replaced leader could send orders again.

Change: a link that is closed, also by the kernel at the end of the process, is reset. The test failed before: all of 16460 bytes arrived after the close.

--- a/src/sardinehill/front/peer_links.py
+++ b/src/sardinehill/front/peer_links.py
@@ -48,6 +48,8 @@
         # uvloop's transports do not inherit from asyncio's.
         self._transport = cast(asyncio.Transport, transport)
         http1.set_tcp_options(transport, keepalive=True)
+        # A report or table that arrives late would be taken for a sign of life.
+        http1.discard_unsent_on_close(transport, True)
 
     def data_received(self, data: bytes) -> None:
         """Handles complete frames; a malformed one closes the connection."""
--- a/tests/cover/test_abandoned_orders.py
+++ b/tests/cover/test_undelivered_bytes.py
@@ -1,4 +1,4 @@
-"""Tests that an order to an upstream that was given up does not arrive later.
+"""Tests that what was given up with its connection does not arrive later.
 
 A receiver that reads nothing stands for a network that holds bytes back: they
 stay in the sender's kernel until it reads again.
@@ -15,10 +15,12 @@
 import pytest
 
 from sardinehill.front import key_owners
+from sardinehill.front import peer_links
+from sardinehill.wire import message_kinds
 
-# The kernel of the sender takes an order of this size as a whole, the receiver
+# The kernel of the sender takes a message of this size as a whole, the receiver
 # only its beginning.
-ORDER_BYTES = 16 * 1024
+MESSAGE_BYTES = 16 * 1024
 RECEIVE_BUFFER_BYTES = 2048
 ORDER_TIMEOUT_S = 0.2
 ROOT = pathlib.Path(__file__).parents[2]
@@ -32,7 +34,7 @@
     owners = key_owners.KeyOwners("stock", dict, frozenset, 0.0)
     owner = key_owners.KeyOwner(("a", 1), sys.argv[1], 3)
     order = asyncio.create_task(
-        owners.send_order(owner, b"x" * {ORDER_BYTES}, 60.0, lambda: True)
+        owners.send_order(owner, b"x" * {MESSAGE_BYTES}, 60.0, lambda: True)
     )
     await asyncio.sleep(0.2)
     print("sent", flush=True)
@@ -59,7 +61,7 @@
 async def send_order(listener, may_send=lambda: True):
     owners = key_owners.KeyOwners("stock", dict, frozenset, 0.0)
     return await owners.send_order(
-        owner_at(listener), b"x" * ORDER_BYTES, ORDER_TIMEOUT_S, may_send
+        owner_at(listener), b"x" * MESSAGE_BYTES, ORDER_TIMEOUT_S, may_send
     )
 
 
@@ -75,7 +77,7 @@
         connection.settimeout(5.0)
         while True:
             try:
-                data = connection.recv(ORDER_BYTES)
+                data = connection.recv(MESSAGE_BYTES)
             except ConnectionResetError:
                 break
             if not data:
@@ -88,7 +90,7 @@
     result = asyncio.run(send_order(listener))
     assert result.status is None
     assert result.written
-    assert count_arriving_bytes(listener) < ORDER_BYTES
+    assert count_arriving_bytes(listener) < MESSAGE_BYTES
 
 
 def test_order_of_a_killed_daemon_does_not_arrive_after_a_cut(listener):
@@ -102,7 +104,7 @@
     with process:
         process.stdout.readline()
         process.kill()
-    assert count_arriving_bytes(listener) < ORDER_BYTES
+    assert count_arriving_bytes(listener) < MESSAGE_BYTES
 
 
 def test_order_of_a_frozen_daemon_does_not_arrive_after_a_cut(listener):
@@ -114,4 +116,21 @@
         await order
         return received
 
-    assert asyncio.run(freeze_while_waiting()) < ORDER_BYTES
+    assert asyncio.run(freeze_while_waiting()) < MESSAGE_BYTES
+
+
+def test_report_over_a_link_that_was_given_up_does_not_arrive_after_a_cut(
+    listener,
+):
+    # A leader would take it for a sign that its term is confirmed now.
+    async def give_up_the_link():
+        host, port = listener.getsockname()
+        link = await peer_links.connect(
+            f"{host}:{port}", "front-0", lambda *_: None, lambda _: None
+        )
+        link.send(message_kinds.MessageKind.DAEMON_REPORT, b"x" * MESSAGE_BYTES)
+        await asyncio.sleep(ORDER_TIMEOUT_S)
+        link.close()
+
+    asyncio.run(give_up_the_link())
+    assert count_arriving_bytes(listener) < MESSAGE_BYTES
