Keep an idle connection to the store over one lost keepalive probe

Cause: on Linux a user timeout takes the place of the probe count. With 1.5 s against probes after 1, 2 and 3 s of silence, one lost probe ended the connection that waits for changes, where two were meant to.

Change: connections to the store have a user timeout of 2.5 s, so that the second unanswered probe ends them after 3 s, as before the timeout was set. Links between daemons carry frames each quarter of a second and notice silence themselves; connections to upstreams have no keepalive probes. The test failed before (1 lost probe instead of 2).

--- a/src/sardinehill/http1.py
+++ b/src/sardinehill/http1.py
@@ -19,6 +19,10 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBE_COUNT = 2
+# For connections that are kept idle. The kernel takes a user timeout in place of
+# the probe count: it ends such a connection at the first probe that is due later
+# than this, so that one lost probe does not end it.
+KEEPALIVE_USER_TIMEOUT_MS = 2500
 # A faulty server may send a head or a body without end. A daemon has about
 # 200 MB for all its exchanges.
 MAX_RESPONSE_BODY_BYTES = 16 * 1024 * 1024
--- a/src/sardinehill/platform/store.py
+++ b/src/sardinehill/platform/store.py
@@ -385,7 +385,10 @@
     async def _open_connection(self) -> http1.Connection:
         try:
             return await http1.connect(
-                self._address, CONNECT_TIMEOUT_S, keepalive=True
+                self._address,
+                CONNECT_TIMEOUT_S,
+                keepalive=True,
+                user_timeout_ms=http1.KEEPALIVE_USER_TIMEOUT_MS,
             )
         except http1.ConnectionFailedError as error:
             raise StoreBusyError(str(error)) from error
--- a/tests/cover/test_store_client.py
+++ b/tests/cover/test_store_client.py
@@ -1,10 +1,13 @@
 """Tests of the store's client across a restore from an earlier copy."""
 
 import asyncio
+import itertools
+import socket
 
 from aiohttp import test_utils
 import pytest
 
+from sardinehill import http1
 from sardinehill.core import store_versions
 from sardinehill.platform import store as store_module
 from standins import users_platform_store
@@ -124,3 +127,43 @@
             assert await names_listed(client) == ["a", "d", "e"]
 
     run(scenario)
+
+
+def unanswered_probes_that_end(sock):
+    """Returns how many lost keepalive probes end an idle connection.
+
+    Linux compares the time since the last answer with the user timeout
+    whenever a probe is due after an unanswered one.
+    """
+
+    def option(name):
+        return sock.getsockopt(socket.IPPROTO_TCP, name)
+
+    idle_s = option(socket.TCP_KEEPIDLE)
+    interval_s = option(socket.TCP_KEEPINTVL)
+    timeout_ms = option(socket.TCP_USER_TIMEOUT)
+    return next(
+        lost
+        for lost in itertools.count(1)
+        if (idle_s + lost * interval_s) * 1000 >= timeout_ms
+    )
+
+
+def test_one_lost_keepalive_probe_does_not_end_an_idle_watch(monkeypatch):
+    connections = []
+    connect = http1.connect
+
+    async def recording_connect(*arguments, **options):
+        connection = await connect(*arguments, **options)
+        connections.append(connection)
+        return connection
+
+    monkeypatch.setattr(http1, "connect", recording_connect)
+
+    async def scenario(store, client):
+        await client.list_objects(KIND)
+        (connection,) = connections
+        sock = connection._transport.get_extra_info("socket")
+        assert unanswered_probes_that_end(sock) == http1.KEEPALIVE_PROBE_COUNT
+
+    run(scenario)
