--- a/src/sardinehill/http1.py
+++ b/src/sardinehill/http1.py
@@ -19,9 +19,9 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBE_COUNT = 2
-# For connections that are kept idle. The kernel takes a user timeout in place of
-# the probe count: it ends such a connection at the first probe that is due later
-# than this, so that one lost probe does not end it.
+# For connections that are kept idle. The kernel takes a user timeout in place
+# of the probe count, and ends such a connection when a probe is due later than
+# this after the last answer.
 KEEPALIVE_USER_TIMEOUT_MS = 2500
 # A faulty server may send a head or a body without end. A daemon has about
 # 200 MB for all its exchanges.
