Prefer forwarding peers that add no traffic between availability zones

Change: a peer says its zone with its status; peers in the daemon's own zone or in the upstream's are preferred until they have four requests more than others. Peers are searched for only while they are needed.

--- a/src/sardinehill/core/exchange_messages.py
+++ b/src/sardinehill/core/exchange_messages.py
@@ -112,4 +112,17 @@
     was_new_connection: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class ForwardingStatus:
+    """What a daemon would do for peers now.
+
+    Attributes:
+      refusal: why it would not send a request, or None if it would.
+      zone: its availability zone.
+    """
+
+    refusal: NotSentReason | None
+    zone: str
+
+
 ExchangeResult = UpstreamAnswer | NotSent | Broken
--- a/src/sardinehill/core/forward_choice.py
+++ b/src/sardinehill/core/forward_choice.py
@@ -2,12 +2,16 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Container
 import dataclasses
 
 from sardinehill.core import exchange_messages
 
 # The number of peers whose links are kept open for forwarding.
 MAX_SERVING_PEERS = 8
+# Traffic between availability zones is billed. A peer whose zone adds some is
+# chosen only if it has so many requests less than others.
+CROSS_ZONE_REQUESTS = 4
 # Requests under way through one peer.
 MAX_IN_FLIGHT_PER_PEER = 64
 # A peer that does not forward is asked again after this time.
@@ -23,10 +27,12 @@
     """A peer that forwards requests.
 
     Attributes:
+      zone: its availability zone.
       in_flight: this daemon's requests that are under way through it.
       busy_until_s: it gets no requests before this time.
     """
 
+    zone: str
     in_flight: int = 0
     busy_until_s: float = float("-inf")
 
@@ -78,11 +84,11 @@
         ]
         return sorted(candidates, key=lambda name: self._uniform())
 
-    def add(self, name: str) -> bool:
+    def add(self, name: str, zone: str) -> bool:
         """Adds a peer that forwards; returns False if there are enough."""
         if name in self._serving or not self.wants_more:
             return False
-        self._serving[name] = _ServingPeer()
+        self._serving[name] = _ServingPeer(zone)
         return True
 
     def remove(self, name: str, now_s: float) -> None:
@@ -92,13 +98,23 @@
 
     # requests
 
-    def choose(self, now_s: float) -> str | None:
+    def choose(self, zones: Container[str], now_s: float) -> str | None:
         """Returns the peer with the fewest requests, or None.
 
         The caller calls `end` when the request has ended.
+
+        Args:
+          zones: the availability zones of this daemon and of the upstream.
+            Peers in other zones add traffic between zones.
+          now_s: the current time.
         """
         open_peers = [
-            (peer.in_flight, self._uniform(), name)
+            (
+                peer.in_flight
+                + (0 if peer.zone in zones else CROSS_ZONE_REQUESTS),
+                self._uniform(),
+                name,
+            )
             for name, peer in self._serving.items()
             if now_s >= peer.busy_until_s
             and peer.in_flight < MAX_IN_FLIGHT_PER_PEER
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -90,13 +90,16 @@
             self._reach.note_attempt,
         )
         self._forwarder = forwarding.Forwarder(
-            settings.daemon, lambda: self._leadership.peer_addresses
+            settings.daemon,
+            settings.zone,
+            lambda: self._leadership.peer_addresses,
         )
         self._forwards = forward_server.ForwardServer(
             self._directory,
             self._reach,
             self._front_metrics,
             self._request_log,
+            settings.zone,
         )
         self._reach.reach.subscribe(self._note_reach)
         self._counters = counters_module.ReportCounters()
--- a/src/sardinehill/front/forward_server.py
+++ b/src/sardinehill/front/forward_server.py
@@ -89,7 +89,9 @@
         reach: reach_monitor.ReachMonitor,
         metrics: metrics_module.FrontMetrics,
         log_request: Callable[..., None],
+        zone: str,
     ):
+        self._zone = zone
         self._directory = directory
         self._reach = reach
         self._metrics = metrics
@@ -127,7 +129,11 @@
             case message_kinds.MessageKind.FORWARDING_STATUS_QUERY:
                 link.send(
                     message_kinds.MessageKind.FORWARDING_STATUS,
-                    exchanges.encode_status(self._own_refusal()),
+                    exchanges.encode_status(
+                        exchange_messages.ForwardingStatus(
+                            self._own_refusal(), self._zone
+                        )
+                    ),
                     envelope.message_id,
                     is_answer=True,
                 )
--- a/src/sardinehill/front/forwarding.py
+++ b/src/sardinehill/front/forwarding.py
@@ -29,6 +29,10 @@
 # The peer ends an exchange at its deadline; its answer may take this long.
 ANSWER_MARGIN_S = 0.5
 
+_NO_STATUS = exchange_messages.ForwardingStatus(
+    exchange_messages.NotSentReason.STOPPING, ""
+)
+
 
 class NoPeerError(errors.SardinehillError):
     """Raised when no peer forwards a request now."""
@@ -212,15 +216,21 @@
     """Keeps links to peers that forward, while this daemon needs them."""
 
     def __init__(
-        self, name: str, peer_addresses: Callable[[], Mapping[str, str]]
+        self,
+        name: str,
+        zone: str,
+        peer_addresses: Callable[[], Mapping[str, str]],
     ):
         """Creates a forwarder without links.
 
         Args:
           name: this daemon's name.
+          zone: this daemon's availability zone.
           peer_addresses: returns the addresses of all daemons by name.
         """
         self._name = name
+        self._zone = zone
+        self._is_needed = False
         self._peer_addresses = peer_addresses
         self._choice = forward_choice.ForwardChoice(random.random)
         self._links: dict[str, peer_links.PeerLink] = {}
@@ -237,6 +247,7 @@
 
     def note_reach(self, is_cut_off: bool) -> None:
         """Searches for peers as soon as this daemon reaches no upstream."""
+        self._is_needed = is_cut_off
         if is_cut_off:
             self._last_used_s = asyncio.get_running_loop().time()
             self._start_search()
@@ -270,7 +281,8 @@
         self._last_used_s = loop.time()
         if not self._links:
             await self._wait_for_peer()
-        peer = self._choice.choose(loop.time())
+        zones = (self._zone, upstream.zone)
+        peer = self._choice.choose(zones, loop.time())
         if peer is None:
             raise NoPeerError("no peer forwards requests now")
         return ForwardedConnection(
@@ -361,10 +373,14 @@
                 lambda _link, _message: None,
                 lambda _link: self._note_link_lost(name, _link),
             )
-            refusal = await _ask_status(link)
+            status = await _ask_status(link)
         except errors.PeerError:
-            refusal = exchange_messages.NotSentReason.STOPPING
-        if refusal is None and link is not None and self._choice.add(name):
+            status = _NO_STATUS
+        if (
+            status.refusal is None
+            and link is not None
+            and self._choice.add(name, status.zone)
+        ):
             self._links[name] = link
             self._peer_found.set()
             watch = asyncio.ensure_future(self._watch(name, link))
@@ -372,7 +388,7 @@
             watch.add_done_callback(self._watches.discard)
             events.log(events.FORWARDING_PEER_FOUND, peer=name)
             return
-        if refusal is not None:
+        if status.refusal is not None:
             self._choice.remove(name, asyncio.get_running_loop().time())
         if link is not None:
             link.close()
@@ -392,7 +408,7 @@
                 self._remove(name, "not needed")
                 return
             try:
-                refusal = await _ask_status(link)
+                refusal = (await _ask_status(link)).refusal
             except errors.PeerError as error:
                 self._remove(name, str(error))
                 link.close()
@@ -402,7 +418,7 @@
             elif refusal is not None:
                 self._remove(name, refusal.value)
                 return
-            if self._choice.wants_more:
+            if self._is_needed and self._choice.wants_more:
                 self._start_search()
 
     def _remove(self, name: str, reason: str) -> None:
@@ -419,8 +435,8 @@
 
 async def _ask_status(
     link: peer_links.PeerLink,
-) -> exchange_messages.NotSentReason | None:
-    """Returns why a peer does not forward requests, or None if it does.
+) -> exchange_messages.ForwardingStatus:
+    """Returns what a peer would do with a request now.
 
     Raises:
       PeerError: it does not answer, or not in this way.
--- a/src/sardinehill/wire/exchange.capnp
+++ b/src/sardinehill/wire/exchange.capnp
@@ -45,7 +45,9 @@
   wasNewConnection @3 :Bool;
 }
 
-# Whether the sender would send a request now. An empty reason means yes.
 struct ForwardingStatus {
+  # Why the sender would not send a request now; empty if it would.
   refusal @0 :Text;
+  # The sender's availability zone.
+  zone @1 :Text;
 }
--- a/src/sardinehill/wire/exchanges.py
+++ b/src/sardinehill/wire/exchanges.py
@@ -123,26 +123,26 @@
         raise errors.PeerFrameError(f"not a result: {error}") from error
 
 
-def encode_status(
-    refusal: exchange_messages.NotSentReason | None,
-) -> bytes:
-    """Returns the message that says whether the sender forwards now."""
+def encode_status(status: exchange_messages.ForwardingStatus) -> bytes:
+    """Returns the message for what a daemon would do for peers."""
     message = _SCHEMA.ForwardingStatus.new_message(
-        refusal=refusal.value if refusal is not None else ""
+        refusal=status.refusal.value if status.refusal is not None else "",
+        zone=status.zone,
     )
     return bytes(message.to_bytes())
 
 
-def decode_status(data: bytes) -> exchange_messages.NotSentReason | None:
-    """Returns why the sender does not forward now, or None if it does.
+def decode_status(data: bytes) -> exchange_messages.ForwardingStatus:
+    """Returns what a daemon would do for peers.
 
     Raises:
       PeerFrameError: the bytes are not a valid message of this kind.
     """
     try:
-        refusal = schemas.read(_SCHEMA.ForwardingStatus, data).refusal
-        if not refusal:
-            return None
-        return exchange_messages.NotSentReason(refusal)
+        message = schemas.read(_SCHEMA.ForwardingStatus, data)
+        refusal = None
+        if message.refusal:
+            refusal = exchange_messages.NotSentReason(message.refusal)
+        return exchange_messages.ForwardingStatus(refusal, message.zone)
     except (capnp.KjException, ValueError) as error:
         raise errors.PeerFrameError(f"not a status: {error}") from error
