Count a new term as confirmed from when its lease was asked for

A daemon that stands still while the store's answer to its lease is on the way, or while it reads the peers after that, began its term as confirmed when it went on. It then sent orders for up to 1.6 s, although another daemon had taken the lease meanwhile and had waited out what this one could have sent.

Change: the confirmation counts from before the call, as that of later reads of the lease does. The new test failed before; the second one keeps a lease that was just granted in force.

--- a/src/sardinehill/front/election.py
+++ b/src/sardinehill/front/election.py
@@ -1,6 +1,7 @@
 """Elects the leader: a daemon takes the lease if no other daemon leads."""
 
 import asyncio
+from collections.abc import Callable
 import hashlib
 import random
 
@@ -85,6 +86,7 @@
     Public attributes:
       is_restart: whether, at the last election, this daemon had no leader
         table and no peer had heard from a leader within `RESTART_SILENCE_S`.
+      lease_asked_s: when this daemon last asked the store for the lease.
     """
 
     def __init__(
@@ -92,11 +94,14 @@
         name: str,
         leader: known_leader.KnownLeader,
         registry: peer_registry.PeerRegistry,
+        clock_s: Callable[[], float],
     ):
         self._name = name
         self._known_leader = leader
         self._registry = registry
+        self._clock_s = clock_s
         self.is_restart = False
+        self.lease_asked_s = clock_s()
 
     async def read_lease(self) -> None:
         """Reads the lease from the store and notes its term.
@@ -158,6 +163,7 @@
         if self._registry.lease.term > known_term:
             return False
         era = self._registry.lease_era
+        self.lease_asked_s = self._clock_s()
         is_acquired = await self._registry.acquire_lease(
             fencing.next_term(self._known_leader.term, era)
         )
--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -36,7 +36,7 @@
 
     A term is confirmed by the store or by reports of a majority of the
     registered daemons. A confirmation is valid for
-    `order_sender.TERM_VALIDITY_S`.
+    `order_sender.TERM_VALIDITY_S`. It counts from when the store was asked.
 
     Public attributes:
       resigned: whether the leader has resigned.
@@ -56,7 +56,9 @@
         self._election = leader_election
         self._followers = followers
         self._clock_s = clock_s
-        self._began_s = self._confirmed_s = clock_s()
+        self._began_s = clock_s()
+        # The answer may have come late, when another daemon led already.
+        self._confirmed_s = leader_election.lease_asked_s
         self._number = registry.lease.term
         # The store's era in which the lease was last known to be held.
         self._lease_era = registry.lease_era
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -81,7 +81,7 @@
         )
         self._known_leader = known_leader.KnownLeader(name, clock_s)
         self._election = election.Election(
-            name, self._known_leader, self._registry
+            name, self._known_leader, self._registry, clock_s
         )
         self._followers = followers.Followers()
         self._leader_client = leader_client.LeaderClient(
--- a/tests/cover/test_election.py
+++ b/tests/cover/test_election.py
@@ -48,7 +48,7 @@
             leader.note_term(table.term)
             leader.apply_table(table)
         candidate = election.Election(
-            name, leader, FakePeerRegistry(name, core_shares)
+            name, leader, FakePeerRegistry(name, core_shares), loop.time
         )
         began_s = loop.time()
         assert await candidate.try_to_lead()
@@ -88,7 +88,8 @@
         leader.note_term(3)
         leader.apply_table(resigned_table("small"))
         registry = RecordingRegistry("small", {"small": 0.43, "large": 0.72})
-        assert await election.Election("small", leader, registry).try_to_lead()
+        candidate = election.Election("small", leader, registry, loop.time)
+        assert await candidate.try_to_lead()
         assert registry.calls == ("acquire_lease", "read_peers")
 
     asyncio.run(body())
@@ -112,6 +113,7 @@
         leader.note_term(3)
         registry = LaterLease("a", {"a": 1.0})
         registry.lease = peer_registry.LeaderLease(1, "w")
-        assert await election.Election("a", leader, registry).try_to_lead()
+        candidate = election.Election("a", leader, registry, loop.time)
+        assert await candidate.try_to_lead()
 
     asyncio.run(body())
--- a/tests/cover/test_leader_term.py
+++ b/tests/cover/test_leader_term.py
@@ -5,8 +5,11 @@
 
 import pytest
 
+from sardinehill.front import election
 from sardinehill.front import followers
+from sardinehill.front import known_leader
 from sardinehill.front import leader_term
+from sardinehill.front import order_sender
 from sardinehill.front import peer_registry
 
 
@@ -25,7 +28,11 @@
     registry.core_shares = {"me": 1.0, **core_shares}
     registry.peer_addresses = dict.fromkeys(registry.core_shares, "127.0.0.1:1")
     return leader_term.LeaderTerm(
-        "me", registry, None, followers.Followers(), clock
+        "me",
+        registry,
+        election.Election("me", None, registry, clock),
+        followers.Followers(),
+        clock,
     )
 
 
@@ -82,6 +89,7 @@
         self.acquired_terms = []
         self.lease = peer_registry.LeaderLease(7, "me", "", self._incarnation)
         self.peer_addresses = {"me": "127.0.0.1:1"}
+        self.lease_asked_s = 0.0
 
     store_era = 1
 
@@ -126,3 +134,42 @@
     registry = FakeLease(peer_registry.LeaderLease(8, "other", "", "x"))
     assert ends_after_a_restore(registry)
     assert registry.acquired_terms == []
+
+
+class SlowRegistry(FakeLease):
+    """A registry whose daemon stands still once it has asked for the lease."""
+
+    def __init__(self, clock):
+        super().__init__(peer_registry.LeaderLease(6, "other"))
+        self._clock = clock
+        self.lease_era = self.store_era
+
+    async def acquire_lease(self, term):
+        is_acquired = await super().acquire_lease(term)
+        self._clock.now_s += 5.0
+        return is_acquired
+
+    async def read_peers(self):
+        self.peer_addresses = dict.fromkeys(("me", "a", "b"), "127.0.0.1:1")
+
+
+def test_a_lease_granted_before_a_long_pause_does_not_confirm_the_term():
+    # Another daemon has led meanwhile, and the orders of this one had lapsed.
+    clock = Clock()
+    registry = SlowRegistry(clock)
+    leader = known_leader.KnownLeader("me", clock)
+    leader.note_term(registry.stored.term)
+    candidate = election.Election("me", leader, registry, clock)
+    assert asyncio.run(candidate.try_to_lead())
+    term = leader_term.LeaderTerm(
+        "me", registry, candidate, followers.Followers(), clock
+    )
+    assert not term.may_send_orders()
+
+
+def test_a_lease_just_granted_confirms_the_term():
+    clock = Clock()
+    term = new_term(clock, a=1.0, b=1.0)
+    assert term.may_send_orders()
+    clock.now_s += 1.1 * order_sender.TERM_VALIDITY_S
+    assert not term.may_send_orders()
