End a term whose assignment a later leader has written already

Nobody has seen this. A leader that was replaced before it had read an assignment read the one of its successor, and wrote it with epochs above the successor's. Both then sent orders: the earlier one renewed grants of keys that the later one moved.

Change: the read checks the term as a failed write does. The test failed before.

--- a/src/sardinehill/front/assignment_store.py
+++ b/src/sardinehill/front/assignment_store.py
@@ -53,6 +53,7 @@
     ) -> keyspace.KeyAssignment | None:
         """Returns the stored assignment, or None if the read fails.
 
+        Nothing is returned and the term ends if a later leader has written.
         Its top epoch is above all that were used in earlier terms, also if the
         store has forgotten them. If it is of an earlier era, any upstream may
         hold any key.
@@ -65,6 +66,9 @@
         """
         try:
             stored = await self._get()
+            self._check_term(stored)
+            if self._is_superseded:
+                return None
             if stored is None:
                 assignment = keyspace.empty_assignment()
                 written_era = FIRST_ERA
--- a/tests/cover/test_assignment_store.py
+++ b/tests/cover/test_assignment_store.py
@@ -252,3 +252,14 @@
         assert not stored.is_lost
 
     run(scenario)
+
+
+def test_a_replaced_leader_does_not_take_over_the_next_ones_assignment():
+    # It would have given the keys epochs above those of the present leader.
+    async def scenario(harness):
+        await move_all_keys(harness.assignments(2 * TERM), A)
+        earlier = harness.assignments(TERM)
+        assert await earlier.read(MAY_HOLD_UNTIL_S, ORDERS_ARRIVED_S) is None
+        assert harness.superseded == [TERM]
+
+    run(scenario)
