Do not confirm a term by reports that waited for a leader standing still

The kernel of a leader whose process stands still takes the reports that daemons send before they give it up, also if they reset their links afterwards. When it went on, it read them all at once and counted them as heard now: a majority seemed to follow it, and it sent orders for up to 1.6 s, although the next leader had waited out what it could have sent.

Change: a leader that has stood still for longer than 0.2 s does not count the reports that it reads within 0.25 s afterwards. The test failed before.

--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -10,6 +10,12 @@
 from sardinehill.front import peer_links
 from sardinehill.front import peer_registry
 
+# A leader that has stood still for longer than `MAX_PAUSE_S` then reads reports
+# that have arrived meanwhile. Those that it reads within `REPORT_DISTRUST_S` do
+# not count, as their senders may follow another leader by now.
+PAUSE_CHECK_INTERVAL_S = 0.05
+MAX_PAUSE_S = 0.15
+REPORT_DISTRUST_S = 0.25
 # A daemon whose last report is older than this does not count as a follower.
 FOLLOWER_TIMEOUT_S = 1.0
 # A silent daemon is assumed to keep serving callers for this long.
@@ -66,6 +72,8 @@
         self._reached_store_s: dict[str, float] = {}
         self._reached_by_others_since_s: float | None = None
         self._is_exclusive = False
+        self._ran_s = self._began_s
+        self._reports_count_from_s = self._began_s
         self._ended_peers: set[str] = set()
         self.resigned = False
         self.ended = asyncio.Event()
@@ -76,8 +84,24 @@
 
     def note_report(self, daemon: str, address: str) -> None:
         """Records that a daemon reported now, and its address if unknown."""
-        self._heard_s[daemon] = self._clock_s()
         self._registry.peer_addresses.setdefault(daemon, address)
+        self._note_pause()
+        now_s = self._clock_s()
+        if now_s >= self._reports_count_from_s:
+            self._heard_s[daemon] = now_s
+
+    async def watch_pauses(self) -> None:
+        """Notes until cancelled whether this process has stood still."""
+        self._ran_s = self._clock_s()
+        while True:
+            await asyncio.sleep(PAUSE_CHECK_INTERVAL_S)
+            self._note_pause()
+            self._ran_s = self._clock_s()
+
+    def _note_pause(self) -> None:
+        now_s = self._clock_s()
+        if now_s - self._ran_s > PAUSE_CHECK_INTERVAL_S + MAX_PAUSE_S:
+            self._reports_count_from_s = now_s + REPORT_DISTRUST_S
 
     def note_store_reached(self, daemon: str) -> None:
         """Records that a daemon has reached the store itself."""
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -333,6 +333,7 @@
                 running = [
                     group.create_task(coroutine)
                     for coroutine in (
+                        term.watch_pauses(),
                         term.announce(self._send_summary),
                         term.check_lease(),
                         self._watch.run_probe(self._tables.schedule_push),
--- a/tests/cover/test_leader_term.py
+++ b/tests/cover/test_leader_term.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import socket
 
 import pytest
 
@@ -10,7 +11,10 @@
 from sardinehill.front import known_leader
 from sardinehill.front import leader_term
 from sardinehill.front import order_sender
+from sardinehill.front import peer_links
 from sardinehill.front import peer_registry
+from sardinehill.wire import envelopes
+from sardinehill.wire import message_kinds
 
 
 @dataclasses.dataclass
@@ -173,3 +177,48 @@
     assert term.may_send_orders()
     clock.now_s += 1.1 * order_sender.TERM_VALIDITY_S
     assert not term.may_send_orders()
+
+
+def report_frame(daemon):
+    kind = int(message_kinds.MessageKind.DAEMON_REPORT)
+    return envelopes.encode(envelopes.Envelope(kind, 0, False, daemon, b""))
+
+
+async def serve_reports(term):
+    """Starts to accept reports for a term; returns the address and a log."""
+    received = []
+
+    def receive(link, envelope):
+        received.append(envelope.sender)
+        term.note_report(envelope.sender, "127.0.0.1:1")
+
+    server = await peer_links.serve(
+        "127.0.0.1", 0, "me", receive, lambda link: None
+    )
+    return server.sockets[0].getsockname(), received
+
+
+def test_reports_that_wait_while_a_leader_stands_still_do_not_confirm_it():
+    # Their senders have given it up and follow the next leader.
+    async def body():
+        clock = Clock()
+        term = new_term(clock, a=1.0, b=1.0)
+        watching = asyncio.create_task(term.watch_pauses())
+        address, received = await serve_reports(term)
+        with socket.create_connection(address) as follower:
+            follower.sendall(report_frame("a"))
+            await asyncio.sleep(2 * leader_term.PAUSE_CHECK_INTERVAL_S)
+            clock.now_s += 1.1 * order_sender.TERM_VALIDITY_S
+            follower.sendall(report_frame("a"))
+        await asyncio.sleep(2 * leader_term.PAUSE_CHECK_INTERVAL_S)
+        assert received == ["a", "a"]
+        assert not term.may_send_orders()
+        ends_s = clock.now_s + leader_term.REPORT_DISTRUST_S
+        while clock.now_s < ends_s:
+            clock.now_s += leader_term.PAUSE_CHECK_INTERVAL_S
+            await asyncio.sleep(1.2 * leader_term.PAUSE_CHECK_INTERVAL_S)
+        term.note_report("a", "127.0.0.1:1")
+        assert term.may_send_orders()
+        watching.cancel()
+
+    asyncio.run(body())
