Let orders of the keyspace machine arrive at any time until they cannot

The machine let a late grant arrive at its delivery deadline only, and releases at once, so that it could not show what happens if the bytes of an order outlive its connection.

Change: grants and releases arrive at any time until the deadline and the margin for what is in flight, also after they were given up; grants may be carried out seconds later, while their time counts from their arrival. A mutant delivers an order up to four seconds after the close.

--- a/tests/slow/test_keyspace_machine.py
+++ b/tests/slow/test_keyspace_machine.py
@@ -19,18 +19,42 @@
 INCARNATIONS = (("a", 1), ("b", 1))
 PARTS = 2
 # What happens to a grant and its answer: both arrive at once, the grant arrives
-# and the answer is lost, the grant arrives late with or without an answer, or
-# the grant never arrives.
-OUTCOMES = ("answered", "lost", "late", "late-lost", "never")
+# and the answer is lost, the grant arrives late with or without an answer, the
+# grant arrives after its connection was closed, it arrives but is carried out
+# seconds later, or it never arrives.
+OUTCOMES = (
+    "answered",
+    "lost",
+    "late",
+    "late-lost",
+    "closed",
+    "carried-out-late",
+    "never",
+)
+# Which part of the time until its connection is closed a late order takes, and
+# then of the time in which it may still be in flight.
+DELAY_RATIOS = (0.0, 0.3, 0.9, 1.0)
+CARRY_OUT_DELAYS_S = (2.0, 5.0)
+# How long a kernel that goes on sending after the close may hold an order.
+SURVIVAL_S = 4.0
 
 
 @dataclasses.dataclass
 class InFlightGrant:
-    """A grant that is in flight."""
+    """A grant that is in flight, or that its upstream carries out late."""
 
     grant: key_orders.KeyGrant
     arrives_s: float
     is_answered: bool
+    carried_out_s: float
+
+
+@dataclasses.dataclass
+class InFlightRelease:
+    """A release that nobody waits for any more."""
+
+    release: key_orders.KeyRelease
+    arrives_s: float
 
 
 class Upstream:
@@ -40,14 +64,14 @@
         self.holds = []
         self.seen = []
 
-    def grant(self, grant, now_s):
+    def grant(self, grant, arrived_s):
         for first, last, epoch in self.seen:
             overlaps = first <= grant.last and grant.first <= last
             if overlaps and epoch > grant.epoch:
                 return 409
         self.seen.append((grant.first, grant.last, grant.epoch))
         # The upstream's clock runs as slowly as is permitted.
-        until_s = now_s + HOLD_S * (1 + key_orders.CLOCK_DRIFT_RATIO)
+        until_s = arrived_s + HOLD_S * (1 + key_orders.CLOCK_DRIFT_RATIO)
         self.holds.append((grant.first, grant.last, grant.epoch, until_s))
         return 200
 
@@ -71,7 +95,7 @@
     """Sends a leader's orders, some of which are lost, late or repeated.
 
     The leader waits at most `ORDER_TIMEOUT_S` for an answer and then closes
-    the connection, so an order arrives before that or never.
+    the connection. An order arrives until `IN_FLIGHT_MARGIN_S` later or never.
     """
 
     ORDER_TIMEOUT_S = 0.8
@@ -80,6 +104,7 @@
     count_overtaken_release = False
     forget_earlier_grants = False
     look_up_owner_when_sending = False
+    bytes_survive_the_close = False
 
     def __init__(self):
         super().__init__()
@@ -91,21 +116,36 @@
         self.created_grants = []
         self.in_flight = []
         self.releases = []
+        self.late_releases = []
 
     @stateful.rule(seconds=st.sampled_from([0.05, 0.3, 0.9, 2.6]))
     def time_passes(self, seconds):
         end_s = self.now_s + seconds
-        for flight in sorted(self.in_flight, key=lambda one: one.arrives_s):
-            if flight.arrives_s <= end_s:
-                self.now_s = max(self.now_s, flight.arrives_s)
-                self.arrive(flight)
+        due = [
+            (flight.carried_out_s, self.arrive, self.in_flight, flight)
+            for flight in self.in_flight
+        ] + [
+            (flight.arrives_s, self.release, self.late_releases, flight)
+            for flight in self.late_releases
+        ]
+        for due_s, act, waiting, flight in sorted(due, key=lambda one: one[0]):
+            if due_s <= end_s:
+                self.now_s = max(self.now_s, due_s)
+                act(flight)
                 self.check()
-                self.in_flight.remove(flight)
+                waiting.remove(flight)
         self.now_s = end_s
 
+    def release(self, flight):
+        order = flight.release
+        holder = self.upstreams[order.incarnation]
+        holder.release(order.first, order.last)
+
     def arrive(self, flight):
         grant = flight.grant
-        status = self.upstreams[grant.incarnation].grant(grant, self.now_s)
+        status = self.upstreams[grant.incarnation].grant(
+            grant, flight.arrives_s
+        )
         if flight.is_answered and status == 200:
             self.record_grant_outcome(grant, key_orders.GrantOutcome.ACCEPTED)
         elif flight.is_answered:
@@ -147,6 +187,21 @@
                 span.confirmed or outcome is key_orders.GrantOutcome.ACCEPTED
             )
 
+    @stateful.rule(delay_ratio=st.sampled_from(DELAY_RATIOS))
+    def releases_are_given_up(self, delay_ratio):
+        """Sends releases that arrive late, after they count as unanswered."""
+        for span in self.assignment.spans:
+            if span.former_owner is None or span.order_pending:
+                continue
+            release = key_orders.create_release(span, self.now_s)
+            arrives_s = self.now_s + delay_ratio * (
+                self.ORDER_TIMEOUT_S + key_orders.IN_FLIGHT_MARGIN_S
+            )
+            self.late_releases.append(InFlightRelease(release, arrives_s))
+            key_orders.record_release_outcome(
+                self.assignment, release, False, None
+            )
+
     @stateful.rule()
     def releases_are_sent(self):
         for span in self.assignment.spans:
@@ -182,8 +237,14 @@
                 )
             )
 
-    @stateful.rule(outcome=st.sampled_from(OUTCOMES))
-    def grants_are_sent(self, outcome):
+    @stateful.rule(
+        outcome=st.sampled_from(OUTCOMES),
+        delay_ratio=st.sampled_from(DELAY_RATIOS),
+        carry_out_delay_s=st.sampled_from(CARRY_OUT_DELAYS_S),
+    )
+    def grants_are_sent(
+        self, outcome, delay_ratio=1.0, carry_out_delay_s=CARRY_OUT_DELAYS_S[0]
+    ):
         created, self.created_grants = self.created_grants, []
         for grant in created:
             if self.look_up_owner_when_sending:
@@ -194,16 +255,23 @@
             if self.now_s < grant.delivery_deadline_s and key_orders.is_current(
                 self.assignment, grant
             ):
-                self.send(grant, outcome)
+                self.send(grant, outcome, delay_ratio, carry_out_delay_s)
             else:
                 self.record_grant_outcome(grant, key_orders.GrantOutcome.UNSENT)
 
-    def send(self, grant, outcome):
-        is_late = outcome in ("late", "late-lost")
-        arrives_s = grant.delivery_deadline_s if is_late else self.now_s
+    def send(self, grant, outcome, delay_ratio, carry_out_delay_s):
+        remaining_s = grant.delivery_deadline_s - self.now_s
+        arrives_s = self.now_s
+        if outcome in ("late", "late-lost"):
+            arrives_s += delay_ratio * remaining_s
+        elif outcome == "closed":
+            arrives_s += remaining_s + delay_ratio * self.time_after_close_s()
         is_answered = outcome in ("answered", "late")
-        flight = InFlightGrant(grant, arrives_s, is_answered)
-        if is_late:
+        carried_out_s = arrives_s
+        if outcome == "carried-out-late":
+            carried_out_s += carry_out_delay_s
+        flight = InFlightGrant(grant, arrives_s, is_answered, carried_out_s)
+        if carried_out_s > self.now_s:
             self.in_flight.append(flight)
         elif outcome != "never":
             self.arrive(flight)
@@ -214,6 +282,12 @@
         else:
             self.record_grant_outcome(grant, key_orders.GrantOutcome.UNANSWERED)
 
+    def time_after_close_s(self):
+        """Returns how long after the close an order may still arrive."""
+        if self.bytes_survive_the_close:
+            return SURVIVAL_S
+        return key_orders.IN_FLIGHT_MARGIN_S
+
     def owners_are_granted(self, outcome):
         self.grants_are_created()
         self.grants_are_sent(outcome)
@@ -222,7 +296,7 @@
         to=st.sampled_from(INCARNATIONS),
         answered=st.booleans(),
         outcome=st.sampled_from(OUTCOMES),
-        pause_s=st.sampled_from([0.0, 0.9]),
+        pause_s=st.sampled_from([0.0, 0.9, 3.5]),
         granted_again=st.booleans(),
         created_before_move=st.booleans(),
     )
@@ -303,6 +377,12 @@
     look_up_owner_when_sending = True
 
 
+class BytesSurviveTheClose(KeyOwnershipMachine):
+    """A network that delivers an order long after its connection was closed."""
+
+    bytes_survive_the_close = True
+
+
 PASSING_SETTINGS = settings(
     max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
 )
@@ -330,6 +410,7 @@
         CountsOvertakenRelease,
         ForgetsEarlierGrants,
         LooksUpOwnerWhenSending,
+        BytesSurviveTheClose,
     ],
 )
 def test_search_finds_each_mutant(mutant):
