--- a/tests/cover/test_undelivered_bytes.py
+++ b/tests/cover/test_undelivered_bytes.py
@@ -13,6 +13,7 @@
 import time
 
 import pytest
+import uvloop
 
 from sardinehill.front import key_owners
 from sardinehill.front import peer_links
@@ -28,6 +29,8 @@
 import asyncio
 import sys
 
+import uvloop
+
 from sardinehill.front import key_owners
 
 async def run():
@@ -40,10 +43,27 @@
     print("sent", flush=True)
     await order
 
-asyncio.run(run())
+loops = {{"asyncio": asyncio.new_event_loop, "uvloop": uvloop.new_event_loop}}
+with asyncio.Runner(loop_factory=loops[sys.argv[2]]) as runner:
+    runner.run(run())
 """
 
 
+# The daemon uses uvloop, which closes sockets by itself.
+LOOPS = {"asyncio": asyncio.new_event_loop, "uvloop": uvloop.new_event_loop}
+
+
+@pytest.fixture(params=LOOPS)
+def loop_name(request):
+    return request.param
+
+
+@pytest.fixture
+def run(loop_name):
+    with asyncio.Runner(loop_factory=LOOPS[loop_name]) as runner:
+        yield runner.run
+
+
 @pytest.fixture
 def listener():
     with socket.create_server(("127.0.0.1", 0)) as listener:
@@ -86,18 +106,20 @@
     return received
 
 
-def test_order_given_up_behind_a_cut_does_not_arrive_after_it(listener):
-    result = asyncio.run(send_order(listener))
+def test_order_given_up_behind_a_cut_does_not_arrive_after_it(listener, run):
+    result = run(send_order(listener))
     assert result.status is None
     assert result.written
     assert count_arriving_bytes(listener) < MESSAGE_BYTES
 
 
-def test_order_of_a_killed_daemon_does_not_arrive_after_a_cut(listener):
+def test_order_of_a_killed_daemon_does_not_arrive_after_a_cut(
+    listener, loop_name
+):
     # The kernel closes the connections of a process that has ended.
     host, port = listener.getsockname()
     process = subprocess.Popen(
-        [sys.executable, "-c", SENDING_PROCESS, f"{host}:{port}"],
+        [sys.executable, "-c", SENDING_PROCESS, f"{host}:{port}", loop_name],
         env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
         stdout=subprocess.PIPE,
     )
@@ -107,7 +129,7 @@
     assert count_arriving_bytes(listener) < MESSAGE_BYTES
 
 
-def test_order_of_a_frozen_daemon_does_not_arrive_after_a_cut(listener):
+def test_order_of_a_frozen_daemon_does_not_arrive_after_a_cut(listener, run):
     async def freeze_while_waiting():
         order = asyncio.create_task(send_order(listener))
         await asyncio.sleep(ORDER_TIMEOUT_S / 2)
@@ -116,11 +138,11 @@
         await order
         return received
 
-    assert asyncio.run(freeze_while_waiting()) < MESSAGE_BYTES
+    assert run(freeze_while_waiting()) < MESSAGE_BYTES
 
 
 def test_report_over_a_link_that_was_given_up_does_not_arrive_after_a_cut(
-    listener,
+    listener, run
 ):
     # A leader would take it for a sign that its term is confirmed now.
     async def give_up_the_link():
@@ -132,5 +154,5 @@
         await asyncio.sleep(ORDER_TIMEOUT_S)
         link.close()
 
-    asyncio.run(give_up_the_link())
+    run(give_up_the_link())
     assert count_arriving_bytes(listener) < MESSAGE_BYTES
