Discard what a half-closed connection has buffered when it is given up

Nobody has seen this. An upstream that ends its side during an exchange makes the transport close once all is written.

Change: such a transport is aborted as well.

--- a/src/sardinehill/http1.py
+++ b/src/sardinehill/http1.py
@@ -334,11 +334,13 @@
     def close(self) -> None:
         """Aborts the connection without waiting for the peer."""
         self.usable = False
-        if self._transport is None or self._transport.is_closing():
+        if self._transport is None:
             return
-        is_idle = self._transport.get_write_buffer_size() == 0
-        if self._pending_response is None and is_idle:
+        is_written = self._transport.get_write_buffer_size() == 0
+        is_idle = self._pending_response is None and is_written
+        if is_idle and not self._transport.is_closing():
             discard_unsent_on_close(self._transport, False)
+        # One that is closing may still be writing what it has buffered.
         self._transport.abort()
 
     def is_reusable(self, now_s: float, idle_timeout_s: float) -> bool:
--- a/tests/cover/test_undelivered_bytes.py
+++ b/tests/cover/test_undelivered_bytes.py
@@ -15,6 +15,7 @@
 import pytest
 import uvloop
 
+from sardinehill import http1
 from sardinehill.front import key_owners
 from sardinehill.front import peer_links
 from sardinehill.wire import message_kinds
@@ -92,17 +93,22 @@
 def count_arriving_bytes(listener):
     """Returns how much arrives on the connection once the receiver reads."""
     connection, _ = listener.accept()
-    received = 0
     with connection:
-        connection.settimeout(5.0)
-        while True:
-            try:
-                data = connection.recv(MESSAGE_BYTES)
-            except ConnectionResetError:
-                break
-            if not data:
-                break
-            received += len(data)
+        return receive_all(connection)
+
+
+def receive_all(connection):
+    """Returns how much arrives on a connection until it ends."""
+    received = 0
+    connection.settimeout(5.0)
+    while True:
+        try:
+            data = connection.recv(MESSAGE_BYTES)
+        except ConnectionResetError:
+            break
+        if not data:
+            break
+        received += len(data)
     return received
 
 
@@ -156,3 +162,24 @@
 
     run(give_up_the_link())
     assert count_arriving_bytes(listener) < MESSAGE_BYTES
+
+
+def test_request_given_up_after_the_upstream_half_closed_does_not_arrive(
+    listener, run
+):
+    # The transport waits then until it has written what it has buffered.
+    request_bytes = 4 * 1024 * 1024
+
+    async def give_up_the_request():
+        host, port = listener.getsockname()
+        connection = await http1.connect(f"{host}:{port}", 1.0)
+        upstream, _ = listener.accept()
+        upstream.shutdown(socket.SHUT_WR)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                await connection.exchange(b"x" * request_bytes)
+        await asyncio.sleep(ORDER_TIMEOUT_S / 2)
+        with upstream:
+            return await asyncio.to_thread(receive_all, upstream)
+
+    assert run(give_up_the_request()) < request_bytes / 16
