Do not use a loan of a cold send after the host was suspended

Nobody has seen this; it is the class of what was waited out and happens later. The leader lends sends to a cold upstream again once earlier loans are older than their validity. The borrower measured that by a clock that stands still while its host is suspended, so the loans that had arrived meanwhile were used afterwards, on top of the new ones.

Change: the age of a loan counts by the clock that goes on. The test failed before.

--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -13,6 +13,7 @@
 from sardinehill.core import cold_lending
 from sardinehill.core import crash_suspects
 from sardinehill.core import service_times
+from sardinehill.daemon import boot_clock
 from sardinehill.front import borrowing
 from sardinehill.front import crash_evidence
 from sardinehill.front import front_metrics as metrics_module
@@ -194,14 +195,15 @@
         """
         loop = asyncio.get_running_loop()
         state = target.upstream_state
-        asked_s = loop.time()
-        if not state.is_cold(asked_s):
+        # The lender's time goes on while this host is suspended.
+        asked_s = boot_clock.now_s()
+        if not state.is_cold(loop.time()):
             return True
         wait_s = await self._cold_sends.borrow(target.upstream.id)
         if wait_s > 0:
             state.no_cold_sends_until_s = loop.time() + wait_s
             return False
-        return loop.time() - asked_s <= cold_lending.LOAN_VALIDITY_S
+        return boot_clock.now_s() - asked_s <= cold_lending.LOAN_VALIDITY_S
 
     async def _exchange(
         self,
--- a/tests/cover/test_sending.py
+++ b/tests/cover/test_sending.py
@@ -8,6 +8,7 @@
 from sardinehill.core import cold_lending
 from sardinehill.core import crash_suspects
 from sardinehill.core import upstream_state
+from sardinehill.daemon import boot_clock
 from sardinehill.front import sending
 
 
@@ -82,6 +83,21 @@
     assert target.pool.released == ["connection"]
 
 
+def test_a_loan_is_not_used_after_the_host_was_suspended(monkeypatch):
+    # The lender has lent the same sends again by then.
+    boot_s = 100.0
+    monkeypatch.setattr(boot_clock, "now_s", lambda: boot_s)
+
+    async def borrow(name):
+        nonlocal boot_s
+        boot_s += 5.0
+        return 0.0
+
+    answer, target, _ = send_to_cold_upstream(borrow)
+    assert answer is None
+    assert target.pool.released == ["connection"]
+
+
 @pytest.mark.parametrize("error", [asyncio.CancelledError, RuntimeError])
 def test_a_request_that_ends_while_it_borrows_leaves_nothing_behind(error):
     async def borrow(name):
