Wait for upstreams that are not listed any more after a restore

Nobody has seen this. Once all upstreams have released what is not theirs, keys are granted, although grants that the store has lost may not have lapsed. Only listed upstreams were asked. One that had registered after the copy was made, and cannot reach the store, is not listed any more 2.1 s after the restore, and may hold keys of others then.

Change: all upstreams that this leader has seen and that have not ended must answer; else the grants must lapse. The test failed before. This costs up to 2.5 s when an upstream ends without a word in the first two seconds of such a term.

--- a/src/sardinehill/front/key_owners.py
+++ b/src/sardinehill/front/key_owners.py
@@ -129,15 +129,15 @@
             else:
                 owner.address = upstream.address
 
-    def listed(self) -> list[KeyOwner]:
-        """Returns the upstreams that are listed now and have not ended."""
+    def not_ended(self) -> list[KeyOwner]:
+        """Returns the upstreams that were seen and may still run.
+
+        One that is not listed any more may only have lost the store.
+        """
         return [
             owner
-            for upstream in self._upstreams().values()
-            if upstream.service == self._service
-            and upstream.incarnation not in self.ended
-            and (owner := self.by_incarnation.get(upstream.incarnation))
-            is not None
+            for incarnation, owner in self.by_incarnation.items()
+            if incarnation not in self.ended
         ]
 
     def capacities(
--- a/src/sardinehill/front/unknown_owners.py
+++ b/src/sardinehill/front/unknown_owners.py
@@ -70,7 +70,7 @@
     def _ask_for_missing(self) -> bool:
         """Returns whether all upstreams have released what is not theirs."""
         is_complete = True
-        for owner in self._owners.listed():
+        for owner in self._owners.not_ended():
             answered = self._answered.setdefault(owner.incarnation, set())
             for keys in keyspace.ranges_of_others(
                 self._assignment, owner.incarnation
--- a/tests/cover/test_orders.py
+++ b/tests/cover/test_orders.py
@@ -37,6 +37,7 @@
         self.answers = asyncio.Event()
         self.result = key_owners_module.OrderResult(status=200, written=True)
         self.is_unpowered = False
+        self.silent = set()
 
     async def send_order(
         self, owner, request, timeout_s, may_send, on_new_connection=False
@@ -55,6 +56,10 @@
             (head.split(b" ")[1], owner.incarnation, json.loads(body))
         )
         await self.answers.wait()
+        if owner.incarnation in self.silent:
+            return key_owners_module.OrderResult(
+                error="no answer", written=True
+            )
         return self.result
 
 
--- a/tests/cover/test_unknown_owners.py
+++ b/tests/cover/test_unknown_owners.py
@@ -82,6 +82,18 @@
     assert "/grant" in {path for path, _, _ in sent}
 
 
+def test_upstream_that_is_not_listed_any_more_is_waited_for_as_well(harness):
+    # It may only have lost the store, and holds what the lost assignment gave.
+    listed = harness.owners._upstreams()
+    harness.owners.refresh(harness.now_s)
+    harness.owners._upstreams = lambda: {A[0]: listed[A[0]]}
+    harness.owners.silent = {B}
+    times_s = [ORDERS_ARRIVED_S, MAY_HOLD_UNTIL_S - 0.1]
+    sent = orders_sent(harness, times_s)
+    assert ("/release", B, (0, HALF - 1)) in sent
+    assert "/grant" not in {path for path, _, _ in sent}
+
+
 def test_ranges_of_others_cover_all_keys_but_the_owners():
     spans = [
         keyspace.Span(0, 9, A, 1),
