Read the present lease when a daemon starts

A new leader counts a daemon whose port refuses connections as one that follows no earlier leader, and stops to announce itself once it has a majority with these. Such a daemon may start a moment later. It read the lease as it was seconds ago, followed the earlier leader, and confirmed that one's term by its reports.

Change: a daemon that starts asks for the present lease, one call of the full price for each start.

--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -257,10 +257,12 @@
     async def _lead_or_follow(self) -> None:
         while True:
             try:
-                # Outdated ones only delay this daemon: the lease and the peers
-                # are read again before it leads.
-                await self._registry.read_lease(may_be_stale=True)
+                # Reports to the leader of an outdated lease would confirm its
+                # term, though another one leads already.
+                await self._registry.read_lease()
                 self._known_leader.note_term(self._registry.lease.term)
+                # Outdated peers only delay this daemon: they are read again
+                # before it leads.
                 await self._registry.read_peers(may_be_stale=True)
                 break
             except errors.StoreError:
--- a/src/sardinehill/front/peer_registry.py
+++ b/src/sardinehill/front/peer_registry.py
@@ -127,20 +127,13 @@
                     DAEMONS_KIND, self._name, spec, stored.revision
                 )
 
-    async def read_lease(self, may_be_stale: bool = False) -> None:
+    async def read_lease(self) -> None:
         """Reads the lease from the store.
 
-        Args:
-          may_be_stale: whether an outdated lease will do, which costs less.
-
         Raises:
           StoreError: the lease could not be read.
         """
-        if may_be_stale:
-            stored = await self._store.get_stale(LEASES_KIND, LEASE_NAME)
-        else:
-            stored = await self._store.get(LEASES_KIND, LEASE_NAME)
-        self._set_lease(stored)
+        self._set_lease(await self._store.get(LEASES_KIND, LEASE_NAME))
 
     def _set_lease(self, stored: store_module.StoredObject | None) -> None:
         self.lease_era = self._store.era
