Let only reports in a leader's own term confirm it

Nobody has seen this. A daemon that followed the earlier leader via this one still reports to it, in the earlier term, when it begins to lead. If it goes back to the earlier leader before it gets the new table, it confirms both. One of these reports could make the new term exclusive, which it then stays.

Change: a report of an earlier term does not count; the next one, after the table, does. The test failed before.

--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -206,7 +206,9 @@
         )
         needs_table = self._followers.note_report(report, link)
         if term is not None and self._tasks is not None:
-            term.note_report(report.daemon, report.address)
+            if report.term == self._known_leader.term:
+                # Others may go back to the leader of the term that they name.
+                term.note_report(report.daemon, report.address)
             self._tasks.apply_report(report)
             if report.store_reachable:
                 term.note_store_reached(report.daemon)
--- a/tests/cover/test_leadership.py
+++ b/tests/cover/test_leadership.py
@@ -91,3 +91,27 @@
 
     asyncio.run(body())
     assert set(followed) == {"present:1"}
+
+
+@pytest.mark.parametrize(("term_behind", "confirming"), [(0, ["a"]), (1, [])])
+def test_reports_of_daemons_in_an_earlier_term_do_not_confirm_this_one(
+    term_behind, confirming
+):
+    # A daemon that followed the earlier leader via this one may report to that
+    # one next.
+    async def body():
+        leadership = new_leadership()
+        leadership._known_leader.note_term(9)
+        heard = []
+        leadership._term = types.SimpleNamespace(
+            note_report=lambda daemon, address: heard.append(daemon)
+        )
+        leadership._tasks = types.SimpleNamespace(apply_report=lambda _: None)
+        report = fleet_messages.DaemonReport(
+            "a", "127.0.0.1:2", 9 - term_behind, store_reachable=False
+        )
+        link = types.SimpleNamespace(send=lambda kind, payload: None)
+        leadership._handle_report(link, report)
+        assert heard == confirming
+
+    asyncio.run(body())
