Refuse what a stopping daemon might not see answered

Operators of similar systems lost requests in planned stops in calm: requests that came late in the stop were passed on, and cut without an answer at its end, among them such that may not be repeated.

Here too: the daemon sent every request it read until 5.5 s after SIGTERM, then ended with whatever was at upstreams. A new process test showed it: a POST that a slow caller ended 3.8 s after SIGTERM reached its upstream, and its connection was closed without an answer; one that was at its upstream at the end got none either.

Change: core/stop_window decides before each send. A request that times out before the end is always sent. Others are sent in the first half of the stop if they usually take a quarter of what is left; else they are refused with 503, connection: close and a short Retry-After, as not run. At the end, requests at upstreams are answered 504 (may have run) and waiting ones 503, where all were cut before; the last sixth of the limit, in which that is allowed, has begun.

Measured: of tests/process/test_planned_stop.py, late and last requests failed before and pass now; early and short ones are served before and after.

--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -14,6 +14,7 @@
 from sardinehill.core import named_limits
 from sardinehill.core import quota_shares
 from sardinehill.core import routes
+from sardinehill.core import stop_window
 from sardinehill.daemon import boot_clock
 from sardinehill.front import admission as admission_module
 from sardinehill.front import borrowing
@@ -38,8 +39,11 @@
 # for this long, unless its limit for stopping ends that sooner. The balancer
 # checks readiness once a second and removes a daemon after two misses.
 UNREADY_SERVING_S = 2.2
-# Draining ends this long before the platform kills the process.
+# The last requests are answered this long before the platform kills the
+# process.
 STOP_MARGIN_S = 0.5
+# These answers have at most this time to leave the host.
+LAST_ANSWERS_LIMIT_S = 0.2
 STOP_POLL_INTERVAL_S = 0.05
 LOG_FLUSH_INTERVAL_S = 0.25
 DROPPED_LINES_REPORT_INTERVAL_S = 5.0
@@ -302,10 +306,11 @@
         """
         loop = asyncio.get_running_loop()
         started_s = loop.time()
+        end_s = started_s + self._settings.stop_limit_s - STOP_MARGIN_S
         self._leadership.stop()
         self._server.draining = True
-        deadline_s = started_s + self._settings.stop_limit_s - STOP_MARGIN_S
-        while loop.time() < deadline_s:
+        self._relay.stop(stop_window.StopWindow(started_s, end_s))
+        while loop.time() < end_s + LAST_ANSWERS_LIMIT_S:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
             if loop.time() - started_s < UNREADY_SERVING_S:
                 continue
@@ -313,8 +318,9 @@
             self._server.close_idle_connections()
             if not self._server.connections:
                 break
-        if self._relay.in_flight:
-            events.log(events.STOP_CUT_SHORT, in_flight=self._relay.in_flight)
+        cut_short = self._relay.cut_short + self._relay.in_flight
+        if cut_short:
+            events.log(events.STOP_CUT_SHORT, in_flight=cut_short)
         events.log(
             events.DAEMON_STOPPED, took_s=round(loop.time() - started_s, 3)
         )
--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -10,6 +10,7 @@
 from sardinehill import errors
 from sardinehill import events
 from sardinehill import http1
+from sardinehill.core import stop_window
 from sardinehill.core import upstream_state as state_module
 from sardinehill.front import admission as admission_module
 from sardinehill.front import front_metrics as metrics_module
@@ -24,6 +25,9 @@
 MIN_REMAINING_TIME_RATIO = 0.3
 # The Retry-After of refusals without a more precise estimate.
 DEFAULT_RETRY_AFTER_S = 0.25
+# The Retry-After of refusals because this daemon stops. A retry goes to
+# another daemon.
+STOPPING_RETRY_AFTER_S = 0.05
 # The Retry-After of refusals because the upstream's queue is full.
 QUEUE_FULL_RETRY_AFTER_S = 0.5
 MAX_SENDS_PER_REQUEST = 8
@@ -37,6 +41,7 @@
 
     Public attributes:
       in_flight: requests that are being served now.
+      cut_short: requests at upstreams that the end of a stop has ended.
     """
 
     def __init__(
@@ -61,7 +66,52 @@
             directory, sender, zone
         )
         self._retry_budgets: dict[str, state_module.WindowedRetryBudget] = {}
+        self._stop_window: stop_window.StopWindow | None = None
+        # The admitted requests that are being served, by sequence number.
+        self._active: dict[
+            int, tuple[requests.RequestContext, asyncio.Timeout]
+        ] = {}
         self.in_flight = 0
+        self.cut_short = 0
+
+    # stopping
+
+    def stop(self, window: stop_window.StopWindow) -> None:
+        """Answers every request within a window, and refuses when it is over.
+
+        A request that might not be answered in time is not sent any more. One
+        that is at an upstream when the window ends is reported as uncertain.
+        """
+        self._stop_window = window
+        for context, timeout in self._active.values():
+            self._limit_to_stop_window(context, timeout)
+
+    def _limit_to_stop_window(
+        self, context: requests.RequestContext, timeout: asyncio.Timeout
+    ) -> None:
+        window = self._stop_window
+        if window is None:
+            return
+        context.latest_send_s = stop_window.latest_send_s(
+            window,
+            context.deadline_s,
+            self._sender.mean_latency_s(context.route.name),
+        )
+        if window.end_s < context.deadline_s and not timeout.expired():
+            timeout.reschedule(window.end_s)
+
+    def _refuse_if_stopping(
+        self, context: requests.RequestContext, now_s: float
+    ) -> None:
+        """Refuses a request that might outlast this daemon.
+
+        Raises:
+          requests.RefusedError: the request is not to be sent.
+        """
+        if now_s > context.latest_send_s:
+            raise requests.RefusedError(
+                errors.Reason.DRAINING, 503, STOPPING_RETRY_AFTER_S
+            )
 
     # serving
 
@@ -96,7 +146,12 @@
             context.request.arrived_s
         )
         try:
-            async with asyncio.timeout_at(context.deadline_s):
+            async with asyncio.timeout_at(context.deadline_s) as timeout:
+                self._active[context.sequence_number] = (context, timeout)
+                self._limit_to_stop_window(context, timeout)
+                self._refuse_if_stopping(
+                    context, asyncio.get_running_loop().time()
+                )
                 self._sender.refuse_if_quarantined(context)
                 await self._admission.take_token(context)
                 self._sender.count_arrival(context)
@@ -113,16 +168,28 @@
                 context.request, context.metadata, refusal, context
             )
             return requests.refusal_reply(context.metadata, refusal)
+        finally:
+            self._active.pop(context.sequence_number, None)
         return self._finish_answered(context, answer)
 
     def _deadline_refusal(
         self, context: requests.RequestContext
     ) -> requests.RefusedError:
+        """Returns the refusal of a request whose time is over.
+
+        That is its deadline, or the end of this daemon's stop if that is first.
+        """
+        window = self._stop_window
+        is_stop = window is not None and window.end_s < context.deadline_s
+        reason = errors.Reason.DEADLINE_PASSED
+        retry_after_s = DEFAULT_RETRY_AFTER_S
+        if is_stop:
+            reason = errors.Reason.DRAINING
+            retry_after_s = STOPPING_RETRY_AFTER_S
+            self.cut_short += context.in_flight
         if context.in_flight or context.may_have_run:
-            return requests.RefusedError(errors.Reason.DEADLINE_PASSED, 504)
-        return requests.RefusedError(
-            errors.Reason.DEADLINE_PASSED, 503, DEFAULT_RETRY_AFTER_S
-        )
+            return requests.RefusedError(reason, 504)
+        return requests.RefusedError(reason, 503, retry_after_s)
 
     def _without_not_run_promise(
         self, context: requests.RequestContext, refused: requests.RefusedError
@@ -195,6 +262,7 @@
         )
         while True:
             now_s = loop.time()
+            self._refuse_if_stopping(context, now_s)
             remaining_s = context.deadline_s - now_s
             if remaining_s <= min_remaining_s:
                 raise requests.RefusedError(
--- a/src/sardinehill/front/requests.py
+++ b/src/sardinehill/front/requests.py
@@ -1,6 +1,7 @@
 """Requests in a daemon, their state, and the replies to callers."""
 
 import dataclasses
+import math
 
 from sardinehill import errors
 from sardinehill import http1
@@ -89,6 +90,8 @@
       priority: its priority in queues; 0 is the highest.
       deadline_s: when the request times out, by the loop's clock.
       sequence_number: orders requests of the same priority by arrival.
+      latest_send_s: when it may be sent to an upstream at the latest; before
+        infinity only while the daemon stops.
       sends: how often it was sent to an upstream.
       tried_upstreams: the ids of upstreams that it was sent to.
       used_connections: the connections that it was sent over. An upstream may
@@ -108,6 +111,7 @@
     priority: int
     deadline_s: float
     sequence_number: int
+    latest_send_s: float = math.inf
     sends: int = 0
     tried_upstreams: list[str] = dataclasses.field(default_factory=list)
     used_connections: list[http1.Connection] = dataclasses.field(
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -133,11 +133,12 @@
             # The upstream may have left while the connection was opened.
             is_lent = await self._may_send_while_cold(target)
             self.refuse_if_quarantined(context)
-            may_send = is_lent and not (
-                self._directory.has_left(target.upstream)
-                or target.upstream_state.is_refusing(
-                    asyncio.get_running_loop().time()
-                )
+            now_s = asyncio.get_running_loop().time()
+            may_send = (
+                is_lent
+                and now_s <= context.latest_send_s
+                and not self._directory.has_left(target.upstream)
+                and not target.upstream_state.is_refusing(now_s)
             )
         finally:
             if not may_send:
--- a/tests/cover/test_sending.py
+++ b/tests/cover/test_sending.py
@@ -1,6 +1,7 @@
 """Tests of the checks between opening a connection and sending a request."""
 
 import asyncio
+import math
 import types
 
 import pytest
@@ -24,7 +25,7 @@
         self.released.append(connection)
 
 
-def send_to_cold_upstream(borrow, has_left=False):
+def send_to_cold_upstream(borrow, has_left=False, latest_send_s=math.inf):
     """Sends a request to a cold upstream; returns the result and target."""
     directory = types.SimpleNamespace(
         has_left=lambda upstream: has_left, is_limited=lambda upstream: False
@@ -50,7 +51,9 @@
             pool=FakePool(),
         )
         context = types.SimpleNamespace(
-            deadline_s=now_s + 10.0, used_connections=[]
+            deadline_s=now_s + 10.0,
+            latest_send_s=latest_send_s,
+            used_connections=[],
         )
         outcome = await asyncio.gather(
             sender.send(context, target), return_exceptions=True
@@ -101,3 +104,13 @@
     assert answer is None
     assert target.pool.released == ["connection"]
     assert target.upstream_state.in_flight == 0
+
+
+def test_nothing_is_sent_once_the_stop_leaves_no_time_for_an_answer():
+    async def borrow(name):
+        return 0.0
+
+    answer, target, _ = send_to_cold_upstream(borrow, latest_send_s=0.0)
+    assert answer is None
+    assert target.pool.released == ["connection"]
+    assert target.upstream_state.in_flight == 0
--- /dev/null
+++ b/tests/process/test_planned_stop.py
@@ -0,0 +1,167 @@
+"""Tests how a daemon ends its callers' requests in a planned stop."""
+
+import asyncio
+import signal
+import time
+
+import pytest
+
+from tests.common import platform_fleet
+
+# The platform kills the process this long after SIGTERM, as in its settings.
+STOP_LIMIT_S = 6.0
+TEST_TIMEOUT_S = 20.0
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    fleet = platform_fleet.PlatformFleet(tmp_path, daemons=1, upstreams=1)
+    try:
+        fleet.run(fleet.wait_until_served(fleet.daemons[0]))
+        yield fleet
+    finally:
+        fleet.close()
+
+
+class Caller:
+    """A caller's connection, whose requests may be sent in parts."""
+
+    def __init__(self, daemon):
+        self._daemon = daemon
+        self._reader = None
+        self._writer = None
+
+    async def connect(self):
+        self._reader, self._writer = await asyncio.open_connection(
+            platform_fleet.HOST, self._daemon.callers_port
+        )
+
+    async def send(self, data):
+        self._writer.write(data)
+        await self._writer.drain()
+
+    async def read_all(self):
+        """Returns all that comes until the connection ends."""
+        try:
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                return await self._reader.read()
+        except ConnectionResetError:
+            return b"reset"
+
+
+def request_bytes(request_id, wait_ms, body=b"book"):
+    return (
+        "POST /view/a HTTP/1.1\r\nHost: linen.example\r\n"
+        f"X-Request-Id: {request_id}\r\nX-Deadline-Ms: {wait_ms}\r\n"
+        f"X-Credential: {platform_fleet.ACCOUNT_KEY}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+async def set_up(fleet, service_time_s, timeout_s=30):
+    """Lets the route's requests take a time and run at most once."""
+    await fleet.put_config(8, kind="non_idempotent", timeoutS=timeout_s)
+    await asyncio.sleep(0.5)
+    fleet.upstreams["i-plain"].service_time_s = service_time_s
+
+
+def runs_of(fleet, request_id):
+    return [
+        run
+        for run in fleet.upstreams["i-plain"].runs
+        if run.request_id == request_id
+    ]
+
+
+async def end_of(daemon, started_s):
+    """Returns the exit status and the time from SIGTERM to the end."""
+    async with asyncio.timeout(TEST_TIMEOUT_S):
+        status = await daemon.process.wait()
+    return status, time.monotonic() - started_s
+
+
+def test_request_that_might_outlast_the_stop_is_refused_and_not_run(fleet):
+    async def scenario():
+        daemon = fleet.daemons[0]
+        await set_up(fleet, service_time_s=3.0)
+        caller = Caller(daemon)
+        await caller.connect()
+        data = request_bytes("late", wait_ms=4000)
+        daemon.signal(signal.SIGTERM)
+        started_s = time.monotonic()
+        await asyncio.sleep(1.0)
+        await caller.send(data[:-4])
+        await asyncio.sleep(2.8)
+        await caller.send(data[-4:])
+        sent_s = time.monotonic()
+        received = await caller.read_all()
+        answered_after_s = time.monotonic() - sent_s
+        return received, answered_after_s, await end_of(daemon, started_s)
+
+    received, answered_after_s, (status, ended_s) = fleet.run(scenario())
+    head = received.lower()
+    assert head.startswith(b"http/1.1 503 ")
+    assert b"retry-after: 0." in head
+    assert b"connection: close" in head
+    assert answered_after_s < 1.0
+    assert runs_of(fleet, "late") == []
+    assert status == 0
+    assert ended_s < STOP_LIMIT_S
+
+
+def test_request_that_is_certain_to_end_in_time_is_served_late(fleet):
+    async def scenario():
+        daemon = fleet.daemons[0]
+        await set_up(fleet, service_time_s=0.1)
+        caller = Caller(daemon)
+        await caller.connect()
+        data = request_bytes("short", wait_ms=1000)
+        daemon.signal(signal.SIGTERM)
+        await asyncio.sleep(1.0)
+        await caller.send(data[:-4])
+        await asyncio.sleep(2.5)
+        await caller.send(data[-4:])
+        return await caller.read_all()
+
+    assert fleet.run(scenario()).startswith(b"HTTP/1.1 200 ")
+
+
+def test_request_early_in_a_stop_is_served_as_usual(fleet):
+    async def scenario():
+        daemon = fleet.daemons[0]
+        await set_up(fleet, service_time_s=0.2)
+        daemon.signal(signal.SIGTERM)
+        await asyncio.sleep(1.0)
+        caller = Caller(daemon)
+        await caller.connect()
+        await caller.send(request_bytes("early", wait_ms=20_000))
+        return await caller.read_all()
+
+    received = fleet.run(scenario())
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert b"connection: close" in received
+
+
+def test_request_at_an_upstream_at_the_end_gets_a_true_answer(fleet):
+    async def scenario():
+        daemon = fleet.daemons[0]
+        await set_up(fleet, service_time_s=20.0)
+        caller = Caller(daemon)
+        await caller.connect()
+        await caller.send(request_bytes("long", wait_ms=30_000))
+        await asyncio.sleep(0.3)
+        daemon.signal(signal.SIGTERM)
+        started_s = time.monotonic()
+        await asyncio.sleep(0.5)
+        daemon.signal(signal.SIGTERM)
+        return await caller.read_all(), await end_of(daemon, started_s)
+
+    received, (status, ended_s) = fleet.run(scenario())
+    assert received.startswith(b"HTTP/1.1 504 ")
+    assert b"connection: close" in received
+    assert len(runs_of(fleet, "long")) == 1
+    assert status == 0
+    # It must not be broken off before the last sixth of the limit.
+    assert STOP_LIMIT_S * 5 / 6 < ended_s < STOP_LIMIT_S
+    (event,) = fleet.daemons[0].events("stop-cut-short")
+    assert event["in_flight"] == 1
