Answer pipelined requests when a daemon stops

A stopping daemon closed each connection after its next reply. Requests that had been read behind it in the pipeline got no answer, though seconds were left; one that was still arriving at the end was cut.

Change: a stopping daemon closes a connection after the reply to the last request that has arrived, or has begun to. Requests that are still arriving at the end are refused with 503, as they have not run.

--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -312,6 +312,8 @@
         self._relay.stop(stop_window.StopWindow(started_s, end_s))
         while loop.time() < end_s + LAST_ANSWERS_LIMIT_S:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
+            if loop.time() >= end_s:
+                self._server.refuse_incomplete_requests(503)
             if loop.time() - started_s < UNREADY_SERVING_S:
                 continue
             callers.close()
--- a/src/sardinehill/front/server.py
+++ b/src/sardinehill/front/server.py
@@ -199,8 +199,10 @@
             while self._pipeline and not self.closing:
                 request, keep_alive = self._pipeline.pop(0)
                 reply = await self._server.handle(request)
-                is_last = not keep_alive or self._server.draining
-                is_last = is_last or reply.ends_with_connection
+                is_last = not keep_alive or reply.ends_with_connection
+                is_last = is_last or (
+                    self._server.draining and not self._has_next_request()
+                )
                 self._write(
                     encode_reply(reply, is_last, request.method == b"HEAD")
                 )
@@ -234,6 +236,15 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _has_next_request(self) -> bool:
+        """Returns whether a further request has arrived, or its beginning."""
+        return bool(self._pipeline) or self._in_message
+
+    def refuse_if_incomplete(self, status: int) -> None:
+        """Refuses a request of which only a part has arrived."""
+        if self._in_message and not self.closing:
+            self._refuse(status)
+
     def is_idle(self) -> bool:
         """Returns whether no request is being received or served."""
         return self._serving_task is None and not self._in_message
@@ -268,7 +279,8 @@
       handle: returns the reply to a request.
       limits: returns the current limits of connections.
       connections: the open connections.
-      draining: whether connections are closed after their next reply.
+      draining: whether connections are closed after the reply to the last
+        request that has arrived.
     """
 
     def __init__(
@@ -302,3 +314,8 @@
         """Closes the connections that have no request."""
         for connection in list(self.connections):
             connection.close_if_idle()
+
+    def refuse_incomplete_requests(self, status: int) -> None:
+        """Refuses requests that callers are still sending, and closes."""
+        for connection in list(self.connections):
+            connection.refuse_if_incomplete(status)
--- a/tests/process/test_planned_stop.py
+++ b/tests/process/test_planned_stop.py
@@ -165,3 +165,59 @@
     assert STOP_LIMIT_S * 5 / 6 < ended_s < STOP_LIMIT_S
     (event,) = fleet.daemons[0].events("stop-cut-short")
     assert event["in_flight"] == 1
+
+
+def test_requests_that_wait_in_a_pipeline_are_all_answered(fleet):
+    async def scenario():
+        daemon = fleet.daemons[0]
+        await set_up(fleet, service_time_s=0.8)
+        caller = Caller(daemon)
+        await caller.connect()
+        await caller.send(
+            request_bytes("one", wait_ms=3000)
+            + request_bytes("two", wait_ms=3000)
+        )
+        await asyncio.sleep(0.3)
+        daemon.signal(signal.SIGTERM)
+        return await caller.read_all()
+
+    received = fleet.run(scenario())
+    assert received.count(b"HTTP/1.1 200 ") == 2
+    assert b"x-request-id: two" in received.lower()
+    assert received.count(b"connection: close") == 1
+
+
+def test_requests_left_in_a_pipeline_at_the_end_are_refused(fleet):
+    async def scenario():
+        daemon = fleet.daemons[0]
+        await set_up(fleet, service_time_s=20.0)
+        caller = Caller(daemon)
+        await caller.connect()
+        await caller.send(
+            request_bytes("first", wait_ms=30_000)
+            + request_bytes("second", wait_ms=30_000)
+            + request_bytes("third", wait_ms=30_000)[:-1]
+        )
+        await asyncio.sleep(0.3)
+        daemon.signal(signal.SIGTERM)
+        return await caller.read_all()
+
+    answers = fleet.run(scenario()).split(b"HTTP/1.1 ")[1:]
+    assert [answer[:3] for answer in answers] == [b"504", b"503", b"503"]
+    assert b"x-request-id: second" in answers[1].lower()
+    assert runs_of(fleet, "second") == runs_of(fleet, "third") == []
+
+
+def test_request_half_received_at_the_end_is_refused(fleet):
+    async def scenario():
+        daemon = fleet.daemons[0]
+        await set_up(fleet, service_time_s=0.1)
+        caller = Caller(daemon)
+        await caller.connect()
+        daemon.signal(signal.SIGTERM)
+        await asyncio.sleep(1.5)
+        await caller.send(request_bytes("half", wait_ms=9000)[:-1])
+        return await caller.read_all()
+
+    assert fleet.run(scenario()).startswith(b"HTTP/1.1 503 ")
+    assert runs_of(fleet, "half") == []
