Serve connections that a stop finds in the kernel's queue

When a stopping daemon closed its listener, connections that waited in the kernel were reset, and one that had been accepted without a request yet was closed as idle, with its request on the way. Callers had to try again, and an end of the last connection at that moment ended the daemon before it had read new ones.

Change: before the listener closes, the loop accepts until a pass brings no new connection. A new connection has a second for its first request.

Measured: a new process test, in which the daemon stands still from 1.9 to 2.5 s after SIGTERM, failed before with a reset connection and passes now.

--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -310,13 +310,12 @@
         self._leadership.stop()
         self._server.draining = True
         self._relay.stop(stop_window.StopWindow(started_s, end_s))
+        await asyncio.sleep(min(UNREADY_SERVING_S, end_s - started_s))
+        await self._server.stop_listening(callers)
         while loop.time() < end_s + LAST_ANSWERS_LIMIT_S:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
             if loop.time() >= end_s:
                 self._server.refuse_incomplete_requests(503)
-            if loop.time() - started_s < UNREADY_SERVING_S:
-                continue
-            callers.close()
             self._server.close_idle_connections()
             if not self._server.connections:
                 break
--- a/src/sardinehill/front/server.py
+++ b/src/sardinehill/front/server.py
@@ -20,6 +20,11 @@
 # served.
 MAX_PIPELINED_REQUESTS = 8
 LIMIT_CHECK_INTERVAL_S = 0.5
+MAX_QUEUED_CONNECTIONS = 1024
+# The loop accepts one connection a pass and reports it in a later one.
+PASSES_PER_CONNECTION = 3
+# A new connection whose first request has not arrived is not yet idle.
+FIRST_REQUEST_WAIT_S = 1.0
 # The limit on a request's header does not count separators and line ends.
 MAX_SEPARATOR_BYTES = 8192
 
@@ -71,8 +76,10 @@
         self._headers_complete = False
         self._bytes_before_body = 0
         self._refusal_status: int | None = None
-        self._phase_started_s = self._loop.time()
-        self._received_s = self._loop.time()
+        self._opened_s = self._loop.time()
+        self._phase_started_s = self._opened_s
+        # When bytes last arrived, or when the connection was opened.
+        self._received_s = self._opened_s
         self.closing = False
 
     # asyncio's callbacks
@@ -83,6 +90,7 @@
         self._transport = cast(asyncio.Transport, transport)
         http1.set_tcp_options(transport, keepalive=False)
         self._server.connections.add(self)
+        self._server.accepted_count += 1
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; malformed ones end the connection."""
@@ -250,8 +258,13 @@
         return self._serving_task is None and not self._in_message
 
     def close_if_idle(self) -> None:
-        """Closes the connection if it has no request."""
-        if self.is_idle():
+        """Closes the connection if it has no request, and is not new."""
+        now_s = self._loop.time()
+        is_new = (
+            self._received_s == self._opened_s
+            and now_s - self._opened_s < FIRST_REQUEST_WAIT_S
+        )
+        if self.is_idle() and not is_new:
             self._close()
 
     def enforce_limits(self, limits: routes.CallerLimits, now_s: float) -> None:
@@ -279,6 +292,7 @@
       handle: returns the reply to a request.
       limits: returns the current limits of connections.
       connections: the open connections.
+      accepted_count: how many connections it has accepted.
       draining: whether connections are closed after the reply to the last
         request that has arrived.
     """
@@ -289,6 +303,7 @@
         self.handle = handle
         self.limits = limits
         self.connections: set[CallerConnection] = set()
+        self.accepted_count = 0
         self.draining = False
 
     async def listen(self, host: str, port: int) -> asyncio.Server:
@@ -297,10 +312,26 @@
             lambda: CallerConnection(self),
             host,
             port,
-            backlog=1024,
+            backlog=MAX_QUEUED_CONNECTIONS,
             reuse_address=True,
         )
 
+    async def stop_listening(self, listening: asyncio.Server) -> None:
+        """Accepts the connections that wait in the kernel, then no more.
+
+        After a delay of the loop some may wait. They would be reset.
+
+        Args:
+          listening: what `listen` has returned.
+        """
+        for _ in range(MAX_QUEUED_CONNECTIONS):
+            accepted = self.accepted_count
+            for _ in range(PASSES_PER_CONNECTION):
+                await asyncio.sleep(0)
+            if accepted == self.accepted_count:
+                break
+        listening.close()
+
     async def enforce_limits(self) -> None:
         """Applies the time limits periodically, until cancelled."""
         loop = asyncio.get_running_loop()
@@ -311,7 +342,7 @@
                 connection.enforce_limits(limits, loop.time())
 
     def close_idle_connections(self) -> None:
-        """Closes the connections that have no request."""
+        """Closes the connections that have no request, except new ones."""
         for connection in list(self.connections):
             connection.close_if_idle()
 
--- a/tests/process/test_planned_stop.py
+++ b/tests/process/test_planned_stop.py
@@ -221,3 +221,30 @@
 
     assert fleet.run(scenario()).startswith(b"HTTP/1.1 503 ")
     assert runs_of(fleet, "half") == []
+
+
+def test_connections_queued_when_the_listener_closes_are_served(fleet):
+    async def scenario():
+        daemon = fleet.daemons[0]
+        await set_up(fleet, service_time_s=0.1)
+        kept = Caller(daemon)
+        await kept.connect()
+        await kept.send(request_bytes("before", wait_ms=1500))
+        await asyncio.sleep(0.5)
+        daemon.signal(signal.SIGTERM)
+        await asyncio.sleep(1.9)
+        daemon.signal(signal.SIGSTOP)
+        callers = [Caller(daemon) for _ in range(3)]
+        for caller in callers:
+            await caller.connect()
+        for caller in (kept, *callers[:2]):
+            await caller.send(request_bytes("queued", wait_ms=1500))
+        await asyncio.sleep(0.6)
+        daemon.signal(signal.SIGCONT)
+        await asyncio.sleep(0.2)
+        # The last one was accepted before its request came.
+        await callers[2].send(request_bytes("after", wait_ms=1500))
+        return [await caller.read_all() for caller in (kept, *callers)]
+
+    answers = fleet.run(scenario())
+    assert [a.count(b"HTTP/1.1 200 ") for a in answers] == [2, 1, 1, 1]
