Close a connection after the beginning of a second answer

Bytes behind a complete answer closed the connection if they were no protocol or a whole answer. The beginning of an answer, in the same packet, was parsed and forgotten: the connection went back to the pool, and when the rest came during the next exchange, that one failed as broken off. A request that may not be repeated was then answered 502, though its upstream had answered it.

Change: the first byte of an answer that nothing waits for closes the connection.

--- a/src/sardinehill/http1.py
+++ b/src/sardinehill/http1.py
@@ -242,7 +242,10 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        """Resets the state for a new response."""
+        """Resets the state for a new response; closes if none is expected."""
+        if self._pending_response is None:
+            # Its rest would be taken for the beginning of the next response.
+            self.close()
         self._response = Response()
         self._body = []
         self._body_bytes = 0
--- a/tests/cover/test_broken_answers.py
+++ b/tests/cover/test_broken_answers.py
@@ -113,3 +113,26 @@
         await asyncio.sleep(0.05)
 
     asyncio.run(body())
+
+
+async def exchange_once(data):
+    """Returns a connection and its answer after some bytes have arrived."""
+    connection = http1.Connection(asyncio.get_running_loop())
+    connection.connection_made(FakeTransport())
+    pending = asyncio.ensure_future(connection.exchange(REQUEST))
+    await asyncio.sleep(0)
+    connection.data_received(data)
+    return connection, await pending
+
+
+@pytest.mark.parametrize("answer", [ANSWER, CHUNKED_ANSWER])
+@pytest.mark.parametrize("length", [1, 9, 20, len(REFUSAL) - 1, len(REFUSAL)])
+def test_connection_is_not_used_again_after_the_beginning_of_another_answer(
+    answer, length
+):
+    # The rest would be taken for the beginning of the next answer.
+    async def body():
+        connection, response = await exchange_once(answer + REFUSAL[:length])
+        return response.body, connection.usable
+
+    assert asyncio.run(body()) == (b"whole", False)
