Drop trailers of answers

Trailers behind a body in chunks were added to the headers, and the last value of a header counts. A trailer could thus give an answer another request id, or state that a request has not run which had.

Change: the parser's headers count only until the head is complete.

Measured: the new test failed before and passes now.

--- a/src/sardinehill/http1.py
+++ b/src/sardinehill/http1.py
@@ -253,7 +253,12 @@
         self._headers_done = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header and notes whether it delimits the body."""
+        """Stores a header and notes whether it delimits the body.
+
+        Trailers, which come after a body in chunks, are dropped.
+        """
+        if self._headers_done:
+            return
         lower = name.lower()
         self._response.headers.append((lower, value))
         if lower in (b"content-length", b"transfer-encoding"):
--- a/tests/cover/test_broken_answers.py
+++ b/tests/cover/test_broken_answers.py
@@ -136,3 +136,17 @@
         return response.body, connection.usable
 
     assert asyncio.run(body()) == (b"whole", False)
+
+
+def test_trailers_are_not_taken_for_headers():
+    async def body():
+        data = CHUNKED_ANSWER.removesuffix(b"\r\n") + (
+            b"X-Not-Executed: 1\r\nX-Request-Id: r2\r\nX-Trailer: 1\r\n\r\n"
+        )
+        _, response = await exchange_once(data)
+        return response
+
+    response = asyncio.run(body())
+    assert response.header(b"x-request-id") == b"r1"
+    assert response.header(b"x-not-executed") is None
+    assert response.header(b"x-trailer") is None
