Close a test's connection before its event loop

A server in tests/cover/test_endless_answers.py left its connection open. The check itself stays as it is.

--- a/tests/cover/test_endless_answers.py
+++ b/tests/cover/test_endless_answers.py
@@ -91,6 +91,7 @@
             await reader.readuntil(b"\r\n\r\n")
             writer.write(OK_HEAD + b"transfer-encoding: chunked\r\n\r\n")
             writer.write(b"1\r\nx\r\n" * 40_000 + b"0\r\n\r\n")
+            writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
