--- a/src/sardinehill/http1.py
+++ b/src/sardinehill/http1.py
@@ -242,7 +242,10 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        """Resets the state for a new response."""
+        """Resets the state for a new response; closes if none is expected."""
+        if self._pending_response is None:
+            # Its rest would be taken for the beginning of the next response.
+            self.close()
         self._response = Response()
         self._body = []
         self._body_bytes = 0
@@ -250,7 +253,12 @@
         self._headers_done = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header and notes whether it delimits the body."""
+        """Stores a header and notes whether it delimits the body.
+
+        Trailers, which come after a body in chunks, are dropped.
+        """
+        if self._headers_done:
+            return
         lower = name.lower()
         self._response.headers.append((lower, value))
         if lower in (b"content-length", b"transfer-encoding"):
