Tell all daemons that an upstream has said that it leaves

Cause: a daemon heeded only the answers that it got itself.

Change: daemons report it, the leader puts it into its next table, daemons that forward tables pass it on, a daemon that begins to follow and a new leader are told all. The planner is told by daemons and tells them what owners answer to orders. It counts for an incarnation, from when it was first heard. New fields: Report.leaving @12, Table.leaving @22; daemons that do not know them ignore them.

--- a/src/sardinehill/core/fleet_messages.py
+++ b/src/sardinehill/core/fleet_messages.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from sardinehill.core import keyspace
 from sardinehill.core import store_versions
 
 # What a daemon understands beyond the first version: from version 1 on, changes
@@ -89,6 +90,19 @@
     survived_age_s: float | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeavingNews:
+    """What a daemon knows of an upstream that has said that it leaves.
+
+    Attributes:
+      incarnation: the upstream's id and the time of its start.
+      age_s: the time since it first said so.
+    """
+
+    incarnation: keyspace.Incarnation
+    age_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class DaemonReport:
     """The usage report that a daemon sends the leader several times a second.
@@ -108,6 +122,7 @@
       limits: what upstreams have said of their limits since the last report.
       suspects: what has become known since then of requests that may end
         upstreams.
+      leaving: the upstreams that have said since then that they leave.
     """
 
     daemon: str
@@ -122,6 +137,7 @@
     needs_spans: bool = False
     limits: list[LimitNews] = dataclasses.field(default_factory=list)
     suspects: list[SuspectNews] = dataclasses.field(default_factory=list)
+    leaving: list[LeavingNews] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -199,6 +215,8 @@
         changed.
       suspects: the requests that may end upstreams; those that are not listed
         have not changed.
+      leaving: the upstreams that have said that they leave; of those that are
+        not listed nothing new is known.
     """
 
     term: int
@@ -221,6 +239,7 @@
     configuration: int = 0
     limits: list[LimitNews] = dataclasses.field(default_factory=list)
     suspects: list[SuspectNews] = dataclasses.field(default_factory=list)
+    leaving: list[LeavingNews] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -11,6 +11,7 @@
 from sardinehill.core import cold_lending
 from sardinehill.core import crash_suspects
 from sardinehill.core import fleet_messages
+from sardinehill.core import leaving_upstreams
 from sardinehill.core import named_limits
 from sardinehill.core import quota_shares
 from sardinehill.core import routes
@@ -73,8 +74,14 @@
         )
         limits = named_limits.NamedLimits()
         suspects = crash_suspects.CrashSuspects()
+        leaving = leaving_upstreams.LeavingUpstreams()
         self._directory = directory_module.UpstreamDirectory(
-            self._view, settings.drain_limit_s, loop.time, limits, suspects
+            self._view,
+            settings.drain_limit_s,
+            loop.time,
+            limits,
+            suspects,
+            leaving,
         )
         self._counters = counters_module.ReportCounters()
         quota = quota_shares.FleetQuota(
@@ -124,6 +131,7 @@
             cold_lending.ColdBound(settings.cold_ratio, settings.cold_slack),
             limits,
             suspects,
+            leaving,
         )
         self._server = server_module.Server(self._relay.serve, self._limits)
         self._front_metrics.add_gauge_source(self._gauge_values)
--- a/src/sardinehill/front/known_leader.py
+++ b/src/sardinehill/front/known_leader.py
@@ -197,6 +197,7 @@
             shares={},
             limits=[],
             suspects=[],
+            leaving=[],
             # Peers take this for evidence that the leader is alive, so it must
             # not depend on when this daemon began to follow it.
             age_s=min(self._clock_s() - self._heard_s, _MAX_AGE_S),
--- a/src/sardinehill/front/leader_tables.py
+++ b/src/sardinehill/front/leader_tables.py
@@ -6,6 +6,7 @@
 
 from sardinehill.core import crash_suspects
 from sardinehill.core import fleet_messages
+from sardinehill.core import leaving_upstreams
 from sardinehill.core import named_limits
 from sardinehill.core import store_versions
 from sardinehill.front import followers as followers_module
@@ -52,12 +53,15 @@
       limits: the limits that upstreams name; empty if they are not included.
       suspects: the requests that may end upstreams; empty if they are not
         included.
+      leaving: the upstreams that have said that they leave, of which the
+        receivers have not been told.
       includes_lendable: whether the lendable tokens are included.
     """
 
     documents_age_s: float
     limits: list[fleet_messages.LimitNews]
     suspects: list[fleet_messages.SuspectNews]
+    leaving: list[fleet_messages.LeavingNews]
     includes_lendable: bool = False
 
 
@@ -76,6 +80,7 @@
         followers: followers_module.Followers,
         limits: named_limits.NamedLimits,
         suspects: crash_suspects.CrashSuspects,
+        leaving: leaving_upstreams.LeavingUpstreams,
         document_versions: Callable[[], list[store_versions.StoreVersion]],
         on_table: Callable[[fleet_messages.LeaderTable], None],
     ):
@@ -86,6 +91,7 @@
         self._followers = followers
         self._limits = limits
         self._suspects = suspects
+        self._leaving = leaving
         self._document_versions = document_versions
         self._on_table = on_table
         self._leading: _Leading | None = None
@@ -151,7 +157,10 @@
         self._push_scheduled = False
         # One for all daemons, as equal tables are encoded once.
         news = self._news(
-            self._includes_limits, self._includes_suspects, includes_lendable
+            self._includes_limits,
+            self._includes_suspects,
+            self._leaving.take_unpublished(_now_s()),
+            includes_lendable,
         )
         self._includes_limits = self._includes_suspects = False
         if self._leading is not None:
@@ -169,7 +178,8 @@
           name: the follower.
           is_first: whether it has not been told yet what changes rarely.
         """
-        table = self._table_for(name, self._news(is_first, is_first))
+        leaving = self._leaving.latest_news(_now_s()) if is_first else []
+        table = self._table_for(name, self._news(is_first, is_first, leaving))
         self._followers.send_table(name, table)
 
     # building
@@ -185,13 +195,15 @@
         self,
         includes_limits: bool,
         includes_suspects: bool,
+        leaving: list[fleet_messages.LeavingNews],
         includes_lendable: bool = False,
     ) -> _TableNews:
-        now_s = asyncio.get_running_loop().time()
+        now_s = _now_s()
         return _TableNews(
             self._view.documents_age_s(),
             self._limits.all_news(now_s) if includes_limits else [],
             self._suspects.all_news(now_s) if includes_suspects else [],
+            leaving,
             includes_lendable,
         )
 
@@ -202,6 +214,7 @@
         table = self._summary()
         table.limits = news.limits
         table.suspects = news.suspects
+        table.leaving = news.leaving
         if self._leading is None:
             known = self._known_leader.table
             if known is not None and not self._known_leader.needs_spans:
@@ -247,3 +260,7 @@
             document_versions=self._document_versions(),
             configuration=self._view.configuration_version,
         )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/sardinehill/front/leader_tasks.py
+++ b/src/sardinehill/front/leader_tasks.py
@@ -6,6 +6,8 @@
 from sardinehill import events
 from sardinehill.core import cold_lending
 from sardinehill.core import fleet_messages
+from sardinehill.core import keyspace
+from sardinehill.core import leaving_upstreams
 from sardinehill.core import named_limits
 from sardinehill.core import quota_lending
 from sardinehill.core import quota_shares
@@ -45,6 +47,7 @@
         cold_bound: cold_lending.ColdBound,
         earlier_leader_ended: bool,
         limits: named_limits.NamedLimits,
+        leaving: leaving_upstreams.LeavingUpstreams,
     ):
         self._term = term
         self._store = store
@@ -55,6 +58,7 @@
         self._on_superseded = on_superseded
         self._clock_s = clock_s
         self._managers: dict[str, assignment_manager.AssignmentManager] = {}
+        self._owners: dict[str, key_owners.KeyOwners] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._quota = quota
         self._lender = lender
@@ -63,6 +67,7 @@
             clock_s(), earlier_leader_ended
         )
         self._limits = limits
+        self._leaving = leaving
         self._limited_lender = named_limits.LimitedSendLender()
         # The accounts whose quotas are divided, and what they follow from.
         self._preallocated: list[str] = []
@@ -95,6 +100,7 @@
                         self._tasks[service.name] = group.create_task(
                             self._manage(service.name)
                         )
+            self.exchange_leaving()
             await asyncio.sleep(
                 POLL_INTERVAL_S if self._tasks else FIRST_POLL_INTERVAL_S
             )
@@ -106,17 +112,18 @@
 
     async def _manage(self, service: str) -> None:
         while True:
+            owners = key_owners.KeyOwners(
+                service,
+                lambda: self._view.upstreams,
+                lambda: self._view.zones_out,
+                self._clock_s(),
+            )
             manager = assignment_manager.AssignmentManager(
                 service,
                 assignment_store.AssignmentStore(
                     service, self._term, self._store, self._on_superseded
                 ),
-                key_owners.KeyOwners(
-                    service,
-                    lambda: self._view.upstreams,
-                    lambda: self._view.zones_out,
-                    self._clock_s(),
-                ),
+                owners,
                 self._may_send_orders,
                 self._is_exclusive,
                 self._on_spans_changed,
@@ -124,6 +131,7 @@
                 self._limits.rate_per_s,
             )
             self._managers[service] = manager
+            self._owners[service] = owners
             try:
                 await manager.run()
             except Exception as error:
@@ -137,6 +145,26 @@
         for manager in self._managers.values():
             manager.replan()
 
+    def exchange_leaving(self) -> None:
+        """Exchanges with the assignment managers which upstreams leave.
+
+        Either hears it in answers: daemons to requests, managers to orders.
+        """
+        now_s = asyncio.get_running_loop().time()
+        for service, owners in self._owners.items():
+            for owner in owners.by_incarnation.values():
+                if owner.says_leaving and self._is_listed(owner.incarnation):
+                    self._leaving.record_answer(owner.incarnation, now_s)
+            for incarnation in self._leaving.incarnations():
+                leaving_owner = owners.by_incarnation.get(incarnation)
+                if leaving_owner is not None and not leaving_owner.says_leaving:
+                    leaving_owner.says_leaving = True
+                    self._managers[service].replan()
+
+    def _is_listed(self, incarnation: keyspace.Incarnation) -> bool:
+        upstream = self._view.upstreams.get(incarnation[0])
+        return upstream is not None and upstream.incarnation == incarnation
+
     def apply_report(self, report: fleet_messages.DaemonReport) -> None:
         """Adds a daemon's counts to the estimates of demand and load."""
         self.demand.record_demand(
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -16,6 +16,7 @@
 from sardinehill.core import cold_lending
 from sardinehill.core import crash_suspects
 from sardinehill.core import fleet_messages
+from sardinehill.core import leaving_upstreams
 from sardinehill.core import named_limits
 from sardinehill.core import quota_lending
 from sardinehill.core import quota_shares
@@ -62,6 +63,7 @@
         cold_bound: cold_lending.ColdBound,
         limits: named_limits.NamedLimits,
         suspects: crash_suspects.CrashSuspects,
+        leaving: leaving_upstreams.LeavingUpstreams,
     ):
         self._name = name
         self._store = store
@@ -74,7 +76,9 @@
         self._cold_bound = cold_bound
         self._limits = limits
         self._suspects = suspects
-        # The term of the leader that was last told of all suspects.
+        self._leaving = leaving
+        # The term of the leader that was last told of all suspects and of all
+        # upstreams that leave.
         self._reported_term = 0
         self._registry = peer_registry.PeerRegistry(
             name, address, core_share, store
@@ -109,6 +113,7 @@
             self._followers,
             limits,
             suspects,
+            leaving,
             self.replication.change_versions,
             on_table,
         )
@@ -204,10 +209,14 @@
         self._suspects.record_news(
             report.suspects, now_s, is_passed_on=term is None
         )
+        self._leaving.record_news(
+            report.leaving, now_s, is_passed_on=term is None
+        )
         needs_table = self._followers.note_report(report, link)
         if term is not None and self._tasks is not None:
             term.note_report(report.daemon, report.address)
             self._tasks.apply_report(report)
+            self._note_leaving(self._tasks)
             if report.store_reachable:
                 term.note_store_reached(report.daemon)
                 self._hand_over_if_store_lost(term)
@@ -299,8 +308,11 @@
         if self._reported_term != report.term:
             self._reported_term = report.term
             self._suspects.report_all()
+            self._leaving.report_all()
         report.suspects = self._suspects.take_unreported(now_s)
         self._suspects.forget(now_s)
+        report.leaving = self._leaving.take_unreported(now_s)
+        self._leaving.forget(self._view.upstreams, now_s)
         return report
 
     def _loop_time_s(self) -> float:
@@ -375,6 +387,7 @@
             is_restart
             or (previous_table is not None and previous_table.resigned),
             self._limits,
+            self._leaving,
         )
 
     async def _push_periodically(
@@ -385,6 +398,7 @@
             own_tasks.apply_report(self._make_report())
             self._note_changed_limits(own_tasks)
             self._note_changed_suspects()
+            self._note_leaving(own_tasks)
             await asyncio.sleep(leader_client.REPORT_INTERVAL_S)
 
     def _note_changed_suspects(self) -> None:
@@ -400,6 +414,12 @@
             self._tables.note_changed_limits()
             own_tasks.replan()
 
+    def _note_leaving(self, own_tasks: leader_tasks.LeaderTasks) -> None:
+        """Tells all daemons of upstreams that leave, and plans without them."""
+        if self._leaving.has_unpublished:
+            self._tables.schedule_push()
+            own_tasks.exchange_leaving()
+
     def resign(self) -> None:
         """Stops leading; the others choose a new leader at once."""
         term = self._term
--- a/src/sardinehill/front/upstream_directory.py
+++ b/src/sardinehill/front/upstream_directory.py
@@ -11,6 +11,8 @@
 from sardinehill import events
 from sardinehill.core import crash_suspects
 from sardinehill.core import fleet_messages
+from sardinehill.core import keyspace
+from sardinehill.core import leaving_upstreams
 from sardinehill.core import named_limits
 from sardinehill.core import routes
 from sardinehill.core import upstream_state
@@ -47,7 +49,8 @@
       pool: the connections to it.
       leaving_since_s: the earliest time at which it may have begun to drain or
         left the store, or None.
-      said_leaving_s: when it first said in an answer that it leaves, or None.
+      said_leaving_s: when it first said in an answer to any daemon that it
+        leaves, or None.
       has_ended: whether its address belongs to another upstream now.
     """
 
@@ -88,10 +91,12 @@
         clock_s: Callable[[], float],
         limits: named_limits.NamedLimits,
         suspects: crash_suspects.CrashSuspects,
+        leaving: leaving_upstreams.LeavingUpstreams,
     ):
         self._view = view
         self._limits = limits
         self._suspects = suspects
+        self._leaving = leaving
         self._drain_grace_s = drain_limit_s * DRAIN_GRACE_RATIO
         self._clock_s = clock_s
         self._entries: dict[str, _UpstreamEntry] = {}
@@ -168,6 +173,7 @@
             )
             self._entries[upstream.id] = entry
             entry.state.cold_until_s = now_s + upstream.cold_remaining_s
+            self._heed_leaving(upstream.incarnation)
         elif upstream != entry.upstream:
             entry.state.cold_until_s = now_s + upstream.cold_remaining_s
         entry.upstream = upstream
@@ -181,9 +187,14 @@
         previous_table = self._table
         self._table = table
         self.daemon_count = max(table.daemons, 1)
-        heard_s = self._clock_s() - table.age_s
+        now_s = self._clock_s()
+        heard_s = now_s - table.age_s
         self._limits.record_news(table.limits, heard_s)
         self._suspects.record_news(table.suspects, heard_s, is_passed_on=False)
+        # Also a forwarding daemon counts their age up to when it sends them.
+        self._leaving.record_news(table.leaving, now_s, is_passed_on=False)
+        for news in table.leaving:
+            self._heed_leaving(news.incarnation)
         if previous_table is not None and previous_table.spans is table.spans:
             return
         self._first_keys = {
@@ -241,8 +252,26 @@
             and entry.upstream.incarnation == upstream.incarnation
             and entry.said_leaving_s is None
         ):
-            entry.said_leaving_s = self._clock_s()
-            events.log(events.UPSTREAM_LEAVES, upstream=upstream.id)
+            self._leaving.record_answer(upstream.incarnation, self._clock_s())
+            self._heed_leaving(upstream.incarnation)
+
+    def _heed_leaving(self, incarnation: keyspace.Incarnation) -> None:
+        """Sends an upstream nothing more after the grace if it leaves."""
+        entry = self._entries.get(incarnation[0])
+        said_s = self._leaving.said_s(incarnation)
+        if (
+            entry is None
+            or said_s is None
+            or entry.upstream.incarnation != incarnation
+        ):
+            return
+        if entry.said_leaving_s is None:
+            events.log(
+                events.UPSTREAM_LEAVES,
+                upstream=incarnation[0],
+                said_ago_s=round(self._clock_s() - said_s, 3),
+            )
+        entry.said_leaving_s = said_s
 
     def wake_next(self, upstream: routes.Upstream, service: str) -> None:
         """Wakes the next waiting request after capacity became free."""
--- a/src/sardinehill/wire/fleet.capnp
+++ b/src/sardinehill/wire/fleet.capnp
@@ -56,6 +56,15 @@
   survivedAgeMs @3 :UInt32;
 }
 
+# An upstream that has said that it leaves.
+struct LeavingUpstream {
+  upstream @0 :Text;
+  # The Unix time of its start in milliseconds.
+  startedAtMs @1 :UInt64;
+  # The time since it first said so, in milliseconds.
+  ageMs @2 :UInt32;
+}
+
 # Sent by a daemon to the leader several times a second.
 struct Report {
   daemon @0 :Text;
@@ -72,6 +81,7 @@
   needsSpans @9 :Bool;
   limits @10 :List(LimitNews);
   suspects @11 :List(Suspect);
+  leaving @12 :List(LeavingUpstream);
 }
 
 struct Span {
@@ -143,6 +153,7 @@
   suspects @20 :List(Suspect);
   # The version of the configuration that the leader has.
   configuration @21 :UInt64;
+  leaving @22 :List(LeavingUpstream);
 }
 
 # Sent when the store has changed, by a peer to each daemon that follows it.
--- a/src/sardinehill/wire/fleet.py
+++ b/src/sardinehill/wire/fleet.py
@@ -100,6 +100,7 @@
         needsSpans=report.needs_spans,
         limits=[_encoded_limit(news) for news in report.limits],
         suspects=[_encoded_suspect(news) for news in report.suspects],
+        leaving=[_encoded_leaving(news) for news in report.leaving],
     )
     return bytes(message.to_bytes())
 
@@ -138,6 +139,7 @@
         needs_spans=message.needsSpans,
         limits=[_decoded_limit(item) for item in message.limits],
         suspects=[_decoded_suspect(item) for item in message.suspects],
+        leaving=[_decoded_leaving(item) for item in message.leaving],
     )
 
 
@@ -186,6 +188,21 @@
     )
 
 
+def _encoded_leaving(news: fleet_messages.LeavingNews) -> dict[str, Any]:
+    upstream, started_at_ms = news.incarnation
+    return {
+        "upstream": upstream,
+        "startedAtMs": started_at_ms,
+        "ageMs": _clamped_uint32(news.age_s * _THOUSAND),
+    }
+
+
+def _decoded_leaving(item: Any) -> fleet_messages.LeavingNews:
+    return fleet_messages.LeavingNews(
+        (item.upstream, item.startedAtMs), item.ageMs / _THOUSAND
+    )
+
+
 def _service_table(
     service: str, spans: list[fleet_messages.OwnerSpan]
 ) -> dict[str, Any]:
@@ -273,6 +290,7 @@
         configuration=table.configuration,
         limits=[_encoded_limit(news) for news in table.limits],
         suspects=[_encoded_suspect(news) for news in table.suspects],
+        leaving=[_encoded_leaving(news) for news in table.leaving],
         lendable=[
             {"account": account, "tokens": _clamped_uint32(tokens * _THOUSAND)}
             for account, tokens in table.lendable.items()
@@ -347,6 +365,7 @@
         configuration=message.configuration,
         limits=[_decoded_limit(item) for item in message.limits],
         suspects=[_decoded_suspect(item) for item in message.suspects],
+        leaving=[_decoded_leaving(item) for item in message.leaving],
         lendable={
             item.account: item.tokens / _THOUSAND for item in message.lendable
         },
--- a/tests/cover/test_peer_frames.py
+++ b/tests/cover/test_peer_frames.py
@@ -34,6 +34,7 @@
     successor="next",
     configuration=12,
     suspects=[fleet_messages.SuspectNews(b"d" * 32, {}, 1.25)],
+    leaving=[fleet_messages.LeavingNews(("i-3", 1700000000000), 1.5)],
     document_versions=[
         store_versions.StoreVersion(2, 5),
         store_versions.StoreVersion(2, 6),
@@ -55,6 +56,7 @@
             b"d" * 32, {"i-1@5": 2.5, "i-2@0": 0.5}, None
         )
     ],
+    leaving=[fleet_messages.LeavingNews(("i-2", 0), 0.25)],
 )
 CHANGE = fleet_messages.StoreChange(
     "servers",
--- a/tests/cover/test_upstream_directory.py
+++ b/tests/cover/test_upstream_directory.py
@@ -8,6 +8,7 @@
 
 from sardinehill.core import crash_suspects
 from sardinehill.core import fleet_messages
+from sardinehill.core import leaving_upstreams
 from sardinehill.core import named_limits
 from sardinehill.core import routes
 from sardinehill.core import store_versions
@@ -75,6 +76,7 @@
         lambda: clock[0],
         named_limits.NamedLimits(),
         crash_suspects.CrashSuspects(),
+        leaving_upstreams.LeavingUpstreams(),
     )
     made = Fixture(view, directory, clock)
     made.read_upstream("ready")
@@ -126,6 +128,7 @@
         lambda: clock[0],
         named_limits.NamedLimits(),
         crash_suspects.CrashSuspects(),
+        leaving_upstreams.LeavingUpstreams(),
     )
     restarted = Fixture(view, directory, clock)
     restarted.read_upstream("draining")
@@ -187,3 +190,33 @@
     state, _ = directory.state_and_pool(fixture.upstream)
     state.no_limited_sends_until_s = now_s + 0.5
     assert asyncio.run(body()) == [0.75, 1.0, 1.25]
+
+
+def table_with_leaving(started_at_ms: int) -> fleet_messages.LeaderTable:
+    news = fleet_messages.LeavingNews(("i-1", started_at_ms), 0.2)
+    return fleet_messages.LeaderTable(
+        1, "a", "127.0.0.1:1", 1, 2, leaving=[news]
+    )
+
+
+@pytest.mark.parametrize("is_told_first", [False, True])
+def test_upstream_that_told_a_peer_that_it_leaves_is_not_used(
+    fixture, is_told_first
+):
+    if is_told_first:
+        fixture.directory.apply_table(table_with_leaving(6))
+    fixture.read_upstream("ready", started_at_ms=6)
+    assert is_told_first != bool(
+        fixture.directory.usable_upstreams("orders", fixture.clock[0])
+    )
+    if not is_told_first:
+        fixture.directory.apply_table(table_with_leaving(6))
+    assert not fixture.directory.usable_upstreams("orders", fixture.clock[0])
+    assert not fixture.directory.has_left(fixture.upstream)
+    fixture.clock[0] += DRAIN_LIMIT_S
+    assert fixture.directory.has_left(fixture.upstream)
+
+
+def test_upstream_is_used_although_an_earlier_incarnation_left(fixture):
+    fixture.directory.apply_table(table_with_leaving(4))
+    assert fixture.directory.usable_upstreams("orders", fixture.clock[0])
--- a/tests/process/test_leaving_upstream.py
+++ b/tests/process/test_leaving_upstream.py
@@ -84,6 +84,48 @@
     fleet.run(scenario())
 
 
+async def send_concurrently(fleet, daemon, prefix):
+    """Sends more requests at once than one upstream runs, several times."""
+    replies = []
+    for number in range(10):
+        replies += await asyncio.gather(
+            *(
+                fleet.send_request(
+                    daemon, fleet.path, KEY, f"{prefix}-{number}-{index}"
+                )
+                for index in range(6)
+            )
+        )
+    return replies
+
+
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_daemon_that_sent_it_nothing_learns_that_an_upstream_leaves(
+    fleet, is_restarted
+):
+    hearing, told = fleet.daemons
+
+    async def scenario():
+        upstream = await serving_upstream(fleet)
+        upstream.says_leaving = True
+        await send_concurrently(fleet, hearing, "first")
+        if is_restarted:
+            # The other daemon may have to become the leader first.
+            await told.kill()
+            await told.start()
+            await asyncio.sleep(3.0)
+        await asyncio.sleep(DRAIN_LIMIT_S)
+        replies = await send_concurrently(fleet, told, "second")
+        senders = collections.Counter(
+            run.headers["X-Request-Id"].split("-")[0] for run in upstream.runs
+        )
+        assert senders["first"] > 0
+        assert senders["second"] == 0
+        assert {reply.status for reply in replies} == {200}
+
+    fleet.run(scenario())
+
+
 def test_upstream_that_names_a_retry_after_is_left_alone_for_that_time(fleet):
     async def scenario():
         upstream = await serving_upstream(fleet)
