Report objects that come into force while a daemon starts

test_a_daemon_restarted_in_an_outage_learns_from_its_peers failed now and then: "after the outage not all daemons knew the new config within 40 s".

Replication, and the backoff of pulls, were not at fault. The test met its first condition by a report of the killed process, so that the outage ended before the new process had started at all; learning from peers was not tested.

Change: the reporter subscribes before the start. Versions in force are those that the running process reported, not its predecessor, so the test waits now, in the outage, for the restarted daemon itself.

--- a/bench/capacity_daemon.py
+++ b/bench/capacity_daemon.py
@@ -28,7 +28,6 @@
 
 async def _run(host: fleet.HostSettings, report: pathlib.Path) -> None:
     daemon = application.Application(host, events.configure_logging())
-    await daemon.start()
     with report.open("a", buffering=1) as lines:
 
         def write_record(**fields: object) -> None:
@@ -41,7 +40,9 @@
                 changed=f"{kind}/{name}", version=versions[f"{kind}/{name}"]
             )
 
+        # Objects may come into force while the daemon starts.
         daemon.replication.subscribe(on_change)
+        await daemon.start()
         while True:
             status = daemon.replication.status()
             sent, received = daemon.bus.traffic_bytes
--- a/bench/idle_fleet.py
+++ b/bench/idle_fleet.py
@@ -65,11 +65,13 @@
       name: the host's name.
       process: the process, started from `bench.capacity_daemon`.
       report_file: one JSON record on each line; see `bench.capacity_daemon`.
+      earlier_records: how many of them an earlier process of the host wrote.
     """
 
     name: str
     process: subprocess.Popen[bytes]
     report_file: pathlib.Path
+    earlier_records: int = 0
 
     def records(self) -> list[dict[str, Any]]:
         """Returns the records written so far."""
@@ -81,10 +83,10 @@
         return [record for record in self.records() if "members" in record][-1]
 
     def versions_in_force(self) -> dict[str, int]:
-        """Returns the newest version of each object in force."""
+        """Returns the newest version of each object in force here."""
         return {
             record["changed"]: record["version"]
-            for record in self.records()
+            for record in self.records()[self.earlier_records :]
             if "changed" in record
         }
 
@@ -155,6 +157,7 @@
     )
     report = directory / f"{name}.report"
     report.touch()
+    earlier_records = report.read_text().count("\n")
     process = subprocess.Popen(
         [
             *(sys.executable, "-m", "bench.capacity_daemon"),
@@ -163,7 +166,7 @@
         stdout=subprocess.DEVNULL,
         stderr=subprocess.DEVNULL,
     )
-    return DaemonProcess(name, process, report)
+    return DaemonProcess(name, process, report, earlier_records)
 
 
 @contextlib.contextmanager
