--- a/src/sardinehill/core/fleet_messages.py
+++ b/src/sardinehill/core/fleet_messages.py
@@ -123,6 +123,7 @@
       suspects: what has become known since then of requests that may end
         upstreams.
       leaving: the upstreams that have said since then that they leave.
+      upstreams_reachable: whether the daemon reaches upstreams.
     """
 
     daemon: str
@@ -138,6 +139,7 @@
     limits: list[LimitNews] = dataclasses.field(default_factory=list)
     suspects: list[SuspectNews] = dataclasses.field(default_factory=list)
     leaving: list[LeavingNews] = dataclasses.field(default_factory=list)
+    upstreams_reachable: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -20,10 +20,13 @@
 from sardinehill.front import admission as admission_module
 from sardinehill.front import borrowing
 from sardinehill.front import crash_evidence
+from sardinehill.front import forward_server
+from sardinehill.front import forwarding
 from sardinehill.front import front_metrics as metrics_module
 from sardinehill.front import leadership as leadership_module
 from sardinehill.front import log as log_module
 from sardinehill.front import peer_links
+from sardinehill.front import reach_monitor
 from sardinehill.front import relay as relay_module
 from sardinehill.front import report_counters as counters_module
 from sardinehill.front import requests
@@ -79,6 +82,12 @@
         limits = named_limits.NamedLimits()
         suspects = crash_suspects.CrashSuspects()
         leaving = leaving_upstreams.LeavingUpstreams()
+        self._reach = reach_monitor.ReachMonitor(
+            lambda: self._view.upstreams,
+            lambda upstream: self._directory.pool(upstream),
+            loop.time,
+            lambda: self._leadership.leads,
+        )
         self._directory = directory_module.UpstreamDirectory(
             self._view,
             settings.drain_limit_s,
@@ -86,7 +95,21 @@
             limits,
             suspects,
             leaving,
+            self._reach.note_attempt,
+        )
+        self._forwarder = forwarding.Forwarder(
+            settings.daemon,
+            settings.zone,
+            lambda: self._leadership.peer_addresses,
+        )
+        self._forwards = forward_server.ForwardServer(
+            self._directory,
+            self._reach,
+            self._front_metrics,
+            self._request_log,
+            settings.zone,
         )
+        self._reach.reach.subscribe(self._note_reach)
         self._counters = counters_module.ReportCounters()
         quota = quota_shares.FleetQuota(
             settings.allowance_window_s,
@@ -116,8 +139,13 @@
                 self._borrower(fleet_messages.LoanKind.LIMITED_SENDS),
                 suspects,
                 crash_evidence.CrashEvidence(
-                    suspects, lambda: self._view.upstreams, loop.time
+                    suspects,
+                    lambda: self._view.upstreams,
+                    loop.time,
+                    self._reach.reaches_others,
                 ),
+                self._reach,
+                self._forwarder,
             ),
             settings.zone,
         )
@@ -136,6 +164,7 @@
             limits,
             suspects,
             leaving,
+            self._reach.cut_off_for_s,
         )
         self._server = server_module.Server(self._relay.serve, self._limits)
         self._front_metrics.add_gauge_source(self._gauge_values)
@@ -158,7 +187,7 @@
             settings.peer_port,
             settings.daemon,
             self._receive,
-            self._leadership.link_lost,
+            self._note_link_lost,
         )
         events.log(
             events.DAEMON_STARTED,
@@ -173,6 +202,7 @@
                 ("news", self._leadership.replication.run),
                 ("leadership", self._leadership.run),
                 ("connections", self._directory.sweep),
+                ("reach", self._reach.run),
                 ("callers", self._server.enforce_limits),
                 ("logs", self._flush_logs),
             )
@@ -210,13 +240,25 @@
         self, link: peer_links.PeerLink, envelope: envelopes.Envelope
     ) -> None:
         try:
-            self._leadership.receive(link, envelope)
+            if not self._forwards.receive(link, envelope):
+                self._leadership.receive(link, envelope)
         except errors.PeerFrameError as error:
             events.log(
                 events.PEER_REFUSED, peer=envelope.sender, error=str(error)
             )
             link.close()
 
+    def _note_link_lost(self, link: peer_links.PeerLink) -> None:
+        self._forwards.link_lost(link)
+        self._leadership.link_lost(link)
+
+    def _note_reach(self, is_cut_off: bool) -> None:
+        # Failures shortly before a cut was noticed followed from it, too.
+        self._directory.forget_failures()
+        if is_cut_off:
+            self._directory.close_idle_connections()
+        self._forwarder.note_reach(is_cut_off)
+
     def _borrower(
         self, kind: fleet_messages.LoanKind
     ) -> borrowing.TokenBorrower:
@@ -250,6 +292,9 @@
             "requests_in_flight": self._relay.in_flight,
             "callers": len(self._server.connections),
             "upstreams": len(self._view.upstreams),
+            "forwarding_peers": len(self._forwarder.peers),
+            "peer_requests_in_flight": self._forwards.in_flight,
+            "cut_off_seconds": self._reach.cut_off_for_s(),
             "log_lines_dropped": self._log_output.dropped_lines
             + self._request_log.dropped_lines,
         }
@@ -316,6 +361,7 @@
         started_s = loop.time()
         end_s = started_s + self._settings.stop_limit_s - STOP_MARGIN_S
         self._leadership.stop()
+        self._forwards.stop()
         self._server.draining = True
         self._relay.stop(stop_window.StopWindow(started_s, end_s))
         await asyncio.sleep(min(UNREADY_SERVING_S, end_s - started_s))
@@ -325,7 +371,7 @@
             if loop.time() >= end_s:
                 self._server.refuse_incomplete_requests(503)
             self._server.close_idle_connections()
-            if not self._server.connections:
+            if not self._server.connections and not self._forwards.in_flight:
                 break
         cut_short = self._relay.cut_short + self._relay.in_flight
         if cut_short:
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 import itertools
 from typing import Any
 
@@ -64,8 +65,10 @@
         limits: named_limits.NamedLimits,
         suspects: crash_suspects.CrashSuspects,
         leaving: leaving_upstreams.LeavingUpstreams,
+        cut_off_for_s: Callable[[], float],
     ):
         self._name = name
+        self._cut_off_for_s = cut_off_for_s
         self._store = store
         self._view = view
         self._watch = watch
@@ -85,7 +88,11 @@
         )
         self._known_leader = known_leader.KnownLeader(name, clock_s)
         self._election = election.Election(
-            name, self._known_leader, self._registry, clock_s
+            name,
+            self._known_leader,
+            self._registry,
+            clock_s,
+            lambda: cut_off_for_s() > 0,
         )
         self._followers = followers.Followers()
         self._leader_client = leader_client.LeaderClient(
@@ -120,11 +127,21 @@
         self._stopping = False
         view.subscribe(self._on_view_changed)
 
+    @property
+    def leads(self) -> bool:
+        """Whether this daemon leads the fleet."""
+        return self._term is not None
+
     @property
     def peer_count(self) -> int:
         """The number of registered daemons, as far as known."""
         return len(self._registry.peer_addresses)
 
+    @property
+    def peer_addresses(self) -> Mapping[str, str]:
+        """The addresses of the registered daemons by name, with this one."""
+        return self._registry.peer_addresses
+
     # messages from peers
 
     def receive(
@@ -216,9 +233,13 @@
         if term is not None and self._tasks is not None:
             if report.term == self._known_leader.term:
                 # Others may go back to the leader of the term that they name.
-                term.note_report(report.daemon, report.address)
+                term.note_report(
+                    report.daemon, report.address, report.upstreams_reachable
+                )
             self._tasks.apply_report(report)
             self._note_leaving(self._tasks)
+            if term.should_hand_over_if_cut_off(self._cut_off_for_s()):
+                self.resign()
             if report.store_reachable:
                 term.note_store_reached(report.daemon)
                 self._hand_over_if_store_lost(term)
@@ -306,6 +327,7 @@
         report.protocol_version = fleet_messages.PROTOCOL_VERSION
         report.needs_spans = self._known_leader.needs_spans
         report.store_reachable = self._view.store_answered_recently()
+        report.upstreams_reachable = self._cut_off_for_s() <= 0
         now_s = self._loop_time_s()
         report.limits = self._limits.take_unreported(now_s)
         self._limits.forget(self._view.upstreams, now_s)
--- a/src/sardinehill/front/upstream_directory.py
+++ b/src/sardinehill/front/upstream_directory.py
@@ -7,6 +7,7 @@
 import bisect
 from collections.abc import Callable
 import dataclasses
+import functools
 
 from sardinehill import events
 from sardinehill.core import crash_suspects
@@ -39,6 +40,10 @@
 UPSTREAM_RETENTION_S = 15.0
 
 
+def _ignore_attempt(upstream_id: str, is_success: bool, began_s: float) -> None:
+    """Ignores an attempt to connect to an upstream."""
+
+
 @dataclasses.dataclass(slots=True)
 class _UpstreamEntry:
     """One incarnation of an upstream, as this daemon uses it.
@@ -92,11 +97,25 @@
         limits: named_limits.NamedLimits,
         suspects: crash_suspects.CrashSuspects,
         leaving: leaving_upstreams.LeavingUpstreams,
+        on_attempt: Callable[[str, bool, float], None] = _ignore_attempt,
     ):
+        """Creates a directory of the upstreams in a view.
+
+        Args:
+          view: the view of the store.
+          drain_limit_s: the time that an upstream has to drain.
+          clock_s: the event loop's clock.
+          limits: the limits that upstreams name.
+          suspects: the requests that may end upstreams.
+          leaving: the upstreams that have said that they leave.
+          on_attempt: is told of attempts to connect to upstreams: the
+            upstream's id, whether it succeeded, and when it began.
+        """
         self._view = view
         self._limits = limits
         self._suspects = suspects
         self._leaving = leaving
+        self._on_attempt = on_attempt
         self._drain_grace_s = drain_limit_s * DRAIN_GRACE_RATIO
         self._clock_s = clock_s
         self._entries: dict[str, _UpstreamEntry] = {}
@@ -169,7 +188,10 @@
             entry = _UpstreamEntry(
                 upstream,
                 upstream_state.UpstreamState(upstream.slots),
-                pool_module.ConnectionPool(upstream.address),
+                pool_module.ConnectionPool(
+                    upstream.address,
+                    functools.partial(self._on_attempt, upstream.id),
+                ),
             )
             self._entries[upstream.id] = entry
             entry.state.cold_until_s = now_s + upstream.cold_remaining_s
@@ -273,6 +295,23 @@
             )
         entry.said_leaving_s = said_s
 
+    def forget_failures(self) -> None:
+        """Ends all pauses that followed from failures to reach upstreams.
+
+        To be called when these were failures of this daemon's own links.
+        """
+        for entry in self._entries.values():
+            entry.state.forget_failures()
+        self.waiting.wake_all()
+
+    def close_idle_connections(self) -> None:
+        """Closes all idle connections to upstreams.
+
+        To be called when this daemon's own links are broken.
+        """
+        for entry in self._entries.values():
+            entry.pool.close()
+
     def wake_next(self, upstream: routes.Upstream, service: str) -> None:
         """Wakes the next waiting request after capacity became free."""
         if not self.waiting.wake_one(("room", upstream.id)):
@@ -358,6 +397,16 @@
             and self._entries[upstream.id].said_leaving_s is None
         ]
 
+    def find(self, incarnation: tuple[str, int]) -> routes.Upstream | None:
+        """Returns the upstream with an incarnation, or None if it is unknown.
+
+        One that left the store a while ago is unknown.
+        """
+        entry = self._entries.get(incarnation[0])
+        if entry is None or entry.upstream.incarnation != incarnation:
+            return None
+        return entry.upstream
+
     def state_and_pool(
         self, upstream: routes.Upstream
     ) -> tuple[upstream_state.UpstreamState, pool_module.ConnectionPool]:
@@ -365,6 +414,13 @@
         entry = self._entries[upstream.id]
         return entry.state, entry.pool
 
+    def pool(
+        self, upstream: routes.Upstream
+    ) -> pool_module.ConnectionPool | None:
+        """Returns the pool of an upstream, or None if it is not known."""
+        entry = self._entries.get(upstream.id)
+        return entry.pool if entry is not None else None
+
     def has_capacity(
         self,
         upstream: routes.Upstream,
--- a/src/sardinehill/wire/fleet.capnp
+++ b/src/sardinehill/wire/fleet.capnp
@@ -82,6 +82,7 @@
   limits @10 :List(LimitNews);
   suspects @11 :List(Suspect);
   leaving @12 :List(LeavingUpstream);
+  upstreamsReachable @13 :Bool = true;
 }
 
 struct Span {
--- a/src/sardinehill/wire/fleet.py
+++ b/src/sardinehill/wire/fleet.py
@@ -101,6 +101,7 @@
         limits=[_encoded_limit(news) for news in report.limits],
         suspects=[_encoded_suspect(news) for news in report.suspects],
         leaving=[_encoded_leaving(news) for news in report.leaving],
+        upstreamsReachable=report.upstreams_reachable,
     )
     return bytes(message.to_bytes())
 
@@ -140,6 +141,7 @@
         limits=[_decoded_limit(item) for item in message.limits],
         suspects=[_decoded_suspect(item) for item in message.suspects],
         leaving=[_decoded_leaving(item) for item in message.leaving],
+        upstreams_reachable=message.upstreamsReachable,
     )
 
 
