--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -11,9 +11,11 @@
 from sardinehill.core import cold_lending
 from sardinehill.core import crash_suspects
 from sardinehill.core import fleet_messages
+from sardinehill.core import leaving_upstreams
 from sardinehill.core import named_limits
 from sardinehill.core import quota_shares
 from sardinehill.core import routes
+from sardinehill.core import stop_window
 from sardinehill.daemon import boot_clock
 from sardinehill.front import admission as admission_module
 from sardinehill.front import borrowing
@@ -41,8 +43,11 @@
 # for this long, unless its limit for stopping ends that sooner. The balancer
 # checks readiness once a second and removes a daemon after two misses.
 UNREADY_SERVING_S = 2.2
-# Draining ends this long before the platform kills the process.
+# The last requests are answered this long before the platform kills the
+# process.
 STOP_MARGIN_S = 0.5
+# These answers have at most this time to leave the host.
+LAST_ANSWERS_LIMIT_S = 0.2
 STOP_POLL_INTERVAL_S = 0.05
 LOG_FLUSH_INTERVAL_S = 0.25
 DROPPED_LINES_REPORT_INTERVAL_S = 5.0
@@ -76,6 +81,7 @@
         )
         limits = named_limits.NamedLimits()
         suspects = crash_suspects.CrashSuspects()
+        leaving = leaving_upstreams.LeavingUpstreams()
         self._reach = reach_monitor.ReachMonitor(
             lambda: self._view.upstreams,
             lambda upstream: self._directory.pool(upstream),
@@ -88,6 +94,7 @@
             loop.time,
             limits,
             suspects,
+            leaving,
             self._reach.note_attempt,
         )
         self._forwarder = forwarding.Forwarder(
@@ -156,6 +163,7 @@
             cold_lending.ColdBound(settings.cold_ratio, settings.cold_slack),
             limits,
             suspects,
+            leaving,
             self._reach.cut_off_for_s,
         )
         self._server = server_module.Server(self._relay.serve, self._limits)
@@ -351,20 +359,23 @@
         """
         loop = asyncio.get_running_loop()
         started_s = loop.time()
+        end_s = started_s + self._settings.stop_limit_s - STOP_MARGIN_S
         self._leadership.stop()
         self._forwards.stop()
         self._server.draining = True
-        deadline_s = started_s + self._settings.stop_limit_s - STOP_MARGIN_S
-        while loop.time() < deadline_s:
+        self._relay.stop(stop_window.StopWindow(started_s, end_s))
+        await asyncio.sleep(min(UNREADY_SERVING_S, end_s - started_s))
+        await self._server.stop_listening(callers)
+        while loop.time() < end_s + LAST_ANSWERS_LIMIT_S:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
-            if loop.time() - started_s < UNREADY_SERVING_S:
-                continue
-            callers.close()
+            if loop.time() >= end_s:
+                self._server.refuse_incomplete_requests(503)
             self._server.close_idle_connections()
             if not self._server.connections and not self._forwards.in_flight:
                 break
-        if self._relay.in_flight:
-            events.log(events.STOP_CUT_SHORT, in_flight=self._relay.in_flight)
+        cut_short = self._relay.cut_short + self._relay.in_flight
+        if cut_short:
+            events.log(events.STOP_CUT_SHORT, in_flight=cut_short)
         events.log(
             events.DAEMON_STOPPED, took_s=round(loop.time() - started_s, 3)
         )
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -14,6 +14,7 @@
 from sardinehill.core import crash_suspects
 from sardinehill.core import exchange_messages
 from sardinehill.core import service_times
+from sardinehill.daemon import boot_clock
 from sardinehill.front import answer_signals
 from sardinehill.front import borrowing
 from sardinehill.front import crash_evidence
@@ -144,11 +145,12 @@
             # The upstream may have left while the connection was opened.
             is_lent = await self._may_send_while_cold(target)
             self.refuse_if_quarantined(context)
-            may_send = is_lent and not (
-                self._directory.has_left(target.upstream)
-                or target.upstream_state.is_refusing(
-                    asyncio.get_running_loop().time()
-                )
+            now_s = asyncio.get_running_loop().time()
+            may_send = (
+                is_lent
+                and now_s <= context.latest_send_s
+                and not self._directory.has_left(target.upstream)
+                and not target.upstream_state.is_refusing(now_s)
             )
         finally:
             if not may_send:
@@ -240,14 +242,15 @@
         """
         loop = asyncio.get_running_loop()
         state = target.upstream_state
-        asked_s = loop.time()
-        if not state.is_cold(asked_s):
+        # The lender's time goes on while this host is suspended.
+        asked_s = boot_clock.now_s()
+        if not state.is_cold(loop.time()):
             return True
         wait_s = await self._cold_sends.borrow(target.upstream.id)
         if wait_s > 0:
             state.no_cold_sends_until_s = loop.time() + wait_s
             return False
-        return loop.time() - asked_s <= cold_lending.LOAN_VALIDITY_S
+        return boot_clock.now_s() - asked_s <= cold_lending.LOAN_VALIDITY_S
 
     async def _exchange(
         self,
--- a/src/sardinehill/http1.py
+++ b/src/sardinehill/http1.py
@@ -242,7 +242,10 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        """Resets the state for a new response."""
+        """Resets the state for a new response; closes if none is expected."""
+        if self._pending_response is None:
+            # Its rest would be taken for the beginning of the next response.
+            self.close()
         self._response = Response()
         self._body = []
         self._body_bytes = 0
@@ -250,7 +253,12 @@
         self._headers_done = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header and notes whether it delimits the body."""
+        """Stores a header and notes whether it delimits the body.
+
+        Trailers, which come after a body in chunks, are dropped.
+        """
+        if self._headers_done:
+            return
         lower = name.lower()
         self._response.headers.append((lower, value))
         if lower in (b"content-length", b"transfer-encoding"):
@@ -334,11 +342,13 @@
     def close(self) -> None:
         """Aborts the connection without waiting for the peer."""
         self.usable = False
-        if self._transport is None or self._transport.is_closing():
+        if self._transport is None:
             return
-        is_idle = self._transport.get_write_buffer_size() == 0
-        if self._pending_response is None and is_idle:
+        is_written = self._transport.get_write_buffer_size() == 0
+        is_idle = self._pending_response is None and is_written
+        if is_idle and not self._transport.is_closing():
             discard_unsent_on_close(self._transport, False)
+        # One that is closing may still be writing what it has buffered.
         self._transport.abort()
 
     def is_reusable(self, now_s: float, idle_timeout_s: float) -> bool:
--- a/tests/cover/test_broken_answers.py
+++ b/tests/cover/test_broken_answers.py
@@ -113,3 +113,40 @@
         await asyncio.sleep(0.05)
 
     asyncio.run(body())
+
+
+async def exchange_once(data):
+    """Returns a connection and its answer after some bytes have arrived."""
+    connection = http1.Connection(asyncio.get_running_loop())
+    connection.connection_made(FakeTransport())
+    pending = asyncio.ensure_future(connection.exchange(REQUEST))
+    await asyncio.sleep(0)
+    connection.data_received(data)
+    return connection, await pending
+
+
+@pytest.mark.parametrize("answer", [ANSWER, CHUNKED_ANSWER])
+@pytest.mark.parametrize("length", [1, 9, 20, len(REFUSAL) - 1, len(REFUSAL)])
+def test_connection_is_not_used_again_after_the_beginning_of_another_answer(
+    answer, length
+):
+    # The rest would be taken for the beginning of the next answer.
+    async def body():
+        connection, response = await exchange_once(answer + REFUSAL[:length])
+        return response.body, connection.usable
+
+    assert asyncio.run(body()) == (b"whole", False)
+
+
+def test_trailers_are_not_taken_for_headers():
+    async def body():
+        data = CHUNKED_ANSWER.removesuffix(b"\r\n") + (
+            b"X-Not-Executed: 1\r\nX-Request-Id: r2\r\nX-Trailer: 1\r\n\r\n"
+        )
+        _, response = await exchange_once(data)
+        return response
+
+    response = asyncio.run(body())
+    assert response.header(b"x-request-id") == b"r1"
+    assert response.header(b"x-not-executed") is None
+    assert response.header(b"x-trailer") is None
