--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -11,13 +11,17 @@
 from sardinehill.core import cold_lending
 from sardinehill.core import crash_suspects
 from sardinehill.core import fleet_messages
+from sardinehill.core import leaving_upstreams
 from sardinehill.core import named_limits
 from sardinehill.core import quota_shares
 from sardinehill.core import routes
+from sardinehill.core import stop_window
 from sardinehill.daemon import boot_clock
 from sardinehill.front import admission as admission_module
 from sardinehill.front import borrowing
 from sardinehill.front import crash_evidence
+from sardinehill.front import forward_server
+from sardinehill.front import forwarding
 from sardinehill.front import front_metrics as metrics_module
 from sardinehill.front import leadership as leadership_module
 from sardinehill.front import log as log_module
@@ -39,8 +43,11 @@
 # for this long, unless its limit for stopping ends that sooner. The balancer
 # checks readiness once a second and removes a daemon after two misses.
 UNREADY_SERVING_S = 2.2
-# Draining ends this long before the platform kills the process.
+# The last requests are answered this long before the platform kills the
+# process.
 STOP_MARGIN_S = 0.5
+# These answers have at most this time to leave the host.
+LAST_ANSWERS_LIMIT_S = 0.2
 STOP_POLL_INTERVAL_S = 0.05
 LOG_FLUSH_INTERVAL_S = 0.25
 DROPPED_LINES_REPORT_INTERVAL_S = 5.0
@@ -74,6 +81,7 @@
         )
         limits = named_limits.NamedLimits()
         suspects = crash_suspects.CrashSuspects()
+        leaving = leaving_upstreams.LeavingUpstreams()
         self._reach = reach_monitor.ReachMonitor(
             lambda: self._view.upstreams,
             lambda upstream: self._directory.pool(upstream),
@@ -86,12 +94,22 @@
             loop.time,
             limits,
             suspects,
+            leaving,
             self._reach.note_attempt,
         )
-        # Failures shortly before a cut was noticed followed from it, too.
-        self._reach.reach.subscribe(
-            lambda is_cut_off: self._directory.forget_failures()
+        self._forwarder = forwarding.Forwarder(
+            settings.daemon,
+            settings.zone,
+            lambda: self._leadership.peer_addresses,
+        )
+        self._forwards = forward_server.ForwardServer(
+            self._directory,
+            self._reach,
+            self._front_metrics,
+            self._request_log,
+            settings.zone,
         )
+        self._reach.reach.subscribe(self._note_reach)
         self._counters = counters_module.ReportCounters()
         quota = quota_shares.FleetQuota(
             settings.allowance_window_s,
@@ -127,6 +145,7 @@
                     self._reach.reaches_others,
                 ),
                 self._reach,
+                self._forwarder,
             ),
             settings.zone,
         )
@@ -144,6 +163,7 @@
             cold_lending.ColdBound(settings.cold_ratio, settings.cold_slack),
             limits,
             suspects,
+            leaving,
             self._reach,
         )
         self._server = server_module.Server(self._relay.serve, self._limits)
@@ -167,7 +187,7 @@
             settings.peer_port,
             settings.daemon,
             self._receive,
-            self._leadership.link_lost,
+            self._note_link_lost,
         )
         events.log(
             events.DAEMON_STARTED,
@@ -220,13 +240,25 @@
         self, link: peer_links.PeerLink, envelope: envelopes.Envelope
     ) -> None:
         try:
-            self._leadership.receive(link, envelope)
+            if not self._forwards.receive(link, envelope):
+                self._leadership.receive(link, envelope)
         except errors.PeerFrameError as error:
             events.log(
                 events.PEER_REFUSED, peer=envelope.sender, error=str(error)
             )
             link.close()
 
+    def _note_link_lost(self, link: peer_links.PeerLink) -> None:
+        self._forwards.link_lost(link)
+        self._leadership.link_lost(link)
+
+    def _note_reach(self, is_cut_off: bool) -> None:
+        # Failures shortly before a cut was noticed followed from it, too.
+        self._directory.forget_failures()
+        if is_cut_off:
+            self._directory.close_idle_connections()
+        self._forwarder.note_reach(is_cut_off)
+
     def _borrower(
         self, kind: fleet_messages.LoanKind
     ) -> borrowing.TokenBorrower:
@@ -260,6 +292,8 @@
             "requests_in_flight": self._relay.in_flight,
             "callers": len(self._server.connections),
             "upstreams": len(self._view.upstreams),
+            "forwarding_peers": len(self._forwarder.peers),
+            "peer_requests_in_flight": self._forwards.in_flight,
             "cut_off_seconds": self._reach.cut_off_for_s(),
             "log_lines_dropped": self._log_output.dropped_lines
             + self._request_log.dropped_lines,
@@ -325,19 +359,23 @@
         """
         loop = asyncio.get_running_loop()
         started_s = loop.time()
+        end_s = started_s + self._settings.stop_limit_s - STOP_MARGIN_S
         self._leadership.stop()
+        self._forwards.stop()
         self._server.draining = True
-        deadline_s = started_s + self._settings.stop_limit_s - STOP_MARGIN_S
-        while loop.time() < deadline_s:
+        self._relay.stop(stop_window.StopWindow(started_s, end_s))
+        await asyncio.sleep(min(UNREADY_SERVING_S, end_s - started_s))
+        await self._server.stop_listening(callers)
+        while loop.time() < end_s + LAST_ANSWERS_LIMIT_S:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
-            if loop.time() - started_s < UNREADY_SERVING_S:
-                continue
-            callers.close()
+            if loop.time() >= end_s:
+                self._server.refuse_incomplete_requests(503)
             self._server.close_idle_connections()
-            if not self._server.connections:
+            if not self._server.connections and not self._forwards.in_flight:
                 break
-        if self._relay.in_flight:
-            events.log(events.STOP_CUT_SHORT, in_flight=self._relay.in_flight)
+        cut_short = self._relay.cut_short + self._relay.in_flight
+        if cut_short:
+            events.log(events.STOP_CUT_SHORT, in_flight=cut_short)
         events.log(
             events.DAEMON_STOPPED, took_s=round(loop.time() - started_s, 3)
         )
--- a/src/sardinehill/front/key_owners.py
+++ b/src/sardinehill/front/key_owners.py
@@ -18,6 +18,10 @@
 RELEASE_TIMEOUT_S = 1.5
 ORDER_RETRY_S = 0.15
 MAX_IDLE_S = 5.0
+# The kernel discards an order that stays unacknowledged this long, also while
+# this process does not run. It counts from its first repetition, which follows
+# the order by at least 0.2 s.
+MAX_UNACKNOWLEDGED_S = 0.2
 # The weight of an upstream's earlier slowness when an answer is averaged in.
 SLOWNESS_DECAY_RATIO = 0.95
 MIN_SLOWNESS_RATIO = 0.4
@@ -125,15 +129,15 @@
             else:
                 owner.address = upstream.address
 
-    def listed(self) -> list[KeyOwner]:
-        """Returns the upstreams that are listed now and have not ended."""
+    def not_ended(self) -> list[KeyOwner]:
+        """Returns the upstreams that were seen and may still run.
+
+        One that is not listed any more may only have lost the store.
+        """
         return [
             owner
-            for upstream in self._upstreams().values()
-            if upstream.service == self._service
-            and upstream.incarnation not in self.ended
-            and (owner := self.by_incarnation.get(upstream.incarnation))
-            is not None
+            for incarnation, owner in self.by_incarnation.items()
+            if incarnation not in self.ended
         ]
 
     def capacities(
@@ -211,7 +215,9 @@
         try:
             if connection is None:
                 connection = await http1.connect(
-                    owner.address, CONNECT_TIMEOUT_S
+                    owner.address,
+                    CONNECT_TIMEOUT_S,
+                    user_timeout_ms=int(MAX_UNACKNOWLEDGED_S * 1000),
                 )
             if not may_send():
                 owner.connections.append(connection)
--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -10,6 +10,12 @@
 from sardinehill.front import peer_links
 from sardinehill.front import peer_registry
 
+# A leader that has stood still for longer than `MAX_PAUSE_S` then reads reports
+# that have arrived meanwhile. Those that it reads within `REPORT_DISTRUST_S` do
+# not count, as their senders may follow another leader by now.
+PAUSE_CHECK_INTERVAL_S = 0.05
+MAX_PAUSE_S = 0.15
+REPORT_DISTRUST_S = 0.25
 # A daemon whose last report is older than this does not count as a follower.
 FOLLOWER_TIMEOUT_S = 1.0
 # A silent daemon is assumed to keep serving callers for this long.
@@ -39,7 +45,7 @@
 
     A term is confirmed by the store or by reports of a majority of the
     registered daemons. A confirmation is valid for
-    `order_sender.TERM_VALIDITY_S`.
+    `order_sender.TERM_VALIDITY_S`. It counts from when the store was asked.
 
     Public attributes:
       resigned: whether the leader has resigned.
@@ -59,7 +65,9 @@
         self._election = leader_election
         self._followers = followers
         self._clock_s = clock_s
-        self._began_s = self._confirmed_s = clock_s()
+        self._began_s = clock_s()
+        # The answer may have come late, when another daemon led already.
+        self._confirmed_s = leader_election.lease_asked_s
         self._number = registry.lease.term
         # The store's era in which the lease was last known to be held.
         self._lease_era = registry.lease_era
@@ -69,6 +77,8 @@
         self._cut_off: set[str] = set()
         self._reached_by_others_since_s: float | None = None
         self._is_exclusive = False
+        self._ran_s = self._began_s
+        self._reports_count_from_s = self._began_s
         self._ended_peers: set[str] = set()
         self.resigned = False
         self.ended = asyncio.Event()
@@ -87,12 +97,32 @@
           address: where its peers connect to it.
           reaches_upstreams: whether it reaches the upstreams.
         """
-        self._heard_s[daemon] = self._clock_s()
         if reaches_upstreams:
             self._cut_off.discard(daemon)
         else:
             self._cut_off.add(daemon)
         self._registry.peer_addresses.setdefault(daemon, address)
+        self._note_pause()
+        now_s = self._clock_s()
+        if now_s >= self._reports_count_from_s:
+            self._heard_s[daemon] = now_s
+
+    async def watch_pauses(self) -> None:
+        """Notes until cancelled whether this process has stood still."""
+        self._ran_s = self._clock_s()
+        while True:
+            await asyncio.sleep(PAUSE_CHECK_INTERVAL_S)
+            self.note_running()
+
+    def note_running(self) -> None:
+        """Notes that this process is running, and whether it stood still."""
+        self._note_pause()
+        self._ran_s = self._clock_s()
+
+    def _note_pause(self) -> None:
+        now_s = self._clock_s()
+        if now_s - self._ran_s > PAUSE_CHECK_INTERVAL_S + MAX_PAUSE_S:
+            self._reports_count_from_s = now_s + REPORT_DISTRUST_S
 
     def note_store_reached(self, daemon: str) -> None:
         """Records that a daemon has reached the store itself."""
--- a/src/sardinehill/front/requests.py
+++ b/src/sardinehill/front/requests.py
@@ -1,15 +1,19 @@
 """Requests in a daemon, their state, and the replies to callers."""
 
 import dataclasses
+import math
 
 from sardinehill import errors
 from sardinehill import http1
 from sardinehill.core import request_digests
 from sardinehill.core import routes
 from sardinehill.core import upstream_state as state_module
+from sardinehill.front import forwarding
 from sardinehill.front import pool as pool_module
 from sardinehill.platform import http_messages
 
+AnyConnection = http1.Connection | forwarding.ForwardedConnection
+
 
 @dataclasses.dataclass(slots=True)
 class Request:
@@ -89,6 +93,8 @@
       priority: its priority in queues; 0 is the highest.
       deadline_s: when the request times out, by the loop's clock.
       sequence_number: orders requests of the same priority by arrival.
+      latest_send_s: when it may be sent to an upstream at the latest; before
+        infinity only while the daemon stops.
       sends: how often it was sent to an upstream.
       tried_upstreams: the ids of upstreams that it was sent to.
       used_connections: the connections that it was sent over. An upstream may
@@ -98,6 +104,8 @@
       sent_s: when it was last sent.
       waiting_since_s: when it first had to wait for capacity, or None.
       last_failure: why the last attempt failed; empty if none has.
+      peer: the peer through which it was last sent; empty if it was sent
+        directly.
     """
 
     request: Request
@@ -108,9 +116,10 @@
     priority: int
     deadline_s: float
     sequence_number: int
+    latest_send_s: float = math.inf
     sends: int = 0
     tried_upstreams: list[str] = dataclasses.field(default_factory=list)
-    used_connections: list[http1.Connection] = dataclasses.field(
+    used_connections: list[AnyConnection] = dataclasses.field(
         default_factory=list
     )
     may_have_run: bool = False
@@ -118,6 +127,7 @@
     sent_s: float = 0.0
     waiting_since_s: float | None = None
     last_failure: str = ""
+    peer: str = ""
 
 
 def head_digest(context: RequestContext) -> bytes:
