Let the tests of joined parts build their daemons with all of them

The parts on leaving upstreams, pauses of leaders and hand-overs were written apart; two constructors had got one argument each from two of them.

--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -112,8 +112,12 @@
         self._ran_s = self._clock_s()
         while True:
             await asyncio.sleep(PAUSE_CHECK_INTERVAL_S)
-            self._note_pause()
-            self._ran_s = self._clock_s()
+            self.note_running()
+
+    def note_running(self) -> None:
+        """Notes that this process is running, and whether it stood still."""
+        self._note_pause()
+        self._ran_s = self._clock_s()
 
     def _note_pause(self) -> None:
         now_s = self._clock_s()
--- a/tests/cover/test_leader_term.py
+++ b/tests/cover/test_leader_term.py
@@ -52,6 +52,14 @@
     assert not term.should_hand_over(store_lost_s=4.0)
 
 
+def let_run(term, clock, duration_s):
+    """Lets time pass in which the leader's process does not stand still."""
+    end_s = clock.now_s + duration_s
+    while clock.now_s < end_s:
+        clock.now_s += leader_term.PAUSE_CHECK_INTERVAL_S
+        term.note_running()
+
+
 def test_a_leader_that_is_cut_off_from_the_store_hands_over():
     clock = Clock()
     term = new_term(clock)
@@ -87,7 +95,7 @@
     clock = Clock()
     term = new_term(clock, large=2.0, small=0.4, silent=1.0)
     term.note_report("silent", "127.0.0.1:1")
-    clock.now_s += 2 * leader_term.FOLLOWER_TIMEOUT_S
+    let_run(term, clock, 2 * leader_term.FOLLOWER_TIMEOUT_S)
     term.note_report("large", "127.0.0.1:1", reaches_upstreams=False)
     cut_off_s = leader_term.CUT_OFF_HANDOVER_S
     # Nobody that is heard reaches more.
--- a/tests/cover/test_leadership.py
+++ b/tests/cover/test_leadership.py
@@ -9,6 +9,7 @@
 from sardinehill.core import cold_lending
 from sardinehill.core import crash_suspects
 from sardinehill.core import fleet_messages
+from sardinehill.core import leaving_upstreams
 from sardinehill.core import named_limits
 from sardinehill.core import store_versions
 from sardinehill.front import leadership as leadership_module
@@ -76,6 +77,8 @@
         cold_lending.ColdBound(1.0, 1.0),
         named_limits.NamedLimits(),
         crash_suspects.CrashSuspects(),
+        leaving_upstreams.LeavingUpstreams(),
+        lambda: 0.0,
     )
 
 
@@ -104,7 +107,8 @@
         leadership._known_leader.note_term(9)
         heard = []
         leadership._term = types.SimpleNamespace(
-            note_report=lambda daemon, address: heard.append(daemon)
+            note_report=lambda daemon, address, reached: heard.append(daemon),
+            should_hand_over_if_cut_off=lambda cut_off_s: False,
         )
         leadership._tasks = types.SimpleNamespace(apply_report=lambda _: None)
         report = fleet_messages.DaemonReport(
