--- a/tests/cover/test_leadership.py
+++ b/tests/cover/test_leadership.py
@@ -108,8 +108,8 @@
         leadership._known_leader.note_term(9)
         heard = []
         leadership._term = types.SimpleNamespace(
-            note_report=lambda daemon, *_: heard.append(daemon),
-            should_hand_over_if_cut_off=lambda _: False,
+            note_report=lambda daemon, address, reached: heard.append(daemon),
+            should_hand_over_if_cut_off=lambda cut_off_s: False,
         )
         leadership._tasks = types.SimpleNamespace(apply_report=lambda _: None)
         report = fleet_messages.DaemonReport(
