Take a single upstream that fails for its own fault

A failure at one upstream made the state doubtful, so a peer that forwards requests answered that it may be cut off itself, and never that the upstream is unreachable. One failure still leads to a probe; the state is doubtful from two upstreams on.

--- a/src/sardinehill/core/upstream_reach.py
+++ b/src/sardinehill/core/upstream_reach.py
@@ -18,6 +18,8 @@
 # No other upstream has answered for this long since the first of them. Several
 # upstreams may end at once while the others go on answering.
 MIN_SILENCE_S = 0.1
+# The state is doubtful when this many upstreams have failed.
+MIN_DOUBTFUL_UPSTREAMS = 2
 # While others answer on open connections, attempts at so many upstreams have
 # failed for so long, and none has succeeded.
 MIN_FAILED_AMONG_ANSWERING = 6
@@ -127,12 +129,21 @@
         }
 
     def is_doubtful(self, now_s: float) -> bool:
+        """Returns whether failures may be those of this daemon's own links.
+
+        A failure at a single upstream is taken for the upstream's own.
+        """
+        doubtful_count = min(MIN_DOUBTFUL_UPSTREAMS, len(self._upstreams()))
+        failed_count = self._count_failed_or_broken(now_s)
+        return self._is_cut_off or failed_count >= max(doubtful_count, 1)
+
+    def should_try(self, now_s: float) -> bool:
         """Returns whether new connections should be tried now."""
-        return (
-            self._is_cut_off
-            or bool(self.failed(now_s))
-            or bool(self._recent(self._broken_s, now_s))
-        )
+        return self._is_cut_off or self._count_failed_or_broken(now_s) > 0
+
+    def _count_failed_or_broken(self, now_s: float) -> int:
+        broken = self._recent(self._broken_s, now_s)
+        return len(self.failed(now_s) | broken)
 
     def last_heard_s(self) -> float:
         """Returns when an upstream last answered or was connected to."""
--- a/src/sardinehill/front/reach_monitor.py
+++ b/src/sardinehill/front/reach_monitor.py
@@ -135,7 +135,7 @@
             return now_s >= self._next_round_s
         if self._probes or now_s < self._next_round_s:
             return False
-        return self.reach.is_doubtful(now_s) or self._is_silent(now_s)
+        return self.reach.should_try(now_s) or self._is_silent(now_s)
 
     def _is_silent(self, now_s: float) -> bool:
         heard_s = self.reach.last_heard_s()
--- a/tests/cover/test_upstream_reach.py
+++ b/tests/cover/test_upstream_reach.py
@@ -59,10 +59,13 @@
 
 
 def test_repeated_failures_at_one_upstream_show_no_cut():
+    # A peer that forwards requests said that it was cut off itself.
     reach = new_reach(new_upstreams())
     for now_s in (10.0, 10.4, 10.8, 11.2):
         reach.record_failed("stock-a-0", now_s)
     assert not reach.is_cut_off(11.2)
+    assert not reach.is_doubtful(11.2)
+    assert reach.should_try(11.2)
 
 
 def test_a_fleet_of_one_upstream_counts_as_cut_off_when_it_fails():
