--- a/tests/common/platform_fleet.py
+++ b/tests/common/platform_fleet.py
@@ -28,6 +28,7 @@
 HOST = "127.0.0.1"
 SERVED_TIMEOUT_S = 10.0
 ACCOUNT_KEY = "key-of-trattoria"
+FRONT_MODULE = "sardinehill.front"
 ROOT = pathlib.Path(__file__).parents[2]
 
 
@@ -93,8 +94,10 @@
         ports: list[int],
         store_port: int,
         directory: pathlib.Path,
+        module: str = FRONT_MODULE,
     ):
         self.name = name
+        self._module = module
         (
             self.callers_port,
             self.readiness_port,
@@ -126,12 +129,12 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "sardinehill.front",
+                self._module,
                 stdout=log if output is None else output,
                 stderr=log,
                 env={
                     **os.environ,
-                    "PYTHONPATH": str(ROOT / "src"),
+                    "PYTHONPATH": f"{ROOT / 'src'}{os.pathsep}{ROOT}",
                     "SARDINEHILL_SETTINGS": str(self.settings),
                 },
             )
@@ -163,7 +166,11 @@
     """A store, upstreams and daemons, driven by one event loop."""
 
     def __init__(
-        self, directory: pathlib.Path, daemons: int = 2, upstreams: int = 3
+        self,
+        directory: pathlib.Path,
+        daemons: int = 2,
+        upstreams: int = 3,
+        module: str = FRONT_MODULE,
     ):
         self.directory = directory
         self._runner = asyncio.Runner()
@@ -179,6 +186,7 @@
                 ports[index::daemons],
                 self.store_port,
                 directory,
+                module,
             )
             for index in range(daemons)
         ]
