--- a/tests/common/forwarding_fleet.py
+++ b/tests/common/forwarding_fleet.py
@@ -6,6 +6,7 @@
 import types
 
 from sardinehill.core import crash_suspects
+from sardinehill.core import leaving_upstreams
 from sardinehill.core import named_limits
 from sardinehill.core import store_versions
 from sardinehill.front import forward_server
@@ -156,6 +157,7 @@
             loop.time,
             named_limits.NamedLimits(),
             crash_suspects.CrashSuspects(),
+            leaving_upstreams.LeavingUpstreams(),
         )
         list_upstream(view, self.upstream_address)
         metrics = front_metrics.FrontMetrics()
