Send hung requests another way once a daemon is cut off

Change: when upstreams are silent on open connections too, exchanges of idempotent requests are given up and count as may-have-run. Others wait on. The test failed before.

--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -122,6 +122,23 @@
             quota,
             self._borrower(fleet_messages.LoanKind.QUOTA),
         )
+        self._sender = sending.Sender(
+            self._directory,
+            self._front_metrics,
+            self._request_log,
+            self._counters,
+            self._borrower(fleet_messages.LoanKind.COLD_SENDS),
+            self._borrower(fleet_messages.LoanKind.LIMITED_SENDS),
+            suspects,
+            crash_evidence.CrashEvidence(
+                suspects,
+                lambda: self._view.upstreams,
+                loop.time,
+                self._reach.reaches_others,
+            ),
+            self._reach,
+            self._forwarder,
+        )
         self._relay = relay_module.Relay(
             self._directory,
             self._front_metrics,
@@ -130,23 +147,7 @@
             settings.retry_slack,
             settings.retry_window_s,
             admission,
-            sending.Sender(
-                self._directory,
-                self._front_metrics,
-                self._request_log,
-                self._counters,
-                self._borrower(fleet_messages.LoanKind.COLD_SENDS),
-                self._borrower(fleet_messages.LoanKind.LIMITED_SENDS),
-                suspects,
-                crash_evidence.CrashEvidence(
-                    suspects,
-                    lambda: self._view.upstreams,
-                    loop.time,
-                    self._reach.reaches_others,
-                ),
-                self._reach,
-                self._forwarder,
-            ),
+            self._sender,
             settings.zone,
         )
         self._leadership = leadership_module.Leadership(
@@ -257,6 +258,8 @@
         self._directory.forget_failures()
         if is_cut_off:
             self._directory.close_idle_connections()
+            if self._reach.is_silent():
+                self._sender.give_up_repeatable()
         self._forwarder.note_reach(is_cut_off)
 
     def _borrower(
--- a/src/sardinehill/front/reach_monitor.py
+++ b/src/sardinehill/front/reach_monitor.py
@@ -78,6 +78,10 @@
             return 0.0
         return self._clock_s() - self._last_change_s
 
+    def is_silent(self) -> bool:
+        """Returns whether upstreams no longer answer on open connections."""
+        return self._is_silent(self._clock_s())
+
     # what requests show
 
     def note_attempt(
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -64,6 +64,8 @@
         self._evidence = evidence
         self._reach = reach
         self._forwarder = forwarder
+        # The open connections with a request that may be repeated.
+        self._repeatable: set[http1.Connection] = set()
         self._mean_latencies_s: dict[str, float] = {}
         self._service_times = service_times.ServiceTimes()
 
@@ -123,6 +125,15 @@
                 context.service, key, self.service_time_s(context.route.name)
             )
 
+    def give_up_repeatable(self) -> None:
+        """Ends the exchanges whose requests may be repeated another way.
+
+        To be called when upstreams can no longer answer over the connections
+        that are open.
+        """
+        for connection in list(self._repeatable):
+            connection.close()
+
     async def send(
         self, context: requests.RequestContext, target: requests.Target
     ) -> http1.Response | None:
@@ -263,6 +274,8 @@
         request_id = context.metadata.request_id
         if isinstance(connection, http1.Connection):
             self._reach.note_sent(connection)
+            if context.route.is_idempotent:
+                self._repeatable.add(connection)
         try:
             answer = await connection.exchange(
                 _encode_request(context, target),
@@ -283,6 +296,7 @@
             # After a cancelled exchange the upstream may still run the request.
             if isinstance(connection, http1.Connection):
                 self._reach.note_done(connection)
+                self._repeatable.discard(connection)
             context.in_flight = context.in_flight and not connection.usable
             target.upstream_state.record_end()
             self._directory.wake_next(target.upstream, context.service)
@@ -356,13 +370,14 @@
           requests.RefusedError: the request may have run and is not idempotent.
         """
         context.in_flight = False
-        is_peers_fault = isinstance(error, forwarding.PeerFailedError)
         if isinstance(connection, http1.Connection):
             self._reach.note_broken(target.upstream.id)
             is_upstreams_fault = not self._reach.is_cut_off()
         else:
             self._metrics.increment("forwards", "broken")
-            is_upstreams_fault = not is_peers_fault
+            is_upstreams_fault = not isinstance(
+                error, forwarding.PeerFailedError
+            )
         if is_upstreams_fault:
             _record_failure(target, connection, error)
         context.last_failure = "connection-lost"
@@ -370,7 +385,7 @@
             return
         context.may_have_run = True
         digest = requests.digest(context)
-        if not error.response_started and not is_peers_fault:
+        if not error.response_started and is_upstreams_fault:
             self._evidence.note_broken(target.upstream, digest)
         if not context.route.is_idempotent:
             raise requests.RefusedError(
--- a/tests/cover/test_forwarded_sends.py
+++ b/tests/cover/test_forwarded_sends.py
@@ -37,7 +37,14 @@
         self.metrics = front_metrics.FrontMetrics()
         self.broken = []
         self.lines = []
-        reach = types.SimpleNamespace(is_cut_off=lambda: True)
+        self.is_cut_off = True
+        reach = types.SimpleNamespace(
+            is_cut_off=lambda: self.is_cut_off,
+            note_sent=lambda connection: None,
+            note_done=lambda connection: None,
+            note_answer=lambda upstream_id: None,
+            note_broken=lambda upstream_id: None,
+        )
         evidence = types.SimpleNamespace(
             note_broken=lambda upstream, digest: self.broken.append(upstream.id)
         )
@@ -176,3 +183,27 @@
             await fleet.upstream.closed.wait()
 
     forwarding_fleet.run(body)
+
+
+@pytest.mark.parametrize("is_idempotent", [False, True])
+def test_hung_exchange_is_given_up_only_if_it_may_be_repeated(is_idempotent):
+    async def body(fleet):
+        entry = Entry(fleet, is_idempotent)
+        entry.is_cut_off = False
+        sending_task = asyncio.ensure_future(entry.send())
+        await fleet.upstream.got_request.wait()
+        entry.is_cut_off = True
+        entry.sender.give_up_repeatable()
+        await asyncio.sleep(0.05)
+        assert sending_task.done() == is_idempotent
+        if is_idempotent:
+            assert sending_task.result() is None
+            assert entry.context.may_have_run
+            # The upstream is not to blame.
+            assert entry.broken == []
+            assert entry.target.upstream_state.failure_ratio == 0.0
+            assert (await entry.send()).status == 200
+            assert entry.context.peer == "p-1"
+        sending_task.cancel()
+
+    forwarding_fleet.run(body, None, forwarding_fleet.ANSWER)
