Share the check of owners between tests

Tests of other cuts than a restore have to check the same: one owner of a key at a time, under rising epochs. The check moves to tests/common unchanged.

--- a/tests/process/test_restored_store.py
+++ b/tests/process/test_restored_store.py
@@ -1,11 +1,11 @@
 """Tests of daemons whose store comes back from an earlier copy."""
 
 import asyncio
-import itertools
 import time
 
 import pytest
 
+from tests.common import owner_checks
 from tests.common import platform_fleet
 
 # All daemons have to follow a change within this time.
@@ -16,7 +16,6 @@
 RECOVERY_S = 10.0
 ASSIGNMENTS = "sardinehill-assignments"
 LEASES = "sardinehill-leases"
-SAMPLED_KEYS = range(0, 65536, 1000)
 
 
 @pytest.fixture
@@ -64,27 +63,6 @@
     return [reply.status for reply in replies]
 
 
-def check_owners(fleet):
-    """Checks that keys had one owner at a time, under rising epochs."""
-    holdings_count = 0
-    for key in SAMPLED_KEYS:
-        holdings = sorted(
-            (
-                (holding, upstream.name)
-                for upstream in fleet.upstreams.values()
-                for holding in upstream.holdings_of(key)
-            ),
-            key=lambda item: item[0].since_s,
-        )
-        holdings_count += len(holdings)
-        for (earlier, before), (later, after) in itertools.pairwise(holdings):
-            if before == after:
-                continue
-            assert earlier.until_s <= later.since_s, (key, before, after)
-            assert earlier.epoch < later.epoch, (key, before, after)
-    assert holdings_count >= len(SAMPLED_KEYS)
-
-
 def test_change_after_a_restore_is_in_force_on_all_daemons(fleet):
     async def scenario():
         copy = fleet.store.take_copy()
@@ -131,7 +109,7 @@
         for daemon in others:
             await fleet.wait_until_served(daemon, timeout_s=RECOVERY_S)
         await asyncio.sleep(1.0)
-        check_owners(fleet)
+        owner_checks.check_owners(fleet)
 
     fleet.run(scenario())
 
@@ -151,7 +129,7 @@
         for daemon in fleet.daemons:
             await fleet.wait_until_served(daemon, timeout_s=RECOVERY_S)
         await asyncio.sleep(1.0)
-        check_owners(fleet)
+        owner_checks.check_owners(fleet)
 
     fleet.run(scenario())
 
@@ -178,7 +156,7 @@
         for daemon in others:
             await fleet.wait_until_served(daemon, timeout_s=RECOVERY_S)
         assert time.monotonic() - started_s < RECOVERY_S
-        check_owners(fleet)
+        owner_checks.check_owners(fleet)
 
     fleet.run(scenario())
 
