--- a/standins/users_platform_upstream.py
+++ b/standins/users_platform_upstream.py
@@ -10,6 +10,8 @@
 from aiohttp import web
 
 KEY_COUNT = 65536
+# How often it looks whether the sender of a running request has left.
+LEFT_CHECK_INTERVAL_S = 0.05
 _ANSWER_NUMBERS = itertools.count(1)
 
 
@@ -48,6 +50,7 @@
 
     Attributes:
       runs: the requests that it ran.
+      abandoned: ids of the requests whose connection ended while it ran them.
       granted: first key, last key, epoch and arrival time of each grant that
         it accepted.
       mode: how it answers requests. `serve` answers normally, `shed` refuses
@@ -73,6 +76,7 @@
         self.name = name
         self.is_divided = is_divided
         self.runs: list[ExecutedRequest] = []
+        self.abandoned: list[str] = []
         self.granted: list[tuple[int, int, int, float]] = []
         self.mode = "serve"
         self.grant_delay_s = 0.0
@@ -201,6 +205,17 @@
             request.transport.write(refusal)
         return await self._run(request, request_id, number)
 
+    async def _work(self, request: web.Request, request_id: str) -> None:
+        """Spends the duration of a request; notes whether its sender left."""
+        await asyncio.sleep(min(self.service_time_s, LEFT_CHECK_INTERVAL_S))
+        remaining_s = self.service_time_s - LEFT_CHECK_INTERVAL_S
+        while remaining_s > 0 and request.transport is not None:
+            await asyncio.sleep(min(remaining_s, LEFT_CHECK_INTERVAL_S))
+            remaining_s -= LEFT_CHECK_INTERVAL_S
+        if request.transport is None:
+            self.abandoned.append(request_id)
+        await asyncio.sleep(max(remaining_s, 0.0))
+
     async def _run(
         self, request: web.Request, request_id: str, key: int | None
     ) -> web.StreamResponse:
@@ -213,7 +228,7 @@
                 request.headers.copy(),
             )
         )
-        await asyncio.sleep(self.service_time_s)
+        await self._work(request, request_id)
         if request.path == self.deadly_path:
             self.on_deadly_request()
             assert request.transport is not None
--- a/tests/common/platform_fleet.py
+++ b/tests/common/platform_fleet.py
@@ -85,7 +85,12 @@
 
 
 class DaemonProcess:
-    """Manages a daemon's process, its settings file and its log."""
+    """Manages a daemon's process, its settings file and its log.
+
+    Public attributes:
+      module: what the process runs.
+      environment: variables of the process beside the settings.
+    """
 
     def __init__(
         self,
@@ -93,8 +98,12 @@
         ports: list[int],
         store_port: int,
         directory: pathlib.Path,
+        zone: str,
     ):
         self.name = name
+        self.zone = zone
+        self.module = "sardinehill.front"
+        self.environment: dict[str, str] = {}
         (
             self.callers_port,
             self.readiness_port,
@@ -104,7 +113,7 @@
         self.settings = directory / f"{name}.conf"
         self.log = directory / f"{name}.log"
         self.settings.write_text(
-            f"nodeName={name}\nip={HOST}\nzone=pa-1\n"
+            f"nodeName={name}\nip={HOST}\nzone={zone}\n"
             f"listen.front={HOST}:{self.callers_port}\n"
             f"listen.ready={HOST}:{self.readiness_port}\n"
             f"internalPorts={self.peer_port},{self.metrics_port}\n"
@@ -126,13 +135,14 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "sardinehill.front",
+                self.module,
                 stdout=log if output is None else output,
                 stderr=log,
                 env={
                     **os.environ,
-                    "PYTHONPATH": str(ROOT / "src"),
+                    "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}",
                     "SARDINEHILL_SETTINGS": str(self.settings),
+                    **self.environment,
                 },
             )
 
@@ -163,7 +173,11 @@
     """A store, upstreams and daemons, driven by one event loop."""
 
     def __init__(
-        self, directory: pathlib.Path, daemons: int = 2, upstreams: int = 3
+        self,
+        directory: pathlib.Path,
+        daemons: int = 2,
+        upstreams: int = 3,
+        zones: tuple[str, ...] = ("pa-1",),
     ):
         self.directory = directory
         self._runner = asyncio.Runner()
@@ -179,6 +193,7 @@
                 ports[index::daemons],
                 self.store_port,
                 directory,
+                zones[index % len(zones)],
             )
             for index in range(daemons)
         ]
