Poll about an outage as soon as a replica is old enough

test_replicas_stay_fresh_during_a_long_outage[hang] read an age of 3.028 s (3.032 s once before), with a bound of 3.0 s.

Cause, by the constants: a daemon of rank 4 polls at an age of 2.2 s, but looked only each 0.2 s, and a store that hangs takes 0.6 s: 3.0 s and the delays on the way. The test of the constants left the 0.2 s out.

Change: the poller waits until the age at which it polls, not for the next look; a poll that found no outage is repeated after 0.2 s as before. The longest age is 2.8 s now.

--- a/src/sardinehill/core/outage.py
+++ b/src/sardinehill/core/outage.py
@@ -29,16 +29,15 @@
 POLL_TIMEOUT_S = 0.8
 
 
-def should_poll(age_s: float, rank: int) -> bool:
-    """Returns whether a daemon should poll the members about the store.
+def poll_age_s(rank: int) -> float:
+    """Returns the age of its replica above which a daemon polls the members.
 
     Args:
-      age_s: the age of the daemon's replica.
       rank: the daemon's rank for the store watcher role; 0 is the first.
     """
     if rank == 0:
-        return age_s > POLL_AGE_S
-    return age_s > LOWER_RANK_POLL_AGE_S + rank * POLL_DELAY_PER_RANK_S
+        return POLL_AGE_S
+    return LOWER_RANK_POLL_AGE_S + rank * POLL_DELAY_PER_RANK_S
 
 
 def is_outage(failed: Iterable[str], members: Iterable[str]) -> bool:
--- a/src/sardinehill/daemon/outage_poller.py
+++ b/src/sardinehill/daemon/outage_poller.py
@@ -1,6 +1,7 @@
 """Confirms that the replica is fresh while the store answers no daemon."""
 
 import asyncio
+import math
 
 from sardinehill import errors
 from sardinehill.adapters import platform
@@ -11,6 +12,8 @@
 from sardinehill.daemon import replication_context
 from sardinehill.wire import message_kinds
 
+# A poll that is due soon is waited for in steps of at least this.
+MIN_PAUSE_S = 0.005
 _REACHED = b"reached"
 _FAILED = b"failed"
 
@@ -35,17 +38,29 @@
     async def run(self) -> None:
         """Polls whenever the replica is old enough for this daemon's rank."""
         while True:
-            await asyncio.sleep(peer_protocol.TICK_INTERVAL_S)
-            protocol = self._context.protocol
-            if not protocol.is_member:
-                continue
-            age_s = protocol.replica.age_s(asyncio.get_running_loop().time())
-            ranked = protocol.roles.holders(
-                member_roles.STORE_WATCHER_ROLE, len(protocol.members.hosts)
-            )
-            if outage.should_poll(age_s, ranked.index(protocol.host.name)):
+            await asyncio.sleep(self._pause_s())
+            if self._due_in_s() < 0:
                 await self._poll_members()
 
+    def _pause_s(self) -> float:
+        """Returns the time until the next poll may be due."""
+        due_in_s = self._due_in_s()
+        if due_in_s < 0:
+            # The last poll has found no outage.
+            return peer_protocol.TICK_INTERVAL_S
+        return min(max(due_in_s, MIN_PAUSE_S), peer_protocol.TICK_INTERVAL_S)
+
+    def _due_in_s(self) -> float:
+        """Returns the time until this daemon polls; negative if it is due."""
+        protocol = self._context.protocol
+        if not protocol.is_member:
+            return math.inf
+        age_s = protocol.replica.age_s(asyncio.get_running_loop().time())
+        ranked = protocol.roles.holders(
+            member_roles.STORE_WATCHER_ROLE, len(protocol.members.hosts)
+        )
+        return outage.poll_age_s(ranked.index(protocol.host.name)) - age_s
+
     async def _poll_members(self) -> None:
         asked_s = asyncio.get_running_loop().time()
         names = list(self._context.protocol.members.by_name)
