--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -165,7 +165,7 @@
             limits,
             suspects,
             leaving,
-            self._reach.cut_off_for_s,
+            self._reach,
         )
         self._server = server_module.Server(self._relay.serve, self._limits)
         self._front_metrics.add_gauge_source(self._gauge_values)
--- a/tests/cover/test_leadership.py
+++ b/tests/cover/test_leadership.py
@@ -15,6 +15,7 @@
 from sardinehill.front import leadership as leadership_module
 from sardinehill.front import peer_links
 from sardinehill.front import peer_registry
+from sardinehill.front import reach_monitor
 from sardinehill.front import store_view
 from sardinehill.platform import store as store_module
 
@@ -78,7 +79,7 @@
         named_limits.NamedLimits(),
         crash_suspects.CrashSuspects(),
         leaving_upstreams.LeavingUpstreams(),
-        lambda: 0.0,
+        reach_monitor.ReachMonitor(lambda: {}, lambda _: None, loop.time),
     )
 
 
