--- a/src/sardinehill/front/leader_tasks.py
+++ b/src/sardinehill/front/leader_tasks.py
@@ -48,6 +48,7 @@
         earlier_leader_ended: bool,
         limits: named_limits.NamedLimits,
         leaving: leaving_upstreams.LeavingUpstreams,
+        may_move_keys: Callable[[], bool],
     ):
         self._term = term
         self._store = store
@@ -68,6 +69,7 @@
         )
         self._limits = limits
         self._leaving = leaving
+        self._may_move_keys = may_move_keys
         self._limited_lender = named_limits.LimitedSendLender()
         # The accounts whose quotas are divided, and what they follow from.
         self._preallocated: list[str] = []
@@ -121,7 +123,11 @@
             manager = assignment_manager.AssignmentManager(
                 service,
                 assignment_store.AssignmentStore(
-                    service, self._term, self._store, self._on_superseded
+                    service,
+                    self._term,
+                    self._store,
+                    self._on_superseded,
+                    self._may_move_keys,
                 ),
                 owners,
                 self._may_send_orders,
--- a/tests/cover/test_leaving_upstreams.py
+++ b/tests/cover/test_leaving_upstreams.py
@@ -124,6 +124,7 @@
         True,
         unused,
         leaving,
+        lambda: True,
     )
     planned = []
     tasks._owners["orders"] = owners
