Find peers that registered late, and refuse at once when none is left

Cause: a daemon knew only the daemons that had registered when it last read the list, often at its start. When the one peer that it knew was killed, it refused all requests although another one reached the upstreams. And with nobody to forward, requests whose keys had lapsed waited half of their time for an owner.

Change: a search for peers reads the list again, each five seconds at most; a request that waits is refused with 503 as soon as no peer forwards. Both tests failed before.

--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -101,6 +101,7 @@
             settings.daemon,
             settings.zone,
             lambda: self._leadership.peer_addresses,
+            lambda: self._leadership.refresh_peers(),
         )
         self._forwards = forward_server.ForwardServer(
             self._directory,
--- a/src/sardinehill/front/forwarding.py
+++ b/src/sardinehill/front/forwarding.py
@@ -5,9 +5,12 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Mapping
 import random
+from typing import Any
 
 from sardinehill import errors
 from sardinehill import events
@@ -25,6 +28,8 @@
 STATUS_TIMEOUT_S = 0.4
 # A link through which nothing was sent for this long is closed.
 LINK_IDLE_TIMEOUT_S = 5.0
+# The list of registered daemons is read again this often while it is needed.
+REFRESH_INTERVAL_S = 5.0
 MAX_PARALLEL_SEARCHES = 16
 # The peer ends an exchange at its deadline; its answer may take this long.
 ANSWER_MARGIN_S = 0.5
@@ -220,6 +225,7 @@
         name: str,
         zone: str,
         peer_addresses: Callable[[], Mapping[str, str]],
+        refresh_peers: Callable[[], Awaitable[None]],
     ):
         """Creates a forwarder without links.
 
@@ -227,18 +233,21 @@
           name: this daemon's name.
           zone: this daemon's availability zone.
           peer_addresses: returns the addresses of all daemons by name.
+          refresh_peers: reads them from the store again.
         """
         self._name = name
         self._zone = zone
         self._is_needed = False
         self._peer_addresses = peer_addresses
+        self._refresh_peers = refresh_peers
+        self._refreshed_s = float("-inf")
         self._choice = forward_choice.ForwardChoice(random.random)
         self._links: dict[str, peer_links.PeerLink] = {}
         self._last_used_s = 0.0
         self._search: asyncio.Task[None] | None = None
         self._search_ended_s = float("-inf")
         self._peer_found = asyncio.Event()
-        self._watches: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     @property
     def peers(self) -> list[str]:
@@ -252,6 +261,13 @@
             self._last_used_s = asyncio.get_running_loop().time()
             self._start_search()
 
+    def may_forward(self) -> bool:
+        """Returns whether a peer forwards requests or is being searched."""
+        if self._links:
+            return True
+        self._start_search()
+        return self._search is not None
+
     async def connect(
         self,
         upstream: routes.Upstream,
@@ -326,6 +342,9 @@
 
     def _start_search(self) -> None:
         now_s = asyncio.get_running_loop().time()
+        if now_s - self._refreshed_s >= REFRESH_INTERVAL_S:
+            self._refreshed_s = now_s
+            self._start_task(self._refresh())
         if (
             self._search is None
             and now_s - self._search_ended_s >= forward_choice.SEARCH_PAUSE_S
@@ -333,6 +352,17 @@
             self._search = asyncio.ensure_future(self._search_once())
             self._search.add_done_callback(self._note_search_ended)
 
+    async def _refresh(self) -> None:
+        """Searches among daemons that have registered since the last search."""
+        await self._refresh_peers()
+        self._search_ended_s = float("-inf")
+        self._start_search()
+
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _note_search_ended(self, search: asyncio.Task[None]) -> None:
         self._search = None
         self._search_ended_s = asyncio.get_running_loop().time()
@@ -383,9 +413,7 @@
         ):
             self._links[name] = link
             self._peer_found.set()
-            watch = asyncio.ensure_future(self._watch(name, link))
-            self._watches.add(watch)
-            watch.add_done_callback(self._watches.discard)
+            self._start_task(self._watch(name, link))
             events.log(events.FORWARDING_PEER_FOUND, peer=name)
             return
         if status.refusal is not None:
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
+import contextlib
 import itertools
 from typing import Any
 
@@ -143,6 +144,11 @@
         """The addresses of the registered daemons by name, with this one."""
         return self._registry.peer_addresses
 
+    async def refresh_peers(self) -> None:
+        """Reads the registered daemons again, if the store answers."""
+        with contextlib.suppress(errors.StoreError):
+            await self._registry.read_peers()
+
     # messages from peers
 
     def receive(
--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -268,6 +268,7 @@
                 raise requests.RefusedError(
                     errors.Reason.DEADLINE_PASSED, 503, DEFAULT_RETRY_AFTER_S
                 )
+            self._sender.refuse_if_cut_off()
             found = self._selector.find(context, now_s)
             if isinstance(found, requests.Target):
                 return found
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -125,6 +125,22 @@
                 context.service, key, self.service_time_s(context.route.name)
             )
 
+    def refuse_if_cut_off(self) -> None:
+        """Refuses a request that cannot be sent in any way now.
+
+        Raises:
+          requests.RefusedError: neither this daemon nor a peer reaches the
+            upstreams.
+        """
+        if self._reach.is_cut_off() and not self._forwarder.may_forward():
+            raise self._no_peer_refusal("no peer forwards requests now")
+
+    def _no_peer_refusal(self, error: str) -> requests.RefusedError:
+        self._metrics.increment("forwards", "no-peer")
+        return requests.RefusedError(
+            errors.Reason.CUT_OFF, 503, NO_PEER_RETRY_AFTER_S, error=error
+        )
+
     def give_up_repeatable(self) -> None:
         """Ends the exchanges whose requests may be repeated another way.
 
@@ -221,13 +237,7 @@
                 self.service_time_s(context.route.name),
             )
         except forwarding.NoPeerError as error:
-            self._metrics.increment("forwards", "no-peer")
-            raise requests.RefusedError(
-                errors.Reason.CUT_OFF,
-                503,
-                NO_PEER_RETRY_AFTER_S,
-                error=str(error),
-            ) from error
+            raise self._no_peer_refusal(str(error)) from error
 
     async def _may_send_within_limit(self, target: requests.Target) -> bool:
         """Borrows a send if the upstream names a limit; returns if it may go.
--- a/tests/common/forwarding_fleet.py
+++ b/tests/common/forwarding_fleet.py
@@ -130,13 +130,22 @@
         self.upstream_address = ""
         self.peers = {}
         self.views = {}
+        # The daemons as read last, if not all.
+        self.listed = {}
         self.forwarder = forwarding.Forwarder(
             "me",
             "a",
-            lambda: {peer.name: peer.address for peer in self.all_peers()},
+            lambda: self.listed or self.addresses(),
+            self.refresh_peers,
         )
         self.servers = []
 
+    async def refresh_peers(self):
+        self.listed = {}
+
+    def addresses(self):
+        return {peer.name: peer.address for peer in self.all_peers()}
+
     def all_peers(self):
         return list(self.peers.values())
 
--- a/tests/cover/test_forwarded_sends.py
+++ b/tests/cover/test_forwarded_sends.py
@@ -156,6 +156,24 @@
     forwarding_fleet.run(body)
 
 
+def test_request_that_waits_is_refused_once_no_peer_is_left():
+    async def body(fleet):
+        entry = Entry(fleet, is_idempotent=True)
+        entry.sender.refuse_if_cut_off()
+        await fleet.connect()
+        entry.sender.refuse_if_cut_off()
+        fleet.peers["p-1"].reach.cut_off = True
+        assert await entry.send() is None
+        await asyncio.sleep(0.05)
+        with pytest.raises(requests.RefusedError) as raised:
+            entry.sender.refuse_if_cut_off()
+        assert raised.value.reason is errors.Reason.CUT_OFF
+        entry.is_cut_off = False
+        entry.sender.refuse_if_cut_off()
+
+    forwarding_fleet.run(body)
+
+
 def test_refusal_by_the_upstream_pauses_it_at_both_daemons():
     async def body(fleet):
         entry = Entry(fleet, is_idempotent=False)
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -258,6 +258,19 @@
     forwarding_fleet.run(body)
 
 
+def test_peer_that_registered_after_the_last_read_is_found():
+    async def body(fleet):
+        peer = fleet.peers["p-1"]
+        fleet.listed = {"p-1": peer.address}
+        peer.reach.cut_off = True
+        await fleet.add_peer("p-2")
+        fleet.forwarder.note_reach(True)
+        await asyncio.sleep(0.1)
+        assert (await fleet.connect()).peer == "p-2"
+
+    forwarding_fleet.run(body)
+
+
 def test_older_peer_that_does_not_know_the_messages_gets_no_request():
     async def body(fleet):
         fleet.peers["p-1"].server.receive = lambda link, envelope: None
