Tell a peer that the upstream failed unless no upstream is heard

A single upstream that could not be reached made a peer's reach doubtful, and it would have said that it was cut off, too; its peers then gave it up for a second. It says so now only if it is cut off or no request is answered.

--- a/src/sardinehill/front/forward_server.py
+++ b/src/sardinehill/front/forward_server.py
@@ -296,7 +296,7 @@
     def _connect_failure(self, order: _Order) -> _Reason:
         now_s = asyncio.get_running_loop().time()
         # The peer asks another daemon if this one may be cut off, too.
-        if self._reach.reach.is_doubtful(now_s):
+        if not self._reach.hears_upstreams():
             return _Reason.CUT_OFF
         order.state.record_unreachable(now_s)
         return _Reason.UNREACHABLE
