Refuse without waiting for a search once one has found no peer

Cause: with all daemons cut off, requests waited for each further search for peers, as long as those took to answer.

Change: only the first search of a cut is waited for. The test failed before.

--- a/src/sardinehill/front/forwarding.py
+++ b/src/sardinehill/front/forwarding.py
@@ -246,6 +246,8 @@
         self._last_used_s = 0.0
         self._search: asyncio.Task[None] | None = None
         self._search_ended_s = float("-inf")
+        # Whether the last search has found no peer.
+        self._is_alone = False
         self._peer_found = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -257,16 +259,20 @@
     def note_reach(self, is_cut_off: bool) -> None:
         """Searches for peers as soon as this daemon reaches no upstream."""
         self._is_needed = is_cut_off
+        self._is_alone = False
         if is_cut_off:
             self._last_used_s = asyncio.get_running_loop().time()
             self._start_search()
 
     def may_forward(self) -> bool:
-        """Returns whether a peer forwards requests or is being searched."""
+        """Returns whether a peer forwards requests, as far as is known.
+
+        Further searches go on after one has found none.
+        """
         if self._links:
             return True
         self._start_search()
-        return self._search is not None
+        return self._search is not None and not self._is_alone
 
     async def connect(
         self,
@@ -295,7 +301,7 @@
             raise NoPeerError("the request is too long")
         loop = asyncio.get_running_loop()
         self._last_used_s = loop.time()
-        if not self._links:
+        if self.may_forward() and not self._links:
             await self._wait_for_peer()
         zones = (self._zone, upstream.zone)
         peer = self._choice.choose(zones, loop.time())
@@ -328,7 +334,6 @@
 
     async def _wait_for_peer(self) -> None:
         """Waits until a search has found a peer or has ended."""
-        self._start_search()
         search = self._search
         if search is None:
             return
@@ -366,6 +371,7 @@
     def _note_search_ended(self, search: asyncio.Task[None]) -> None:
         self._search = None
         self._search_ended_s = asyncio.get_running_loop().time()
+        self._is_alone = not self._links
         if not search.cancelled() and search.exception() is not None:
             events.log(
                 events.TASK_FAILED,
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -258,6 +258,30 @@
     forwarding_fleet.run(body)
 
 
+def test_requests_do_not_wait_for_a_search_after_one_found_no_peer():
+    async def body(fleet):
+        fleet.peers["p-1"].reach.cut_off = True
+        fleet.forwarder.note_reach(True)
+        with pytest.raises(forwarding.NoPeerError):
+            await fleet.connect()
+        hung = await peer_links.serve(
+            forwarding_fleet.HOST, 0, "hung", lambda *_: None, lambda _: None
+        )
+        fleet.servers.append(hung)
+        port = hung.sockets[0].getsockname()[1]
+        fleet.peers["p-1"].address = f"{forwarding_fleet.HOST}:{port}"
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        while loop.time() - began_s < 1.5:
+            asked_s = loop.time()
+            with pytest.raises(forwarding.NoPeerError):
+                await fleet.connect()
+            assert loop.time() - asked_s < forwarding.STATUS_TIMEOUT_S / 2
+            await asyncio.sleep(0.05)
+
+    forwarding_fleet.run(body)
+
+
 def test_peer_that_registered_after_the_last_read_is_found():
     async def body(fleet):
         peer = fleet.peers["p-1"]
