--- a/src/sardinehill/front/reach_monitor.py
+++ b/src/sardinehill/front/reach_monitor.py
@@ -80,7 +80,7 @@
 
     def is_silent(self) -> bool:
         """Returns whether upstreams no longer answer on open connections."""
-        return self._is_silent(self._clock_s())
+        return self._is_unanswered(self._clock_s())
 
     def hears_upstreams(self) -> bool:
         """Returns whether upstreams are reached and requests are answered.
