Discard orders under way once the term is not confirmed any more

Nobody has seen this. A host that is suspended keeps what its kernel has not delivered, and the kernel's limits stand still with it.

Change: the loop of the orders, which runs every 0.05 s, resets the connections of orders under way when the term is not confirmed. The test failed before.

--- a/src/sardinehill/front/key_owners.py
+++ b/src/sardinehill/front/key_owners.py
@@ -100,6 +100,12 @@
         self.ended: set[keyspace.Incarnation] = set()
         self.last_joined_s = now_s
         self.orders_sent = 0
+        self._under_way: set[http1.Connection] = set()
+
+    def abandon_orders(self) -> None:
+        """Discards all orders under way that have not been delivered."""
+        for connection in self._under_way:
+            connection.close()
 
     def close(self) -> None:
         """Closes all connections."""
@@ -222,8 +228,12 @@
             if not may_send():
                 owner.connections.append(connection)
                 return OrderResult(error="overtaken", superseded=True)
-            async with asyncio.timeout(timeout_s):
-                answer = await connection.exchange(request)
+            self._under_way.add(connection)
+            try:
+                async with asyncio.timeout(timeout_s):
+                    answer = await connection.exchange(request)
+            finally:
+                self._under_way.discard(connection)
         except TimeoutError:
             return OrderResult(error="no answer", written=True)
         except http1.ConnectionFailedError as error:
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -95,6 +95,8 @@
         """Sends the grants and releases that are due."""
         self._owners.refresh(self._clock_s())
         if not self._may_send_orders():
+            # This host may have been suspended with them in its kernel.
+            self._owners.abandon_orders()
             return
         self._note_exclusive()
         if self._was_exclusive:
--- a/tests/cover/test_undelivered_bytes.py
+++ b/tests/cover/test_undelivered_bytes.py
@@ -17,6 +17,7 @@
 
 from sardinehill import http1
 from sardinehill.core import key_orders
+from sardinehill.core import keyspace
 from sardinehill.front import key_owners
 from sardinehill.front import order_sender
 from sardinehill.front import peer_links
@@ -176,6 +177,46 @@
     assert run(freeze_while_waiting()) < MESSAGE_BYTES / 2
 
 
+def test_order_under_way_is_discarded_once_the_term_is_not_confirmed(
+    listener, run, monkeypatch
+):
+    # The host was suspended with the order in its kernel, and has just woken.
+    monkeypatch.setattr(key_owners, "MAX_UNACKNOWLEDGED_S", 60.0)
+
+    async def lose_the_term():
+        owners = key_owners.KeyOwners("stock", dict, frozenset, 0.0)
+        order = asyncio.create_task(
+            owners.send_order(
+                owner_at(listener), b"x" * MESSAGE_BYTES, 60.0, lambda: True
+            )
+        )
+        connection, _ = await asyncio.to_thread(listener.accept)
+        with connection:
+            await asyncio.to_thread(connection.recv, 1)
+            sender = order_sender.OrderSender(
+                "stock",
+                keyspace.empty_assignment(),
+                owners,
+                asyncio.TaskGroup(),
+                may_send_orders=lambda: False,
+                is_exclusive=lambda: True,
+                on_spans_changed=lambda: None,
+                on_owners_changed=lambda: None,
+                on_former_gone=lambda: None,
+                on_fenced=lambda grant: None,
+                clock_s=time.monotonic,
+            )
+            sender.send_due()
+            async with asyncio.timeout(5.0):
+                result = await order
+            return result, receive_all(connection)
+
+    result, received = run(lose_the_term())
+    assert result.status is None
+    assert result.written
+    assert received < MESSAGE_BYTES / 2
+
+
 def test_report_over_a_link_that_was_given_up_does_not_arrive_after_a_cut(
     listener, run
 ):
