Give starting daemons the newest entries of upstreams

A view ignored entries that were older than what it knew (of upstreams that had left, or drained, before a restore or a late write), but kept them among its documents, which peers get. A daemon that started then used such an upstream.

Change: outdated entries are replaced by the known ones, or dropped, before the documents are stored, as it is with the config.

Measured: both new tests of tests/cover/test_restored_view.py failed before and pass now.

--- a/src/sardinehill/front/listed_upstreams.py
+++ b/src/sardinehill/front/listed_upstreams.py
@@ -25,6 +25,36 @@
         self._malformed: dict[str, str] = {}
         self.by_id: dict[str, routes.Upstream] = {}
 
+    def without_outdated(
+        self, documents: dict[str, Json], revision: int
+    ) -> dict[str, Json]:
+        """Returns the entries without those that are older than known ones.
+
+        A write that the store did not answer may take effect seconds later, and
+        then overwrites what the upstream has written since. A restored store
+        goes back to earlier entries. Such an entry is replaced by the known
+        one, and that of an upstream which has left is dropped. Peers and
+        daemons that start must not get them from here.
+
+        Args:
+          documents: the entries by name, as read.
+          revision: the store's revision, for logs.
+        """
+        newest: dict[str, Json] = {}
+        for name, document in documents.items():
+            upstream = self._decode(name, document)
+            known = self.by_id.get(name)
+            if upstream is None:
+                newest[name] = document
+            elif known is not None and upstream.is_outdated_by(known):
+                _log_outdated(upstream, revision)
+                newest[name] = self._decoded[name][0]
+            elif self._removed.includes(upstream):
+                _log_outdated(upstream, revision)
+            else:
+                newest[name] = document
+        return newest
+
     def update(
         self,
         documents: dict[str, Json],
@@ -34,7 +64,7 @@
         """Decodes the entries of all upstreams.
 
         Args:
-          documents: the entries by name.
+          documents: the entries by name, without outdated ones.
           revision: the store's revision, for logs.
           max_age_s: how long ago the last change may have occurred, for logs;
             None if that is not known.
@@ -42,13 +72,9 @@
         upstreams: dict[str, routes.Upstream] = {}
         decoded: dict[str, tuple[Json, routes.Upstream]] = {}
         for name, document in documents.items():
-            upstream = self._decode(name, document, revision)
-            if upstream is None:
-                continue
-            decoded[name] = (document, upstream)
-            if self._removed.includes(upstream):
-                _log_outdated(upstream, revision)
-            else:
+            upstream = self._decode(name, document)
+            if upstream is not None:
+                decoded[name] = (document, upstream)
                 upstreams[name] = upstream
         for name in self.by_id.keys() - upstreams.keys():
             self._removed.add(self.by_id[name])
@@ -56,33 +82,15 @@
         self._decoded = decoded
         self.by_id = upstreams
 
-    def _decode(
-        self, name: str, document: Json, revision: int
-    ) -> routes.Upstream | None:
+    def _decode(self, name: str, document: Json) -> routes.Upstream | None:
         known_document, known_upstream = self._decoded.get(name, (None, None))
         if known_upstream is not None and known_document is document:
             return known_upstream
         try:
-            upstream = documents_module.decode_upstream(name, document)
+            return documents_module.decode_upstream(name, document)
         except documents_module.MalformedDocumentError as error:
             self._note_malformed(name, str(error))
             return None
-        return self._newest_report(upstream, revision)
-
-    def _newest_report(
-        self, upstream: routes.Upstream, revision: int
-    ) -> routes.Upstream:
-        """Returns the known upstream if it wrote its entry later than this.
-
-        A write that the store did not answer may take effect seconds later, and
-        then overwrites what the upstream has written since. A restored store
-        goes back to an earlier entry.
-        """
-        known = self.by_id.get(upstream.id)
-        if known is None or not upstream.is_outdated_by(known):
-            return upstream
-        _log_outdated(upstream, revision)
-        return known
 
     def _note_malformed(self, name: str, error: str) -> None:
         if self._malformed.get(name) != error:
--- a/src/sardinehill/front/store_view.py
+++ b/src/sardinehill/front/store_view.py
@@ -319,6 +319,10 @@
         before = watched.documents
         if watched is self._config:
             documents = _with_newest_configuration(before, documents)
+        elif watched is self._upstreams:
+            documents = self._listed_upstreams.without_outdated(
+                documents, version.revision
+            )
         # Peers compare eras, so they are told of the first read in each.
         is_first_in_era = (
             watched.version == store_versions.NEVER_READ
--- a/tests/cover/test_restored_view.py
+++ b/tests/cover/test_restored_view.py
@@ -108,6 +108,37 @@
     assert fixture.view.upstreams["i-1"].is_draining
 
 
+def started_daemons_upstreams(fixture):
+    """Returns the upstreams of a daemon that starts from a view's documents."""
+    started = store_view.StoreView(fixture.clock, lambda: None)
+    for watched, known in zip(started.kinds, fixture.view.kinds, strict=True):
+        started.replace_documents(watched, known.documents, known.version)
+    return started.upstreams
+
+
+def test_daemon_that_starts_does_not_get_an_upstream_that_had_left(fixture):
+    fixture.list_upstream(4)
+    fixture.read()
+    fixture.lists[names.UPSTREAMS_KIND].clear()
+    fixture.read()
+    fixture.restore()
+    fixture.list_upstream(3)
+    fixture.read()
+    assert started_daemons_upstreams(fixture) == {}
+    fixture.list_upstream(5)
+    fixture.read()
+    assert set(started_daemons_upstreams(fixture)) == {"i-1"}
+
+
+def test_daemon_that_starts_knows_that_an_upstream_drains(fixture):
+    fixture.list_upstream(4, state="draining")
+    fixture.read()
+    fixture.restore()
+    fixture.list_upstream(3, state="ready")
+    fixture.read()
+    assert started_daemons_upstreams(fixture)["i-1"].is_draining
+
+
 def test_upstream_that_a_restored_store_has_lost_is_kept_for_a_grace(fixture):
     fixture.list_upstream(1)
     fixture.read()
