Distrust a platform list that lacks a writer of the member list

tests/slow/test_membership_machine.py: a member that was live and reachable for 4.4 s was removed.

Cause: the member on the smaller side of a partition was removed, wrote itself in again after 6 s and then took all others, silent for it and missing from its wrong platform list, for a fleet that was replaced as a whole. The same happens with lists that name itself and its side.

While a member that the platform's list lacks has written the member list within 30 s, nobody is removed by the platform's list; the quorum of monitors still removes. The simulated store names the writer now, as the real one does.

Tests: the three new cases (empty list, itself, its side) failed before and pass; a replaced fleet whose last writer is dead is still removed.

--- a/src/sardinehill/core/membership_coordinator.py
+++ b/src/sardinehill/core/membership_coordinator.py
@@ -33,6 +33,10 @@
 # The platform's host list lags behind, so a host must be missing from it for
 # this long.
 UNLISTED_BEFORE_REMOVAL_S = 10.0
+# The platform's list is wrong if it lacks a member that has written the member
+# list within this time. A daemon that was cut off from it, and so removed,
+# writes itself in again and is removed again well within this time.
+WRITER_LIVENESS_S = 30.0
 # A daemon that no coordinator has added after this time, plus a delay that is
 # derived from its name, adds itself.
 SELF_JOIN_DELAY_S = 6.0
@@ -80,6 +84,7 @@
         self._change_pending_since_s: float | None = None
         self._changed_at_s = float("-inf")
         self._unlisted_since_s: dict[str, float] = {}
+        self._list_written_s: dict[str, float] = {}
         self._failed_own_probes: set[tuple[str, int]] = set()
 
     def receive_alarm(self, alarm: membership.Alarm, now_s: float) -> None:
@@ -181,6 +186,9 @@
     ) -> None:
         """Records a change of the list, whichever daemon wrote it."""
         self._changed_at_s = now_s
+        # The writer of the first list that a daemon reads may be long gone.
+        if before.version and after.writer_id != self.name:
+            self._list_written_s[after.writer_id] = now_s
         self._change_pending_since_s = None
         for host in before.hosts:
             if host.name in after.by_name or host.name in self._leaves:
@@ -233,10 +241,23 @@
         if (host.name, host.incarnation) not in self._failed_own_probes:
             return False
         unlisted_since_s = self._unlisted_since_s.get(host.name, now_s)
-        if now_s - unlisted_since_s >= UNLISTED_BEFORE_REMOVAL_S:
+        if (
+            now_s - unlisted_since_s >= UNLISTED_BEFORE_REMOVAL_S
+            and not self._lacks_list_writer()
+        ):
             return self._all_live_monitors_alarmed(host, members, overlay)
         return self._has_quorum(host, overlay)
 
+    def _lacks_list_writer(self) -> bool:
+        """Returns whether the platform's list lacks a member that is live.
+
+        A daemon that is cut off cannot tell this from a fleet that was replaced
+        as a whole by its own probes.
+        """
+        return not self._unlisted_since_s.keys().isdisjoint(
+            self._list_written_s
+        )
+
     def _all_live_monitors_alarmed(
         self,
         host: fleet.DaemonHost,
@@ -320,6 +341,11 @@
             for name, removal in self._removals.items()
             if now_s - removal.removed_at_s < REMOVAL_HISTORY_S
         }
+        self._list_written_s = {
+            name: written_s
+            for name, written_s in self._list_written_s.items()
+            if now_s - written_s < WRITER_LIVENESS_S
+        }
         self._failed_own_probes = {
             (name, incarnation)
             for name, incarnation in self._failed_own_probes
--- a/tests/common/peer_network.py
+++ b/tests/common/peer_network.py
@@ -40,7 +40,10 @@
     )
 
     def write(
-        self, hosts: tuple[fleet.DaemonHost, ...], expected: int
+        self,
+        hosts: tuple[fleet.DaemonHost, ...],
+        expected: int,
+        writer: str = "",
     ) -> membership.MemberList | None:
         """Writes a list.
 
@@ -50,7 +53,7 @@
         if not self.is_available or expected != self.members.version:
             return None
         self.revision += 1
-        self.members = membership.MemberList(self.revision, hosts)
+        self.members = membership.MemberList(self.revision, hosts, writer)
         self.history.append(self.members)
         return None if self.loses_replies else self.members
 
@@ -188,7 +191,9 @@
         hosts = protocol.proposed_hosts(self.now_s)
         if hosts is None:
             return
-        members = self.store.write(hosts, protocol.members.version)
+        members = self.store.write(
+            hosts, protocol.members.version, protocol.host.name
+        )
         if members is not None:
             protocol.set_members(members, self.now_s)
 
--- a/tests/cover/test_membership.py
+++ b/tests/cover/test_membership.py
@@ -355,3 +355,49 @@
 
     network.run(30.0, _update_platform_hosts)
     assert _write_count(network) == 1
+
+
+@pytest.mark.parametrize("listed", [set(), {"d00"}, {"d00", "d06"}])
+def test_wrong_platform_list_removes_no_member_from_the_smaller_side(
+    listed: set[str],
+) -> None:
+    hosts = [
+        peer_network.daemon_host(f"d{i:02}", f"z{i % 3}") for i in range(7)
+    ]
+    network = peer_network.Network(hosts)
+    network.commit_all()
+    names = [host.name for host in hosts]
+    smaller = {"d00", "d04", "d06"}
+    larger = set(names) - smaller
+    for one in smaller:
+        for other in larger:
+            network.cut_links |= {(one, other), (other, one)}
+    network.daemons["d04"].is_alive = False
+    network.daemons["d00"].protocol.update_platform_hosts(listed, network.now_s)
+    network.daemons["d06"].protocol.leaving = True
+    network.start(peer_network.daemon_host("d06", "z0", incarnation=2))
+
+    network.run(40.0)
+    for members in network.store.history:
+        assert larger <= members.by_name.keys()
+
+
+def test_dead_writer_of_the_list_is_removed_with_its_fleet() -> None:
+    network = _network(6)
+    network.run(2.0)
+    network.start(peer_network.daemon_host("n00"))
+    network.run(3.0)
+    assert network.store.members.writer_id.startswith("d")
+    for name, daemon in network.daemons.items():
+        daemon.is_alive = name.startswith("n")
+    for index in range(1, 6):
+        network.start(peer_network.daemon_host(f"n{index:02}"))
+    live = [f"n{index:02}" for index in range(6)]
+
+    def _update_platform_hosts() -> None:
+        for name in live:
+            protocol = network.daemons[name].protocol
+            protocol.update_platform_hosts(live, network.now_s)
+
+    network.run(90.0, _update_platform_hosts)
+    assert _member_names(network) == live
