Let the seals of half an even electorate fence predecessors

tests/slow/test_ownership_machine.py: shards were not served 5 s after the faults.

Cause: the electorate had two voters and the controller, one of them, was lost. Its successor held the lease, but needed seals from a majority, that is from both, and so could move nothing until the lost daemon was back.

Change: a term is sealed once the voters that have not sealed it are no majority, in the present and in the previous electorate each. Every majority then includes a voter that refuses lower terms, which is all that a seal is for. Nothing changes for odd electorates; of two voters one suffices.

--- a/src/sardinehill/core/quorum.py
+++ b/src/sardinehill/core/quorum.py
@@ -3,9 +3,11 @@
 A controller may send grants while its lease was renewed in the store within
 the ttl, or while a majority of the service's electorate has voted for its term
 within the ttl of a vote. A controller that has taken over the lease collects
-seals from a majority of the same electorate before it changes any assignment.
-Two majorities share a voter, and a voter that has sealed a term votes for no
-lower one, so from then on only the new controller can be authorized. There is
+seals from so many of the same electorate that the others are no majority before
+it changes any assignment. Each majority then includes a voter that has sealed
+the term and votes for no lower one, so from then on only the new controller can
+be authorized. That is a majority of an odd electorate and half of an even one,
+as otherwise the loss of one of two voters would end all changes. There is
 no replicated log: voters remember one term, and assignments are kept in the
 store only.
 """
@@ -60,6 +62,18 @@
             or _is_majority(chosen, self.previous_voters)
         )
 
+    def blocks_majorities(self, chosen: set[str]) -> bool:
+        """Tells whether each majority includes one of the chosen daemons.
+
+        While the electorate changes, this holds for both groups, as an earlier
+        controller may rely on either alone. With an empty electorate it is
+        always true, as no controller can be authorized by votes.
+        """
+        return not any(
+            _is_majority(set(group) - chosen, group)
+            for group in (self.voters, self.previous_voters)
+        )
+
     @property
     def all_voters(self) -> frozenset[str]:
         """The present and previous voters."""
@@ -146,7 +160,8 @@
     """Records the highest term that another, primed voter knows.
 
     This primes a daemon that was restarted while the store is down: a majority
-    of primed voters shares a voter with every majority that sealed a term.
+    of primed voters without this one includes another voter that sealed each
+    term that was sealed.
     """
     voter.reported_terms[voter_name] = term
     voter.highest_term = max(voter.highest_term, term)
@@ -184,7 +199,8 @@
       term: the term, 0 while this daemon is not the controller.
       vote_requested_s: when each voter's newest vote was requested.
       sealed: the voters that have sealed this term.
-      sealed_s: when the seals reached a majority, None before.
+      sealed_s: when the seals first blocked all majorities for lower terms,
+        None before.
       predecessor_until_s: until when a predecessor may be authorized by votes.
     """
 
@@ -227,8 +243,8 @@
     now_s: float,
     timing: QuorumTiming,
 ) -> None:
-    """Records a seal and when the seals first reach a majority."""
-    # Only a voter's first seal counts, and none after the majority: a voter
+    """Records a seal and when the seals first block all majorities."""
+    # Only a voter's first seal counts, and none after enough others: a voter
     # that seals again would report its votes for the new term too, and the
     # wait for the predecessor would never end.
     is_ignored = votes.sealed_s is not None or voter_name in votes.sealed
@@ -238,7 +254,7 @@
     vote_left_s = max(0.0, timing.vote_ttl_s - response.last_vote_age_s)
     until_s = now_s + vote_left_s * (1.0 + 2.0 * timing.clock_drift_ratio)
     votes.predecessor_until_s = max(votes.predecessor_until_s, until_s)
-    if votes.sealed_s is None and electorate.has_majority(votes.sealed):
+    if votes.sealed_s is None and electorate.blocks_majorities(votes.sealed):
         votes.sealed_s = now_s
 
 
@@ -262,7 +278,7 @@
 def predecessors_fenced_s(votes: QuorumVotes) -> float:
     """Returns from when on no other controller can be authorized.
 
-    It is infinity before a majority has sealed the term.
+    It is infinity before enough voters have sealed the term.
     """
     if votes.sealed_s is None:
         return float("inf")
--- a/tests/cover/test_quorum.py
+++ b/tests/cover/test_quorum.py
@@ -1,8 +1,11 @@
 """Tests of the votes that authorize a controller in a store outage."""
 
+import itertools
+
 import pytest
 
 from sardinehill.core import quorum
+from tests.common import ownership_simulation
 
 TIMING = quorum.QuorumTiming()
 ELECTORATE = quorum.Electorate(frozenset("abc"))
@@ -77,3 +80,72 @@
     until_s = quorum.quorum_until_s(votes, ELECTORATE, TIMING)
     assert until_s == float("-inf")
     assert quorum.predecessors_fenced_s(votes) == float("inf")
+
+
+def subsets(names: str) -> list[set[str]]:
+    return [
+        set(chosen)
+        for count in range(len(names) + 1)
+        for chosen in itertools.combinations(names, count)
+    ]
+
+
+@pytest.mark.parametrize("voters", ["a", "ab", "abc", "abcd", "abcde"])
+@pytest.mark.parametrize("previous", ["", "a", "bc", "cde"])
+def test_no_majority_votes_for_a_term_that_enough_voters_refuse(
+    voters: str, previous: str
+) -> None:
+    electorate = quorum.Electorate(frozenset(voters), frozenset(previous))
+    for sealed in subsets("abcde"):
+        if not electorate.blocks_majorities(sealed):
+            continue
+        for votes in subsets("abcde"):
+            # An earlier controller may rely on either group alone, or on both.
+            for group in (
+                quorum.Electorate(frozenset(voters)),
+                quorum.Electorate(frozenset(previous)),
+                electorate,
+            ):
+                if group.all_voters and group.has_majority(votes):
+                    assert votes & sealed
+
+
+@pytest.mark.parametrize("voters", ["ab", "abc", "abcd", "abcde"])
+def test_restarted_voter_learns_each_term_that_enough_voters_sealed(
+    voters: str,
+) -> None:
+    electorate = quorum.Electorate(frozenset(voters))
+    for sealed in subsets(voters):
+        if "a" not in sealed or not electorate.blocks_majorities(sealed):
+            continue
+        for reporting in subsets(voters[1:]):
+            if electorate.has_majority(reporting):
+                assert reporting & sealed
+
+
+@pytest.mark.parametrize("voters", ["abc", "abcde"])
+def test_an_odd_electorate_needs_a_majority_of_seals(voters: str) -> None:
+    electorate = quorum.Electorate(frozenset(voters))
+    for sealed in subsets(voters):
+        assert electorate.blocks_majorities(sealed) == electorate.has_majority(
+            sealed
+        )
+
+
+@pytest.mark.parametrize("fencing", [True, False])
+@pytest.mark.parametrize("seed", range(3))
+def test_shards_are_served_after_the_controller_of_two_voters_is_lost(
+    seed: int, fencing: bool
+) -> None:
+    simulation = ownership_simulation.FleetSimulation(seed, fencing=fencing)
+    simulation.advance(1.5)
+    lost = simulation.lease.holder
+    voters = [lost, *(name for name in simulation.daemons if name != lost)]
+    simulation.electorate = tuple(sorted(voters[:2]))
+    simulation.advance(3.0)
+    assert simulation.assignment is not None
+    assert simulation.assignment.electorate == simulation.electorate
+    simulation.daemons[lost].dead = True
+    # As long as tests/slow/test_ownership_machine.py waits after its faults.
+    simulation.advance(ownership_simulation.MAX_DELAY_S + 5.0)
+    assert not simulation.unserved_shards()
