Record releases of parts of a granted span in the stand-in upstream

The check also compared only neighbours in time.

Change: a holding is split where a release ends a part of it; the check compares all holdings of a key, which is stricter.

--- a/standins/users_platform_upstream.py
+++ b/standins/users_platform_upstream.py
@@ -149,16 +149,31 @@
                 return
         self._holdings.append(KeyHolding(first, last, epoch, now_s, until_s))
 
+    def _note_released(self, first: int, last: int, now_s: float) -> None:
+        """Ends holdings of released keys; keys beside them are still held."""
+        for holding in list(self._holdings):
+            overlap = (max(first, holding.first), min(last, holding.last))
+            if holding.until_s <= now_s or overlap[0] > overlap[1]:
+                continue
+            for rest in (
+                (holding.first, overlap[0] - 1),
+                (overlap[1] + 1, holding.last),
+            ):
+                if rest[0] <= rest[1]:
+                    self._holdings.append(
+                        dataclasses.replace(
+                            holding, first=rest[0], last=rest[1]
+                        )
+                    )
+            holding.first, holding.last = overlap
+            holding.until_s = now_s
+
     async def _release(self, request: web.Request) -> web.Response:
         body = await request.json()
         first, last = body["from"], body["to"]
         for key in range(first, last + 1):
             self._held_until_s.pop(key, None)
-        now_s = time.monotonic()
-        for holding in self._holdings:
-            is_within = first <= holding.first and holding.last <= last
-            if is_within and holding.until_s > now_s:
-                holding.until_s = now_s
+        self._note_released(first, last, time.monotonic())
         return web.json_response({}, headers={"X-Handover": "left"})
 
     async def _health(self, request: web.Request) -> web.Response:
--- a/tests/common/owner_checks.py
+++ b/tests/common/owner_checks.py
@@ -20,7 +20,9 @@
             key=lambda item: item[0].since_s,
         )
         holdings_count += len(holdings)
-        for (earlier, before), (later, after) in itertools.pairwise(holdings):
+        for (earlier, before), (later, after) in itertools.combinations(
+            holdings, 2
+        ):
             if before == after:
                 continue
             assert earlier.until_s <= later.since_s, (key, before, after)
