Check orders that are answered late, and peers that registered late

Cause: in the test of owners all grants took 0.4 s, as long as the leader waits for their answer, so that none was ever answered; that is another fault than a cut.

Change: only grants that are under way when the cut begins are late, by 0.3 s (answered in time otherwise) or by 2 s (carried out when their time is nearly over). A new test covers peers that register after the daemon has started. Cases got names.

--- a/tests/process/test_cut_from_upstreams.py
+++ b/tests/process/test_cut_from_upstreams.py
@@ -33,7 +33,7 @@
 USUALLY_HELD_S = 0.125
 # With requests this long a daemon needs more connections than it has open.
 LONG_SERVICE_TIME_S = 0.25
-LATE_GRANT_S = 0.4
+REGISTRATIONS = "sardinehill-daemons"
 
 
 @dataclasses.dataclass
@@ -242,7 +242,9 @@
     fleet.run(scenario())
 
 
-@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+@pytest.mark.parametrize(
+    "number", [signal.SIGKILL, signal.SIGSTOP], ids=["killed", "frozen"]
+)
 def test_no_request_runs_twice_when_the_forwarding_peer_is_lost(
     start_fleet, number
 ):
@@ -349,22 +351,49 @@
     fleet.run(scenario())
 
 
-@pytest.mark.parametrize("cut_s", [1.0, 4.0])
+def test_daemon_finds_peers_that_registered_after_it(start_fleet):
+    fleet = start_fleet()
+
+    async def scenario():
+        for daemon in fleet.daemons:
+            await daemon.kill()
+            await fleet.store.remove(REGISTRATIONS, daemon.name)
+        for daemon in fleet.daemons:
+            await daemon.start()
+            await fleet.wait_until_served(daemon)
+        *cut_daemons, peer = fleet.daemons
+        assert fleet.leader() is not peer
+        fleet.cut_off(*cut_daemons, cut=upstream_gates.HANG)
+        for daemon in cut_daemons:
+            assert await forwarder_of(fleet, daemon) is peer
+
+    fleet.run(scenario())
+
+
+# Grants under way when the leader is cut off are answered after the cut, or are
+# carried out when their time is nearly over.
+@pytest.mark.parametrize(
+    ("grant_delay_s", "cut_s"),
+    [(0.3, 1.0), (0.3, RECOVERY_S), (2.0, RECOVERY_S)],
+    ids=["short-cut", "long-cut", "late-grants"],
+)
 def test_keys_have_one_owner_while_orders_of_a_cut_off_leader_are_under_way(
-    start_fleet, cut_s
+    start_fleet, grant_delay_s, cut_s
 ):
     fleet = start_fleet()
     leader = fleet.leader()
 
     async def scenario():
-        for upstream in fleet.upstreams.values():
-            upstream.grant_delay_s = LATE_GRANT_S
         await fleet.add_upstream("i-new")
+        for upstream in fleet.upstreams.values():
+            upstream.grant_delay_s = grant_delay_s
         await fleet.register("i-0", state="draining")
-        await asyncio.sleep(LATE_GRANT_S / 2)
+        await asyncio.sleep(0.15)
         fleet.cut_off(leader, cut=upstream_gates.HANG)
+        for upstream in fleet.upstreams.values():
+            upstream.grant_delay_s = 0.0
         await asyncio.sleep(cut_s)
-        if cut_s > RECOVERY_S:
+        if cut_s == RECOVERY_S and grant_delay_s < RECOVERY_S / 2:
             for daemon in fleet.daemons:
                 await fleet.wait_until_served(daemon, timeout_s=0.5)
         fleet.reconnect(leader)
