--- a/tests/common/forwarding_fleet.py
+++ b/tests/common/forwarding_fleet.py
@@ -95,16 +95,14 @@
 def fake_reach():
     reach = types.SimpleNamespace(
         cut_off=False,
-        doubtful=False,
+        hears=True,
         is_cut_off=lambda: reach.cut_off,
+        hears_upstreams=lambda: reach.hears,
         note_sent=lambda connection: None,
         note_done=lambda connection: None,
         note_answer=lambda upstream_id: None,
         note_broken=lambda upstream_id: None,
     )
-    reach.reach = types.SimpleNamespace(
-        is_doubtful=lambda now_s: reach.doubtful
-    )
     return reach
 
 
@@ -130,13 +128,22 @@
         self.upstream_address = ""
         self.peers = {}
         self.views = {}
+        # The daemons as read last, if not all.
+        self.listed = {}
         self.forwarder = forwarding.Forwarder(
             "me",
             "a",
-            lambda: {peer.name: peer.address for peer in self.all_peers()},
+            lambda: self.listed or self.addresses(),
+            self.refresh_peers,
         )
         self.servers = []
 
+    async def refresh_peers(self):
+        self.listed = {}
+
+    def addresses(self):
+        return {peer.name: peer.address for peer in self.all_peers()}
+
     def all_peers(self):
         return list(self.peers.values())
 
--- a/tests/common/platform_fleet.py
+++ b/tests/common/platform_fleet.py
@@ -28,7 +28,6 @@
 HOST = "127.0.0.1"
 SERVED_TIMEOUT_S = 10.0
 ACCOUNT_KEY = "key-of-trattoria"
-FRONT_MODULE = "sardinehill.front"
 ROOT = pathlib.Path(__file__).parents[2]
 
 
@@ -86,7 +85,12 @@
 
 
 class DaemonProcess:
-    """Manages a daemon's process, its settings file and its log."""
+    """Manages a daemon's process, its settings file and its log.
+
+    Public attributes:
+      module: what the process runs.
+      environment: variables of the process beside the settings.
+    """
 
     def __init__(
         self,
@@ -94,10 +98,12 @@
         ports: list[int],
         store_port: int,
         directory: pathlib.Path,
-        module: str = FRONT_MODULE,
+        zone: str,
     ):
         self.name = name
-        self._module = module
+        self.zone = zone
+        self.module = "sardinehill.front"
+        self.environment: dict[str, str] = {}
         (
             self.callers_port,
             self.readiness_port,
@@ -107,7 +113,7 @@
         self.settings = directory / f"{name}.conf"
         self.log = directory / f"{name}.log"
         self.settings.write_text(
-            f"nodeName={name}\nip={HOST}\nzone=pa-1\n"
+            f"nodeName={name}\nip={HOST}\nzone={zone}\n"
             f"listen.front={HOST}:{self.callers_port}\n"
             f"listen.ready={HOST}:{self.readiness_port}\n"
             f"internalPorts={self.peer_port},{self.metrics_port}\n"
@@ -129,13 +135,14 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                self._module,
+                self.module,
                 stdout=log if output is None else output,
                 stderr=log,
                 env={
                     **os.environ,
-                    "PYTHONPATH": f"{ROOT / 'src'}{os.pathsep}{ROOT}",
+                    "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}",
                     "SARDINEHILL_SETTINGS": str(self.settings),
+                    **self.environment,
                 },
             )
 
@@ -170,7 +177,7 @@
         directory: pathlib.Path,
         daemons: int = 2,
         upstreams: int = 3,
-        module: str = FRONT_MODULE,
+        zones: tuple[str, ...] = ("pa-1",),
     ):
         self.directory = directory
         self._runner = asyncio.Runner()
@@ -186,7 +193,7 @@
                 ports[index::daemons],
                 self.store_port,
                 directory,
-                module,
+                zones[index % len(zones)],
             )
             for index in range(daemons)
         ]
--- a/tests/cover/test_forwarded_sends.py
+++ b/tests/cover/test_forwarded_sends.py
@@ -37,7 +37,14 @@
         self.metrics = front_metrics.FrontMetrics()
         self.broken = []
         self.lines = []
-        reach = types.SimpleNamespace(is_cut_off=lambda: True)
+        self.is_cut_off = True
+        reach = types.SimpleNamespace(
+            is_cut_off=lambda: self.is_cut_off,
+            note_sent=lambda connection: None,
+            note_done=lambda connection: None,
+            note_answer=lambda upstream_id: None,
+            note_broken=lambda upstream_id: None,
+        )
         evidence = types.SimpleNamespace(
             note_broken=lambda upstream, digest: self.broken.append(upstream.id)
         )
@@ -149,6 +156,24 @@
     forwarding_fleet.run(body)
 
 
+def test_request_that_waits_is_refused_once_no_peer_is_left():
+    async def body(fleet):
+        entry = Entry(fleet, is_idempotent=True)
+        entry.sender.refuse_if_cut_off()
+        await fleet.connect()
+        entry.sender.refuse_if_cut_off()
+        fleet.peers["p-1"].reach.cut_off = True
+        assert await entry.send() is None
+        await asyncio.sleep(0.05)
+        with pytest.raises(requests.RefusedError) as raised:
+            entry.sender.refuse_if_cut_off()
+        assert raised.value.reason is errors.Reason.CUT_OFF
+        entry.is_cut_off = False
+        entry.sender.refuse_if_cut_off()
+
+    forwarding_fleet.run(body)
+
+
 def test_refusal_by_the_upstream_pauses_it_at_both_daemons():
     async def body(fleet):
         entry = Entry(fleet, is_idempotent=False)
@@ -176,3 +201,27 @@
             await fleet.upstream.closed.wait()
 
     forwarding_fleet.run(body)
+
+
+@pytest.mark.parametrize("is_idempotent", [False, True])
+def test_hung_exchange_is_given_up_only_if_it_may_be_repeated(is_idempotent):
+    async def body(fleet):
+        entry = Entry(fleet, is_idempotent)
+        entry.is_cut_off = False
+        sending_task = asyncio.ensure_future(entry.send())
+        await fleet.upstream.got_request.wait()
+        entry.is_cut_off = True
+        entry.sender.give_up_repeatable()
+        await asyncio.sleep(0.05)
+        assert sending_task.done() == is_idempotent
+        if is_idempotent:
+            assert sending_task.result() is None
+            assert entry.context.may_have_run
+            # The upstream is not to blame.
+            assert entry.broken == []
+            assert entry.target.upstream_state.failure_ratio == 0.0
+            assert (await entry.send()).status == 200
+            assert entry.context.peer == "p-1"
+        sending_task.cancel()
+
+    forwarding_fleet.run(body, None, forwarding_fleet.ANSWER)
--- a/tests/process/test_cut_off_daemon.py
+++ b/tests/process/test_cut_off_daemon.py
@@ -1,4 +1,4 @@
-"""Tests of a daemon that reaches the store and its peers, but no upstream."""
+"""Tests of who leads while daemons reach the store, but no upstream."""
 
 import asyncio
 import itertools
@@ -6,7 +6,8 @@
 
 import pytest
 
-from tests.common import platform_fleet
+from tests.common import cut_off_fleet
+from tests.common import upstream_gates
 
 # By then the leader must have handed over and the keys be confirmed again.
 HANDOVER_S = 3.0
@@ -16,9 +17,7 @@
 
 @pytest.fixture
 def fleet(tmp_path):
-    fleet = platform_fleet.PlatformFleet(
-        tmp_path, daemons=3, module="tests.common.daemon_with_cut"
-    )
+    fleet = cut_off_fleet.CutOffFleet(tmp_path)
     try:
         for daemon in fleet.daemons:
             fleet.run(fleet.wait_until_served(daemon))
@@ -53,10 +52,8 @@
 def test_leader_that_reaches_no_upstream_hands_over_and_keys_stay(fleet):
     async def body():
         led = terms_by_leader(fleet)
-        (leader,) = [d for d in fleet.daemons if led[d.name]]
-        others = [d for d in fleet.daemons if d is not leader]
-        cut = leader.settings.with_suffix(".cut")
-        cut.touch()
+        leader, others = fleet.leader(), fleet.followers()
+        fleet.cut_off(leader, cut=upstream_gates.HANG)
         await send_for(fleet, others, HANDOVER_S)
         after = await send_for(fleet, others, 2.0)
         assert {status for all_ in after.values() for status in all_} == {200}
@@ -68,7 +65,7 @@
         through_peers = await send_for(fleet, [leader], 1.0)
         assert set(through_peers[leader.name]) == {200}
         # It does not take the lead back.
-        cut.unlink()
+        fleet.reconnect(leader)
         await send_for(fleet, fleet.daemons, REGAIN_S)
         assert len(leader.events("reach-regained")) == 1
         assert terms_by_leader(fleet) == led_during
@@ -79,10 +76,8 @@
 def test_followers_that_reach_no_upstream_change_nothing_for_the_others(fleet):
     async def body():
         led = terms_by_leader(fleet)
-        (leader,) = [d for d in fleet.daemons if led[d.name]]
-        followers = [d for d in fleet.daemons if d is not leader]
-        for daemon in followers:
-            daemon.settings.with_suffix(".cut").touch()
+        leader = fleet.leader()
+        fleet.cut_off(*fleet.followers(), cut=upstream_gates.HANG)
         statuses = await send_for(fleet, [leader], HANDOVER_S)
         assert set(statuses[leader.name]) == {200}
         assert terms_by_leader(fleet) == led
