Probe a single upstream first while others may just be slow

A round that reached an upstream is followed by none for 0.6 s (0.4 s before).

The new test fails with rounds of three.

--- a/src/sardinehill/front/reach_monitor.py
+++ b/src/sardinehill/front/reach_monitor.py
@@ -23,9 +23,10 @@
 # The same for a leader, also while it has no requests.
 MAX_LEADER_SILENCE_S = 0.6
 PROBES_PER_ROUND = 3
+USUAL_CONNECT_TIME_S = 0.1
 # While this daemon is cut off, and after a round that reached an upstream.
 CUT_OFF_PROBE_INTERVAL_S = 0.25
-REACHED_PROBE_INTERVAL_S = 0.4
+REACHED_PROBE_INTERVAL_S = 0.6
 # How many others are tried to tell the end of an upstream from a cut.
 MAX_OTHERS_TRIED = 2
 MAX_LOGGED_UPSTREAMS = 8
@@ -65,6 +66,8 @@
         self._sent_s: dict[http1.Connection, float] = {}
         self._probes: set[asyncio.Task[bool]] = set()
         self._next_round_s = 0.0
+        self._round_began_s = 0.0
+        self._is_first_round = False
         self._last_change_s = clock_s()
         self.reach.subscribe(self._log_change)
 
@@ -137,7 +140,13 @@
     def _is_due(self, now_s: float) -> bool:
         if self.is_cut_off():
             return now_s >= self._next_round_s
-        if self._probes or now_s < self._next_round_s:
+        if self._probes:
+            # The first probe should have connected long ago.
+            return (
+                self._is_first_round
+                and now_s - self._round_began_s >= USUAL_CONNECT_TIME_S
+            )
+        if now_s < self._next_round_s:
             return False
         return self.reach.should_try(now_s) or self._is_silent(now_s)
 
@@ -154,16 +163,27 @@
         return now_s - max(oldest_sent_s, heard_s) >= MAX_SILENCE_S
 
     def _start_round(self, now_s: float) -> None:
-        for upstream in self._choose(now_s):
+        """Starts a first round of one probe, which usually shows enough.
+
+        If its connection is not open soon, a full round follows.
+        """
+        is_continued = self.is_cut_off() or bool(self._probes)
+        is_answered = bool(self.reach.answered_since(now_s - CHECK_INTERVAL_S))
+        self._is_first_round = not is_continued and (
+            is_answered or not self.reach.failed(now_s)
+        )
+        self._round_began_s = now_s
+        count = 1 if self._is_first_round else PROBES_PER_ROUND
+        for upstream in self._choose(now_s, count):
             probe = asyncio.ensure_future(self._probe(upstream))
             self._probes.add(probe)
             probe.add_done_callback(self._probes.discard)
 
-    def _choose(self, now_s: float) -> list[routes.Upstream]:
+    def _choose(self, now_s: float, count: int) -> list[routes.Upstream]:
         """Returns upstreams to probe, in different zones and services.
 
         Those that failed last are left for the end. Those that have just
-        answered come first; if there is one, a single probe shows enough.
+        answered come first.
         """
         failed = self.reach.failed(now_s)
         answering = self.reach.answered_since(now_s - CHECK_INTERVAL_S)
@@ -179,8 +199,6 @@
                 upstream.id not in answering,
             )
         )
-        is_single = answering and not self.is_cut_off()
-        count = 1 if is_single else PROBES_PER_ROUND
         chosen: list[routes.Upstream] = []
         while remaining and len(chosen) < count:
             best = min(remaining, key=lambda other: _overlap(other, chosen))
--- a/tests/cover/test_reach_monitor.py
+++ b/tests/cover/test_reach_monitor.py
@@ -148,6 +148,17 @@
     run_in_network(body)
 
 
+def test_one_probe_is_enough_while_an_answer_takes_long(run_in_network):
+    # On a large fleet slow answers made a third of all new connections.
+    async def body(network):
+        network.monitor.note_sent(http1.Connection(asyncio.get_running_loop()))
+        await asyncio.sleep(1.5 * reach_monitor.MAX_SILENCE_S)
+        assert len(network.opened) == 1
+        assert not network.monitor.is_cut_off()
+
+    run_in_network(body, has_requests=False)
+
+
 def test_leader_without_requests_notices_a_cut(run_in_network):
     async def body(network):
         network.way = "hang"
