Count reports again after pauses shorter than daemons wait for a leader

A leader that stood still for 0.2 s left out the reports of the next 0.25 s. Daemons give up a silent leader after 0.8 s, so reports that waited for up to 0.4 s are still those of its followers.

Change: pauses count from 0.4 s.

--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -12,9 +12,10 @@
 
 # A leader that has stood still for longer than `MAX_PAUSE_S` then reads reports
 # that have arrived meanwhile. Those that it reads within `REPORT_DISTRUST_S` do
-# not count, as their senders may follow another leader by now.
+# not count, as their senders may follow another leader by now. They give up a
+# silent leader no earlier than after `known_leader.LEADER_TIMEOUT_S`.
 PAUSE_CHECK_INTERVAL_S = 0.05
-MAX_PAUSE_S = 0.15
+MAX_PAUSE_S = 0.4
 REPORT_DISTRUST_S = 0.25
 # A daemon whose last report is older than this does not count as a follower.
 FOLLOWER_TIMEOUT_S = 1.0
@@ -121,7 +122,7 @@
 
     def _note_pause(self) -> None:
         now_s = self._clock_s()
-        if now_s - self._ran_s > PAUSE_CHECK_INTERVAL_S + MAX_PAUSE_S:
+        if now_s - self._ran_s > MAX_PAUSE_S:
             self._reports_count_from_s = now_s + REPORT_DISTRUST_S
 
     def note_store_reached(self, daemon: str) -> None:
