Read the lease now and then although a majority follows the term

Nobody has seen this; it is the class of what was waited out and happens later. A leader removes the registrations of daemons that it has not heard for 10 s and needs fewer for a majority then. Two parts of a fleet that do not reach each other for that long, but both reach the store, could each have a majority of their own: the later leader waits out the earlier one's orders, which go on, as a leader with a majority never read the lease. It learnt of the other one only by a write or a refused grant.

Change: such a term reads the lease every 4 s. The test failed before.

--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -34,6 +34,10 @@
 # frame can arrive.
 ANNOUNCE_LINK_OPEN_S = 0.05
 LEASE_CHECK_INTERVAL_S = 1.0
+# A term that a majority follows reads the lease again this long after the last
+# time. Another leader removes the registrations of daemons that it does not
+# hear, and needs fewer of them for a majority then.
+LEASE_RECHECK_INTERVAL_S = 4.0
 # How often a leader looks whether the store was restored.
 ERA_CHECK_INTERVAL_S = 0.1
 # The registration of a daemon that has been silent for this long is removed.
@@ -282,6 +286,7 @@
     async def check_lease(self) -> None:
         """Confirms the term from the store while no majority follows it.
 
+        A term with a majority is confirmed every `LEASE_RECHECK_INTERVAL_S`.
         Also writes the lease again if a restored store has lost it, and removes
         the registrations of daemons that have been silent for
         `REGISTRATION_EXPIRY_S`.
@@ -294,7 +299,7 @@
             if self._clock_s() < check_due_s and not is_lost:
                 continue
             check_due_s = self._clock_s() + LEASE_CHECK_INTERVAL_S
-            if is_lost or not self._is_followed_by_majority():
+            if is_lost or self._needs_lease():
                 try:
                     await self._confirm_lease()
                 except errors.StoreError:
@@ -307,8 +312,10 @@
                 removal_due_s = self._clock_s() + REGISTRATION_EXPIRY_S
                 await self._registry.remove_peers(self._silent_peers())
 
-    def _is_followed_by_majority(self) -> bool:
-        return self._count_heard(FOLLOWER_TIMEOUT_S) >= self._majority()
+    def _needs_lease(self) -> bool:
+        read_age_s = self._clock_s() - self._confirmed_s
+        is_followed = self._count_heard(FOLLOWER_TIMEOUT_S) >= self._majority()
+        return not is_followed or read_age_s > LEASE_RECHECK_INTERVAL_S
 
     async def _confirm_lease(self) -> None:
         """Reads the lease, and ends the term if another daemon holds it.
--- a/tests/cover/test_leader_term.py
+++ b/tests/cover/test_leader_term.py
@@ -173,6 +173,36 @@
     assert registry.acquired_terms == []
 
 
+def test_leader_ends_if_another_one_leads_whom_its_followers_do_not_hear(
+    monkeypatch,
+):
+    # The other one removes silent daemons, so that it has a majority as well.
+    monkeypatch.setattr(leader_term, "LEASE_CHECK_INTERVAL_S", 0.1)
+    monkeypatch.setattr(leader_term, "LEASE_RECHECK_INTERVAL_S", 0.3)
+
+    async def body():
+        loop = asyncio.get_running_loop()
+        registry = FakeLease(peer_registry.LeaderLease(8, "other", "", "x"))
+        registry.peer_addresses = dict.fromkeys(("me", "a", "b"), "127.0.0.1:1")
+        registry.lease_era = registry.store_era
+        registry.lease_asked_s = loop.time()
+        term = leader_term.LeaderTerm(
+            "me", registry, registry, followers.Followers(), loop.time
+        )
+        tasks = [
+            asyncio.create_task(term.check_lease()),
+            asyncio.create_task(term.watch_pauses()),
+        ]
+        for _ in range(20):
+            term.note_report("a", "127.0.0.1:1")
+            await asyncio.sleep(0.05)
+        for task in tasks:
+            task.cancel()
+        return term.ended.is_set()
+
+    assert asyncio.run(body())
+
+
 class SlowRegistry(FakeLease):
     """A registry whose daemon stands still once it has asked for the lease."""
 
