Let exchanges through a slow peer go on, and answer when a peer fails inside

Cause: a peer that answered the regular question 0.4 s late, as one does that carries the load of six in ten, had all its exchanges given up. A peer that met an unexpected error sent no result, and the request waited until its deadline.

Change: such a peer gets no further requests at once, but is given up only after 1.5 s of silence; an error inside is answered as may-have-run and logged. The tests failed before.

--- a/src/sardinehill/front/forward_server.py
+++ b/src/sardinehill/front/forward_server.py
@@ -223,6 +223,15 @@
                 upstream=request.upstream_id,
                 reason=error.result.reason.value,
             )
+        except Exception as error:
+            # The peer must not wait until the deadline.
+            events.log_with_traceback(
+                events.REQUEST_FAILED_INSIDE,
+                error,
+                request=request.request_id.decode("latin-1"),
+                peer=link.peer,
+            )
+            result = exchange_messages.Broken("the peer has failed")
         self._metrics.increment("peer_requests", _label(result))
         # Answers to peers that read slowly must not pile up.
         await link.drain()
--- a/src/sardinehill/front/forwarding.py
+++ b/src/sardinehill/front/forwarding.py
@@ -26,6 +26,8 @@
 
 STATUS_INTERVAL_S = 0.25
 STATUS_TIMEOUT_S = 0.4
+# A peer that says nothing for this long hangs; what it carries out is given up.
+MAX_PEER_SILENCE_S = 1.5
 # A link through which nothing was sent for this long is closed.
 LINK_IDLE_TIMEOUT_S = 5.0
 # The list of registered daemons is read again this often while it is needed.
@@ -409,7 +411,7 @@
                 lambda _link, _message: None,
                 lambda _link: self._note_link_lost(name, _link),
             )
-            status = await _ask_status(link)
+            status = await _ask_status(link, STATUS_TIMEOUT_S)
         except errors.PeerError:
             status = _NO_STATUS
         if (
@@ -442,10 +444,10 @@
                 self._remove(name, "not needed")
                 return
             try:
-                refusal = (await _ask_status(link)).refusal
+                refusal = (await _ask_status(link, STATUS_TIMEOUT_S)).refusal
             except errors.PeerError as error:
                 self._remove(name, str(error))
-                link.close()
+                await _close_if_hung(link)
                 return
             if refusal is exchange_messages.NotSentReason.BUSY:
                 self._note_not_sent(name, refusal)
@@ -468,7 +470,7 @@
 
 
 async def _ask_status(
-    link: peer_links.PeerLink,
+    link: peer_links.PeerLink, timeout_s: float
 ) -> exchange_messages.ForwardingStatus:
     """Returns what a peer would do with a request now.
 
@@ -476,6 +478,14 @@
       PeerError: it does not answer, or not in this way.
     """
     answer: envelopes.Envelope = await link.ask(
-        message_kinds.MessageKind.FORWARDING_STATUS_QUERY, b"", STATUS_TIMEOUT_S
+        message_kinds.MessageKind.FORWARDING_STATUS_QUERY, b"", timeout_s
     )
     return exchanges.decode_status(answer.payload)
+
+
+async def _close_if_hung(link: peer_links.PeerLink) -> None:
+    """Closes a link whose peer goes on not to answer."""
+    try:
+        await _ask_status(link, MAX_PEER_SILENCE_S - STATUS_TIMEOUT_S)
+    except errors.PeerError:
+        link.close()
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -378,6 +378,53 @@
     forwarding_fleet.run(body)
 
 
+@pytest.mark.parametrize("silent_s", [0.3, 9.0])
+def test_exchange_through_a_slow_peer_goes_on_and_is_given_up_if_it_hangs(
+    monkeypatch, silent_s
+):
+    monkeypatch.setattr(forwarding, "STATUS_INTERVAL_S", 0.05)
+    monkeypatch.setattr(forwarding, "STATUS_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(forwarding, "MAX_PEER_SILENCE_S", 0.6)
+
+    async def body(fleet):
+        ongoing = asyncio.ensure_future(fleet.exchange(remaining_s=5.0))
+        await fleet.upstream.got_request.wait()
+        (link,) = fleet.peers["p-1"].links
+        receive = link._on_message
+        waiting = []
+        link._on_message = lambda *message: waiting.append(message)
+        await asyncio.sleep(min(silent_s, 1.0))
+        assert fleet.forwarder.peers == []
+        if silent_s > 1.0:
+            with pytest.raises(forwarding.PeerFailedError):
+                await ongoing
+            return
+        link._on_message = receive
+        for message in waiting:
+            receive(*message)
+        fleet.upstream.writers[0].write(forwarding_fleet.ANSWER)
+        assert (await ongoing).status == 200
+
+    forwarding_fleet.run(body)
+
+
+def test_peer_that_fails_inside_says_that_the_request_may_have_run(
+    monkeypatch,
+):
+    def fail(*arguments):
+        raise RuntimeError("inside")
+
+    async def body(fleet):
+        monkeypatch.setattr(fleet.peers["p-1"].server._signals, "note", fail)
+        async with asyncio.timeout(1.0):
+            with pytest.raises(http1.ConnectionFailedError) as raised:
+                await fleet.exchange()
+        assert raised.value.written
+        assert not isinstance(raised.value, forwarding.PeerFailedError)
+
+    forwarding_fleet.run(body, forwarding_fleet.ANSWER)
+
+
 def test_peer_that_hangs_is_given_up_and_not_used_again(monkeypatch):
     monkeypatch.setattr(forwarding, "STATUS_INTERVAL_S", 0.05)
     monkeypatch.setattr(forwarding, "STATUS_TIMEOUT_S", 0.1)
