Refuse a request too many in a pipeline as not run

Of more than eight requests that waited on one connection, the next was refused with 400, as if it were malformed, after which callers do not try again.

Change: it is refused with 503.

Measured: the new test failed before and passes now.

--- a/src/sardinehill/front/server.py
+++ b/src/sardinehill/front/server.py
@@ -194,7 +194,7 @@
         self._body = []
         keep_alive = bool(self._parser.should_keep_alive())
         if len(self._pipeline) >= MAX_PIPELINED_REQUESTS:
-            self._refuse(400)
+            self._refuse(503)
             return
         self._pipeline.append((request, keep_alive))
         if self._serving_task is None:
--- a/tests/cover/test_front_server.py
+++ b/tests/cover/test_front_server.py
@@ -104,3 +104,15 @@
             return await reader.read()
 
     assert asyncio.run(body()).startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_request_too_many_in_a_pipeline_is_refused_as_not_run():
+    # Callers try again after 503, and never after 400.
+    count = server_module.MAX_PIPELINED_REQUESTS + 4
+    received = received_until_closed(
+        b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n" * count
+    )
+    *answers, refusal = received.split(b"HTTP/1.1 ")[1:]
+    assert len(answers) >= server_module.MAX_PIPELINED_REQUESTS
+    assert all(answer.startswith(b"200 ") for answer in answers)
+    assert refusal.startswith(b"503 ")
