Plan new owners a moment after an upstream was found unreachable

Callers saw no key served for over three seconds when the leader was cut off from all upstreams. It finds one after the other unreachable, each 1.1 s after its last answer, and notices the cut a moment later (0.03 s in the trace). Meanwhile it wrote that their keys move to those not yet found unreachable; the next leader has to end all grants that it cannot know of before it grants any.

Change: nothing is planned for 0.3 s after an upstream was found unreachable. An earlier plan gains nothing, as the last grants of such an upstream have to lapse before its keys can be granted to another.

Measured: the new test failed before.

--- a/src/sardinehill/front/assignment_manager.py
+++ b/src/sardinehill/front/assignment_manager.py
@@ -42,6 +42,11 @@
 # After a new leader has failed to read or store the assignment, it pauses for
 # this long before it tries again, beginning with the read.
 READ_RETRY_S = 0.2
+# After an upstream was found unreachable, nothing is planned for this long. A
+# leader that is cut off finds all of them unreachable one after the other, and
+# must notice the cut before it moves their keys. The moves gain nothing from an
+# earlier plan, as the last grants of an unreachable upstream must lapse first.
+UNREACHABLE_SETTLING_S = 0.3
 # How far epochs are raised when an owner has refused a grant because it has
 # seen a higher epoch.
 FENCED_EPOCH_STEP = 1000
@@ -82,6 +87,8 @@
         self._orders_wanted = asyncio.Event()
         self._write_lock = asyncio.Lock()
         self._clean_up_due_s: float | None = None
+        # Until then it may turn out that this daemon is cut off.
+        self._settled_s: float | None = None
         self.moved_keys = 0
 
     # interface to the leader's other tasks
@@ -128,6 +135,12 @@
         self._plan_due_s = 0.0
         self._plan_wanted.set()
 
+    def _note_unreachable(self) -> None:
+        """Schedules a plan without an upstream that was found unreachable."""
+        if self._settled_s is None:
+            self._settled_s = self._clock_s() + UNREACHABLE_SETTLING_S
+        self.replan()
+
     # planning and orders
 
     async def run(self) -> None:
@@ -147,6 +160,7 @@
                     self._is_exclusive,
                     self._on_spans_changed,
                     self.replan,
+                    self._note_unreachable,
                     self._schedule_clean_up,
                     lambda grant: self._schedule_epoch_raise(group, grant),
                     self._clock_s,
@@ -219,13 +233,7 @@
     async def _plan(
         self, assignment: keyspace.KeyAssignment, now_s: float
     ) -> None:
-        if (
-            not keyspace.has_owners(assignment)
-            and now_s - self._owners.last_joined_s < FIRST_PLAN_QUIET_S
-        ):
-            return
-        if not self._has_confirmed_owners(assignment, now_s):
-            self._plan_due_s = now_s + LOOP_INTERVAL_S
+        if not self._may_plan(assignment, now_s):
             return
         capacities = self._owners.capacities(now_s, self._max_load)
         began_s = self._clock_s()
@@ -252,6 +260,24 @@
             self._on_spans_changed()
             self._log_moves(moves, capacities)
 
+    def _may_plan(
+        self, assignment: keyspace.KeyAssignment, now_s: float
+    ) -> bool:
+        """Returns whether enough is known of the upstreams for a plan now."""
+        if (
+            not keyspace.has_owners(assignment)
+            and now_s - self._owners.last_joined_s < FIRST_PLAN_QUIET_S
+        ):
+            return False
+        if not self._has_confirmed_owners(assignment, now_s):
+            self._plan_due_s = now_s + LOOP_INTERVAL_S
+            return False
+        if self._settled_s is not None and now_s < self._settled_s:
+            self._plan_due_s = self._settled_s
+            return False
+        self._settled_s = None
+        return True
+
     def _has_confirmed_owners(
         self, assignment: keyspace.KeyAssignment, now_s: float
     ) -> bool:
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -71,6 +71,7 @@
         is_exclusive: Callable[[], bool],
         on_spans_changed: Callable[[], None],
         on_owners_changed: Callable[[], None],
+        on_unreachable: Callable[[], None],
         on_former_gone: Callable[[], None],
         on_fenced: Callable[[key_orders.KeyGrant], None],
         clock_s: Callable[[], float],
@@ -83,6 +84,7 @@
         self._is_exclusive = is_exclusive
         self._on_spans_changed = on_spans_changed
         self._on_owners_changed = on_owners_changed
+        self._on_unreachable = on_unreachable
         self._on_former_gone = on_former_gone
         self._on_fenced = on_fenced
         self._clock_s = clock_s
@@ -381,7 +383,7 @@
                     upstream=owner.incarnation[0],
                     error=result.error,
                 )
-                self._on_owners_changed()
+                self._on_unreachable()
             owner.unusable_until_s = now_s + OWNER_EXCLUSION_S
 
 
--- /dev/null
+++ b/tests/cover/test_assignment_manager.py
@@ -0,0 +1,75 @@
+"""Tests when a leader plans new owners of keys."""
+
+import asyncio
+
+from sardinehill.core import keyspace
+from sardinehill.core import routes
+from sardinehill.front import assignment_manager
+from sardinehill.front import key_owners
+
+UPSTREAMS = {
+    name: routes.Upstream(
+        id=name,
+        service="stock",
+        address=f"127.0.0.1:{index + 1}",
+        zone="z",
+        slots=3,
+        is_draining=False,
+        cold_remaining_s=0.0,
+        started_at_ms=1,
+    )
+    for index, name in enumerate(("a", "b", "c"))
+}
+
+
+class RecordingStore:
+    """Holds the owners that were written."""
+
+    is_lost = False
+    revision = 1
+
+    def __init__(self):
+        self.written = []
+
+    async def write(self, assignment):
+        self.written.append({span.owner for span in assignment.spans})
+        return True
+
+
+def test_keys_do_not_move_while_one_upstream_after_the_other_is_lost():
+    # A leader that was cut off moved all keys to the upstream that it had not
+    # yet found unreachable; the next leader had to wait for their grants.
+    async def scenario():
+        now_s = 10.0
+        store = RecordingStore()
+        owners = key_owners.KeyOwners(
+            "stock", lambda: UPSTREAMS, frozenset, now_s
+        )
+        owners.refresh(now_s)
+        manager = assignment_manager.AssignmentManager(
+            "stock",
+            store,
+            owners,
+            lambda: True,
+            lambda: True,
+            lambda: None,
+            lambda: now_s,
+            lambda upstream: None,
+        )
+        assignment = keyspace.empty_assignment()
+        now_s += 2 * assignment_manager.FIRST_PLAN_QUIET_S
+        await manager._plan_if_due(assignment, now_s)
+        assert store.written.pop() == set(owners.by_incarnation)
+
+        for owner in list(owners.by_incarnation.values())[:2]:
+            now_s += assignment_manager.UNREACHABLE_SETTLING_S / 3
+            owner.unusable_until_s = now_s + 10.0
+            manager._note_unreachable()
+            await manager._plan_if_due(assignment, now_s)
+        assert store.written == []
+
+        now_s += assignment_manager.UNREACHABLE_SETTLING_S
+        await manager._plan_if_due(assignment, now_s)
+        assert store.written.pop() == {("c", 1)}
+
+    asyncio.run(scenario())
--- a/tests/cover/test_orders.py
+++ b/tests/cover/test_orders.py
@@ -83,6 +83,7 @@
             lambda: None,
             lambda: None,
             lambda: None,
+            lambda: None,
             self.fenced.append,
             lambda: self.now_s,
         )
--- a/tests/cover/test_undelivered_bytes.py
+++ b/tests/cover/test_undelivered_bytes.py
@@ -202,6 +202,7 @@
                 is_exclusive=lambda: True,
                 on_spans_changed=lambda: None,
                 on_owners_changed=lambda: None,
+                on_unreachable=lambda: None,
                 on_former_gone=lambda: None,
                 on_fenced=lambda grant: None,
                 clock_s=time.monotonic,
