--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -12,9 +12,10 @@
 
 # A leader that has stood still for longer than `MAX_PAUSE_S` then reads reports
 # that have arrived meanwhile. Those that it reads within `REPORT_DISTRUST_S` do
-# not count, as their senders may follow another leader by now.
+# not count, as their senders may follow another leader by now. They give up a
+# silent leader no earlier than after `known_leader.LEADER_TIMEOUT_S`.
 PAUSE_CHECK_INTERVAL_S = 0.05
-MAX_PAUSE_S = 0.15
+MAX_PAUSE_S = 0.4
 REPORT_DISTRUST_S = 0.25
 # A daemon whose last report is older than this does not count as a follower.
 FOLLOWER_TIMEOUT_S = 1.0
@@ -33,6 +34,10 @@
 # frame can arrive.
 ANNOUNCE_LINK_OPEN_S = 0.05
 LEASE_CHECK_INTERVAL_S = 1.0
+# A term that a majority follows reads the lease again this long after the last
+# time. Another leader removes the registrations of daemons that it does not
+# hear, and needs fewer of them for a majority then.
+LEASE_RECHECK_INTERVAL_S = 4.0
 # How often a leader looks whether the store was restored.
 ERA_CHECK_INTERVAL_S = 0.1
 # The registration of a daemon that has been silent for this long is removed.
@@ -121,7 +126,7 @@
 
     def _note_pause(self) -> None:
         now_s = self._clock_s()
-        if now_s - self._ran_s > PAUSE_CHECK_INTERVAL_S + MAX_PAUSE_S:
+        if now_s - self._ran_s > MAX_PAUSE_S:
             self._reports_count_from_s = now_s + REPORT_DISTRUST_S
 
     def note_store_reached(self, daemon: str) -> None:
@@ -281,6 +286,7 @@
     async def check_lease(self) -> None:
         """Confirms the term from the store while no majority follows it.
 
+        A term with a majority is confirmed every `LEASE_RECHECK_INTERVAL_S`.
         Also writes the lease again if a restored store has lost it, and removes
         the registrations of daemons that have been silent for
         `REGISTRATION_EXPIRY_S`.
@@ -293,7 +299,7 @@
             if self._clock_s() < check_due_s and not is_lost:
                 continue
             check_due_s = self._clock_s() + LEASE_CHECK_INTERVAL_S
-            if is_lost or not self._is_followed_by_majority():
+            if is_lost or self._needs_lease():
                 try:
                     await self._confirm_lease()
                 except errors.StoreError:
@@ -306,8 +312,10 @@
                 removal_due_s = self._clock_s() + REGISTRATION_EXPIRY_S
                 await self._registry.remove_peers(self._silent_peers())
 
-    def _is_followed_by_majority(self) -> bool:
-        return self._count_heard(FOLLOWER_TIMEOUT_S) >= self._majority()
+    def _needs_lease(self) -> bool:
+        read_age_s = self._clock_s() - self._confirmed_s
+        is_followed = self._count_heard(FOLLOWER_TIMEOUT_S) >= self._majority()
+        return not is_followed or read_age_s > LEASE_RECHECK_INTERVAL_S
 
     async def _confirm_lease(self) -> None:
         """Reads the lease, and ends the term if another daemon holds it.
