Cut off the leader after the follower in the test of late registrations

Change: the follower is cut off first, and has to find the late peer when the leader that forwarded for it is cut off too.

--- a/tests/process/test_cut_from_upstreams.py
+++ b/tests/process/test_cut_from_upstreams.py
@@ -361,11 +361,13 @@
         for daemon in fleet.daemons:
             await daemon.start()
             await fleet.wait_until_served(daemon)
-        *cut_daemons, peer = fleet.daemons
-        assert fleet.leader() is not peer
-        fleet.cut_off(*cut_daemons, cut=upstream_gates.HANG)
-        for daemon in cut_daemons:
-            assert await forwarder_of(fleet, daemon) is peer
+        leader, follower, peer = fleet.daemons
+        assert fleet.leader() is leader
+        fleet.cut_off(follower, cut=upstream_gates.HANG)
+        await forwarder_of(fleet, follower)
+        fleet.cut_off(leader, cut=upstream_gates.HANG)
+        assert await forwarder_of(fleet, leader) is peer
+        assert await forwarder_of(fleet, follower) is peer
 
     fleet.run(scenario())
 
