Do not take a refused connection for the end of a daemon

A new leader took a daemon whose port refuses connections for one that has ended and no longer confirms an earlier leader's term. A cut can refuse connections as well: with the majority of daemons behind it, still confirmed by each other while their side has lost the store, the leader on the store's side became exclusive and took the other leader's grants for lapsed, while that one renewed them.

A new test with both terms showed it in 10 of 25 divisions of a fleet: each in which a majority follows the earlier leader.

Change: a refusal proves nothing. A term is exclusive once the daemons that do not follow it are no majority, which in a fleet of two is the case at once, and in fleets of an even number one daemon earlier than before. Announcements go on until a majority follows.

What still proves an end: nothing but a later start of the daemon that follows the new term, or the removal of its registration after 10 s of silence. That removal is no proof in a longer cut; not changed.

--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -79,7 +79,6 @@
         self._is_exclusive = False
         self._ran_s = self._began_s
         self._reports_count_from_s = self._began_s
-        self._ended_peers: set[str] = set()
         self.resigned = False
         self.ended = asyncio.Event()
 
@@ -230,25 +229,22 @@
     def is_exclusive(self) -> bool:
         """Returns whether no earlier leader's term can be confirmed any more.
 
-        That is the case once a majority of daemons follows this term or has
-        ended, because the store confirms only the newest term. It then stays
-        the case for the rest of the term.
+        That is the case once the daemons that do not follow this term are no
+        majority, because the store confirms only the newest term. It then stays
+        the case for the rest of the term. A port that refuses connections does
+        not show that a daemon has ended, as a cut may refuse them too.
         """
-        ended_count = len(self._ended_peers - self._heard_s.keys())
-        if (
-            self._count_heard(FOLLOWER_TIMEOUT_S) + ended_count
-            >= self._majority()
-        ):
+        others = len(self._registry.peer_addresses) - self._count_heard(
+            FOLLOWER_TIMEOUT_S
+        )
+        if others < self._majority():
             self._is_exclusive = True
         return self._is_exclusive
 
     async def announce(
         self, send_announcement: Callable[[peer_links.PeerLink], None]
     ) -> None:
-        """Announces the leader to daemons until the term is exclusive.
-
-        A daemon whose port refuses connections has ended, so it does not
-        follow an earlier leader either.
+        """Announces the leader to daemons until a majority follows it.
 
         Args:
           send_announcement: sends the announcement over a link.
@@ -259,16 +255,13 @@
                 link = await peer_links.connect(
                     address, self._name, lambda *_: None, lambda _: None
                 )
-            except errors.PeerNotSentError as error:
-                if isinstance(error.__cause__, ConnectionRefusedError):
-                    self._ended_peers.add(name)
+            except errors.PeerNotSentError:
                 return
-            self._ended_peers.discard(name)
             send_announcement(link)
             await asyncio.sleep(ANNOUNCE_LINK_OPEN_S)
             link.close()
 
-        while not self.is_exclusive():
+        while not self._is_followed_by_majority():
             await asyncio.gather(
                 *(
                     announce_to(name, address)
--- a/tests/cover/test_leader_term.py
+++ b/tests/cover/test_leader_term.py
@@ -1,8 +1,10 @@
 """Tests of when a leader resigns and whom it names as its successor."""
 
 import asyncio
+import contextlib
 import dataclasses
 import socket
+import types
 
 import pytest
 
@@ -255,3 +257,56 @@
         watching.cancel()
 
     asyncio.run(body())
+
+
+LONG_S = 2 * order_sender.TERM_VALIDITY_S
+
+
+def terms_of_a_cut(old_side, new_side):
+    """Returns an earlier and a later term that the two sides of a cut follow.
+
+    The cut refuses connections.
+    """
+    clock = Clock()
+    names = [
+        *(f"old-{index}" for index in range(old_side)),
+        *(f"new-{index}" for index in range(new_side)),
+    ]
+    terms = []
+    for leader in ("old-0", "new-0"):
+        registry = peer_registry.PeerRegistry(leader, "127.0.0.1:1", 1.0, None)
+        # Nothing listens on this port, so it refuses connections.
+        registry.peer_addresses = dict.fromkeys(names, "127.0.0.1:1")
+        terms.append(
+            leader_term.LeaderTerm(
+                leader,
+                registry,
+                types.SimpleNamespace(lease_asked_s=clock.now_s - LONG_S),
+                followers.Followers(),
+                clock,
+            )
+        )
+    old, new = terms
+    # The earlier leader has lost the store, but its followers report to it.
+    for name in names:
+        follower_of = old if name.startswith("old") else new
+        follower_of.note_report(name, "127.0.0.1:1")
+
+    async def announce():
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(leader_term.ANNOUNCE_INTERVAL_S / 2):
+                await new.announce(lambda link: None)
+
+    asyncio.run(announce())
+    return old, new
+
+
+@pytest.mark.parametrize("old_side", range(1, 6))
+@pytest.mark.parametrize("new_side", range(1, 6))
+def test_term_is_exclusive_only_if_no_earlier_one_can_be_confirmed(
+    old_side, new_side
+):
+    old, new = terms_of_a_cut(old_side, new_side)
+    assert not (old.may_send_orders() and new.is_exclusive())
+    # A leader need not wait for daemons that could not confirm another one.
+    assert old.may_send_orders() or new.is_exclusive()
