Keep the count of followers in a method of its own

Two parts that were written apart use it: the lease that is read now and then, and terms that are exclusive only by their followers.

--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -305,10 +305,16 @@
                 removal_due_s = self._clock_s() + REGISTRATION_EXPIRY_S
                 await self._registry.remove_peers(self._silent_peers())
 
+    def _is_followed_by_majority(self) -> bool:
+        return self._count_heard(FOLLOWER_TIMEOUT_S) >= self._majority()
+
     def _needs_lease(self) -> bool:
+        """Returns whether the lease must be read now to confirm the term."""
         read_age_s = self._clock_s() - self._confirmed_s
-        is_followed = self._count_heard(FOLLOWER_TIMEOUT_S) >= self._majority()
-        return not is_followed or read_age_s > LEASE_RECHECK_INTERVAL_S
+        return (
+            not self._is_followed_by_majority()
+            or read_age_s > LEASE_RECHECK_INTERVAL_S
+        )
 
     async def _confirm_lease(self) -> None:
         """Reads the lease, and ends the term if another daemon holds it.
