--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -10,13 +10,12 @@
 from sardinehill import errors
 from sardinehill import events
 from sardinehill import http1
-from sardinehill.core import cold_lending
 from sardinehill.core import crash_suspects
 from sardinehill.core import exchange_messages
 from sardinehill.core import service_times
-from sardinehill.daemon import boot_clock
 from sardinehill.front import answer_signals
 from sardinehill.front import borrowing
+from sardinehill.front import connecting
 from sardinehill.front import crash_evidence
 from sardinehill.front import forwarding
 from sardinehill.front import front_metrics as metrics_module
@@ -33,8 +32,6 @@
 MIN_SERVER_ERROR_STATUS = 500
 # The Retry-After of a request that was lost and is not sent again.
 QUARANTINE_RETRY_AFTER_S = 1.0
-# The Retry-After of a request that this daemon cannot send in any way.
-NO_PEER_RETRY_AFTER_S = 0.25
 
 
 class Sender:
@@ -58,12 +55,19 @@
         self._log = log_request
         self._counters = counters
         self._signals = answer_signals.AnswerSignals(directory, log_request)
-        self._cold_sends = cold_sends
-        self._limited_sends = limited_sends
         self._suspects = suspects
         self._evidence = evidence
         self._reach = reach
-        self._forwarder = forwarder
+        self._connector = connecting.Connector(
+            directory,
+            metrics,
+            log_request,
+            cold_sends,
+            limited_sends,
+            reach,
+            forwarder,
+            self.service_time_s,
+        )
         # The open connections with a request that may be repeated.
         self._repeatable: set[http1.Connection] = set()
         self._mean_latencies_s: dict[str, float] = {}
@@ -126,20 +130,13 @@
             )
 
     def refuse_if_cut_off(self) -> None:
-        """Refuses a request that cannot be sent in any way now.
+        """Refuses a request that this daemon cannot send in any way.
 
         Raises:
           requests.RefusedError: neither this daemon nor a peer reaches the
             upstreams.
         """
-        if self._reach.is_cut_off() and not self._forwarder.may_forward():
-            raise self._no_peer_refusal("no peer forwards requests now")
-
-    def _no_peer_refusal(self, error: str) -> requests.RefusedError:
-        self._metrics.increment("forwards", "no-peer")
-        return requests.RefusedError(
-            errors.Reason.CUT_OFF, 503, NO_PEER_RETRY_AFTER_S, error=error
-        )
+        self._connector.refuse_if_cut_off()
 
     def give_up_repeatable(self) -> None:
         """Ends the exchanges whose requests may be repeated another way.
@@ -162,15 +159,15 @@
           requests.RefusedError: the request has no answer for the caller and
             must not be retried.
         """
-        if not await self._may_send_within_limit(target):
+        if not await self._connector.may_send_within_limit(target):
             return None
-        connection = await self._connect(context, target)
+        connection = await self._connector.connect(context, target)
         if connection is None:
             return None
         may_send = False
         try:
             # The upstream may have left while the connection was opened.
-            is_lent = await self._may_send_while_cold(target)
+            is_lent = await self._connector.may_send_while_cold(target)
             self.refuse_if_quarantined(context)
             now_s = asyncio.get_running_loop().time()
             may_send = (
@@ -192,87 +189,6 @@
         latency_s = asyncio.get_running_loop().time() - context.sent_s
         return self._evaluate_answer(context, target, answer, latency_s)
 
-    async def _connect(
-        self, context: requests.RequestContext, target: requests.Target
-    ) -> requests.AnyConnection | None:
-        """Returns a connection, or None if the upstream is unreachable.
-
-        It leads through a peer while this daemon reaches no upstream.
-
-        Raises:
-          requests.RefusedError: no peer sends the request either.
-        """
-        loop = asyncio.get_running_loop()
-        target.upstream_state.record_send()
-        try:
-            if self._reach.is_cut_off():
-                return await self._connect_via_peer(context, target)
-            return await target.pool.acquire(
-                context.deadline_s - loop.time(), context.used_connections
-            )
-        except http1.ConnectionFailedError as error:
-            target.upstream_state.record_end()
-            self._record_connect_failure(context, target, error)
-            return None
-        except BaseException:
-            target.upstream_state.record_end()
-            raise
-
-    async def _connect_via_peer(
-        self, context: requests.RequestContext, target: requests.Target
-    ) -> forwarding.ForwardedConnection:
-        used_peers = {
-            connection.peer
-            for connection in context.used_connections
-            if isinstance(connection, forwarding.ForwardedConnection)
-            and connection.upstream_id == target.upstream.id
-        }
-        try:
-            return await self._forwarder.connect(
-                target.upstream,
-                context.metadata.request_id,
-                len(context.request.body),
-                used_peers,
-                context.deadline_s,
-                self.service_time_s(context.route.name),
-            )
-        except forwarding.NoPeerError as error:
-            raise self._no_peer_refusal(str(error)) from error
-
-    async def _may_send_within_limit(self, target: requests.Target) -> bool:
-        """Borrows a send if the upstream names a limit; returns if it may go.
-
-        This comes before a connection is opened: of many requests for such an
-        upstream few get a loan.
-        """
-        if not self._directory.is_limited(target.upstream):
-            return True
-        wait_s = await self._limited_sends.borrow(target.upstream.id)
-        if wait_s <= 0:
-            return True
-        target.upstream_state.no_limited_sends_until_s = (
-            asyncio.get_running_loop().time() + wait_s
-        )
-        return False
-
-    async def _may_send_while_cold(self, target: requests.Target) -> bool:
-        """Borrows a send if the upstream is cold; returns whether it may go.
-
-        This comes after the connection was opened, as a loan is valid only for
-        a short time.
-        """
-        loop = asyncio.get_running_loop()
-        state = target.upstream_state
-        # The lender's time goes on while this host is suspended.
-        asked_s = boot_clock.now_s()
-        if not state.is_cold(loop.time()):
-            return True
-        wait_s = await self._cold_sends.borrow(target.upstream.id)
-        if wait_s > 0:
-            state.no_cold_sends_until_s = loop.time() + wait_s
-            return False
-        return boot_clock.now_s() - asked_s <= cold_lending.LOAN_VALIDITY_S
-
     async def _exchange(
         self,
         context: requests.RequestContext,
@@ -346,27 +262,6 @@
             reason=error.reason.value,
         )
 
-    def _record_connect_failure(
-        self,
-        context: requests.RequestContext,
-        target: requests.Target,
-        error: http1.ConnectionFailedError,
-    ) -> None:
-        now_s = asyncio.get_running_loop().time()
-        if self._reach.is_cut_off():
-            target.upstream_state.record_lost_path(now_s)
-        else:
-            target.upstream_state.record_unreachable(now_s)
-        context.last_failure = "connect-failed"
-        self._metrics.increment("connect_failures", target.upstream.service)
-        self._log(
-            events.REQUEST_TRIED_AGAIN,
-            request=context.metadata.request_id,
-            reason="connect-failed",
-            upstream=target.upstream.id,
-            error=str(error),
-        )
-
     def _record_broken_exchange(
         self,
         context: requests.RequestContext,
