--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -62,15 +62,15 @@
         settings: settings_module.HostSettings,
         log_output: log_module.NonBlockingHandler,
     ):
-        loop = asyncio.get_running_loop()
         self._settings = settings
         self._log_output = log_output
+        self._clock_s = asyncio.get_running_loop().time
         self._stopping = asyncio.Event()
         self._front_metrics = metrics_module.FrontMetrics()
-        self._request_log = log_module.RequestLog(loop.time)
+        self._request_log = log_module.RequestLog(self._clock_s)
         self._store = store_module.StoreClient(settings.store_address)
         self._view = view_module.StoreView(
-            loop.time, lambda: self._store.failing_since_s
+            self._clock_s, lambda: self._store.failing_since_s
         )
         self._watch = store_watch.StoreWatch(
             self._view,
@@ -79,30 +79,13 @@
                 settings.daemon, self._leadership.peer_count
             ),
         )
-        limits = named_limits.NamedLimits()
-        suspects = crash_suspects.CrashSuspects()
-        leaving = leaving_upstreams.LeavingUpstreams()
-        self._reach = reach_monitor.ReachMonitor(
-            lambda: self._view.upstreams,
-            lambda upstream: self._directory.pool(upstream),
-            loop.time,
-            lambda: self._leadership.leads,
-        )
-        self._directory = directory_module.UpstreamDirectory(
-            self._view,
-            settings.drain_limit_s,
-            loop.time,
-            limits,
-            suspects,
-            leaving,
-            self._reach.note_attempt,
-        )
-        self._forwarder = forwarding.Forwarder(
-            settings.daemon,
-            settings.zone,
-            lambda: self._leadership.peer_addresses,
-            lambda: self._leadership.refresh_peers(),
-        )
+        # What daemons tell each other of upstreams and requests.
+        self._named_limits = named_limits.NamedLimits()
+        self._suspects = crash_suspects.CrashSuspects()
+        self._leaving = leaving_upstreams.LeavingUpstreams()
+        self._reach = self._new_reach_monitor()
+        self._directory = self._new_directory()
+        self._forwarder = self._new_forwarder()
         self._forwards = forward_server.ForwardServer(
             self._directory,
             self._reach,
@@ -112,35 +95,74 @@
         )
         self._reach.reach.subscribe(self._note_reach)
         self._counters = counters_module.ReportCounters()
-        quota = quota_shares.FleetQuota(
+        self._quota = quota_shares.FleetQuota(
             settings.allowance_window_s,
             settings.allowance_over_ratio,
             settings.allowance_slack,
         )
-        admission = admission_module.Admission(
-            self._directory,
-            self._counters,
-            quota,
-            self._borrower(fleet_messages.LoanKind.QUOTA),
+        self._sender = self._new_sender()
+        self._relay = self._new_relay()
+        self._leadership = self._new_leadership()
+        self._server = server_module.Server(self._relay.serve, self._limits)
+        self._front_metrics.add_gauge_source(self._gauge_values)
+
+    # parts
+
+    def _new_reach_monitor(self) -> reach_monitor.ReachMonitor:
+        return reach_monitor.ReachMonitor(
+            lambda: self._view.upstreams,
+            lambda upstream: self._directory.pool(upstream),
+            self._clock_s,
+            lambda: self._leadership.leads,
+        )
+
+    def _new_directory(self) -> directory_module.UpstreamDirectory:
+        return directory_module.UpstreamDirectory(
+            self._view,
+            self._settings.drain_limit_s,
+            self._clock_s,
+            self._named_limits,
+            self._suspects,
+            self._leaving,
+            self._reach.note_attempt,
         )
-        self._sender = sending.Sender(
+
+    def _new_forwarder(self) -> forwarding.Forwarder:
+        return forwarding.Forwarder(
+            self._settings.daemon,
+            self._settings.zone,
+            lambda: self._leadership.peer_addresses,
+            lambda: self._leadership.refresh_peers(),
+        )
+
+    def _new_sender(self) -> sending.Sender:
+        return sending.Sender(
             self._directory,
             self._front_metrics,
             self._request_log,
             self._counters,
             self._borrower(fleet_messages.LoanKind.COLD_SENDS),
             self._borrower(fleet_messages.LoanKind.LIMITED_SENDS),
-            suspects,
+            self._suspects,
             crash_evidence.CrashEvidence(
-                suspects,
+                self._suspects,
                 lambda: self._view.upstreams,
-                loop.time,
+                self._clock_s,
                 self._reach.reaches_others,
             ),
             self._reach,
             self._forwarder,
         )
-        self._relay = relay_module.Relay(
+
+    def _new_relay(self) -> relay_module.Relay:
+        settings = self._settings
+        admission = admission_module.Admission(
+            self._directory,
+            self._counters,
+            self._quota,
+            self._borrower(fleet_messages.LoanKind.QUOTA),
+        )
+        return relay_module.Relay(
             self._directory,
             self._front_metrics,
             self._request_log,
@@ -151,7 +173,10 @@
             self._sender,
             settings.zone,
         )
-        self._leadership = leadership_module.Leadership(
+
+    def _new_leadership(self) -> leadership_module.Leadership:
+        settings = self._settings
+        return leadership_module.Leadership(
             settings.daemon,
             f"{settings.host_ip}:{settings.peer_port}",
             settings.core_share,
@@ -161,15 +186,13 @@
             boot_clock.now_s,
             self._collect_report,
             self._directory.apply_table,
-            quota,
+            self._quota,
             cold_lending.ColdBound(settings.cold_ratio, settings.cold_slack),
-            limits,
-            suspects,
-            leaving,
+            self._named_limits,
+            self._suspects,
+            self._leaving,
             self._reach,
         )
-        self._server = server_module.Server(self._relay.serve, self._limits)
-        self._front_metrics.add_gauge_source(self._gauge_values)
 
     async def run(self) -> None:
         """Serves requests until a signal, then drains and returns."""
