--- a/tests/cover/test_named_limits.py
+++ b/tests/cover/test_named_limits.py
@@ -3,6 +3,7 @@
 import random
 
 from hypothesis import given
+from hypothesis import settings
 from hypothesis import strategies
 import pytest
 
@@ -45,6 +46,7 @@
     assert len(sends_s) >= 0.9 * LIMIT_PER_S * 30.0
 
 
+@settings(derandomize=True, deadline=None)
 @given(
     change_s=strategies.floats(5.0, 10.0),
     overlap_s=strategies.floats(0.0, EARLIER_LEADER_S),
