Name what forwarding code does in the reader's terms

A newcomer took `_Order` for a leader's order to an upstream, `MAX_REQUEST_BYTES` for the limit of one request, and `_NO_STATUS` for a status of a stopping peer; `exchange_count` was described by only one of its three values.

The names and comments say it now, and `ForwardServer` describes its arguments.

--- a/src/sardinehill/front/forward_server.py
+++ b/src/sardinehill/front/forward_server.py
@@ -26,9 +26,10 @@
 from sardinehill.wire import exchanges
 from sardinehill.wire import message_kinds
 
-# What a daemon does for all peers together at a time.
+# Limits on the exchanges that are under way for all peers together. Another one
+# is begun while their requests have less than `MAX_TOTAL_REQUEST_BYTES`.
 MAX_IN_FLIGHT = 128
-MAX_REQUEST_BYTES = 32 * 1024 * 1024
+MAX_TOTAL_REQUEST_BYTES = 32 * 1024 * 1024
 
 _KINDS = frozenset(
     {
@@ -54,8 +55,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Order:
-    """A peer's request that is to be sent.
+class _DirectSend:
+    """A peer's request that is to be sent to its upstream.
 
     Attributes:
       request: the message.
@@ -91,6 +92,15 @@
         log_request: Callable[..., None],
         zone: str,
     ):
+        """Creates a server that carries out nothing yet.
+
+        Args:
+          directory: the upstreams.
+          reach: whether this daemon reaches the upstreams.
+          metrics: counts the results.
+          log_request: logs events of requests.
+          zone: this daemon's availability zone.
+        """
         self._zone = zone
         self._directory = directory
         self._reach = reach
@@ -115,7 +125,7 @@
     def receive(
         self, link: peer_links.PeerLink, envelope: envelopes.Envelope
     ) -> bool:
-        """Handles a message from a peer if it is of these kinds.
+        """Handles a message from a peer if it concerns forwarding.
 
         Returns:
           Whether it was handled.
@@ -168,6 +178,7 @@
             asyncio.get_running_loop().time() + request.remaining_s - delay_s
         )
         ongoing = self._exchanges.setdefault(link, {})
+        # Before this exchange is counted itself.
         refusal = self._own_refusal()
         task = asyncio.ensure_future(
             self._serve(link, message_id, request, deadline_s, refusal)
@@ -194,7 +205,7 @@
         )
         if (
             self.in_flight >= MAX_IN_FLIGHT
-            or request_bytes >= MAX_REQUEST_BYTES
+            or request_bytes >= MAX_TOTAL_REQUEST_BYTES
         ):
             return _Reason.BUSY
         return None
@@ -256,62 +267,64 @@
         if upstream is None:
             raise _NotSentError(_Reason.LEFT)
         state, pool = self._directory.state_and_pool(upstream)
-        order = _Order(request, upstream, state, pool, deadline_s)
+        send = _DirectSend(request, upstream, state, pool, deadline_s)
         state.record_forward()
         try:
             while True:
-                connection = await self._connect(order)
+                connection = await self._connect(send)
                 try:
-                    return await self._exchange_over(order, connection)
+                    return await self._exchange_over(send, connection)
                 except http1.ConnectionFailedError as error:
                     # An idle connection may have ended before the request.
                     if error.written:
-                        return self._broken(order, connection, error)
+                        return self._record_broken(send, connection, error)
         finally:
             state.record_forward_end()
             self._directory.wake_next(upstream, upstream.service)
 
-    def _check(self, order: _Order) -> None:
+    def _check(self, send: _DirectSend) -> None:
         """Raises `_NotSentError` if the request must not be sent now."""
         now_s = asyncio.get_running_loop().time()
-        if now_s >= order.deadline_s:
+        if now_s >= send.deadline_s:
             raise _NotSentError(_Reason.EXPIRED)
-        if self._directory.has_left(order.upstream):
+        if self._directory.has_left(send.upstream):
             raise _NotSentError(_Reason.LEFT)
-        if order.state.is_refusing(now_s):
+        if send.state.is_refusing(now_s):
             raise _NotSentError(
-                _Reason.PAUSED, self._directory.pause_s(order.upstream, now_s)
+                _Reason.PAUSED, self._directory.pause_s(send.upstream, now_s)
             )
 
-    async def _connect(self, order: _Order) -> http1.Connection:
-        self._check(order)
-        timeout_s = order.deadline_s - asyncio.get_running_loop().time()
+    async def _connect(self, send: _DirectSend) -> http1.Connection:
+        self._check(send)
+        timeout_s = send.deadline_s - asyncio.get_running_loop().time()
         try:
-            if order.request.needs_new_connection:
-                connection = await order.pool.open(
+            if send.request.needs_new_connection:
+                connection = await send.pool.open(
                     min(timeout_s, pool_module.CONNECT_TIMEOUT_S)
                 )
             else:
-                connection = await order.pool.acquire(timeout_s)
+                connection = await send.pool.acquire(timeout_s)
         except http1.ConnectionFailedError as error:
-            raise _NotSentError(self._connect_failure(order)) from error
+            raise _NotSentError(self._record_connect_failure(send)) from error
         try:
-            self._check(order)
+            self._check(send)
         except _NotSentError:
-            order.pool.release(connection)
+            send.pool.release(connection)
             raise
         return connection
 
-    def _connect_failure(self, order: _Order) -> _Reason:
+    def _record_connect_failure(self, send: _DirectSend) -> _Reason:
+        """Records that connecting failed; returns what the peer is told."""
         now_s = asyncio.get_running_loop().time()
-        # The peer asks another daemon if this one may be cut off, too.
+        # If this daemon may be cut off, too, the failure says nothing of the
+        # upstream, and the peer asks another daemon.
         if not self._reach.hears_upstreams():
             return _Reason.CUT_OFF
-        order.state.record_unreachable(now_s)
+        send.state.record_unreachable(now_s)
         return _Reason.UNREACHABLE
 
     async def _exchange_over(
-        self, order: _Order, connection: http1.Connection
+        self, send: _DirectSend, connection: http1.Connection
     ) -> exchange_messages.ExchangeResult:
         """Sends a request over a connection.
 
@@ -322,28 +335,28 @@
         sent_s = loop.time()
         self._reach.note_sent(connection)
         try:
-            async with asyncio.timeout_at(order.deadline_s):
+            async with asyncio.timeout_at(send.deadline_s):
                 answer = await connection.exchange(
-                    order.request.data,
+                    send.request.data,
                     lambda head: http_messages.is_answer_to(
-                        head, order.request.request_id
+                        head, send.request.request_id
                     ),
-                    order.request.is_head,
+                    send.request.is_head,
                 )
         except TimeoutError:
             return exchange_messages.Broken("no answer in time")
         finally:
             self._reach.note_done(connection)
-        order.pool.release(connection)
-        order.state.record_reached()
-        self._reach.note_answer(order.upstream.id)
+        send.pool.release(connection)
+        send.state.record_reached()
+        self._reach.note_answer(send.upstream.id)
         self._signals.note(
-            order.upstream,
-            order.state,
+            send.upstream,
+            send.state,
             answer,
-            order.request.request_id,
+            send.request.request_id,
             sent_s,
-            order.request.service_time_s,
+            send.request.service_time_s,
         )
         if len(answer.body) > exchange_messages.MAX_FORWARDED_BYTES:
             return exchange_messages.Broken(
@@ -356,17 +369,18 @@
             answer.ends_with_connection,
         )
 
-    def _broken(
+    def _record_broken(
         self,
-        order: _Order,
+        send: _DirectSend,
         connection: http1.Connection,
         error: http1.ConnectionFailedError,
     ) -> exchange_messages.Broken:
+        """Records that an exchange failed; returns what the peer is told."""
         now_s = asyncio.get_running_loop().time()
         is_new = connection.exchange_count == 1
         if error.reset and not error.response_started:
-            order.state.record_reset(now_s, is_new)
-        self._reach.note_broken(order.upstream.id)
+            send.state.record_reset(now_s, is_new)
+        self._reach.note_broken(send.upstream.id)
         return exchange_messages.Broken(
             str(error), error.response_started, error.reset, is_new
         )
--- a/src/sardinehill/front/forwarding.py
+++ b/src/sardinehill/front/forwarding.py
@@ -26,17 +26,21 @@
 
 STATUS_INTERVAL_S = 0.25
 STATUS_TIMEOUT_S = 0.4
-# A peer that says nothing for this long hangs; what it carries out is given up.
+# A peer that has not answered for this long is taken to hang. Its link is
+# closed, which fails the exchanges that it carries out.
 MAX_PEER_SILENCE_S = 1.5
 # A link through which nothing was sent for this long is closed.
 LINK_IDLE_TIMEOUT_S = 5.0
 # The list of registered daemons is read again this often while it is needed.
-REFRESH_INTERVAL_S = 5.0
-MAX_PARALLEL_SEARCHES = 16
+PEER_REFRESH_INTERVAL_S = 5.0
+# A search asks this many peers at a time.
+MAX_PARALLEL_QUERIES = 16
 # The peer ends an exchange at its deadline; its answer may take this long.
 ANSWER_MARGIN_S = 0.5
 
-_NO_STATUS = exchange_messages.ForwardingStatus(
+# Stands for the status of a peer that has not answered. Only that there is a
+# refusal matters, not which.
+_NO_ANSWER_STATUS = exchange_messages.ForwardingStatus(
     exchange_messages.NotSentReason.STOPPING, ""
 )
 
@@ -80,7 +84,9 @@
       peer: the peer's name.
       upstream_id: the upstream's id.
       usable: always False, so that it is not pooled.
-      exchange_count: 1 if the peer opened a connection for the exchange.
+      exchange_count: 0 at first. Once the peer has reported a failure after
+        the request was sent, 1 if it opened a connection for the exchange, or
+        2 if it used an earlier one.
     """
 
     def __init__(
@@ -248,8 +254,8 @@
         self._last_used_s = 0.0
         self._search: asyncio.Task[None] | None = None
         self._search_ended_s = float("-inf")
-        # Whether the last search has found no peer.
-        self._is_alone = False
+        # Whether there was no link to a peer when the last search ended.
+        self._last_search_failed = False
         self._peer_found = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -261,7 +267,7 @@
     def note_reach(self, is_cut_off: bool) -> None:
         """Searches for peers as soon as this daemon reaches no upstream."""
         self._is_needed = is_cut_off
-        self._is_alone = False
+        self._last_search_failed = False
         if is_cut_off:
             self._last_used_s = asyncio.get_running_loop().time()
             self._start_search()
@@ -269,12 +275,13 @@
     def may_forward(self) -> bool:
         """Returns whether a peer forwards requests, as far as is known.
 
-        Further searches go on after one has found none.
+        It starts a search if there is no link to a peer, also after one has
+        found none.
         """
         if self._links:
             return True
         self._start_search()
-        return self._search is not None and not self._is_alone
+        return self._search is not None and not self._last_search_failed
 
     async def connect(
         self,
@@ -332,7 +339,7 @@
         if peer not in self._choice.serving:
             self._remove(peer, reason.value)
 
-    # links
+    # finding and losing peers
 
     async def _wait_for_peer(self) -> None:
         """Waits until a search has found a peer or has ended."""
@@ -349,7 +356,7 @@
 
     def _start_search(self) -> None:
         now_s = asyncio.get_running_loop().time()
-        if now_s - self._refreshed_s >= REFRESH_INTERVAL_S:
+        if now_s - self._refreshed_s >= PEER_REFRESH_INTERVAL_S:
             self._refreshed_s = now_s
             self._start_task(self._refresh())
         if (
@@ -360,7 +367,7 @@
             self._search.add_done_callback(self._note_search_ended)
 
     async def _refresh(self) -> None:
-        """Searches among daemons that have registered since the last search."""
+        """Reads the list of daemons again, and searches without a pause."""
         await self._refresh_peers()
         self._search_ended_s = float("-inf")
         self._start_search()
@@ -373,7 +380,7 @@
     def _note_search_ended(self, search: asyncio.Task[None]) -> None:
         self._search = None
         self._search_ended_s = asyncio.get_running_loop().time()
-        self._is_alone = not self._links
+        self._last_search_failed = not self._links
         if not search.cancelled() and search.exception() is not None:
             events.log(
                 events.TASK_FAILED,
@@ -398,7 +405,7 @@
                 await self._try_peer(name, addresses[name])
 
         await asyncio.gather(
-            *(ask_in_turn() for _ in range(MAX_PARALLEL_SEARCHES))
+            *(ask_in_turn() for _ in range(MAX_PARALLEL_QUERIES))
         )
 
     async def _try_peer(self, name: str, address: str) -> None:
@@ -413,7 +420,7 @@
             )
             status = await _ask_status(link, STATUS_TIMEOUT_S)
         except errors.PeerError:
-            status = _NO_STATUS
+            status = _NO_ANSWER_STATUS
         if (
             status.refusal is None
             and link is not None
@@ -458,7 +465,7 @@
                 self._start_search()
 
     def _remove(self, name: str, reason: str) -> None:
-        """Uses a peer no more; what is under way through it may end."""
+        """Stops using a peer; exchanges under way through it may end."""
         self._choice.remove(name, asyncio.get_running_loop().time())
         link = self._links.pop(name, None)
         if not self._links:
@@ -484,7 +491,7 @@
 
 
 async def _close_if_hung(link: peer_links.PeerLink) -> None:
-    """Closes a link whose peer goes on not to answer."""
+    """Closes a link if its peer does not answer a second query either."""
     try:
         await _ask_status(link, MAX_PEER_SILENCE_S - STATUS_TIMEOUT_S)
     except errors.PeerError:
