Say what the reach, leader and plan code decides

A newcomer stumbled over names and comments: `_is_silent` of the reach monitor was not the private form of `is_silent`, "try" and "probe" named the same thing, the comments on constants of upstream_reach left out the condition that they belong to, "stood still" and "handed over for good" had to be guessed, and `_settled_s` did not say that nothing is planned until then.

Names and comments say it now; an incarnation has its type in the directory.

--- a/src/sardinehill/core/upstream_reach.py
+++ b/src/sardinehill/core/upstream_reach.py
@@ -15,13 +15,15 @@
 # The daemon is cut off when attempts at this many upstreams have failed, or at
 # all of them if there are fewer.
 MIN_FAILED_UPSTREAMS = 3
-# No other upstream has answered for this long since the first of them. Several
-# upstreams may end at once while the others go on answering.
+# These failures show a cut if no other upstream answers for this long after the
+# first of them. Several upstreams may end at once while the others go on
+# answering.
 MIN_SILENCE_S = 0.1
 # The state is doubtful when this many upstreams have failed.
 MIN_DOUBTFUL_UPSTREAMS = 2
-# While others answer on open connections, attempts at so many upstreams have
-# failed for so long, and none has succeeded.
+# Although others answer on open connections, the daemon is also cut off when
+# attempts at this many upstreams have failed for this long, and none has
+# succeeded.
 MIN_FAILED_AMONG_ANSWERING = 6
 MIN_FAILING_AMONG_ANSWERING_S = 0.5
 # It is connected again when attempts at this many upstreams have succeeded, or
@@ -116,7 +118,8 @@
     def failed(self, now_s: float) -> set[str]:
         """Returns the upstreams to which connecting failed.
 
-        Failures before the last success at any upstream do not count.
+        Failures before the last success at any upstream do not count, nor those
+        longer than `FAILURE_TTL_S` ago.
         """
         return self._recent(self._failed_s, now_s)
 
@@ -137,8 +140,8 @@
         failed_count = self._count_failed_or_broken(now_s)
         return self._is_cut_off or failed_count >= max(doubtful_count, 1)
 
-    def should_try(self, now_s: float) -> bool:
-        """Returns whether new connections should be tried now."""
+    def should_probe(self, now_s: float) -> bool:
+        """Returns whether new connections should be opened as probes now."""
         return self._is_cut_off or self._count_failed_or_broken(now_s) > 0
 
     def _count_failed_or_broken(self, now_s: float) -> int:
@@ -165,6 +168,7 @@
     # internal methods
 
     def _recent(self, times_s: dict[str, float], now_s: float) -> set[str]:
+        """Returns the listed upstreams whose failure is recent."""
         listed = self._upstreams()
         return {
             name
@@ -174,21 +178,27 @@
 
     def _shows_cut(self, now_s: float) -> bool:
         failing = self.failed(now_s)
-        if not self._is_sufficient(failing):
+        if not self._can_show_cut(failing):
             return False
         answering_count = sum(
             self._answered_s.get(name, _NEVER_S) > self._failing_since_s[name]
             for name in failing
         )
         if answering_count >= MIN_FAILED_UPSTREAMS:
-            # Their open connections live on, and new ones fail.
+            # Upstreams that answer on open connections have not ended, so the
+            # failures of new ones are those of this daemon's links.
             return True
-        return self._fail_among_answering(
+        return self._fails_where_others_answer(
             failing, now_s
         ) or self._are_others_silent(failing, now_s)
 
-    def _fail_among_answering(self, failing: set[str], now_s: float) -> bool:
-        """Returns whether new connections fail wherever open ones live on."""
+    def _fails_where_others_answer(
+        self, failing: set[str], now_s: float
+    ) -> bool:
+        """Returns whether new connections fail wherever open ones work.
+
+        That is in all zones and services of the upstreams that answer.
+        """
         first_s = min(self._failing_since_s[name] for name in failing)
         if (
             len(failing) < MIN_FAILED_AMONG_ANSWERING
@@ -207,10 +217,10 @@
             for group_of in (_zone, _service)
         )
 
-    def _is_sufficient(self, failing: set[str]) -> bool:
-        """Returns whether so many failures can show a cut of this daemon.
+    def _can_show_cut(self, failing: set[str]) -> bool:
+        """Returns whether failures are enough to show a cut of this daemon.
 
-        Those in a single availability zone or service do not.
+        Those in a single availability zone or service are not.
         """
         listed = self._upstreams()
         if len(failing) < min(MIN_FAILED_UPSTREAMS, len(listed)):
@@ -235,13 +245,14 @@
         for name in latest_first:
             considered.add(name)
             since_s = self._failing_since_s[name]
-            if now_s - since_s >= MIN_SILENCE_S and self._is_sufficient(
+            if now_s - since_s >= MIN_SILENCE_S and self._can_show_cut(
                 considered
             ):
                 return self.answered_since(since_s) <= failing
         return False
 
     def _has_regained(self) -> bool:
+        """Returns whether enough upstreams were reached since the cut."""
         reached_count = sum(
             reached_s >= self._changed_s
             for reached_s in self._reached_s.values()
--- a/src/sardinehill/front/assignment_manager.py
+++ b/src/sardinehill/front/assignment_manager.py
@@ -87,8 +87,9 @@
         self._orders_wanted = asyncio.Event()
         self._write_lock = asyncio.Lock()
         self._clean_up_due_s: float | None = None
-        # Until then it may turn out that this daemon is cut off.
-        self._settled_s: float | None = None
+        # Set after an upstream was found unreachable: until then it may turn
+        # out that this daemon is cut off.
+        self._no_plan_until_s: float | None = None
         self.moved_keys = 0
 
     # interface to the leader's other tasks
@@ -137,8 +138,8 @@
 
     def _note_unreachable(self) -> None:
         """Schedules a plan without an upstream that was found unreachable."""
-        if self._settled_s is None:
-            self._settled_s = self._clock_s() + UNREACHABLE_SETTLING_S
+        if self._no_plan_until_s is None:
+            self._no_plan_until_s = self._clock_s() + UNREACHABLE_SETTLING_S
         self.replan()
 
     # planning and orders
@@ -272,10 +273,10 @@
         if not self._has_confirmed_owners(assignment, now_s):
             self._plan_due_s = now_s + LOOP_INTERVAL_S
             return False
-        if self._settled_s is not None and now_s < self._settled_s:
-            self._plan_due_s = self._settled_s
+        if self._no_plan_until_s is not None and now_s < self._no_plan_until_s:
+            self._plan_due_s = self._no_plan_until_s
             return False
-        self._settled_s = None
+        self._no_plan_until_s = None
         return True
 
     def _has_confirmed_owners(
--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -10,10 +10,11 @@
 from sardinehill.front import peer_links
 from sardinehill.front import peer_registry
 
-# A leader that has stood still for longer than `MAX_PAUSE_S` then reads reports
-# that have arrived meanwhile. Those that it reads within `REPORT_DISTRUST_S` do
-# not count, as their senders may follow another leader by now. They give up a
-# silent leader no earlier than after `known_leader.LEADER_TIMEOUT_S`.
+# A leader whose process was paused for longer than `MAX_PAUSE_S` then reads the
+# reports that have arrived meanwhile. Those that it reads in the next
+# `REPORT_DISTRUST_S` do not count, as their senders may follow another leader
+# by now. After a shorter pause they count: daemons give up a silent leader no
+# earlier than after `known_leader.LEADER_TIMEOUT_S`.
 PAUSE_CHECK_INTERVAL_S = 0.05
 MAX_PAUSE_S = 0.4
 REPORT_DISTRUST_S = 0.25
@@ -82,7 +83,7 @@
         self._cut_off: set[str] = set()
         self._reached_by_others_since_s: float | None = None
         self._is_exclusive = False
-        self._ran_s = self._began_s
+        self._last_ran_s = self._began_s
         self._reports_count_from_s = self._began_s
         self.resigned = False
         self.ended = asyncio.Event()
@@ -112,20 +113,21 @@
             self._heard_s[daemon] = now_s
 
     async def watch_pauses(self) -> None:
-        """Notes until cancelled whether this process has stood still."""
-        self._ran_s = self._clock_s()
+        """Detects pauses of this process, until cancelled."""
+        self._last_ran_s = self._clock_s()
         while True:
             await asyncio.sleep(PAUSE_CHECK_INTERVAL_S)
             self.note_running()
 
     def note_running(self) -> None:
-        """Notes that this process is running, and whether it stood still."""
+        """Records that this process is running, and whether it was paused."""
         self._note_pause()
-        self._ran_s = self._clock_s()
+        self._last_ran_s = self._clock_s()
 
     def _note_pause(self) -> None:
+        """Distrusts reports for a while if this process was paused."""
         now_s = self._clock_s()
-        if now_s - self._ran_s > MAX_PAUSE_S:
+        if now_s - self._last_ran_s > MAX_PAUSE_S:
             self._reports_count_from_s = now_s + REPORT_DISTRUST_S
 
     def note_store_reached(self, daemon: str) -> None:
@@ -156,8 +158,8 @@
     def should_hand_over_if_cut_off(self, cut_off_s: float) -> bool:
         """Returns whether followers reach upstreams and this leader does not.
 
-        A leader that has regained them has handed over for good: nobody takes
-        the lead from a leader that reaches upstreams.
+        It does not take the lead back when it reaches them again, as nobody
+        takes the lead from a leader that reaches upstreams.
 
         Args:
           cut_off_s: how long the leader has been cut off from all upstreams; 0
@@ -239,10 +241,10 @@
         the case for the rest of the term. A port that refuses connections does
         not show that a daemon has ended, as a cut may refuse them too.
         """
-        others = len(self._registry.peer_addresses) - self._count_heard(
+        other_count = len(self._registry.peer_addresses) - self._count_heard(
             FOLLOWER_TIMEOUT_S
         )
-        if others < self._majority():
+        if other_count < self._majority():
             self._is_exclusive = True
         return self._is_exclusive
 
--- a/src/sardinehill/front/reach_monitor.py
+++ b/src/sardinehill/front/reach_monitor.py
@@ -1,4 +1,4 @@
-"""Watches whether this daemon reaches the upstreams, and tries when in doubt.
+"""Watches whether this daemon reaches the upstreams, and probes when in doubt.
 
 Requests show whether upstreams are reached. While that is in doubt, as several
 upstreams fail or none answers, connections are opened to a few of them.
@@ -17,18 +17,21 @@
 from sardinehill.front import pool as pool_module
 
 CHECK_INTERVAL_S = 0.1
-# No upstream has sent anything for this long, although a request was sent at
-# least as long ago.
+# Upstreams are probed when none has answered for this long, although a request
+# was sent at least as long ago.
 MAX_SILENCE_S = 0.3
-# The same for a leader, also while it has no requests.
+# A leader probes them when none has answered for this long, also while it has
+# no requests.
 MAX_LEADER_SILENCE_S = 0.6
 PROBES_PER_ROUND = 3
+# A first probe that takes longer than this is followed by a full round.
 USUAL_CONNECT_TIME_S = 0.1
-# While this daemon is cut off, and after a round that reached an upstream.
+# The time to the next round while this daemon is cut off, and after a probe
+# that reached an upstream.
 CUT_OFF_PROBE_INTERVAL_S = 0.25
 REACHED_PROBE_INTERVAL_S = 0.6
-# How many others are tried to tell the end of an upstream from a cut.
-MAX_OTHERS_TRIED = 2
+# How many others are probed to tell the end of an upstream from a cut.
+MAX_OTHERS_PROBED = 2
 MAX_LOGGED_UPSTREAMS = 8
 
 PoolOf = Callable[[routes.Upstream], pool_module.ConnectionPool | None]
@@ -148,16 +151,19 @@
             )
         if now_s < self._next_round_s:
             return False
-        return self.reach.should_try(now_s) or self._is_silent(now_s)
+        return self.reach.should_probe(now_s) or self._should_probe_silent(
+            now_s
+        )
 
-    def _is_silent(self, now_s: float) -> bool:
+    def _should_probe_silent(self, now_s: float) -> bool:
+        """Returns whether upstreams have been silent for too long."""
         heard_s = self.reach.last_heard_s()
         if self._leads() and now_s - heard_s >= MAX_LEADER_SILENCE_S:
             return True
         return self._is_unanswered(now_s)
 
     def _is_unanswered(self, now_s: float) -> bool:
-        """Returns whether no request was answered for `MAX_SILENCE_S`."""
+        """Returns whether requests have been unanswered for `MAX_SILENCE_S`."""
         heard_s = self.reach.last_heard_s()
         oldest_sent_s = next(iter(self._sent_s.values()), now_s)
         return now_s - max(oldest_sent_s, heard_s) >= MAX_SILENCE_S
@@ -229,7 +235,7 @@
     async def reaches_others(self, upstream: routes.Upstream) -> bool:
         """Returns whether another upstream is reached now.
 
-        Those in the availability zone of the given one are tried first, as a
+        Those in the availability zone of the given one are probed first, as a
         broken path may lead to the zone only.
         """
         others = [
@@ -239,7 +245,7 @@
         ]
         random.shuffle(others)
         others.sort(key=lambda other: other.zone != upstream.zone)
-        for other in others[:MAX_OTHERS_TRIED]:
+        for other in others[:MAX_OTHERS_PROBED]:
             if await self._probe(other):
                 return True
         return False
--- a/src/sardinehill/front/upstream_directory.py
+++ b/src/sardinehill/front/upstream_directory.py
@@ -195,7 +195,7 @@
             )
             self._entries[upstream.id] = entry
             entry.state.cold_until_s = now_s + upstream.cold_remaining_s
-            self._heed_leaving(upstream.incarnation)
+            self._apply_leaving(upstream.incarnation)
         elif upstream != entry.upstream:
             entry.state.cold_until_s = now_s + upstream.cold_remaining_s
         entry.upstream = upstream
@@ -216,7 +216,7 @@
         # Also a forwarding daemon counts their age up to when it sends them.
         self._leaving.record_news(table.leaving, now_s, is_passed_on=False)
         for news in table.leaving:
-            self._heed_leaving(news.incarnation)
+            self._apply_leaving(news.incarnation)
         if previous_table is not None and previous_table.spans is table.spans:
             return
         self._first_keys = {
@@ -275,9 +275,9 @@
             and entry.said_leaving_s is None
         ):
             self._leaving.record_answer(upstream.incarnation, self._clock_s())
-            self._heed_leaving(upstream.incarnation)
+            self._apply_leaving(upstream.incarnation)
 
-    def _heed_leaving(self, incarnation: keyspace.Incarnation) -> None:
+    def _apply_leaving(self, incarnation: keyspace.Incarnation) -> None:
         """Sends an upstream nothing more after the grace if it leaves."""
         entry = self._entries.get(incarnation[0])
         said_s = self._leaving.said_s(incarnation)
@@ -397,7 +397,7 @@
             and self._entries[upstream.id].said_leaving_s is None
         ]
 
-    def find(self, incarnation: tuple[str, int]) -> routes.Upstream | None:
+    def find(self, incarnation: keyspace.Incarnation) -> routes.Upstream | None:
         """Returns the upstream with an incarnation, or None if it is unknown.
 
         One that left the store a while ago is unknown.
--- a/tests/cover/test_upstream_reach.py
+++ b/tests/cover/test_upstream_reach.py
@@ -65,7 +65,7 @@
         reach.record_failed("stock-a-0", now_s)
     assert not reach.is_cut_off(11.2)
     assert not reach.is_doubtful(11.2)
-    assert reach.should_try(11.2)
+    assert reach.should_probe(11.2)
 
 
 def test_a_fleet_of_one_upstream_counts_as_cut_off_when_it_fails():
