Replace bare tuples and unclear wording in stops, leaving and connections

The relay kept its active requests as pairs, `crash_evidence` spelt the type of an incarnation out, `discard_unsent_on_close` read as if it discarded at once, a comment in `Connection.close` stood below what it explains, and several docstrings had to be read twice (who says what to whom when an upstream leaves; what becomes of a request when the daemon ends).

The pairs are a dataclass, the alias is used, and the wording says it.

--- a/src/sardinehill/core/leaving_upstreams.py
+++ b/src/sardinehill/core/leaving_upstreams.py
@@ -1,7 +1,7 @@
-"""Keeps which upstreams have said in an answer that they leave.
+"""Remembers which upstreams have said in an answer that they leave.
 
-The store may say so later, or not at all. One daemon hears it; the leader tells
-the others.
+The store may say so later, or not at all. The daemon that receives the answer
+reports it to the leader, which tells the others.
 """
 
 from collections.abc import Iterable
@@ -14,7 +14,7 @@
 from sardinehill.core import routes
 
 # An incarnation that is not listed is remembered for this long, as a daemon may
-# be told that it leaves before it reads its entry in the store.
+# be told that it leaves before the daemon reads its entry in the store.
 UNLISTED_RETENTION_S = 15.0
 # A message tells of at most this many upstreams. The latest come first, as the
 # store lists earlier ones as draining by then.
@@ -39,7 +39,7 @@
 
     def __init__(self) -> None:
         self._departures: dict[keyspace.Incarnation, _Departure] = {}
-        # What the leader, and what the followers have not been told yet.
+        # What the leader has not been told yet, and what followers have not.
         self._unreported: set[keyspace.Incarnation] = set()
         self._unpublished: set[keyspace.Incarnation] = set()
 
@@ -85,7 +85,7 @@
     def _record(
         self, incarnation: keyspace.Incarnation, said_s: float, now_s: float
     ) -> bool:
-        """Records when an incarnation said it; returns whether that is new."""
+        """Records when an incarnation said so; returns whether that is new."""
         known = self._departures.get(incarnation)
         if known is not None:
             known.said_s = min(known.said_s, said_s)
@@ -109,7 +109,7 @@
         return self._take(self._unpublished, now_s)
 
     def latest_news(self, now_s: float) -> list[fleet_messages.LeavingNews]:
-        """Returns what a daemon is told that begins to follow this one."""
+        """Returns what a daemon that begins to follow this one is told."""
         return self._news_of(self._latest(self._departures), now_s)
 
     def _take(
--- a/src/sardinehill/core/stop_window.py
+++ b/src/sardinehill/core/stop_window.py
@@ -1,8 +1,9 @@
 """Decides which requests a stopping daemon may still send to an upstream.
 
-A request that is at an upstream when the daemon ends gets no answer of the
-upstream, and one that is not idempotent cannot be sent again. It is refused
-while that is still true: before it is sent.
+The caller of a request that is at an upstream when the daemon ends does not get
+the answer, and cannot repeat the request if it is not idempotent. A request
+that might end so is refused before it is sent, so that the caller may send it
+to another daemon.
 """
 
 import dataclasses
--- a/src/sardinehill/front/connecting.py
+++ b/src/sardinehill/front/connecting.py
@@ -1,4 +1,4 @@
-"""Gets a request a connection to its upstream, directly or through a peer.
+"""Connects a request to its upstream, directly or through a peer.
 
 It also borrows the send from the leader if the upstream is cold or names a
 limit.
--- a/src/sardinehill/front/crash_evidence.py
+++ b/src/sardinehill/front/crash_evidence.py
@@ -7,6 +7,7 @@
 from sardinehill import events
 from sardinehill import http1
 from sardinehill.core import crash_suspects
+from sardinehill.core import keyspace
 from sardinehill.core import routes
 from sardinehill.front import pool as pool_module
 
@@ -41,7 +42,7 @@
         self._reaches_others = reaches_others
         # The requests whose connection broke, by upstream, while that is
         # checked.
-        self._pending: dict[tuple[str, int], set[bytes]] = {}
+        self._pending: dict[keyspace.Incarnation, set[bytes]] = {}
         self._checks: set[asyncio.Task[None]] = set()
 
     def note_broken(self, upstream: routes.Upstream, digest: bytes) -> None:
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -278,6 +278,7 @@
         self._leadership.link_lost(link)
 
     def _note_reach(self, is_cut_off: bool) -> None:
+        """Adapts the sending of requests when a cut begins or ends."""
         # Failures shortly before a cut was noticed followed from it, too.
         self._directory.forget_failures()
         if is_cut_off:
--- a/src/sardinehill/front/leader_tasks.py
+++ b/src/sardinehill/front/leader_tasks.py
@@ -154,7 +154,8 @@
     def exchange_leaving(self) -> None:
         """Exchanges with the assignment managers which upstreams leave.
 
-        Either hears it in answers: daemons to requests, managers to orders.
+        Daemons learn of it from answers to requests, managers from answers to
+        orders.
         """
         now_s = asyncio.get_running_loop().time()
         for service, owners in self._owners.items():
--- a/src/sardinehill/front/peer_links.py
+++ b/src/sardinehill/front/peer_links.py
@@ -52,7 +52,7 @@
         self._transport = cast(asyncio.Transport, transport)
         http1.set_tcp_options(transport, keepalive=True)
         # A report or table that arrives late would be taken for a sign of life.
-        http1.discard_unsent_on_close(transport, True)
+        http1.set_discard_unsent_on_close(transport, True)
 
     def data_received(self, data: bytes) -> None:
         """Handles complete frames; a malformed one closes the connection."""
--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 
 from sardinehill import errors
 from sardinehill import events
@@ -36,6 +37,19 @@
 RETRY_BUDGET_SAFETY_RATIO = 0.75
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ActiveRequest:
+    """An admitted request that is being served.
+
+    Attributes:
+      context: the request.
+      timeout: ends it at its deadline, or at the end of a stop.
+    """
+
+    context: requests.RequestContext
+    timeout: asyncio.Timeout
+
+
 class Relay:
     """Serves callers' requests.
 
@@ -67,10 +81,8 @@
         )
         self._retry_budgets: dict[str, state_module.WindowedRetryBudget] = {}
         self._stop_window: stop_window.StopWindow | None = None
-        # The admitted requests that are being served, by sequence number.
-        self._active: dict[
-            int, tuple[requests.RequestContext, asyncio.Timeout]
-        ] = {}
+        # By sequence number.
+        self._active: dict[int, _ActiveRequest] = {}
         self.in_flight = 0
         self.cut_short = 0
 
@@ -83,15 +95,15 @@
         that is at an upstream when the window ends is reported as uncertain.
         """
         self._stop_window = window
-        for context, timeout in self._active.values():
-            self._limit_to_stop_window(context, timeout)
+        for active in self._active.values():
+            self._limit_to_stop_window(active)
 
-    def _limit_to_stop_window(
-        self, context: requests.RequestContext, timeout: asyncio.Timeout
-    ) -> None:
+    def _limit_to_stop_window(self, active: _ActiveRequest) -> None:
+        """Limits when a request is sent and answered if this daemon stops."""
         window = self._stop_window
         if window is None:
             return
+        context, timeout = active.context, active.timeout
         context.latest_send_s = stop_window.latest_send_s(
             window,
             context.deadline_s,
@@ -147,8 +159,9 @@
         )
         try:
             async with asyncio.timeout_at(context.deadline_s) as timeout:
-                self._active[context.sequence_number] = (context, timeout)
-                self._limit_to_stop_window(context, timeout)
+                active = _ActiveRequest(context, timeout)
+                self._active[context.sequence_number] = active
+                self._limit_to_stop_window(active)
                 self._refuse_if_stopping(
                     context, asyncio.get_running_loop().time()
                 )
--- a/src/sardinehill/front/requests.py
+++ b/src/sardinehill/front/requests.py
@@ -93,8 +93,8 @@
       priority: its priority in queues; 0 is the highest.
       deadline_s: when the request times out, by the loop's clock.
       sequence_number: orders requests of the same priority by arrival.
-      latest_send_s: when it may be sent to an upstream at the latest; before
-        infinity only while the daemon stops.
+      latest_send_s: when it may be sent to an upstream at the latest; infinity
+        unless the daemon stops.
       sends: how often it was sent to an upstream.
       tried_upstreams: the ids of upstreams that it was sent to.
       used_connections: the connections that it was sent over. An upstream may
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -248,6 +248,7 @@
         state = target.upstream_state
         match error.reason:
             case exchange_messages.NotSentReason.LEFT:
+                # Paused briefly, as this daemon has not learnt of it yet.
                 state.record_full(now_s)
             case exchange_messages.NotSentReason.PAUSED:
                 state.record_retry_after(now_s, error.retry_after_s)
--- a/src/sardinehill/http1.py
+++ b/src/sardinehill/http1.py
@@ -123,12 +123,12 @@
         )
 
 
-def discard_unsent_on_close(
+def set_discard_unsent_on_close(
     transport: asyncio.BaseTransport, discards: bool
 ) -> None:
-    """Selects what happens to data that the peer has not acknowledged.
+    """Sets whether data that the peer has not acknowledged is discarded.
 
-    By default the kernel goes on sending it after the connection is closed,
+    By default the kernel keeps sending it after the connection is closed,
     also when the process has ended, so that it may arrive much later.
 
     Args:
@@ -193,7 +193,7 @@
         # uvloop's transports are not subclasses of `asyncio.Transport`.
         self._transport = cast(asyncio.Transport, transport)
         set_tcp_options(transport, self._keepalive, self._user_timeout_ms)
-        discard_unsent_on_close(transport, True)
+        set_discard_unsent_on_close(transport, True)
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser; unsolicited data closes the connection."""
@@ -244,7 +244,8 @@
     def on_message_begin(self) -> None:
         """Resets the state for a new response; closes if none is expected."""
         if self._pending_response is None:
-            # Its rest would be taken for the beginning of the next response.
+            # The rest of this unexpected response would be taken for the
+            # beginning of the next one.
             self.close()
         self._response = Response()
         self._body = []
@@ -346,9 +347,9 @@
             return
         is_written = self._transport.get_write_buffer_size() == 0
         is_idle = self._pending_response is None and is_written
+        # A transport that is closing may still be writing what it has buffered.
         if is_idle and not self._transport.is_closing():
-            discard_unsent_on_close(self._transport, False)
-        # One that is closing may still be writing what it has buffered.
+            set_discard_unsent_on_close(self._transport, False)
         self._transport.abort()
 
     def is_reusable(self, now_s: float, idle_timeout_s: float) -> bool:
