Explain the choice of a peer, and state reasons in tests as rules

`ForwardChoice.choose` took the least of bare tuples by position and did not say that it counts the request; its constants left open what they are compared with. The comments of three tests told what once happened.

The choice uses a named key with the same order of random draws, the docstring and comments say the rest, and the tests' comments give their reason; no check is changed.

--- a/src/sardinehill/core/forward_choice.py
+++ b/src/sardinehill/core/forward_choice.py
@@ -10,15 +10,16 @@
 # The number of peers whose links are kept open for forwarding.
 MAX_SERVING_PEERS = 8
 # Traffic between availability zones is billed. A peer whose zone adds some is
-# chosen only if it has so many requests less than others.
+# compared as if it had this many more requests in flight.
 CROSS_ZONE_REQUESTS = 4
 # Requests under way through one peer.
 MAX_IN_FLIGHT_PER_PEER = 64
 # A peer that does not forward is asked again after this time.
 PEER_PAUSE_S = 1.0
-# A peer that forwards too many requests gets none for this time.
+# A peer that says that it is busy gets no requests for this time.
 BUSY_PAUSE_S = 0.05
-# After a search that found no peer, requests are refused for this time.
+# The next search begins this long after the last one has ended. If that found
+# no peer, requests are refused meanwhile.
 SEARCH_PAUSE_S = 0.25
 
 
@@ -99,7 +100,7 @@
     # requests
 
     def choose(self, zones: Container[str], now_s: float) -> str | None:
-        """Returns the peer with the fewest requests, or None.
+        """Selects the peer with the fewest requests and counts one more for it.
 
         The caller calls `end` when the request has ended.
 
@@ -107,21 +108,25 @@
           zones: the availability zones of this daemon and of the upstream.
             Peers in other zones add traffic between zones.
           now_s: the current time.
+
+        Returns:
+          The peer's name, or None if no peer takes requests now.
         """
-        open_peers = [
-            (
-                peer.in_flight
-                + (0 if peer.zone in zones else CROSS_ZONE_REQUESTS),
-                self._uniform(),
-                name,
-            )
+        available = [
+            name
             for name, peer in self._serving.items()
             if now_s >= peer.busy_until_s
             and peer.in_flight < MAX_IN_FLIGHT_PER_PEER
         ]
-        if not open_peers:
+        if not available:
             return None
-        name = min(open_peers)[2]
+
+        def preference(name: str) -> tuple[int, float, str]:
+            peer = self._serving[name]
+            surcharge = 0 if peer.zone in zones else CROSS_ZONE_REQUESTS
+            return peer.in_flight + surcharge, self._uniform(), name
+
+        name = min(available, key=preference)
         self._serving[name].in_flight += 1
         return name
 
--- a/src/sardinehill/core/upstream_state.py
+++ b/src/sardinehill/core/upstream_state.py
@@ -34,7 +34,8 @@
 MIN_UNREACHABLE_PAUSE_S = 0.4
 # The longest pause after a failure to reach an upstream.
 MAX_UNREACHABLE_PAUSE_S = 3.0
-# After a failure that is not the upstream's own, it gets nothing for this time.
+# After a failure that is not the upstream's own, it gets no requests for this
+# time.
 LOST_PATH_PAUSE_S = 0.1
 # After an upstream reported that it is full, it gets nothing for this time.
 FULL_PAUSE_S = 0.03
--- a/src/sardinehill/daemon/peer_connection.py
+++ b/src/sardinehill/daemon/peer_connection.py
@@ -18,7 +18,8 @@
 # time. The kernel of a frozen peer still acknowledges them, so a paused process
 # loses no connection.
 ACKNOWLEDGEMENT_TIMEOUT_MS = 4000
-# After a timeout, the loop runs this often, so that it reads what has arrived.
+# After a timeout, the loop runs this many times, so that it reads what has
+# arrived.
 READ_PASSES = 3
 # Limit on the bytes that wait for a slow peer; more messages are rejected.
 MAX_WRITE_BUFFER_BYTES = 16 * 1024 * 1024
--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -84,7 +84,7 @@
         self._reached_by_others_since_s: float | None = None
         self._is_exclusive = False
         self._last_ran_s = self._began_s
-        self._reports_count_from_s = self._began_s
+        self._distrust_reports_until_s = self._began_s
         self.resigned = False
         self.ended = asyncio.Event()
 
@@ -109,7 +109,7 @@
         self._registry.peer_addresses.setdefault(daemon, address)
         self._note_pause()
         now_s = self._clock_s()
-        if now_s >= self._reports_count_from_s:
+        if now_s >= self._distrust_reports_until_s:
             self._heard_s[daemon] = now_s
 
     async def watch_pauses(self) -> None:
@@ -128,7 +128,7 @@
         """Distrusts reports for a while if this process was paused."""
         now_s = self._clock_s()
         if now_s - self._last_ran_s > MAX_PAUSE_S:
-            self._reports_count_from_s = now_s + REPORT_DISTRUST_S
+            self._distrust_reports_until_s = now_s + REPORT_DISTRUST_S
 
     def note_store_reached(self, daemon: str) -> None:
         """Records that a daemon has reached the store itself."""
--- a/tests/cover/test_assignment_manager.py
+++ b/tests/cover/test_assignment_manager.py
@@ -37,8 +37,8 @@
 
 
 def test_keys_do_not_move_while_one_upstream_after_the_other_is_lost():
-    # A leader that was cut off moved all keys to the upstream that it had not
-    # yet found unreachable; the next leader had to wait for their grants.
+    # Otherwise a leader that is cut off moves all keys to the upstream that it
+    # has not yet found unreachable; the next leader must wait for their grants.
     async def scenario():
         now_s = 10.0
         store = RecordingStore()
--- a/tests/cover/test_assignment_store.py
+++ b/tests/cover/test_assignment_store.py
@@ -72,8 +72,8 @@
 
 
 def test_leader_that_hears_no_upstream_changes_no_owners():
-    # It took keys from 3 of 27 owners before it handed over; the next leader
-    # had to wait until the grants of those could no longer take effect.
+    # Otherwise it takes keys from owners before it hands over; the next leader
+    # must wait until the grants of those can no longer take effect.
     async def scenario(harness):
         stored = harness.assignments(TERM, may_change=lambda: False)
         assignment = await move_all_keys(stored, A)
--- a/tests/cover/test_crash_evidence.py
+++ b/tests/cover/test_crash_evidence.py
@@ -69,7 +69,7 @@
 
 
 def test_refused_connection_of_a_daemon_that_reaches_no_one_is_no_evidence():
-    # A daemon that was cut off had requests quarantined by the whole fleet.
+    # Otherwise a daemon that is cut off lets all daemons quarantine requests.
     (port,) = platform_fleet.free_ports(1)
     assert endings_after(port, reaches_others=False) == [0]
 
