--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 CASE = pathlib.Path(__file__).parent
 sys.path.insert(0, str(CASE.parent))
 
-from standins import fleet as fleet_module  # noqa: E402
+from support import fleet as fleet_module  # noqa: E402
 
 # RULES.md, OWNER: "hold the same keys for over half a second".
 MAX_DOUBLE_HOLD_S = 0.5
@@ -37,9 +37,7 @@
         await asyncio.sleep(0.02)
 
 
-async def crash_and_start(
-    fleet: fleet_module.Fleet, names: list[str]
-) -> None:
+async def crash_and_start(fleet: fleet_module.Fleet, names: list[str]) -> None:
     """Kills backends and starts them again under the same ids."""
     born = {
         line["backend"]: line["born"]
@@ -55,6 +53,7 @@
 
 
 async def run(fleet: fleet_module.Fleet) -> None:
+    """Plays the case."""
     await fleet.start_store(fleet_module.config())
     for index in range(BACKENDS):
         fleet.add_backend(index, "prenota", True)
@@ -74,6 +73,7 @@
 
 
 def main() -> int:
+    """Plays and judges the case; returns the exit status."""
     fleet = fleet_module.Fleet(CASE)
     verdict = "the case could not run"
     status = 2
@@ -99,7 +99,7 @@
                 f"{MAX_DOUBLE_HOLD_S} s, of {len(found)} in all; "
                 f"{'broken' if long_ones else 'held'}"
             )
-    except fleet_module.Unable as error:
+    except fleet_module.UnableError as error:
         verdict = f"the case could not run: {error}"
     finally:
         fleet.close(verdict)
--- a/review/standins/backend.py
+++ b/review/support/backend.py
@@ -9,16 +9,17 @@
 import json
 import os
 import pathlib
+import random
 import sys
 import time
 from typing import Any
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1]))
 
-from standins import wire  # noqa: E402
+from support import wire  # noqa: E402
 
 MAX_QUEUED = 12
-HANDOVER_WAIT_S = 0.005
+ENDLESS_CHUNK = b"x" * 65536
 
 
 class Backend:
@@ -37,6 +38,7 @@
         self._seen: list[tuple[int, int, int]] = []
         # The keys of running requests.
         self._at_work: list[int] = []
+        self._work_ended = asyncio.Condition()
         self._record = os.open(
             settings["record"], os.O_WRONLY | os.O_APPEND | os.O_CREAT
         )
@@ -150,8 +152,10 @@
         first, last = body["from"], body["to"]
         self._cut(first, last)
         self.note("release", first=first, last=last, epoch=body["fence"])
-        while any(first <= key <= last for key in self._at_work):
-            await asyncio.sleep(HANDOVER_WAIT_S)
+        async with self._work_ended:
+            await self._work_ended.wait_for(
+                lambda: not any(first <= key <= last for key in self._at_work)
+            )
         return wire.encode(200, {"X-Handover": f"h{first}"})
 
     def _holds(self, key: int) -> bool:
@@ -192,6 +196,10 @@
             finally:
                 self._at_work.remove(key)
                 self._running -= 1
+                async with self._work_ended:
+                    self._work_ended.notify_all()
+        if self._is_spoilt():
+            return await self._send_without_end(request, request_id, echoed)
         headers = {
             **echoed,
             "X-Response-Stamp": f"{self.name}.{request_id}",
@@ -203,6 +211,38 @@
             return await self._answer_without_length(request, headers, body)
         return wire.encode(200, headers, body)
 
+    def _is_spoilt(self) -> bool:
+        """Returns whether the next answer has no end."""
+        return (
+            os.path.exists(self._settings.get("trouble_file", ""))
+            and random.random() < self._settings["endless_ratio"]
+        )
+
+    async def _send_without_end(
+        self, request: wire.Message, request_id: str, echoed: dict[str, str]
+    ) -> None:
+        """Sends bytes in place of an answer until the caller closes."""
+        writer = request.writer
+        assert writer is not None
+        self.note("endless", id=request_id)
+        lines = ["HTTP/1.1 200 OK"]
+        lines += [f"{name}: {value}" for name, value in echoed.items()]
+        started_s, sent = time.monotonic(), 0
+        try:
+            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+            while not writer.is_closing():
+                writer.write(ENDLESS_CHUNK)
+                await writer.drain()
+                sent += len(ENDLESS_CHUNK)
+                ahead_s = sent / self._settings["endless_bytes_per_s"] - (
+                    time.monotonic() - started_s
+                )
+                await asyncio.sleep(max(ahead_s, 0.0))
+        except OSError:
+            pass
+        writer.close()
+        self.note("endless-closed", id=request_id, sent=sent)
+
     async def _answer_without_length(
         self, request: wire.Message, headers: dict[str, str], body: bytes
     ) -> None:
--- a/review/standins/fleet.py
+++ b/review/support/fleet.py
@@ -12,11 +12,11 @@
 import tomllib
 from typing import Any
 
-from standins import store as store_module
-from standins import wire
+from support import store as store_module
+from support import wire
 
 ROOT = pathlib.Path(__file__).parents[2]
-STANDINS = pathlib.Path(__file__).parent
+SUPPORT = pathlib.Path(__file__).parent
 STORE_HOST = "127.0.0.1"
 HEARTBEAT_S = 0.87
 ACCOUNT_KEY = "2b9wu3fexd9dnn2ctnfz"
@@ -25,7 +25,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
-class Unable(Exception):
+class UnableError(Exception):
     """Raised if a case cannot run."""
 
 
@@ -103,7 +103,7 @@
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         role = deploy["roles"]["daemon"]
         if not (ROOT / "target/deps/sardinehill").is_dir():
-            raise Unable("the build of the deploy file has not run")
+            raise UnableError("the build of the deploy file has not run")
         path = directory / f"{self.name}.conf"
         path.write_text(self._settings)
         kept = {
@@ -144,6 +144,73 @@
         return answer.start[1] == "200"
 
 
+class KeptConnection:
+    """A client's connection that carries one request after the other."""
+
+    def __init__(self, fleet: "Fleet", daemon: Daemon):
+        self._fleet = fleet
+        self._daemon = daemon
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+        self._answered = 0
+
+    async def request(
+        self,
+        request_id: str,
+        key: int | None,
+        method: str,
+        path: str,
+        deadline_ms: int = 2000,
+    ) -> int:
+        """Sends a request; returns the status, or 0 if there is no answer."""
+        status, ended = 0, ""
+        try:
+            async with asyncio.timeout(deadline_ms / 1000):
+                if self._writer is None:
+                    host, _, port = self._daemon.front.rpartition(":")
+                    self._reader, self._writer = await asyncio.open_connection(
+                        host, int(port)
+                    )
+                    self._answered = 0
+                assert self._reader is not None
+                lines = [
+                    f"{method} {path} HTTP/1.1",
+                    f"Host: {HOST_NAME}",
+                    f"X-Request-Id: {request_id}",
+                    f"X-Deadline-Ms: {deadline_ms}",
+                    f"X-Credential: {ACCOUNT_KEY}",
+                ]
+                if key is not None:
+                    lines.append(f"X-Shard-Key: {key}")
+                self._fleet.note(
+                    "sent",
+                    id=request_id,
+                    key=key,
+                    to=self._daemon.name,
+                    kept=self._answered > 0,
+                )
+                self._writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+                answer = await wire.read_message(self._reader)
+                status = int(answer.start[1])
+                self._answered += 1
+                if answer.headers.get("connection") == "close":
+                    self.close()
+        except TimeoutError:
+            ended = "time limit"
+            self.close()
+        except (OSError, asyncio.IncompleteReadError):
+            ended = "closed"
+            self.close()
+        self._fleet.note("answered", id=request_id, status=status, ended=ended)
+        return status
+
+    def close(self) -> None:
+        """Closes the connection; the next request opens another one."""
+        if self._writer is not None:
+            self._writer.transport.abort()
+        self._reader = self._writer = None
+
+
 class BackendProcess:
     """One backend, as a process that may be started anew."""
 
@@ -157,7 +224,7 @@
     def start(self) -> None:
         """Starts the process."""
         self.process = subprocess.Popen(
-            [sys.executable, str(STANDINS / "backend.py"), str(self._settings)],
+            [sys.executable, str(SUPPORT / "backend.py"), str(self._settings)],
             stdin=subprocess.DEVNULL,
         )
 
@@ -247,7 +314,7 @@
         """Waits until all daemons are ready.
 
         Raises:
-          Unable: some are not in time.
+          UnableError: some are not in time.
         """
         end_s = time.monotonic() + timeout_s
         while time.monotonic() < end_s:
@@ -255,7 +322,7 @@
             if all(ready):
                 return
             await asyncio.sleep(0.2)
-        raise Unable("the daemons are not ready in time")
+        raise UnableError("the daemons are not ready in time")
 
     async def request(
         self,
@@ -296,7 +363,7 @@
         """Waits until all daemons serve keys from all parts.
 
         Raises:
-          Unable: they do not in time.
+          UnableError: they do not in time.
         """
         end_s = time.monotonic() + timeout_s
         while time.monotonic() < end_s:
@@ -308,7 +375,7 @@
             if set(statuses) == {200}:
                 return
             await asyncio.sleep(0.2)
-        raise Unable("the daemons do not serve in time")
+        raise UnableError("the daemons do not serve in time")
 
     def close(self, verdict: str) -> None:
         """Ends all processes and writes the record beside the case."""
--- a/review/standins/store.py
+++ b/review/support/store.py
@@ -7,11 +7,12 @@
 from typing import Any
 import urllib.parse
 
-from standins import wire
+from support import wire
 
 Json = Any
 ANSWER_S = 0.004
 PAGE = 500
+PAGE_BYTES = 1_048_576
 # An entry of a backend goes after three check-in intervals of silence.
 SILENT_BEATS = 3
 
@@ -80,7 +81,7 @@
         return wire.encode(
             status,
             {"Content-Type": "application/json", "Store-Era": "1"},
-            json.dumps(reply).encode(),
+            json.dumps(reply, separators=(",", ":")).encode(),
         )
 
     async def _reply(self, request: wire.Message) -> tuple[int, Json]:
@@ -106,8 +107,9 @@
         expected = query.get("revision")
         if body is not None:
             expected = body["metadata"].get("revision")
-        if expected is not None and int(expected) != (
-            stored["metadata"]["revision"]
+        if (
+            expected is not None
+            and int(expected) != (stored["metadata"]["revision"])
         ):
             return 409, stored
         if method == "DELETE":
@@ -135,9 +137,16 @@
             for (of_kind, name), document in sorted(self._objects.items())
             if of_kind == kind and name > after
         ]
+        page: list[Json] = []
+        size = 0
+        for document in items[:PAGE]:
+            size += len(json.dumps(document, separators=(",", ":")))
+            if page and size > PAGE_BYTES:
+                break
+            page.append(document)
         return {
-            "items": items[:PAGE],
-            "hasMore": len(items) > PAGE,
+            "items": page,
+            "hasMore": len(items) > len(page),
             "currentRev": self.revision,
         }
 
