--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,8 +18,8 @@
 # up to 4.5 s.
 CRASHED = 2
 DOWN_S = 0.9
-ROUNDS = 6
-ROUND_S = 7.0
+ROUNDS = 11
+ROUND_S = 6.0
 
 
 async def send_requests(fleet: fleet_module.Fleet) -> None:
