Wait for a restarted upstream to release the keys of its earlier life

Cause: a grant names only an upstream's id. While it was away the leader repeated its grants, and the later life accepted one before the leader had read of it. The leader then counted the earlier life as ended, took its keys as free and granted them to others without a release or a wait.

Evidence: keys-lapsed with ended=true while the last grant had over two seconds left, no keys-released before keys-granted.

Change: a replaced incarnation gets no orders, and its keys move only after the latest incarnation has released them or the last grant has lapsed, unless that one is the new owner itself. Grants under way are dropped once a later incarnation is known. This works as at most one life of an id runs, and a release is never refused.

--- a/src/sardinehill/front/key_owners.py
+++ b/src/sardinehill/front/key_owners.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 import dataclasses
 
+from sardinehill import events
 from sardinehill import http1
 from sardinehill.core import fleet_messages
 from sardinehill.core import key_plan
@@ -81,7 +82,8 @@
 
     Public attributes:
       by_incarnation: the known owners.
-      ended: incarnations that have certainly ended.
+      ended: incarnations whose address answers for another upstream, so that
+        neither they nor a later incarnation hold the keys they were granted.
       last_joined_s: when the newest incarnation was first seen.
       orders_sent: the number of orders sent.
     """
@@ -98,6 +100,8 @@
         self._zones_out = zones_out
         self.by_incarnation: dict[keyspace.Incarnation, KeyOwner] = {}
         self.ended: set[keyspace.Incarnation] = set()
+        # The latest incarnation of each upstream, by its id.
+        self._latest: dict[str, keyspace.Incarnation] = {}
         self.last_joined_s = now_s
         self.orders_sent = 0
         self._under_way: set[http1.Connection] = set()
@@ -120,21 +124,57 @@
                 continue
             owner = self.by_incarnation.get(upstream.incarnation)
             if owner is None:
-                self.by_incarnation[upstream.incarnation] = KeyOwner(
-                    upstream.incarnation, upstream.address, upstream.slots
-                )
-                self.by_incarnation[upstream.incarnation].confirmed_s = now_s
-                self.last_joined_s = now_s
-                # An earlier incarnation of the same id has certainly ended.
-                self.ended.update(
-                    incarnation
-                    for incarnation in self.by_incarnation
-                    if incarnation[0] == upstream.id
-                    and incarnation[1] < upstream.started_at_ms
-                )
+                self._add(upstream, now_s)
             else:
                 owner.address = upstream.address
 
+    def _add(self, upstream: routes.Upstream, now_s: float) -> None:
+        incarnation = upstream.incarnation
+        self.by_incarnation[incarnation] = KeyOwner(
+            incarnation, upstream.address, upstream.slots, confirmed_s=now_s
+        )
+        self.last_joined_s = now_s
+        earlier = self._latest.get(upstream.id)
+        if earlier is None:
+            self._latest[upstream.id] = incarnation
+        elif earlier < incarnation:
+            self._latest[upstream.id] = incarnation
+            confirmed_s = self.by_incarnation[earlier].confirmed_s
+            events.log(
+                events.UPSTREAM_RESTARTED,
+                service=self._service,
+                upstream=upstream.id,
+                started_at_ms=upstream.started_at_ms,
+                earlier_started_at_ms=earlier[1],
+                earlier_confirmed_ago_s=round(now_s - confirmed_s, 3),
+            )
+
+    def is_replaced(self, incarnation: keyspace.Incarnation) -> bool:
+        """Returns whether a later incarnation of the same upstream is known.
+
+        The earlier one has certainly ended, but an order names only the id, so
+        the later one may have accepted grants that were meant for the earlier.
+        """
+        latest = self._latest.get(incarnation[0])
+        return latest is not None and incarnation < latest
+
+    def may_own_keys(self, incarnation: keyspace.Incarnation) -> bool:
+        """Returns whether an incarnation may be granted keys."""
+        return incarnation not in self.ended and not self.is_replaced(
+            incarnation
+        )
+
+    def holder_of_grants(
+        self, incarnation: keyspace.Incarnation
+    ) -> KeyOwner | None:
+        """Returns the upstream that may hold an incarnation's keys now.
+
+        This is the latest incarnation of its id, or None if it is not known.
+        """
+        if self.is_replaced(incarnation):
+            return self.by_incarnation[self._latest[incarnation[0]]]
+        return self.by_incarnation.get(incarnation)
+
     def not_ended(self) -> list[KeyOwner]:
         """Returns the upstreams that were seen and may still run.
 
@@ -143,7 +183,7 @@
         return [
             owner
             for incarnation, owner in self.by_incarnation.items()
-            if incarnation not in self.ended
+            if self.may_own_keys(incarnation)
         ]
 
     def capacities(
@@ -169,7 +209,7 @@
             if (
                 now_s < owner.unusable_until_s
                 or owner.says_leaving
-                or upstream.incarnation in self.ended
+                or not self.may_own_keys(upstream.incarnation)
             ):
                 continue
             capacity = key_plan.UpstreamCapacity(
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -135,7 +135,7 @@
         if span.confirmed and span.granted_until_s < now_s:
             span.confirmed = False
             self._on_spans_changed()
-        if span.owner in self._owners.ended:
+        if not self._owners.may_own_keys(span.owner):
             return
         owner = self._owners.by_incarnation.get(span.owner)
         if owner is None:
@@ -160,7 +160,7 @@
         """
         former = span.former_owner
         assert former is not None
-        has_ended = former.incarnation in self._owners.ended
+        has_ended = self._holds_nothing(former.incarnation, span)
         # While an earlier leader may still renew grants, grants are not taken
         # as lapsed: the former owner must answer or have ended.
         expiry_now_s = now_s if self._was_exclusive else 0.0
@@ -183,9 +183,25 @@
         self._on_former_gone()
         return True
 
+    def _holds_nothing(
+        self, former: keyspace.Incarnation, span: keyspace.Span
+    ) -> bool:
+        """Returns whether nobody but the span's owner holds a former's keys.
+
+        A later incarnation of the former owner may hold what was granted to the
+        earlier one. If it is the new owner, nobody has to give up the keys.
+        """
+        if former in self._owners.ended:
+            return True
+        return (
+            span.owner is not None
+            and span.owner[0] == former[0]
+            and self._owners.is_replaced(former)
+        )
+
     def _request_release(self, span: keyspace.Span, now_s: float) -> None:
         assert span.former_owner is not None
-        owner = self._owners.by_incarnation.get(span.former_owner.incarnation)
+        owner = self._owners.holder_of_grants(span.former_owner.incarnation)
         if owner is None:
             span.next_order_s = now_s + key_owners.ORDER_RETRY_S
             return
@@ -218,7 +234,7 @@
             self.assignment, release, is_released, handover
         )
         if result.status == 421:
-            self._owners.ended.add(release.incarnation)
+            self._owners.ended.update((release.incarnation, owner.incarnation))
         is_settled = result.status in (200, 421)
         for span in spans:
             span.next_order_s = (
@@ -293,10 +309,12 @@
         """Returns whether a grant may still be sent.
 
         It may not after its term lost its confirmation, when an answer could
-        come only after its delivery deadline, or when its keys have moved.
+        come only after its delivery deadline, when its keys have moved, or when
+        a later incarnation would receive it.
         """
         return (
             self._may_send_orders()
+            and self._owners.may_own_keys(grant.incarnation)
             and self._clock_s() < grant.delivery_deadline_s - ORDER_TIMEOUT_S
             and key_orders.is_current(self.assignment, grant)
         )
--- a/tests/cover/test_orders.py
+++ b/tests/cover/test_orders.py
@@ -39,6 +39,14 @@
         self.is_unpowered = False
         self.silent = set()
 
+    def restart(self, name, started_at_ms):
+        """Replaces an upstream by a later life under its id."""
+        upstreams = dict(self._upstreams())
+        upstreams[name] = dataclasses.replace(
+            upstreams[name], started_at_ms=started_at_ms
+        )
+        self._upstreams = lambda: upstreams
+
     async def send_order(
         self, owner, request, timeout_s, may_send, on_new_connection=False
     ):
@@ -230,3 +238,110 @@
         assert harness.span.may_hold_until_s <= expiry_s
 
     run_scenario(scenario)
+
+
+# Guards against this failure: an upstream crashed and started again at once
+# under its id. A grant names only the id, so the later life accepted grants
+# that were meant for the earlier one. As the earlier one had ended, its keys
+# were given to others, and two upstreams held them for over 2 s.
+A_RESTARTED = ("a", 2)
+
+
+def test_keys_that_a_restarted_upstream_took_move_only_after_its_release():
+    async def scenario(harness, orders):
+        harness.owners.restart("a", 2)
+        harness.move(B)
+        orders.send_due()
+        await settle_tasks()
+        assert [
+            (path, incarnation) for path, incarnation, _ in harness.owners.sent
+        ] == [(b"/release", A_RESTARTED), (b"/grant", B)]
+
+    run_scenario(scenario)
+
+
+def test_keys_of_a_restarted_upstream_that_is_silent_lapse_before_they_move():
+    async def scenario(harness, orders):
+        harness.owners.restart("a", 2)
+        harness.owners.silent = {A_RESTARTED}
+        harness.move(B)
+        lapse_s = harness.span.former_owner.may_hold_until_s
+        for ahead_s in (1.0, 0.1):
+            harness.now_s = lapse_s - ahead_s
+            orders.send_due()
+            await settle_tasks()
+        assert {path for path, _, _ in harness.owners.sent} == {b"/release"}
+        harness.now_s = lapse_s + 0.1
+        orders.send_due()
+        await settle_tasks()
+        assert harness.owners.sent[-1][:2] == (b"/grant", B)
+
+    run_scenario(scenario)
+
+
+def test_grant_under_way_at_a_restart_is_released_again_before_keys_move():
+    async def scenario(harness, orders):
+        harness.now_s += order_sender_module.GRANT_RENEWAL_S
+        harness.owners.answers.clear()
+        orders.send_due()
+        await settle_tasks()
+        harness.owners.restart("a", 2)
+        harness.move(B)
+        harness.now_s += 0.1
+        orders.send_due()
+        await settle_tasks()
+        # The release and then the grant are answered: the grant came later.
+        assert harness.span.former_owner is not None
+        harness.owners.answers.set()
+        await settle_tasks()
+        releases = [
+            incarnation
+            for path, incarnation, _ in harness.owners.sent
+            if path == b"/release"
+        ]
+        assert set(releases) == {A_RESTARTED}
+        assert harness.owners.sent[-1][:2] == (b"/grant", B)
+
+    run_scenario(scenario)
+
+
+def test_restarted_upstream_gets_the_keys_of_its_earlier_life_at_once():
+    async def scenario(harness, orders):
+        harness.owners.restart("a", 2)
+        harness.move(A_RESTARTED)
+        orders.send_due()
+        await settle_tasks()
+        assert [
+            (path, incarnation) for path, incarnation, _ in harness.owners.sent
+        ] == [(b"/grant", A_RESTARTED)]
+
+    run_scenario(scenario)
+
+
+def test_no_grant_for_an_earlier_life_is_sent_once_a_later_one_is_known():
+    async def scenario(harness, orders):
+        harness.now_s += order_sender_module.GRANT_RENEWAL_S
+        orders.send_due()
+        harness.owners.restart("a", 2)
+        harness.owners.refresh(harness.now_s)
+        await settle_tasks()
+        harness.now_s += order_sender_module.GRANT_RENEWAL_S
+        orders.send_due()
+        await settle_tasks()
+        assert harness.owners.sent == []
+
+    run_scenario(scenario)
+
+
+def test_new_leader_asks_the_life_that_it_knows_for_keys_of_an_earlier_one():
+    async def scenario(harness, orders):
+        del harness.owners.by_incarnation[A]
+        harness.owners._latest.clear()
+        harness.owners.restart("a", 2)
+        harness.move(B)
+        orders.send_due()
+        await settle_tasks()
+        assert harness.owners.sent[0][:2] == (b"/release", A_RESTARTED)
+        assert harness.owners.sent[-1][:2] == (b"/grant", B)
+
+    run_scenario(scenario)
