Free a failed answer at once, not when the cyclic collector runs

Cause: an endless answer was cut off at 16 MB, but the connection kept what it had received, and the connection and its parser refer to each other. Only the cyclic garbage collector freed both.

Evidence: with that collector disabled, four endless answers left over 64 MB in a test of one connection after the other.

Change: a connection that closes drops its body, response and parser, and ignores what the same bytes hold beyond the failure. Without the cycle the reference counts free all at once.

Tests: three new ones, which failed before.

--- a/src/sardinehill/http1.py
+++ b/src/sardinehill/http1.py
@@ -258,7 +258,7 @@
 
         Trailers, which come after a body in chunks, are dropped.
         """
-        if self._headers_done:
+        if self._headers_done or self._pending_response is None:
             return
         lower = name.lower()
         self._response.headers.append((lower, value))
@@ -267,6 +267,8 @@
 
     def on_headers_complete(self) -> None:
         """Stores the status and completes a response without a body."""
+        if self._pending_response is None:
+            return
         assert self._parser is not None
         self._response.status = self._parser.get_status_code()
         self._headers_done = True
@@ -279,6 +281,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Stores a chunk of the body, up to the size limit."""
+        if self._pending_response is None:
+            # The exchange has failed within the bytes that are being parsed.
+            return
         self._body_bytes += len(body)
         if self._body_bytes > MAX_RESPONSE_BODY_BYTES:
             self._fail("the response body is too large")
@@ -343,6 +348,7 @@
     def close(self) -> None:
         """Aborts the connection without waiting for the peer."""
         self.usable = False
+        self._drop_received()
         if self._transport is None:
             return
         is_written = self._transport.get_write_buffer_size() == 0
@@ -377,6 +383,7 @@
         response = self._response
         response.body = b"".join(self._body)
         self._body = []
+        self._response = Response()
         if self._pending_response is None or self._pending_response.done():
             self.close()
             return
@@ -397,6 +404,16 @@
             self._read_server_idle_timeout(response)
         pending.set_result(response)
 
+    def _drop_received(self) -> None:
+        """Frees what was received.
+
+        The parser refers to the connection. If both kept referring to each
+        other, only the cyclic garbage collector would free them.
+        """
+        self._parser = None
+        self._response = Response()
+        self._body = []
+
     def _read_server_idle_timeout(self, response: Response) -> None:
         value = response.header(b"keep-alive")
         if value is None:
--- a/tests/cover/test_endless_answers.py
+++ b/tests/cover/test_endless_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import tracemalloc
 
 import pytest
@@ -83,6 +84,38 @@
     assert peak_bytes < MAX_MEMORY_BYTES
 
 
+@pytest.fixture
+def no_cyclic_collection():
+    gc.collect()
+    gc.disable()
+    yield
+    gc.enable()
+
+
+# Guards against this failure: an endless answer was cut off, but what had
+# arrived of it stayed in memory until the cyclic garbage collector ran. Under
+# load that is seldom, so a daemon exceeded its memory, and the requests of
+# other callers ended with it.
+@pytest.mark.parametrize(
+    "name", ["body-with-a-huge-length", "body-without-length", "chunks"]
+)
+def test_endless_answers_one_after_the_other_do_not_add_up_in_memory(
+    name: str, no_cyclic_collection: None
+):
+    async def body() -> int:
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            for _ in range(4):
+                await _exchange_with_endless_server(*ENDLESS_ANSWERS[name])
+        return tracemalloc.get_traced_memory()[0]
+
+    tracemalloc.start()
+    try:
+        retained_bytes = asyncio.run(body())
+    finally:
+        tracemalloc.stop()
+    assert retained_bytes < http1.MAX_RESPONSE_BODY_BYTES
+
+
 def test_an_answer_in_chunks_of_one_byte_is_complete():
     async def body() -> bytes:
         async def serve(
