Free the body of a caller that leaves at once

A lost connection kept the parts of its body, and it and its parser refer to each other, so that only the cyclic garbage collector freed them.

Change: a lost connection drops the incomplete request, what waits behind another one and its parser; a refused request is dropped when it is refused.

--- a/src/sardinehill/front/server.py
+++ b/src/sardinehill/front/server.py
@@ -62,7 +62,9 @@
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: httptools.HttpRequestParser | None = (
+            httptools.HttpRequestParser(self)
+        )
         self._target = b""
         self._headers: http1.Headers = []
         self._header_bytes = 0
@@ -96,6 +98,7 @@
         """Parses received bytes; malformed ones end the connection."""
         if self.closing or self._refusal_status is not None:
             return
+        assert self._parser is not None
         self._received_s = self._loop.time()
         try:
             self._parser.feed_data(data)
@@ -127,6 +130,11 @@
         """Cancels the request of a caller that has disconnected."""
         self._server.connections.discard(self)
         self.closing = True
+        self._drop_incomplete_request()
+        self._pipeline.clear()
+        # The parser refers to this connection. If both kept referring to each
+        # other, only the cyclic garbage collector would free them.
+        self._parser = None
         if self._serving_task is not None:
             self._serving_task.cancel()
 
@@ -182,6 +190,7 @@
 
     def on_message_complete(self) -> None:
         """Queues the request behind earlier ones of the connection."""
+        assert self._parser is not None
         self._in_message = False
         request = requests.Request(
             self._parser.get_method(),
@@ -231,6 +240,7 @@
 
         Earlier requests of the connection are answered first.
         """
+        self._drop_incomplete_request()
         if self._serving_task is not None:
             self._refusal_status = status
             return
@@ -244,6 +254,10 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _drop_incomplete_request(self) -> None:
+        self._headers = []
+        self._body = []
+
     def _has_next_request(self) -> bool:
         """Returns whether a further request has arrived, or its beginning."""
         return bool(self._pipeline) or self._in_message
--- a/tests/cover/test_front_server.py
+++ b/tests/cover/test_front_server.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import gc
+import tracemalloc
 
 import pytest
 
@@ -24,9 +27,9 @@
 
 
 @contextlib.asynccontextmanager
-async def connected():
+async def connected(limits=LIMITS):
     """Serves on a local port and yields a caller's connection."""
-    server = server_module.Server(_reply_late, lambda: LIMITS)
+    server = server_module.Server(_reply_late, lambda: limits)
     listening = await server.listen("127.0.0.1", 0)
     limits_task = asyncio.create_task(server.enforce_limits())
     port = listening.sockets[0].getsockname()[1]
@@ -116,3 +119,42 @@
     assert len(answers) >= server_module.MAX_PIPELINED_REQUESTS
     assert all(answer.startswith(b"200 ") for answer in answers)
     assert refusal.startswith(b"503 ")
+
+
+LEFT_BODY_BYTES = 1024 * 1024
+LEFT_BODIES = {
+    "with-a-length": b"content-length: %d\r\n\r\n" % (2 * LEFT_BODY_BYTES),
+    "in-chunks": b"transfer-encoding: chunked\r\n\r\n%x\r\n"
+    % (2 * LEFT_BODY_BYTES),
+}
+
+
+# Guards against this failure: callers left while they sent bodies, and what had
+# arrived stayed in memory until the cyclic garbage collector ran. The daemon
+# exceeded its memory, and the requests of other callers ended with it.
+@pytest.mark.parametrize("framing", sorted(LEFT_BODIES))
+def test_bodies_that_callers_leave_do_not_add_up_in_memory(framing):
+    limits = dataclasses.replace(
+        LIMITS, body_bytes=4 * LEFT_BODY_BYTES, idle_timeout_s=TEST_TIMEOUT_S
+    )
+    start = b"POST / HTTP/1.1\r\nhost: a\r\n" + LEFT_BODIES[framing]
+    body = bytes(LEFT_BODY_BYTES)
+
+    async def scenario():
+        for _ in range(10):
+            async with connected(limits) as (_, writer):
+                writer.write(start + body)
+                await writer.drain()
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(0.02)
+        return tracemalloc.get_traced_memory()[0]
+
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    try:
+        retained_bytes = asyncio.run(scenario())
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+    assert retained_bytes < 2 * LEFT_BODY_BYTES
