Free a refused request when its reply is written

Found while looking for the cause of kept answers in related places: a refusal's traceback refers to the frame that caught it, and a variable of that frame kept the refusal. The request, with its body of up to the configured size, stayed until the cyclic garbage collector ran.

Change: the refusal is passed on and not kept in a variable.

Test: test_body_of_a_refused_request_is_freed_at_once[take_token] failed before.

--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -170,21 +170,27 @@
                 self._sender.count_arrival(context)
                 answer = await self._send_until_answered(context)
         except TimeoutError:
-            refusal = self._deadline_refusal(context)
-            self._record_refusal(
-                context.request, context.metadata, refusal, context
-            )
-            return requests.refusal_reply(context.metadata, refusal)
-        except requests.RefusedError as refused:
-            refusal = self._without_not_run_promise(context, refused)
-            self._record_refusal(
-                context.request, context.metadata, refusal, context
+            return self._refuse(context, self._deadline_refusal(context))
+        except requests.RefusedError as refusal:
+            # A variable of this frame must not keep the exception, whose
+            # traceback refers to the frame: only the cyclic garbage collector
+            # would free both, and the request with its body.
+            return self._refuse(
+                context, self._without_not_run_promise(context, refusal)
             )
-            return requests.refusal_reply(context.metadata, refusal)
         finally:
             self._active.pop(context.sequence_number, None)
         return self._finish_answered(context, answer)
 
+    def _refuse(
+        self, context: requests.RequestContext, refusal: requests.RefusedError
+    ) -> requests.Reply:
+        """Records a refusal and returns the reply."""
+        self._record_refusal(
+            context.request, context.metadata, refusal, context
+        )
+        return requests.refusal_reply(context.metadata, refusal)
+
     def _deadline_refusal(
         self, context: requests.RequestContext
     ) -> requests.RefusedError:
--- a/tests/cover/test_relay.py
+++ b/tests/cover/test_relay.py
@@ -1,8 +1,13 @@
 """Tests of the relay's retries and of its choice of upstreams."""
 
 import asyncio
+import gc
 import types
+import weakref
 
+import pytest
+
+from sardinehill import errors
 from sardinehill.core import upstream_state
 from sardinehill.front import front_metrics
 from sardinehill.front import relay as relay_module
@@ -103,3 +108,62 @@
     for _ in range(20):
         target = selector._find_any_target(context, 0.0, 1.0)
         assert target.upstream.id == "i-4"
+
+
+class TrackedBody(bytearray):
+    """A body that tells whether it is still in memory."""
+
+
+# Guards against this failure: a refused request referred to itself through the
+# traceback of its refusal, so its body stayed in memory until the cyclic
+# garbage collector ran.
+@pytest.mark.parametrize("at", ["admit", "take_token"])
+def test_body_of_a_refused_request_is_freed_at_once(at):
+    refuses_at = at
+
+    class Admission:
+        def admit(self, request, metadata):
+            self._refuse_at("admit")
+            return requests.RequestContext(
+                request,
+                metadata,
+                types.SimpleNamespace(name="r"),
+                "s",
+                None,
+                0,
+                asyncio.get_running_loop().time() + 1.0,
+                1,
+            )
+
+        async def take_token(self, context):
+            self._refuse_at("take_token")
+
+        def _refuse_at(self, place):
+            if place == refuses_at:
+                raise requests.RefusedError(errors.Reason.OVER_RATE, 429, 0.1)
+
+    async def scenario():
+        relay = new_relay(
+            types.SimpleNamespace(
+                daemon_count=1,
+                configuration=None,
+                table_label=lambda: "none",
+                store_lost_for_s=lambda: 0.0,
+            ),
+            FakeSender([]),
+        )
+        relay._admission = Admission()
+        body = TrackedBody(b"body")
+        tracked = weakref.ref(body)
+        reply = await relay.serve(
+            requests.Request(b"POST", b"/", [], body, True, 0.0)
+        )
+        assert reply.status == 429
+        del body
+        return tracked() is None
+
+    gc.disable()
+    try:
+        assert asyncio.run(scenario())
+    finally:
+        gc.enable()
