Ignore SIGHUP from the first line of a daemon's start on

Until the daemon handles it, its default action ends the process, and a start takes 0.3 s and more on a busy machine.

Change: the signal is ignored before the first heavy import. The settings are read after that, so a signal ignored until then says nothing new.

Test: test_settings_signal_during_the_start_does_not_end_the_process, on a real process, failed before.

--- a/src/sardinehill/front/__main__.py
+++ b/src/sardinehill/front/__main__.py
@@ -1,8 +1,15 @@
 """Starts a front daemon with the platform's settings file."""
 
-import asyncio
-import os
-import sys
+import signal
+
+# A signal that the settings have changed ends a process that does not handle
+# it. One that comes during the imports says nothing new: the settings are read
+# after them.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import asyncio  # noqa: E402
+import os  # noqa: E402
+import sys  # noqa: E402
 
 # uvloop reads this when it creates a loop. The hosts don't permit io_uring.
 os.environ["UV_USE_IO_URING"] = "0"
--- /dev/null
+++ b/tests/process/test_daemon_start.py
@@ -0,0 +1,54 @@
+"""Tests of what may disturb the start of a daemon's process."""
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+import time
+
+import pytest
+
+from tests.common import platform_fleet
+
+TEST_TIMEOUT_S = 20.0
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    fleet = platform_fleet.PlatformFleet(tmp_path, daemons=1, upstreams=1)
+    try:
+        fleet.run(fleet.wait_until_served(fleet.daemons[0]))
+        fleet.run(fleet.daemons[0].kill())
+        yield fleet
+    finally:
+        fleet.close()
+
+
+def is_loaded(daemon, library):
+    with contextlib.suppress(OSError):
+        maps = pathlib.Path(f"/proc/{daemon.process.pid}/maps").read_text()
+        return library in maps
+    return False
+
+
+async def wait_until(condition):
+    end_s = time.monotonic() + TEST_TIMEOUT_S
+    while not condition():
+        assert time.monotonic() < end_s
+        await asyncio.sleep(0.001)
+
+
+# Guards against this failure: a signal that the settings have changed reached a
+# daemon during its start, before it handled signals, and ended its process.
+def test_settings_signal_during_the_start_does_not_end_the_process(fleet):
+    async def scenario():
+        daemon = fleet.daemons[0]
+        await daemon.start()
+        await wait_until(lambda: is_loaded(daemon, "uvloop"))
+        for _ in range(20):
+            daemon.signal(signal.SIGHUP)
+            await asyncio.sleep(0.01)
+        await fleet.wait_until_served(daemon)
+        assert daemon.process.returncode is None
+
+    fleet.run(scenario())
