Read settings again that are being rewritten while a daemon starts

Cause, the second of three that were reproduced: a daemon that started while its settings file was empty or broke off refused it and ended.

Test: test_settings_that_are_being_rewritten_do_not_end_the_process, on a real process, two cases, failed before.

--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -32,6 +32,7 @@
 from sardinehill.front import requests
 from sardinehill.front import sending
 from sardinehill.front import server as server_module
+from sardinehill.front import startup
 from sardinehill.front import store_view as view_module
 from sardinehill.front import store_watch
 from sardinehill.front import upstream_directory as directory_module
@@ -419,5 +420,5 @@
       SettingsErrors: the settings are invalid.
     """
     log_output = log_module.configure()
-    await Daemon(settings_module.read(path), log_output).run()
+    await Daemon(await startup.read_settings(path), log_output).run()
     log_output.write_pending()
--- a/tests/process/test_daemon_start.py
+++ b/tests/process/test_daemon_start.py
@@ -52,3 +52,23 @@
         assert daemon.process.returncode is None
 
     fleet.run(scenario())
+
+
+# Guards against this failure: a daemon started while its settings file was
+# being rewritten, took it for invalid and ended.
+@pytest.mark.parametrize("kept_ratio", [0.0, 0.3])
+def test_settings_that_are_being_rewritten_do_not_end_the_process(
+    fleet, kept_ratio
+):
+    async def scenario():
+        daemon = fleet.daemons[0]
+        text = daemon.settings.read_text()
+        daemon.settings.write_text(text[: int(len(text) * kept_ratio)])
+        await daemon.start()
+        await wait_until(lambda: is_loaded(daemon, "uvloop"))
+        await asyncio.sleep(1.0)
+        daemon.settings.write_text(text)
+        await fleet.wait_until_served(daemon)
+        assert daemon.process.returncode is None
+
+    fleet.run(scenario())
