Wait for an address that is taken while a daemon starts

Cause, the third of three that were reproduced: each address was bound once. While the process before or an outgoing connection had the port, the daemon ended with an error, also if only the metrics' port was taken.

Change: an address is tried until it is free or the daemon is told to stop, and address-unavailable (107) says for what. Callers are served without metrics.

Tests: five of test_daemon_start.py, on real processes, failed before.

--- a/src/sardinehill/events.py
+++ b/src/sardinehill/events.py
@@ -40,6 +40,7 @@
 DAEMON_STOPPED = Event(103, "daemon-stopped", logging.INFO)
 TASK_FAILED = Event(105, "task-failed", logging.ERROR)
 STOP_CUT_SHORT = Event(106, "stop-cut-short", logging.ERROR)
+ADDRESS_UNAVAILABLE = Event(107, "address-unavailable", logging.ERROR)
 
 CONFIGURATION_ACCEPTED = Event(201, "configuration-accepted", logging.INFO)
 CONFIGURATION_REFUSED = Event(202, "configuration-refused", logging.ERROR)
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -199,22 +199,9 @@
         """Serves requests until a signal, then drains and returns."""
         settings = self._settings
         self._handle_signals()
-        host, _, port = settings.callers_address.rpartition(":")
-        callers = await self._server.listen(host, int(port))
-        host, _, port = settings.readiness_address.rpartition(":")
-        await server_module.Server(self._readiness, self._limits).listen(
-            host, int(port)
-        )
-        await server_module.Server(self._metrics, self._limits).listen(
-            settings.host_ip, settings.metrics_port
-        )
-        await peer_links.serve(
-            settings.host_ip,
-            settings.peer_port,
-            settings.daemon,
-            self._receive,
-            self._note_link_lost,
-        )
+        callers = await self._listen_unless_stopped()
+        if callers is None:
+            return
         events.log(
             events.DAEMON_STARTED,
             daemon=settings.daemon,
@@ -230,6 +217,7 @@
                 ("connections", self._directory.sweep),
                 ("reach", self._reach.run),
                 ("callers", self._server.enforce_limits),
+                ("metrics", self._serve_metrics),
                 ("logs", self._flush_logs),
             )
         ]
@@ -238,6 +226,58 @@
         for task in tasks:
             task.cancel()
 
+    async def _listen_unless_stopped(self) -> asyncio.Server | None:
+        """Binds all addresses but that of the metrics.
+
+        Returns:
+          What listens for callers, or None if the daemon was stopped before.
+        """
+        listening = asyncio.create_task(self._listen())
+        stopping = asyncio.create_task(self._stopping.wait())
+        await asyncio.wait(
+            {listening, stopping}, return_when=asyncio.FIRST_COMPLETED
+        )
+        stopping.cancel()
+        if listening.done():
+            return listening.result()
+        listening.cancel()
+        return None
+
+    async def _listen(self) -> asyncio.Server:
+        settings = self._settings
+        callers = await startup.listen(
+            "callers", settings.callers_address, self._server.listen
+        )
+        await startup.listen(
+            "readiness",
+            settings.readiness_address,
+            server_module.Server(self._readiness, self._limits).listen,
+        )
+        await startup.listen(
+            "peers",
+            f"{settings.host_ip}:{settings.peer_port}",
+            lambda host, port: peer_links.serve(
+                host,
+                port,
+                settings.daemon,
+                self._receive,
+                self._note_link_lost,
+            ),
+        )
+        return callers
+
+    async def _serve_metrics(self) -> None:
+        """Serves metrics until cancelled.
+
+        A daemon serves callers also if the metrics' port is taken.
+        """
+        server = await startup.listen(
+            "metrics",
+            f"{self._settings.host_ip}:{self._settings.metrics_port}",
+            server_module.Server(self._metrics, self._limits).listen,
+        )
+        await server.serve_forever()
+
     async def _run_with_restarts(
         self, name: str, task: Callable[[], Awaitable[None]]
     ) -> None:
--- a/src/sardinehill/front/startup.py
+++ b/src/sardinehill/front/startup.py
@@ -1,18 +1,25 @@
 """Retries what may fail for a moment while a daemon starts.
 
-The settings file may be rewritten at that moment. A daemon that ended then
-would take part in nothing until it is started again.
+The settings file may be rewritten at that moment, and an address may still
+belong to the process before, or to nobody yet. A daemon that ended then would
+take part in nothing until it is started again.
 """
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import pathlib
 
 from sardinehill import errors
+from sardinehill import events
 from sardinehill.platform import settings as settings_module
 
 RETRY_INTERVAL_S = 0.1
 # Settings that stay invalid for this long are refused.
 SETTINGS_WAIT_S = 3.0
+REPORT_INTERVAL_S = 5.0
+
+Listen = Callable[[str, int], Awaitable[asyncio.Server]]
 
 
 async def read_settings(path: pathlib.Path) -> settings_module.HostSettings:
@@ -30,3 +37,32 @@
             if loop.time() >= end_s:
                 raise
         await asyncio.sleep(RETRY_INTERVAL_S)
+
+
+async def listen(name: str, address: str, listen_on: Listen) -> asyncio.Server:
+    """Listens on an address, as soon as that is possible.
+
+    Args:
+      name: what listens there, for logs.
+      address: an IP address and a port, joined by a colon.
+      listen_on: binds a host and a port.
+    """
+    loop = asyncio.get_running_loop()
+    host, _, port = address.rpartition(":")
+    began_s = loop.time()
+    report_s = began_s
+    while True:
+        try:
+            return await listen_on(host, int(port))
+        except OSError as error:
+            now_s = loop.time()
+            if now_s >= report_s:
+                report_s = now_s + REPORT_INTERVAL_S
+                events.log(
+                    events.ADDRESS_UNAVAILABLE,
+                    listener=name,
+                    address=address,
+                    waited_s=round(now_s - began_s, 3),
+                    error=str(error),
+                )
+        await asyncio.sleep(RETRY_INTERVAL_S)
--- a/tests/process/test_daemon_start.py
+++ b/tests/process/test_daemon_start.py
@@ -4,6 +4,7 @@
 import contextlib
 import pathlib
 import signal
+import socket
 import time
 
 import pytest
@@ -72,3 +73,46 @@
         assert daemon.process.returncode is None
 
     fleet.run(scenario())
+
+
+# Guards against this failure: an address of a daemon still belonged to another
+# process when it started, and its process ended.
+@pytest.mark.parametrize("name", ["callers", "readiness", "peer"])
+def test_address_that_is_taken_for_a_moment_does_not_end_the_process(
+    fleet, name
+):
+    async def scenario():
+        daemon = fleet.daemons[0]
+        port = getattr(daemon, f"{name}_port")
+        with socket.create_server((platform_fleet.HOST, port)):
+            await daemon.start()
+            await wait_until(lambda: daemon.events("address-unavailable"))
+        await fleet.wait_until_served(daemon)
+        assert daemon.process.returncode is None
+
+    fleet.run(scenario())
+
+
+def test_daemon_serves_callers_while_the_port_of_its_metrics_is_taken(fleet):
+    async def scenario():
+        daemon = fleet.daemons[0]
+        with socket.create_server((platform_fleet.HOST, daemon.metrics_port)):
+            await daemon.start()
+            await fleet.wait_until_served(daemon)
+        assert daemon.events("address-unavailable")
+
+    fleet.run(scenario())
+
+
+def test_daemon_that_waits_for_an_address_can_be_stopped(fleet):
+    async def scenario():
+        daemon = fleet.daemons[0]
+        taken = (platform_fleet.HOST, daemon.callers_port)
+        with socket.create_server(taken):
+            await daemon.start()
+            await wait_until(lambda: daemon.events("address-unavailable"))
+            daemon.signal(signal.SIGTERM)
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                assert await daemon.process.wait() == 0
+
+    fleet.run(scenario())
