Grant keys to a restarted upstream under a higher epoch

Callers saw nothing. On real processes (five daemons, 23 upstreams, some of them killed and started again under their ids, 50 s) a later life of an upstream accepted twelve grants under the epoch of its earlier life; the platform asks for a higher one (OWNER).

Cause: a renewal repeats the epoch, and names the id only. Sent over a new connection it may reach a later life of which the leader has not read yet.

Change: an epoch goes only over connections that were open when it was first sent. A grant that needs another connection takes a new epoch of the term, which needs no write: a later term's epochs are higher anyway. This works as a connection leads to one life for as long as it is open. A stored plan that such epochs have overtaken takes higher ones when it is applied, and refusals that are reported under an earlier epoch of the same owner still count.

--- a/src/sardinehill/core/key_orders.py
+++ b/src/sardinehill/core/key_orders.py
@@ -341,6 +341,34 @@
             span.next_order_s = 0.0
 
 
+def renew_epoch(
+    assignment: keyspace.KeyAssignment, span: keyspace.Span
+) -> None:
+    """Gives a span that no order is pending for a new epoch of this term.
+
+    It need not be stored: the epochs of a later term are higher anyway.
+    """
+    assert not span.order_pending
+    span.epoch = assignment.next_epoch()
+    span.sent_at_connection = None
+
+
+def may_send_at_connection(
+    assignment: keyspace.KeyAssignment, grant: KeyGrant, connection: int
+) -> bool:
+    """Returns whether a grant's epoch may be sent over open connections.
+
+    Args:
+      assignment: the present assignment.
+      grant: the grant.
+      connection: how many connections to the owner have been opened.
+    """
+    return all(
+        span.sent_at_connection in (None, connection)
+        for span in _current_spans(assignment, grant)
+    )
+
+
 def raise_epoch(
     assignment: keyspace.KeyAssignment, grant: KeyGrant, increment: int
 ) -> bool:
@@ -358,6 +386,7 @@
     assignment.top_epoch += increment
     for span in spans:
         span.epoch = assignment.next_epoch()
+        span.sent_at_connection = None
         # The outcome of a grant under the lower epoch no longer changes this
         # span.
         span.order_pending = False
--- a/src/sardinehill/core/keyspace.py
+++ b/src/sardinehill/core/keyspace.py
@@ -53,6 +53,9 @@
       last: the highest key.
       owner: the owner's id and start time, or None.
       epoch: the epoch under which the owner is granted the span.
+      first_epoch: the first epoch under which it was the owner in this term.
+      sent_at_connection: how many connections to the owner had been opened when
+        this epoch was first sent, or None while it was not.
       former_owner: the owner that must give up the span first, or None.
       handover: what the former owner left for the next one, or None.
       confirmed: whether the owner has confirmed the grant.
@@ -70,6 +73,8 @@
     last: int
     owner: Incarnation | None
     epoch: int
+    first_epoch: int = 0
+    sent_at_connection: int | None = None
     former_owner: FormerOwner | None = None
     handover: str | None = None
     confirmed: bool = False
@@ -287,14 +292,21 @@
 def apply_transfers(
     assignment: KeyAssignment, transfers: Iterable[KeyTransfer]
 ) -> None:
-    """Applies changes that were made to a copy and have since been stored."""
+    """Applies changes that were made to a copy and have since been stored.
+
+    Epochs that were raised in between may have been used since; then the
+    changes take higher ones than were stored.
+    """
     for transfer in transfers:
+        epoch = transfer.epoch
+        if epoch <= assignment.top_epoch:
+            epoch = assignment.next_epoch()
+        assignment.top_epoch = epoch
         split_at(assignment, transfer.first)
         split_at(assignment, transfer.last + 1)
         for span in assignment.spans:
             if transfer.first <= span.first and span.last <= transfer.last:
-                _change_owner(span, transfer.new_owner, transfer.epoch)
-        assignment.top_epoch = max(assignment.top_epoch, transfer.epoch)
+                _change_owner(span, transfer.new_owner, epoch)
 
 
 def _change_owner(span: Span, owner: Incarnation, epoch: int) -> None:
@@ -308,7 +320,8 @@
             max(span.in_flight_until_s, span.previous_leader_until_s),
         )
     span.owner = owner
-    span.epoch = epoch
+    span.epoch = span.first_epoch = epoch
+    span.sent_at_connection = None
     span.handover = None
     span.confirmed = False
     span.granted_until_s = 0.0
@@ -323,7 +336,7 @@
     """Gives every owned span a new epoch, so that older orders are refused."""
     for span in assignment.spans:
         if span.owner is not None:
-            span.epoch = assignment.next_epoch()
+            span.epoch = span.first_epoch = assignment.next_epoch()
 
 
 def merge_spans(assignment: KeyAssignment) -> None:
@@ -333,7 +346,7 @@
         previous = joined[-1] if joined else None
         if previous is not None and _may_join(previous, span):
             previous.last = span.last
-            previous.epoch = assignment.next_epoch()
+            previous.epoch = previous.first_epoch = assignment.next_epoch()
             previous.granted_until_s = min(
                 previous.granted_until_s, span.granted_until_s
             )
--- a/src/sardinehill/front/assignment_manager.py
+++ b/src/sardinehill/front/assignment_manager.py
@@ -126,7 +126,7 @@
         span = keyspace.find_span(self._assignment.spans, refused.key)
         if (
             span.confirmed
-            and span.epoch == refused.epoch
+            and span.first_epoch <= refused.epoch <= span.epoch
             and not span.order_pending
         ):
             span.next_order_s = 0.0
--- a/src/sardinehill/front/key_owners.py
+++ b/src/sardinehill/front/key_owners.py
@@ -42,6 +42,7 @@
       failing_since_s: when it stopped answering, or None.
       unusable_until_s: it gets no new keys before this time.
       says_leaving: whether it has said in an answer that it leaves.
+      opened_connections: how many connections to it have been opened.
       connections: idle connections to it.
     """
 
@@ -53,6 +54,7 @@
     failing_since_s: float | None = None
     unusable_until_s: float = 0.0
     says_leaving: bool = False
+    opened_connections: int = 0
     connections: list[http1.Connection] = dataclasses.field(
         default_factory=list
     )
@@ -68,6 +70,8 @@
       written: whether any byte of the order may have left this host.
       superseded: whether the order was not sent because it was outdated.
       answer: the whole answer, or None.
+      at_connection: how many connections to the receiver had been opened when
+        the order was sent.
     """
 
     status: int | None = None
@@ -75,6 +79,7 @@
     written: bool = False
     superseded: bool = False
     answer: http1.Response | None = None
+    at_connection: int = 0
 
 
 class KeyOwners:
@@ -234,6 +239,14 @@
                     max(slowness, MIN_SLOWNESS_RATIO), MAX_SLOWNESS_RATIO
                 )
 
+    def opens_connection(self, owner: KeyOwner) -> bool:
+        """Returns whether a grant to an owner needs a new connection."""
+        now_s = asyncio.get_running_loop().time()
+        return owner.failing_since_s is not None or not any(
+            connection.is_reusable(now_s, MAX_IDLE_S)
+            for connection in owner.connections
+        )
+
     async def send_order(
         self,
         owner: KeyOwner,
@@ -255,6 +268,7 @@
             this order.
         """
         self.orders_sent += 1
+        at_connection = 0
         connection: http1.Connection | None = None
         if not on_new_connection:
             connection = _take_idle(owner)
@@ -265,9 +279,11 @@
                     CONNECT_TIMEOUT_S,
                     user_timeout_ms=int(MAX_UNACKNOWLEDGED_S * 1000),
                 )
+                owner.opened_connections += 1
             if not may_send():
                 owner.connections.append(connection)
                 return OrderResult(error="overtaken", superseded=True)
+            at_connection = owner.opened_connections
             self._under_way.add(connection)
             try:
                 async with asyncio.timeout(timeout_s):
@@ -275,14 +291,25 @@
             finally:
                 self._under_way.discard(connection)
         except TimeoutError:
-            return OrderResult(error="no answer", written=True)
+            return OrderResult(
+                error="no answer", written=True, at_connection=at_connection
+            )
         except http1.ConnectionFailedError as error:
             if connection is not None:
                 connection.close()
-            return OrderResult(error=str(error), written=error.written)
+            return OrderResult(
+                error=str(error),
+                written=error.written,
+                at_connection=at_connection,
+            )
         if connection.usable:
             owner.connections.append(connection)
-        return OrderResult(status=answer.status, written=True, answer=answer)
+        return OrderResult(
+            status=answer.status,
+            written=True,
+            answer=answer,
+            at_connection=at_connection,
+        )
 
 
 def _take_idle(owner: KeyOwner) -> http1.Connection | None:
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -141,6 +141,8 @@
         if owner is None:
             span.next_order_s = now_s + key_owners.ORDER_RETRY_S
             return
+        if self._needs_new_epoch(span, owner):
+            key_orders.renew_epoch(self.assignment, span)
         delivery_deadline_s = (
             now_s + key_owners.CONNECT_TIMEOUT_S + ORDER_TIMEOUT_S
         )
@@ -149,6 +151,23 @@
         )
         self._group.create_task(self._grant(grant, owner))
 
+    def _needs_new_epoch(
+        self, span: keyspace.Span, owner: key_owners.KeyOwner
+    ) -> bool:
+        """Returns whether the next grant may reach a later incarnation.
+
+        An order names only the id. A connection that was opened after an epoch
+        was first sent may lead to a later incarnation, which must get the keys
+        under a higher epoch than the earlier one had them.
+        """
+        sent_at = span.sent_at_connection
+        if sent_at is None:
+            return False
+        return (
+            sent_at != owner.opened_connections
+            or self._owners.opens_connection(owner)
+        )
+
     # former owners
 
     def _clear_former(self, span: keyspace.Span, now_s: float) -> bool:
@@ -273,7 +292,7 @@
             owner,
             request,
             ORDER_TIMEOUT_S,
-            lambda: self._is_still_valid(grant),
+            lambda: self._is_still_valid(grant, owner),
             # An unanswered grant may still be accepted, which delays the move
             # of its keys. A grant for which no connection opens is not sent.
             on_new_connection=owner.failing_since_s is not None,
@@ -295,8 +314,12 @@
             self.assignment, grant, outcome, now_s, GRANT_HOLD_S
         )
         for span in spans:
+            if result.written:
+                span.sent_at_connection = result.at_connection
             if outcome is key_orders.GrantOutcome.ACCEPTED:
                 self._note_granted(span, grant)
+            elif result.superseded:
+                span.next_order_s = 0.0
             else:
                 is_fenced = result.status == 409
                 span.next_order_s = now_s + (
@@ -305,18 +328,23 @@
         if not result.superseded:
             self._update_owner(owner, grant, result)
 
-    def _is_still_valid(self, grant: key_orders.KeyGrant) -> bool:
+    def _is_still_valid(
+        self, grant: key_orders.KeyGrant, owner: key_owners.KeyOwner
+    ) -> bool:
         """Returns whether a grant may still be sent.
 
         It may not after its term lost its confirmation, when an answer could
         come only after its delivery deadline, when its keys have moved, or when
-        a later incarnation would receive it.
+        a later incarnation would receive it, or might under the same epoch.
         """
         return (
             self._may_send_orders()
             and self._owners.may_own_keys(grant.incarnation)
             and self._clock_s() < grant.delivery_deadline_s - ORDER_TIMEOUT_S
             and key_orders.is_current(self.assignment, grant)
+            and key_orders.may_send_at_connection(
+                self.assignment, grant, owner.opened_connections
+            )
         )
 
     def _note_granted(
