Bound what all large messages of a daemon hold together

Cause: nothing bounded messages together, and a body was kept in the parts in which it came, which for two bytes each take twenty times their size.

Evidence: the new tests failed before; eight endless answers at once took over three times the limit on one, and tiny chunks were read until 16 MB.

Change: a budget of 0.3 of the process's memory for what messages hold beyond 64 KB each. A body without room is refused at once, as not run and with a Retry-After; a caller that does not read gets nothing further served. Answers without the upstream's stamp are read up to 64 KB. Bodies are kept in one piece and are not copied behind their heads.

--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -8,6 +8,7 @@
 
 from sardinehill import errors
 from sardinehill import events
+from sardinehill.core import byte_budget
 from sardinehill.core import cold_lending
 from sardinehill.core import crash_suspects
 from sardinehill.core import fleet_messages
@@ -53,6 +54,10 @@
 LOG_FLUSH_INTERVAL_S = 0.25
 DROPPED_LINES_REPORT_INTERVAL_S = 5.0
 TASK_RESTART_DELAY_S = 0.1
+# Which part of the process's memory large messages may hold together. A message
+# is copied once when it is complete, and the rest of the process takes a third.
+MESSAGES_MEMORY_RATIO = 0.3
+_BYTES_PER_MB = 1024 * 1024
 
 
 class Daemon:
@@ -69,6 +74,9 @@
         self._stopping = asyncio.Event()
         self._front_metrics = metrics_module.FrontMetrics()
         self._request_log = log_module.RequestLog(self._clock_s)
+        self._budget = byte_budget.ByteBudget(
+            int(settings.memory_mb * MESSAGES_MEMORY_RATIO * _BYTES_PER_MB)
+        )
         self._store = store_module.StoreClient(settings.store_address)
         self._view = view_module.StoreView(
             self._clock_s, lambda: self._store.failing_since_s
@@ -104,7 +112,7 @@
         self._sender = self._new_sender()
         self._relay = self._new_relay()
         self._leadership = self._new_leadership()
-        self._server = server_module.Server(self._relay.serve, self._limits)
+        self._server = self._new_server(self._relay.serve)
         self._front_metrics.add_gauge_source(self._gauge_values)
 
     # parts
@@ -126,8 +134,14 @@
             self._suspects,
             self._leaving,
             self._reach.note_attempt,
+            self._budget,
         )
 
+    def _new_server(
+        self, handle: server_module.Handler
+    ) -> server_module.Server:
+        return server_module.Server(handle, self._limits, self._budget)
+
     def _new_forwarder(self) -> forwarding.Forwarder:
         return forwarding.Forwarder(
             self._settings.daemon,
@@ -251,7 +265,7 @@
         await startup.listen(
             "readiness",
             settings.readiness_address,
-            server_module.Server(self._readiness, self._limits).listen,
+            self._new_server(self._readiness).listen,
         )
         await startup.listen(
             "peers",
@@ -274,7 +288,7 @@
         server = await startup.listen(
             "metrics",
             f"{self._settings.host_ip}:{self._settings.metrics_port}",
-            server_module.Server(self._metrics, self._limits).listen,
+            self._new_server(self._metrics).listen,
         )
         await server.serve_forever()
 
@@ -359,6 +373,7 @@
             "config_version": configuration.version if configuration else 0,
             "store_lost_seconds": self._view.store_lost_for_s(),
             "requests_in_flight": self._relay.in_flight,
+            "message_bytes": self._budget.held_bytes,
             "callers": len(self._server.connections),
             "upstreams": len(self._view.upstreams),
             "forwarding_peers": len(self._forwarder.peers),
@@ -438,7 +453,11 @@
         while loop.time() < end_s + LAST_ANSWERS_LIMIT_S:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
             if loop.time() >= end_s:
-                self._server.refuse_incomplete_requests(503)
+                self._server.refuse_incomplete_requests(
+                    server_module.Refusal(
+                        503, relay_module.STOPPING_RETRY_AFTER_S
+                    )
+                )
             self._server.close_idle_connections()
             if (
                 not self._server.connections
--- a/src/sardinehill/front/forward_server.py
+++ b/src/sardinehill/front/forward_server.py
@@ -342,6 +342,7 @@
                         head, send.request.request_id
                     ),
                     send.request.is_head,
+                    lambda head: exchange_messages.MAX_FORWARDED_BYTES,
                 )
         except TimeoutError:
             return exchange_messages.Broken("no answer in time")
--- a/src/sardinehill/front/forwarding.py
+++ b/src/sardinehill/front/forwarding.py
@@ -137,21 +137,25 @@
         data: bytes,
         matches_request: Callable[[http1.Response], bool] | None = None,
         has_no_body: bool = False,
+        body_limit_bytes: Callable[[http1.Response], int] | None = None,
+        body: bytes = b"",
     ) -> http1.Response:
         """Sends one request and returns its complete response.
 
         The peer is told if the caller is cancelled.
 
         Args:
-          data: the complete request.
+          data: the request, complete or up to its body.
           matches_request: returns whether a response belongs to this request.
           has_no_body: whether the response has no body, as after HEAD.
+          body_limit_bytes: as of a direct exchange; the peer has its own limit.
+          body: the request's body, unless `data` has it.
 
         Raises:
           ConnectionFailedError: no complete response was received.
         """
         try:
-            result = await self._ask(data, has_no_body)
+            result = await self._ask(data + body, has_no_body)
         finally:
             self.close()
         response = self._response_of(result)
--- a/src/sardinehill/front/pool.py
+++ b/src/sardinehill/front/pool.py
@@ -5,6 +5,7 @@
 from collections.abc import Container
 
 from sardinehill import http1
+from sardinehill.core import byte_budget
 
 # Idle connections are closed earlier than the upstream closes them: after this
 # time, or after this part of the idle timeout that the upstream announced.
@@ -30,7 +31,13 @@
       opened_count: how many attempts to open a connection were made.
     """
 
-    def __init__(self, address: str, on_attempt: AttemptListener | None = None):
+    def __init__(
+        self,
+        address: str,
+        on_attempt: AttemptListener | None = None,
+        budget: byte_budget.ByteBudget | None = None,
+    ):
+        self._budget = budget
         self.address = address
         self._on_attempt = on_attempt
         self._idle: list[http1.Connection] = []
@@ -86,7 +93,9 @@
         began_s = loop.time()
         self.opened_count += 1
         try:
-            connection = await http1.connect(self.address, timeout_s)
+            connection = await http1.connect(
+                self.address, timeout_s, budget=self._budget
+            )
         except http1.ConnectionFailedError as error:
             took_s = loop.time() - began_s
             is_timeout = isinstance(error.__cause__, TimeoutError)
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -30,6 +30,8 @@
 # The mean latency of a route that has had no answer yet.
 INITIAL_LATENCY_S = 0.05
 MIN_SERVER_ERROR_STATUS = 500
+# A body that is no upstream's is not handed on, so no more of it is read.
+MAX_UNPROVEN_BODY_BYTES = 64 * 1024
 # The Retry-After of a request that was lost and is not sent again.
 QUARANTINE_RETRY_AFTER_S = 1.0
 
@@ -210,6 +212,8 @@
                     answer_head, request_id
                 ),
                 context.request.method == b"HEAD",
+                _body_limit_bytes,
+                context.request.body,
             )
         except forwarding.NotForwardedError as error:
             if is_first_try:
@@ -417,16 +421,22 @@
             self._directory.note_accepted(context.service, key, target.epoch)
 
 
+def _body_limit_bytes(answer_head: http1.Response) -> int:
+    if http_messages.is_from_upstream(answer_head):
+        return http1.MAX_RESPONSE_BODY_BYTES
+    return MAX_UNPROVEN_BODY_BYTES
+
+
 def _encode_request(
     context: requests.RequestContext, target: requests.Target
 ) -> bytes:
-    """Returns the bytes that are sent to the upstream."""
+    """Returns the head of the request that is sent to the upstream."""
     request = context.request
     return http_messages.encode_upstream_request(
         request.method,
         request.target,
         http_messages.forwarded_headers(request.headers),
-        request.body,
+        len(request.body),
         request.has_body,
         context.deadline_s - context.sent_s,
         target.upstream.id,
--- a/src/sardinehill/front/server.py
+++ b/src/sardinehill/front/server.py
@@ -1,18 +1,22 @@
 """Serves callers' HTTP/1.1 connections.
 
 Requests are read completely before they are handled, and replies are written
-as a whole.
+as a whole. A budget bounds what all connections hold: bodies that are arriving,
+requests that are served, and replies that callers have not read.
 """
 
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import http
 from typing import cast
+from typing import NoReturn
 
 import httptools
 
 from sardinehill import http1
+from sardinehill.core import byte_budget
 from sardinehill.core import routes
 from sardinehill.front import requests
 
@@ -27,6 +31,10 @@
 FIRST_REQUEST_WAIT_S = 1.0
 # The limit on a request's header does not count separators and line ends.
 MAX_SEPARATOR_BYTES = 8192
+# The Retry-After of a request for which this daemon has no room now.
+BUSY_RETRY_AFTER_S = 0.5
+# Longer numbers are no lengths.
+MAX_LENGTH_DIGITS = 12
 
 _REASON_PHRASES = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
@@ -55,6 +63,42 @@
     return b"".join((head, reply.headers, length, connection, b"\r\n", body))
 
 
+@dataclasses.dataclass(slots=True)
+class _QueuedRequest:
+    """A request that has arrived.
+
+    Attributes:
+      request: the request.
+      keep_alive: whether the connection may carry another one.
+      share: what it holds of the budget.
+    """
+
+    request: requests.Request
+    keep_alive: bool
+    share: byte_budget.ByteShare
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A refusal of a request that has not arrived in full.
+
+    Attributes:
+      status: the status code of the reply.
+      retry_after_s: when the caller should try again, or None.
+    """
+
+    status: int
+    retry_after_s: float | None = None
+
+
+_MALFORMED = Refusal(400)
+_HEADER_TOO_LONG = Refusal(431)
+_BODY_TOO_LONG = Refusal(413)
+_TOO_SLOW = Refusal(408)
+_TOO_MANY = Refusal(503, BUSY_RETRY_AFTER_S)
+_NO_MEMORY = Refusal(503, BUSY_RETRY_AFTER_S)
+
+
 class CallerConnection(asyncio.Protocol):
     """One caller's connection."""
 
@@ -68,16 +112,21 @@
         self._target = b""
         self._headers: http1.Headers = []
         self._header_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._has_body = False
-        self._pipeline: list[tuple[requests.Request, bool]] = []
+        self._body_share = byte_budget.ByteShare(server.budget)
+        self._unsent_share = byte_budget.ByteShare(server.budget)
+        self._may_write = asyncio.Event()
+        self._may_write.set()
+        self._pipeline: list[_QueuedRequest] = []
         self._serving_task: asyncio.Task[None] | None = None
-        self._error_status = 0
+        # Why the parser was stopped, if a callback stopped it.
+        self._error = _MALFORMED
+        self._expected_body_bytes = 0
         self._in_message = False
         self._headers_complete = False
         self._bytes_before_body = 0
-        self._refusal_status: int | None = None
+        self._refusal: Refusal | None = None
         self._opened_s = self._loop.time()
         self._phase_started_s = self._opened_s
         # When bytes last arrived, or when the connection was opened.
@@ -96,7 +145,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; malformed ones end the connection."""
-        if self.closing or self._refusal_status is not None:
+        if self.closing or self._refusal is not None:
             return
         assert self._parser is not None
         self._received_s = self._loop.time()
@@ -104,9 +153,9 @@
             self._parser.feed_data(data)
             self._limit_bytes_before_body(len(data))
         except httptools.HttpParserUpgrade:
-            self._refuse(400)
+            self._refuse(_MALFORMED)
         except httptools.HttpParserError:
-            self._refuse(self._error_status or 400)
+            self._refuse(self._error)
 
     def _limit_bytes_before_body(self, size: int) -> None:
         """Refuses a request whose header does not end within its limit.
@@ -120,7 +169,7 @@
         self._bytes_before_body += size
         limit = self._server.limits().header_bytes + MAX_SEPARATOR_BYTES
         if self._bytes_before_body > limit:
-            self._refuse(431)
+            self._refuse(_HEADER_TOO_LONG)
 
     def eof_received(self) -> bool:
         """Closes the connection when the caller has ended its side."""
@@ -131,13 +180,26 @@
         self._server.connections.discard(self)
         self.closing = True
         self._drop_incomplete_request()
+        for queued in self._pipeline:
+            queued.share.release()
         self._pipeline.clear()
+        self._unsent_share.release()
+        self._may_write.set()
         # The parser refers to this connection. If both kept referring to each
         # other, only the cyclic garbage collector would free them.
         self._parser = None
         if self._serving_task is not None:
             self._serving_task.cancel()
 
+    def pause_writing(self) -> None:
+        """Serves no further request until the caller has read replies."""
+        self._may_write.clear()
+
+    def resume_writing(self) -> None:
+        """Goes on with the next request."""
+        self._unsent_share.release()
+        self._may_write.set()
+
     # the parser's callbacks
 
     def on_message_begin(self) -> None:
@@ -145,9 +207,9 @@
         self._target = b""
         self._headers = []
         self._header_bytes = 0
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._has_body = False
+        self._expected_body_bytes = 0
         self._in_message = True
         self._headers_complete = False
         self._phase_started_s = self._loop.time()
@@ -167,26 +229,39 @@
             or lower_name == b"transfer-encoding"
         ):
             self._has_body = True
+        if lower_name == b"content-length":
+            digits = value.strip()
+            if digits.isdigit() and len(digits) <= MAX_LENGTH_DIGITS:
+                self._expected_body_bytes = int(digits)
         if lower_name == b"expect" and self._transport is not None:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _count_header_bytes(self, size: int) -> None:
         self._header_bytes += size
         if self._header_bytes > self._server.limits().header_bytes:
-            self._error_status = 431
-            raise ValueError("the headers are too long")
+            self._stop_parsing(_HEADER_TOO_LONG)
 
     def on_headers_complete(self) -> None:
-        """Notes that only the body is missing."""
+        """Notes that only the body is missing, if there is room for it."""
         self._headers_complete = True
+        self._hold_body(self._expected_body_bytes)
 
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body."""
-        self._body_bytes += len(body)
-        if self._body_bytes > self._server.limits().body_bytes:
-            self._error_status = 413
-            raise ValueError("the body is too long")
-        self._body.append(body)
+        self._hold_body(
+            max(len(self._body) + len(body), self._expected_body_bytes)
+        )
+        self._body += body
+
+    def _hold_body(self, size_bytes: int) -> None:
+        if size_bytes > self._server.limits().body_bytes:
+            self._stop_parsing(_BODY_TOO_LONG)
+        if not self._body_share.try_hold(size_bytes):
+            self._stop_parsing(_NO_MEMORY)
+
+    def _stop_parsing(self, refusal: Refusal) -> NoReturn:
+        self._error = refusal
+        raise ValueError("the request is refused")
 
     def on_message_complete(self) -> None:
         """Queues the request behind earlier ones of the connection."""
@@ -196,16 +271,19 @@
             self._parser.get_method(),
             self._target,
             self._headers,
-            b"".join(self._body),
+            bytes(self._body),
             self._has_body,
             self._loop.time(),
         )
-        self._body = []
+        self._body = bytearray()
         keep_alive = bool(self._parser.should_keep_alive())
         if len(self._pipeline) >= MAX_PIPELINED_REQUESTS:
-            self._refuse(503)
+            self._refuse(_TOO_MANY)
             return
-        self._pipeline.append((request, keep_alive))
+        self._pipeline.append(
+            _QueuedRequest(request, keep_alive, self._body_share)
+        )
+        self._body_share = byte_budget.ByteShare(self._server.budget)
         if self._serving_task is None:
             self._serving_task = self._loop.create_task(self._serve())
 
@@ -214,38 +292,52 @@
     async def _serve(self) -> None:
         try:
             while self._pipeline and not self.closing:
-                request, keep_alive = self._pipeline.pop(0)
-                reply = await self._server.handle(request)
-                is_last = not keep_alive or reply.ends_with_connection
-                is_last = is_last or (
-                    self._server.draining and not self._has_next_request()
-                )
-                self._write(
-                    encode_reply(reply, is_last, request.method == b"HEAD")
-                )
-                self._phase_started_s = self._loop.time()
-                if is_last:
-                    self._close()
+                await self._may_write.wait()
+                if not self._pipeline:
+                    break
+                queued = self._pipeline.pop(0)
+                try:
+                    await self._serve_request(queued)
+                finally:
+                    queued.share.release()
         finally:
             self._serving_task = None
-        if self._refusal_status is not None and not self.closing:
-            self._refuse(self._refusal_status)
+        if self._refusal is not None and not self.closing:
+            self._refuse(self._refusal)
+
+    async def _serve_request(self, queued: _QueuedRequest) -> None:
+        reply = await self._server.handle(queued.request)
+        is_last = not queued.keep_alive or reply.ends_with_connection
+        is_last = is_last or (
+            self._server.draining and not self._has_next_request()
+        )
+        is_head = queued.request.method == b"HEAD"
+        self._write(encode_reply(reply, is_last, is_head))
+        self._phase_started_s = self._loop.time()
+        if is_last:
+            self._close()
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
+            self._unsent_share.hold(self._transport.get_write_buffer_size())
 
-    def _refuse(self, status: int) -> None:
+    def _refuse(self, refusal: Refusal) -> None:
         """Refuses a request and closes the connection.
 
         Earlier requests of the connection are answered first.
         """
         self._drop_incomplete_request()
         if self._serving_task is not None:
-            self._refusal_status = status
+            self._refusal = refusal
             return
+        headers = b""
+        if refusal.retry_after_s is not None:
+            headers = b"retry-after: %g\r\n" % refusal.retry_after_s
         self._write(
-            encode_reply(requests.Reply(status, b""), closes_connection=True)
+            encode_reply(
+                requests.Reply(refusal.status, headers), closes_connection=True
+            )
         )
         self._close()
 
@@ -256,16 +348,17 @@
 
     def _drop_incomplete_request(self) -> None:
         self._headers = []
-        self._body = []
+        self._body = bytearray()
+        self._body_share.release()
 
     def _has_next_request(self) -> bool:
         """Returns whether a further request has arrived, or its beginning."""
         return bool(self._pipeline) or self._in_message
 
-    def refuse_if_incomplete(self, status: int) -> None:
+    def refuse_if_incomplete(self, refusal: Refusal) -> None:
         """Refuses a request of which only a part has arrived."""
         if self._in_message and not self.closing:
-            self._refuse(status)
+            self._refuse(refusal)
 
     def is_idle(self) -> bool:
         """Returns whether no request is being received or served."""
@@ -294,7 +387,7 @@
             if self._headers_complete:
                 is_late = now_s - self._received_s > limits.idle_timeout_s
             if is_late:
-                self._refuse(408)
+                self._refuse(_TOO_SLOW)
         elif self.is_idle() and elapsed_s > limits.idle_timeout_s:
             self._close()
 
@@ -306,16 +399,21 @@
       handle: returns the reply to a request.
       limits: returns the current limits of connections.
       connections: the open connections.
+      budget: what the connections may hold.
       accepted_count: how many connections it has accepted.
       draining: whether connections are closed after the reply to the last
         request that has arrived.
     """
 
     def __init__(
-        self, handle: Handler, limits: Callable[[], routes.CallerLimits]
+        self,
+        handle: Handler,
+        limits: Callable[[], routes.CallerLimits],
+        budget: byte_budget.ByteBudget,
     ):
         self.handle = handle
         self.limits = limits
+        self.budget = budget
         self.connections: set[CallerConnection] = set()
         self.accepted_count = 0
         self.draining = False
@@ -360,7 +458,7 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
-    def refuse_incomplete_requests(self, status: int) -> None:
+    def refuse_incomplete_requests(self, refusal: Refusal) -> None:
         """Refuses requests that callers are still sending, and closes."""
         for connection in list(self.connections):
-            connection.refuse_if_incomplete(status)
+            connection.refuse_if_incomplete(refusal)
--- a/src/sardinehill/front/upstream_directory.py
+++ b/src/sardinehill/front/upstream_directory.py
@@ -10,6 +10,7 @@
 import functools
 
 from sardinehill import events
+from sardinehill.core import byte_budget
 from sardinehill.core import crash_suspects
 from sardinehill.core import fleet_messages
 from sardinehill.core import keyspace
@@ -98,6 +99,7 @@
         suspects: crash_suspects.CrashSuspects,
         leaving: leaving_upstreams.LeavingUpstreams,
         on_attempt: Callable[[str, bool, float], None] = _ignore_attempt,
+        budget: byte_budget.ByteBudget | None = None,
     ):
         """Creates a directory of the upstreams in a view.
 
@@ -110,12 +112,14 @@
           leaving: the upstreams that have said that they leave.
           on_attempt: is told of attempts to connect to upstreams: the
             upstream's id, whether it succeeded, and when it began.
+          budget: what the bodies of answers may hold together, or None.
         """
         self._view = view
         self._limits = limits
         self._suspects = suspects
         self._leaving = leaving
         self._on_attempt = on_attempt
+        self._budget = budget
         self._drain_grace_s = drain_limit_s * DRAIN_GRACE_RATIO
         self._clock_s = clock_s
         self._entries: dict[str, _UpstreamEntry] = {}
@@ -191,6 +195,7 @@
                 pool_module.ConnectionPool(
                     upstream.address,
                     functools.partial(self._on_attempt, upstream.id),
+                    self._budget,
                 ),
             )
             self._entries[upstream.id] = entry
--- a/src/sardinehill/http1.py
+++ b/src/sardinehill/http1.py
@@ -13,6 +13,8 @@
 
 import httptools
 
+from sardinehill.core import byte_budget
+
 # The kernel drops a connection whose sent data stays unacknowledged this long.
 TCP_USER_TIMEOUT_MS = 1500
 # TCP keepalive detects peers that disappear without closing the connection.
@@ -23,14 +25,18 @@
 # of the probe count, and ends such a connection when a probe is due later than
 # this after the last answer.
 KEEPALIVE_USER_TIMEOUT_MS = 2500
-# A faulty server may send a head or a body without end. A daemon has about
-# 200 MB for all its exchanges.
+# A faulty server may send a head or a body without end.
 MAX_RESPONSE_BODY_BYTES = 16 * 1024 * 1024
+# Longer request bodies are not copied behind their heads.
+MAX_COPIED_BODY_BYTES = 64 * 1024
 # Bounds what is received beside the body: heads, also of interim responses,
 # trailers and the framing of chunks.
 MAX_RESPONSE_OVERHEAD_BYTES = 64 * 1024
-# Chunks of one byte have a framing of five bytes.
+# Chunks of one byte have a framing of five bytes. Each chunk takes processor
+# time, so a body of many small ones is bounded apart from its length.
 MAX_FRAMING_RATIO = 8
+MAX_SMALL_CHUNKS_FRAMING_BYTES = 256 * 1024
+MAX_LONG_BODY_FRAMING_RATIO = 1 / 64
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -164,7 +170,9 @@
         on_lost: Callable[["Connection"], None] | None = None,
         keepalive: bool = False,
         user_timeout_ms: int = TCP_USER_TIMEOUT_MS,
+        budget: byte_budget.ByteBudget | None = None,
     ):
+        self._share = byte_budget.ByteShare(budget) if budget else None
         self._loop = loop
         self._on_lost = on_lost
         self._keepalive = keepalive
@@ -172,7 +180,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._response = Response()
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._received_bytes = 0
         self._has_body_length = False
@@ -180,6 +188,8 @@
         self._has_no_body = False
         self._pending_response: asyncio.Future[Response] | None = None
         self._matches_request: Callable[[Response], bool] | None = None
+        self._body_limit_of: Callable[[Response], int] | None = None
+        self._body_limit_bytes = MAX_RESPONSE_BODY_BYTES
         self._response_started = False
         self.exchange_count = 0
         self.idle_since_s = loop.time()
@@ -213,7 +223,12 @@
     def _check_overhead(self) -> None:
         overhead_bytes = self._received_bytes - self._body_bytes
         allowed_bytes = (
-            MAX_RESPONSE_OVERHEAD_BYTES + MAX_FRAMING_RATIO * self._body_bytes
+            MAX_RESPONSE_OVERHEAD_BYTES
+            + min(
+                MAX_FRAMING_RATIO * self._body_bytes,
+                MAX_SMALL_CHUNKS_FRAMING_BYTES,
+            )
+            + MAX_LONG_BODY_FRAMING_RATIO * self._body_bytes
         )
         if overhead_bytes > allowed_bytes:
             self._fail("the response head or framing is too long")
@@ -248,7 +263,7 @@
             # beginning of the next one.
             self.close()
         self._response = Response()
-        self._body = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._has_body_length = False
         self._headers_done = False
@@ -272,6 +287,8 @@
         assert self._parser is not None
         self._response.status = self._parser.get_status_code()
         self._headers_done = True
+        if self._body_limit_of is not None:
+            self._body_limit_bytes = self._body_limit_of(self._response)
         if self._response.status in (204, 304):
             self._has_body_length = True
         if self._has_no_body and self._response.status >= 200:
@@ -285,10 +302,13 @@
             # The exchange has failed within the bytes that are being parsed.
             return
         self._body_bytes += len(body)
-        if self._body_bytes > MAX_RESPONSE_BODY_BYTES:
+        if self._body_bytes > self._body_limit_bytes:
             self._fail("the response body is too large")
             return
-        self._body.append(body)
+        if self._share and not self._share.try_hold(self._body_bytes):
+            self._fail("there is no memory for the response body")
+            return
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Completes a response that is not interim (1xx) and has a length."""
@@ -311,16 +331,21 @@
         data: bytes,
         matches_request: Callable[[Response], bool] | None = None,
         has_no_body: bool = False,
+        body_limit_bytes: Callable[[Response], int] | None = None,
+        body: bytes = b"",
     ) -> Response:
         """Sends one request and returns its complete response.
 
         The connection is closed if the caller is cancelled.
 
         Args:
-          data: the complete request.
+          data: the request, complete or up to its body.
           matches_request: returns whether a response belongs to this request.
             One that does not is dropped, and the connection is not reused.
           has_no_body: whether the response has no body, as after HEAD.
+          body_limit_bytes: returns how long the body may be, from the
+            response's head; `MAX_RESPONSE_BODY_BYTES` if None.
+          body: the request's body, unless `data` has it.
 
         Raises:
           ConnectionFailedError: no complete response was received.
@@ -332,13 +357,18 @@
         self._parser = httptools.HttpResponseParser(self)
         self._matches_request = matches_request
         self._has_no_body = has_no_body
+        self._body_limit_of = body_limit_bytes
+        self._body_limit_bytes = MAX_RESPONSE_BODY_BYTES
         self._response_started = False
         self._received_bytes = 0
         self._body_bytes = 0
         self._headers_done = False
         self._pending_response = self._loop.create_future()
         self.exchange_count += 1
-        self._transport.write(data)
+        if len(body) > MAX_COPIED_BODY_BYTES:
+            self._transport.writelines((data, body))
+        else:
+            self._transport.write(data + body)
         try:
             return await self._pending_response
         except asyncio.CancelledError:
@@ -381,9 +411,11 @@
 
     def _complete(self) -> None:
         response = self._response
-        response.body = b"".join(self._body)
-        self._body = []
+        response.body = bytes(self._body)
+        self._body = bytearray()
         self._response = Response()
+        if self._share:
+            self._share.release()
         if self._pending_response is None or self._pending_response.done():
             self.close()
             return
@@ -412,7 +444,9 @@
         """
         self._parser = None
         self._response = Response()
-        self._body = []
+        self._body = bytearray()
+        if self._share:
+            self._share.release()
 
     def _read_server_idle_timeout(self, response: Response) -> None:
         value = response.header(b"keep-alive")
@@ -443,6 +477,7 @@
     on_lost: Callable[[Connection], None] | None = None,
     keepalive: bool = False,
     user_timeout_ms: int = TCP_USER_TIMEOUT_MS,
+    budget: byte_budget.ByteBudget | None = None,
 ) -> Connection:
     """Opens a connection.
 
@@ -452,6 +487,8 @@
       on_lost: called once the connection has ended.
       keepalive: whether to send TCP keepalive probes while it is idle.
       user_timeout_ms: how long sent data may stay unacknowledged.
+      budget: what response bodies may hold together; None if they are not
+        bounded together.
 
     Raises:
       ConnectionFailedError: it could not be opened; nothing was written.
@@ -461,7 +498,9 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: Connection(loop, on_lost, keepalive, user_timeout_ms),
+                lambda: Connection(
+                    loop, on_lost, keepalive, user_timeout_ms, budget
+                ),
                 host,
                 int(port),
             )
--- a/src/sardinehill/platform/http_messages.py
+++ b/src/sardinehill/platform/http_messages.py
@@ -133,19 +133,19 @@
     method: bytes,
     target: bytes,
     forwarded: bytes,
-    body: bytes,
+    body_bytes: int,
     has_body: bool,
     remaining_s: float,
     upstream_id: str,
     account: str | None,
 ) -> bytes:
-    """Returns the bytes of a request for an upstream.
+    """Returns the head of a request for an upstream; its body follows.
 
     Args:
       method: as the caller sent it.
       target: path and query as the caller sent them.
       forwarded: the result of `forwarded_headers`.
-      body: the complete body.
+      body_bytes: the length of the body.
       has_body: whether the caller sent a body, also an empty one.
       remaining_s: the time until the request's deadline.
       upstream_id: the id of the intended upstream; others refuse the request.
@@ -161,9 +161,8 @@
     if account is not None:
         lines.append(b"%b: %b\r\n" % (names.CLIENT_ACCOUNT, account.encode()))
     if has_body:
-        lines.append(b"content-length: %d\r\n" % len(body))
+        lines.append(b"content-length: %d\r\n" % body_bytes)
     lines.append(b"\r\n")
-    lines.append(body)
     return b"".join(lines)
 
 
--- a/src/sardinehill/platform/settings.py
+++ b/src/sardinehill/platform/settings.py
@@ -9,6 +9,9 @@
 
 METRICS_PORT_VARIABLE = "SARDINEHILL_METRICS_PORT"
 
+# What a daemon at the target's size may occupy.
+DEFAULT_MEMORY_MB = 256.0
+
 _TRUE = "true"
 
 
@@ -41,6 +44,7 @@
         to them.
       allowance_slack: requests in a window beyond that limit.
       core_share: the CPU capacity of the process, in standard cores.
+      memory_mb: the memory that the process may occupy.
       is_first_start: whether the system has never run before.
     """
 
@@ -65,6 +69,7 @@
     allowance_over_ratio: float
     allowance_slack: float
     core_share: float
+    memory_mb: float
     is_first_start: bool
 
 
@@ -218,6 +223,7 @@
         allowance_slack=fields.number("bounds.quotaSlack", 0.0),
         core_share=fields.number("limits.cpuShare", 1.0)
         * fields.number("limits.speedFactor", 1.0),
+        memory_mb=fields.number("limits.memoryMb", DEFAULT_MEMORY_MB),
         is_first_start=fields.flag("bootstrap"),
     )
     if fields.problems:
--- a/tests/cover/test_endless_answers.py
+++ b/tests/cover/test_endless_answers.py
@@ -8,6 +8,7 @@
 import pytest
 
 from sardinehill import http1
+from sardinehill.core import byte_budget
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: test\r\n\r\n"
 OK_HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -33,6 +34,10 @@
         OK_HEAD + b"transfer-encoding: chunked\r\n\r\n",
         b"4000\r\n" + FILLER + b"\r\n",
     ),
+    "tiny-chunks": (
+        OK_HEAD + b"transfer-encoding: chunked\r\n\r\n",
+        b"2\r\nxy\r\n" * 2048,
+    ),
     "body-without-length": (OK_HEAD + b"\r\n", FILLER),
     "body-with-a-huge-length": (
         OK_HEAD + b"content-length: 99999999999\r\n\r\n",
@@ -42,7 +47,9 @@
 }
 
 
-async def _exchange_with_endless_server(start: bytes, filler: bytes) -> None:
+async def _exchange_with_endless_server(
+    start: bytes, filler: bytes, budget: byte_budget.ByteBudget | None = None
+) -> None:
     closed = asyncio.Event()
 
     async def serve(
@@ -59,7 +66,7 @@
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
-    connection = await http1.connect(f"127.0.0.1:{port}", 1.0)
+    connection = await http1.connect(f"127.0.0.1:{port}", 1.0, budget=budget)
     with pytest.raises(http1.ConnectionFailedError) as caught:
         await connection.exchange(REQUEST)
     assert caught.value.written
@@ -116,6 +123,73 @@
     assert retained_bytes < http1.MAX_RESPONSE_BODY_BYTES
 
 
+# Guards against this failure: each endless answer stayed within its limit, but
+# many at once exceeded the daemon's memory.
+def test_endless_answers_at_once_stay_within_a_budget_together():
+    budget = byte_budget.ByteBudget(http1.MAX_RESPONSE_BODY_BYTES)
+
+    async def body() -> None:
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            await asyncio.gather(
+                *(
+                    _exchange_with_endless_server(
+                        *ENDLESS_ANSWERS["body-without-length"], budget
+                    )
+                    for _ in range(8)
+                )
+            )
+
+    tracemalloc.start()
+    try:
+        asyncio.run(body())
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < MAX_MEMORY_BYTES
+    assert budget.held_bytes == 0
+
+
+# Guards against this failure: an endless body in tiny chunks stayed within the
+# limits on bytes, but each chunk took an object and processor time.
+def test_endless_body_in_tiny_chunks_is_cut_off_early():
+    start, filler = ENDLESS_ANSWERS["tiny-chunks"]
+
+    async def body() -> None:
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            await _exchange_with_endless_server(start, filler)
+
+    tracemalloc.start()
+    try:
+        asyncio.run(body())
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < http1.MAX_RESPONSE_BODY_BYTES / 4
+
+
+def test_answer_that_proves_no_origin_is_cut_off_by_the_limit_of_its_head():
+    async def body() -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(OK_HEAD + b"content-length: 2000\r\n\r\n")
+            writer.write(b"x" * 1001)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        connection = await http1.connect(f"127.0.0.1:{port}", 1.0)
+        with pytest.raises(http1.ConnectionFailedError, match="too large"):
+            await connection.exchange(
+                REQUEST, body_limit_bytes=lambda head: 1000
+            )
+        server.close()
+
+    asyncio.run(asyncio.wait_for(body(), TEST_TIMEOUT_S))
+
+
 def test_an_answer_in_chunks_of_one_byte_is_complete():
     async def body() -> bytes:
         async def serve(
--- a/tests/cover/test_front_server.py
+++ b/tests/cover/test_front_server.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from sardinehill.core import byte_budget
 from sardinehill.core import routes
 from sardinehill.front import requests
 from sardinehill.front import server as server_module
@@ -18,6 +19,7 @@
     header_timeout_s=0.2,
     idle_timeout_s=0.4,
 )
+BUDGET_BYTES = 16 * 1024 * 1024
 TEST_TIMEOUT_S = 20.0
 
 
@@ -27,9 +29,10 @@
 
 
 @contextlib.asynccontextmanager
-async def connected(limits=LIMITS):
+async def connected(limits=LIMITS, budget=None, handle=_reply_late):
     """Serves on a local port and yields a caller's connection."""
-    server = server_module.Server(_reply_late, lambda: limits)
+    budget = budget or byte_budget.ByteBudget(BUDGET_BYTES)
+    server = server_module.Server(handle, lambda: limits, budget)
     listening = await server.listen("127.0.0.1", 0)
     limits_task = asyncio.create_task(server.enforce_limits())
     port = listening.sockets[0].getsockname()[1]
@@ -158,3 +161,82 @@
         tracemalloc.stop()
         gc.enable()
     assert retained_bytes < 2 * LEFT_BODY_BYTES
+
+
+# Guards against this failure: bodies within the limit on one body exceeded the
+# daemon's memory together, and the requests of other callers ended with it.
+@pytest.mark.parametrize("framing", sorted(LEFT_BODIES))
+def test_bodies_beyond_the_memory_for_all_are_refused_and_may_come_back(
+    framing,
+):
+    limits = dataclasses.replace(
+        LIMITS, body_bytes=4 * LEFT_BODY_BYTES, idle_timeout_s=TEST_TIMEOUT_S
+    )
+    budget = byte_budget.ByteBudget(LEFT_BODY_BYTES)
+    start = b"POST / HTTP/1.1\r\nhost: a\r\n" + LEFT_BODIES[framing]
+
+    async def scenario():
+        async with connected(limits, budget) as (reader, writer):
+            writer.write(start + bytes(2 * LEFT_BODY_BYTES))
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 503 ")
+            assert b"retry-after:" in head.lower()
+            assert budget.held_bytes == 0
+
+    asyncio.run(scenario())
+
+
+def test_body_is_refused_before_it_comes_if_there_is_no_room_for_it():
+    limits = dataclasses.replace(LIMITS, body_bytes=4 * LEFT_BODY_BYTES)
+
+    async def scenario():
+        budget = byte_budget.ByteBudget(LEFT_BODY_BYTES)
+        async with connected(limits, budget) as (reader, writer):
+            writer.write(
+                b"POST / HTTP/1.1\r\nhost: a\r\n" + LEFT_BODIES["with-a-length"]
+            )
+            received = await reader.read()
+            assert received.startswith(b"HTTP/1.1 503 ")
+
+    asyncio.run(scenario())
+
+
+def test_small_requests_are_served_while_large_ones_hold_all_memory():
+    async def scenario():
+        budget = byte_budget.ByteBudget(1000)
+        byte_budget.ByteShare(budget).hold(10 * LEFT_BODY_BYTES)
+        async with connected(LIMITS, budget) as (reader, writer):
+            writer.write(
+                b"POST /small HTTP/1.1\r\nhost: a\r\n"
+                b"content-length: 3\r\n\r\nabc"
+            )
+            assert b" 200 " in await reader.readuntil(b"\r\n\r\n")
+
+    asyncio.run(scenario())
+
+
+# Guards against this failure: the answers for a caller that sent request after
+# request and read nothing were all kept in memory.
+def test_caller_that_does_not_read_gets_no_further_request_served():
+    served = []
+
+    async def reply_long(request):
+        served.append(request.target)
+        return requests.Reply(200, b"", bytes(4 * LEFT_BODY_BYTES))
+
+    async def scenario():
+        budget = byte_budget.ByteBudget(BUDGET_BYTES)
+        async with connected(LIMITS, budget, reply_long) as (reader, writer):
+            writer.write(b"GET /one HTTP/1.1\r\nhost: a\r\n\r\n" * 4)
+            await asyncio.sleep(0.3)
+            assert len(served) == 1
+            # The rest of the reply is in the kernel.
+            assert budget.held_bytes > 0
+            for _ in range(4):
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert b" 200 " in head
+                await reader.readexactly(4 * LEFT_BODY_BYTES)
+            assert len(served) == 4
+            assert budget.held_bytes == 0
+
+    asyncio.run(scenario())
