Keep only the fields of entries that are read

Cause: entries that name no upstream were kept decoded with all their fields, and a list was decoded whole before it was looked at. An entry of 1 MB may take over 20 MB.

An answer to a watch of over 2 MB is listed instead, and names of over 1,000 characters are malformed.

Tests: two of test_store_client.py failed before; a property shows that any reduced entry describes the same upstream or none.

--- a/src/sardinehill/platform/documents.py
+++ b/src/sardinehill/platform/documents.py
@@ -20,6 +20,26 @@
 _MAX_SLOTS = 10_000
 _MAX_PORT = 65_535
 _PORT_DIGITS = 5
+# The longest text that an entry is read with.
+_MAX_TEXT_CHARS = 1000
+
+# The fields of entries that are read, with their own fields.
+_Fields = dict[str, "_Fields | None"]
+_METADATA_FIELDS: _Fields = {"name": None, "revision": None, "deleting": None}
+_REGISTRATION_FIELDS: _Fields = {
+    "address": None,
+    "born": None,
+    "info": {"service": None, "zone": None, "slots": None, "version": None},
+    "status": {"state": None, "seqNo": None, "coldLeftS": None, "born": None},
+}
+_READ_FIELDS: dict[str, _Fields] = {
+    names.UPSTREAMS_KIND: {
+        "metadata": _METADATA_FIELDS,
+        "spec": _REGISTRATION_FIELDS,
+        **_REGISTRATION_FIELDS,
+    },
+    names.EVACUATIONS_KIND: {"metadata": _METADATA_FIELDS},
+}
 
 
 class MalformedDocumentError(Exception):
@@ -41,6 +61,31 @@
     return decode
 
 
+def reduced(kind: str, document: Json) -> Json:
+    """Returns an object with those of its fields only that are read.
+
+    Other writers may create entries of any size, and of some kinds a daemon
+    keeps all. A field of a type that none of the fields has is emptied, so that
+    it stays invalid. Objects of other kinds are returned as they are.
+    """
+    fields = _READ_FIELDS.get(kind)
+    return document if fields is None else _reduced_value(document, fields)
+
+
+def _reduced_value(value: Json, fields: _Fields | None) -> Json:
+    if isinstance(value, dict):
+        return {
+            name: _reduced_value(value[name], inner)
+            for name, inner in (fields or {}).items()
+            if name in value
+        }
+    if isinstance(value, list):
+        return []
+    if isinstance(value, str) and len(value) > _MAX_TEXT_CHARS:
+        return ""
+    return value
+
+
 def _text(document: Json, field: str) -> str:
     value = document.get(field) if isinstance(document, dict) else None
     if not isinstance(value, str) or not value:
--- a/src/sardinehill/platform/store.py
+++ b/src/sardinehill/platform/store.py
@@ -13,6 +13,7 @@
 from sardinehill import http1
 from sardinehill import tolerant_json
 from sardinehill.core import store_versions
+from sardinehill.platform import documents as documents_module
 from sardinehill.platform import names
 
 CONNECT_TIMEOUT_S = 0.5
@@ -26,6 +27,11 @@
 MAX_IDLE_CONNECTIONS = 4
 # Eras with more digits are malformed.
 MAX_ERA_DIGITS = 5
+# Objects with longer names are malformed.
+MAX_NAME_CHARS = 1000
+# Decoding takes up to twenty times the bytes. Longer answers to watches are not
+# decoded; a list comes in pages of about half of this.
+MAX_WATCH_ANSWER_BYTES = 2 * 1024 * 1024
 IDLE_TIMEOUT_S = 5.0
 _MS_PER_S = 1000
 
@@ -255,6 +261,7 @@
             query,
             None,
             WATCH_WAIT_MS / _MS_PER_S + WATCH_TIMEOUT_MARGIN_S,
+            MAX_WATCH_ANSWER_BYTES,
         )
         if reply.status == 410 or reply.era != version.era:
             raise WatchHistoryExpiredError(f"{kind}: no history from {version}")
@@ -305,6 +312,7 @@
         query: dict[str, str],
         body: Json,
         timeout_s: float,
+        max_decoded_bytes: int | None = None,
     ) -> _Reply:
         data = self._encode(method, path, query, body)
         self.call_counts[call] = self.call_counts.get(call, 0) + 1
@@ -322,6 +330,12 @@
             raise StoreBusyError(
                 f"{method} {'/'.join(path)}: status {response.status}"
             )
+        size_bytes = len(response.body)
+        if max_decoded_bytes is not None and size_bytes > max_decoded_bytes:
+            connection.close()
+            raise WatchHistoryExpiredError(
+                f"{path}: {size_bytes} bytes of changes are listed instead"
+            )
         try:
             decoded = (
                 tolerant_json.loads(response.body) if response.body else None
@@ -425,10 +439,16 @@
         )
     name, revision = metadata.get("name"), metadata.get("revision")
     # Names become parts of headers and of messages between daemons.
-    is_valid = isinstance(name, str) and name.isascii() and name.isprintable()
+    is_valid = (
+        isinstance(name, str)
+        and len(name) <= MAX_NAME_CHARS
+        and name.isascii()
+        and name.isprintable()
+    )
     if not name or not is_valid or not isinstance(revision, int):
         raise errors.StoreReplyError(f"{kind}: {metadata!r:.200}")
-    return StoredObject(kind, name, revision, document.get("spec"), document)
+    reduced = documents_module.reduced(kind, document)
+    return StoredObject(kind, name, revision, reduced.get("spec"), reduced)
 
 
 def _decode_written_object(kind: str, name: str, reply: _Reply) -> StoredObject:
--- a/tests/cover/test_platform_formats.py
+++ b/tests/cover/test_platform_formats.py
@@ -3,6 +3,9 @@
 import asyncio
 import copy
 
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
 import pytest
 
 from sardinehill import errors
@@ -328,3 +331,52 @@
     connection._read_server_idle_timeout(
         http1.Response(200, [(b"keep-alive", value)])
     )
+
+
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=8)
+    | st.sampled_from(["ready", "draining", "10.0.0.1:80"]),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(
+                ["spec", "status", "info", "address", "born", "state"]
+                + ["service", "zone", "slots", "coldLeftS", "seqNo", "x"]
+            ),
+            inner,
+            max_size=5,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+def decoded_or_malformed(document):
+    try:
+        return documents.decode_upstream("i-1", document)
+    except documents.MalformedDocumentError:
+        return None
+
+
+@given(
+    changes=st.dictionaries(st.sampled_from(["spec", "status"]), JSON_VALUES)
+)
+@hypothesis_settings(derandomize=True, deadline=None)
+def test_reduced_entry_describes_the_same_upstream(changes):
+    document = upstream_document(**changes)
+    reduced = documents.reduced("servers", document)
+    assert decoded_or_malformed(reduced) == decoded_or_malformed(document)
+
+
+@pytest.mark.parametrize("field", ["slots", "zone", "extra"])
+def test_reduced_entry_is_small_whatever_its_fields_hold(field):
+    document = upstream_document()
+    document["spec"]["info"][field] = [[]] * 1000
+    document["spec"][field] = "x" * 100_000
+    reduced = documents.reduced("servers", document)
+    assert len(repr(reduced)) < 1000
+    assert (decoded_or_malformed(reduced) is None) == (field != "extra")
--- a/tests/cover/test_store_client.py
+++ b/tests/cover/test_store_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import socket
+import tracemalloc
 
 from aiohttp import test_utils
 import pytest
@@ -167,3 +168,42 @@
         assert unanswered_probes_that_end(sock) == http1.KEEPALIVE_PROBE_COUNT
 
     run(scenario)
+
+
+# An entry of 1 MB that takes some twenty times as much when it is decoded.
+LARGE_ENTRY = {
+    "address": "127.0.3.1:80",
+    "info": {"service": "s", "zone": "z", "slots": [[]] * 330_000},
+}
+LARGE_ENTRIES = 6
+DECODED_ENTRY_BYTES = 20 * 1024 * 1024
+
+
+# Guards against this failure: entries that name no upstream were kept decoded,
+# whatever their size. Fourteen of 1 MB ended every daemon, and again each time
+# that it had started.
+def test_large_odd_entries_take_little_memory_once_they_are_listed():
+    async def scenario(store, client):
+        for number in range(LARGE_ENTRIES):
+            await store.put(KIND, f"odd-{number}", spec=LARGE_ENTRY)
+        tracemalloc.start()
+        try:
+            objects, _ = await client.list_objects(KIND)
+            retained_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert len(objects) == LARGE_ENTRIES
+        assert retained_bytes < DECODED_ENTRY_BYTES
+
+    run(scenario)
+
+
+def test_changes_that_are_too_large_to_decode_at_once_are_listed_instead():
+    async def scenario(store, client):
+        _, version = await client.list_objects(KIND)
+        for number in range(LARGE_ENTRIES):
+            await store.put(KIND, f"odd-{number}", spec=LARGE_ENTRY)
+        with pytest.raises(store_module.WatchHistoryExpiredError):
+            await anext(client.watch(KIND, version))
+
+    run(scenario)
