Reset callers' connections that end within an answer without length

Cause: the end of the connection is the end of such a body, and the kernel ends a killed process's connections in order.

Change: while the daemon still holds a part of such an answer, its connection is set to be reset when it ends. It ends in order once the kernel has all. Chunks would not do: the daemon cannot tell whether the upstream died midway, and must not mark the end as whole.

--- a/src/sardinehill/front/server.py
+++ b/src/sardinehill/front/server.py
@@ -312,11 +312,32 @@
             self._server.draining and not self._has_next_request()
         )
         is_head = queued.request.method == b"HEAD"
-        self._write(encode_reply(reply, is_last, is_head))
+        data = encode_reply(reply, is_last, is_head)
+        if reply.ends_with_connection:
+            await self._write_until_end(data)
+        else:
+            self._write(data)
         self._phase_started_s = self._loop.time()
         if is_last:
             self._close()
 
+    async def _write_until_end(self, data: bytes) -> None:
+        """Writes a reply that ends with the connection.
+
+        If this process ended before the kernel has all of it, an end of the
+        connection in order would pass for the end of the reply. Until then the
+        kernel is therefore to reset the connection.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        transport.set_write_buffer_limits(high=0)
+        http1.set_discard_unsent_on_close(transport, True)
+        self._write(data)
+        await self._may_write.wait()
+        if not transport.is_closing():
+            http1.set_discard_unsent_on_close(transport, False)
+
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
--- a/tests/cover/test_front_server.py
+++ b/tests/cover/test_front_server.py
@@ -215,6 +215,10 @@
     asyncio.run(scenario())
 
 
+# More than the kernel holds of a connection.
+LONG_REPLY_BYTES = 16 * 1024 * 1024
+
+
 # Guards against this failure: the answers for a caller that sent request after
 # request and read nothing were all kept in memory.
 def test_caller_that_does_not_read_gets_no_further_request_served():
@@ -222,7 +226,7 @@
 
     async def reply_long(request):
         served.append(request.target)
-        return requests.Reply(200, b"", bytes(4 * LEFT_BODY_BYTES))
+        return requests.Reply(200, b"", bytes(LONG_REPLY_BYTES))
 
     async def scenario():
         budget = byte_budget.ByteBudget(BUDGET_BYTES)
@@ -235,7 +239,7 @@
             for _ in range(4):
                 head = await reader.readuntil(b"\r\n\r\n")
                 assert b" 200 " in head
-                await reader.readexactly(4 * LEFT_BODY_BYTES)
+                await reader.readexactly(LONG_REPLY_BYTES)
             assert len(served) == 4
             assert budget.held_bytes == 0
 
