Give callers the verdict on all attempts of a request, not on the last

Cause: the daemon of the demo gave the verdict of the last attempt, of two hedged ones that of the later, and NOT_RUN where the deadline passed between two attempts.

Change: one object keeps the verdict over all attempts and never goes back. The demo's daemon uses it for retries, deadlines and hedges; the daemon of the users' platform uses it in place of its flag, with the same effect as before.

--- a/src/sardinehill/daemon/caller_server.py
+++ b/src/sardinehill/daemon/caller_server.py
@@ -26,6 +26,7 @@
 from sardinehill.core import fleet
 from sardinehill.core import forward_messages
 from sardinehill.core import placement
+from sardinehill.core import request_verdict
 from sardinehill.core import retries
 from sardinehill.core import token_lending
 from sardinehill.daemon import account_admission
@@ -335,17 +336,21 @@
             forward.service, retries.RetryBudget()
         )
         budget.record_request()
+        verdict = request_verdict.RequestVerdict()
         attempts = routing_attempts = 0
         while True:
             left_s = state.deadline_s - _now_s()
             if left_s <= 0:
-                raise _refusal(errors.Reason.DEADLINE_PASSED)
+                raise errors.RequestRefusedError(
+                    errors.Reason.DEADLINE_PASSED, verdict.value
+                )
             left_ms = max(1, int(left_s * 1000))
             answer = await self._attempt(
                 dataclasses.replace(forward, deadline_ms=left_ms), left_s
             )
             if answer.reason is None:
                 return answer
+            verdict.record(answer.verdict)
             if (
                 retries.failure_kind(answer.reason)
                 is retries.FailureKind.ROUTING
@@ -368,7 +373,9 @@
                 self._rng,
             )
             if not decision.retry:
-                return dataclasses.replace(answer, reason=decision.reason)
+                return dataclasses.replace(
+                    answer, reason=decision.reason, verdict=verdict.value
+                )
             self._counters.count_retry(answer.reason)
             await asyncio.sleep(decision.wait_s)
 
--- a/src/sardinehill/daemon/undivided_sender.py
+++ b/src/sardinehill/daemon/undivided_sender.py
@@ -17,6 +17,7 @@
 from sardinehill.core import hedging
 from sardinehill.core import outliers
 from sardinehill.core import placement
+from sardinehill.core import request_verdict
 from sardinehill.core import upstream_selection
 from sardinehill.daemon import fleet_view
 from sardinehill.daemon import peer_bus
@@ -348,8 +349,12 @@
     first: asyncio.Task[forward_messages.ForwardAnswer],
     second: asyncio.Task[forward_messages.ForwardAnswer],
 ) -> forward_messages.ForwardAnswer:
-    """Returns the first answer to a request that ran, or else the last one."""
+    """Returns the first answer to a request that ran, or else the last one.
+
+    The last one tells whether either request may have run.
+    """
     in_flight = {first, second}
+    verdict = request_verdict.RequestVerdict()
     answer = None
     while in_flight:
         done, in_flight = await asyncio.wait(
@@ -359,8 +364,9 @@
             answer = task.result()
             if answer.verdict is errors.Verdict.RAN:
                 return answer
+            verdict.record(answer.verdict)
     assert answer is not None
-    return answer
+    return dataclasses.replace(answer, verdict=verdict.value)
 
 
 def _refusal(reason: errors.Reason) -> errors.RequestRefusedError:
--- a/src/sardinehill/front/requests.py
+++ b/src/sardinehill/front/requests.py
@@ -6,6 +6,7 @@
 from sardinehill import errors
 from sardinehill import http1
 from sardinehill.core import request_digests
+from sardinehill.core import request_verdict
 from sardinehill.core import routes
 from sardinehill.core import upstream_state as state_module
 from sardinehill.front import forwarding
@@ -99,7 +100,7 @@
       tried_upstreams: the ids of upstreams that it was sent to.
       used_connections: the connections that it was sent over. An upstream may
         repeat its refusal there, which would pass for a later answer.
-      may_have_run: whether an upstream may have run it.
+      verdict: whether an upstream may have run it, over all attempts.
       in_flight: whether it is at an upstream now.
       sent_s: when it was last sent.
       waiting_since_s: when it first had to wait for capacity, or None.
@@ -122,13 +123,20 @@
     used_connections: list[AnyConnection] = dataclasses.field(
         default_factory=list
     )
-    may_have_run: bool = False
+    verdict: request_verdict.RequestVerdict = dataclasses.field(
+        default_factory=request_verdict.RequestVerdict
+    )
     in_flight: bool = False
     sent_s: float = 0.0
     waiting_since_s: float | None = None
     last_failure: str = ""
     peer: str = ""
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream has run it or may have run it."""
+        return self.verdict.may_have_run
+
 
 def head_digest(context: RequestContext) -> bytes:
     """Returns the beginning of the digest of a request."""
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -296,7 +296,7 @@
         context.last_failure = "connection-lost"
         if not error.written:
             return
-        context.may_have_run = True
+        context.verdict.record(errors.Verdict.MAY_HAVE_RUN)
         digest = requests.digest(context)
         if not error.response_started and is_upstreams_fault:
             self._evidence.note_broken(target.upstream, digest)
@@ -346,7 +346,7 @@
         if ok:
             self._record_success(context, target, answer, latency_s, mean_s)
             return answer
-        context.may_have_run = True
+        context.verdict.record(errors.Verdict.MAY_HAVE_RUN)
         context.last_failure = (
             f"status-{answer.status}" if is_genuine else "garbled"
         )
