Keep the journals of a demo that finds a broken promise

Its directory stays now, and it prints where it is and the lines about each violated request, also those under the daemons' own id of it. A clean run leaves nothing. The bench's workloads and the process tests do not do so yet.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -7,9 +7,9 @@
 import asyncio
 import pathlib
 import sys
-import tempfile
 import time
 
+from bench import evidence
 from bench import load_generator
 from bench import run_metrics
 from standins import deployment as deployment_module
@@ -176,10 +176,9 @@
 
 def main() -> int:
     """Runs the demonstration and prints the results for each promise."""
-    with tempfile.TemporaryDirectory() as temporary:
-        directory = pathlib.Path(temporary)
-        asyncio.run(_run_demo(directory))
-        history = run_history.read(directory)
+    directory = evidence.new_directory("sardinehill-demo-")
+    asyncio.run(_run_demo(directory))
+    history = run_history.read(directory)
     results = check_runner.run_checks(history)
     report = run_metrics.compute_metrics(history, 0.0, float("inf"))
     _print_step(
@@ -194,6 +193,7 @@
         2: "a promise was not exercised",
     }
     sys.stdout.write(conclusions[status] + "\n")
+    evidence.finish(directory, results, sys.stdout)
     return status
 
 
