--- a/tests/cover/test_endless_answers.py
+++ b/tests/cover/test_endless_answers.py
@@ -1,9 +1,11 @@
 """Tests of servers that send bytes without end in place of an answer."""
 
 import asyncio
+from collections.abc import Coroutine
 import contextlib
 import gc
 import tracemalloc
+from typing import Any
 
 import pytest
 
@@ -76,19 +78,23 @@
     server.close()
 
 
+def _peak_bytes(body: Coroutine[Any, Any, None]) -> int:
+    """Runs a coroutine and returns the most memory that it allocated."""
+    tracemalloc.start()
+    try:
+        asyncio.run(body)
+        return tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+
+
 @pytest.mark.parametrize("name", sorted(ENDLESS_ANSWERS))
 def test_an_endless_answer_is_cut_off_within_bounded_memory(name: str):
     async def body() -> None:
         async with asyncio.timeout(TEST_TIMEOUT_S):
             await _exchange_with_endless_server(*ENDLESS_ANSWERS[name])
 
-    tracemalloc.start()
-    try:
-        asyncio.run(body())
-        _, peak_bytes = tracemalloc.get_traced_memory()
-    finally:
-        tracemalloc.stop()
-    assert peak_bytes < MAX_MEMORY_BYTES
+    assert _peak_bytes(body()) < MAX_MEMORY_BYTES
 
 
 @pytest.fixture
@@ -139,13 +145,7 @@
                 )
             )
 
-    tracemalloc.start()
-    try:
-        asyncio.run(body())
-        _, peak_bytes = tracemalloc.get_traced_memory()
-    finally:
-        tracemalloc.stop()
-    assert peak_bytes < MAX_MEMORY_BYTES
+    assert _peak_bytes(body()) < MAX_MEMORY_BYTES
     assert budget.held_bytes == 0
 
 
@@ -158,13 +158,7 @@
         async with asyncio.timeout(TEST_TIMEOUT_S):
             await _exchange_with_endless_server(start, filler)
 
-    tracemalloc.start()
-    try:
-        asyncio.run(body())
-        _, peak_bytes = tracemalloc.get_traced_memory()
-    finally:
-        tracemalloc.stop()
-    assert peak_bytes < http1.MAX_RESPONSE_BODY_BYTES / 4
+    assert _peak_bytes(body()) < http1.MAX_RESPONSE_BODY_BYTES / 4
 
 
 def test_answer_that_proves_no_origin_is_cut_off_by_the_limit_of_its_head():
