Log by what a leader's term is confirmed and which life released keys

Cause: the logs could not tell a replaced leader that was taken for confirmed from a holder that the next leader did not know. Change: term-confirmed and term-unconfirmed at each change; keys-released and keys-lapsed name the epoch and the life.

--- a/src/sardinehill/events.py
+++ b/src/sardinehill/events.py
@@ -64,6 +64,8 @@
 KEYS_TAKEN_BACK = Event(317, "keys-taken-back", logging.INFO)
 ASSIGNMENT_OUTDATED = Event(316, "assignment-outdated", logging.WARNING)
 GRANT_ABANDONED = Event(318, "grant-abandoned", logging.INFO)
+TERM_CONFIRMED = Event(319, "term-confirmed", logging.INFO)
+TERM_UNCONFIRMED = Event(320, "term-unconfirmed", logging.WARNING)
 
 STORE_LOST = Event(401, "store-lost", logging.WARNING)
 STORE_BACK = Event(402, "store-back", logging.INFO)
--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from sardinehill import errors
+from sardinehill import events
 from sardinehill.front import election
 from sardinehill.front import followers as followers_module
 from sardinehill.front import order_sender
@@ -83,6 +84,7 @@
         self._cut_off: set[str] = set()
         self._reached_by_others_since_s: float | None = None
         self._is_exclusive = False
+        self._was_confirmed = False
         self._last_ran_s = self._began_s
         self._distrust_reports_until_s = self._began_s
         self.resigned = False
@@ -227,12 +229,30 @@
         """Returns whether the term is confirmed, so that orders may be sent."""
         if self.resigned or self.ended.is_set():
             return False
+        is_confirmed = self._is_confirmed()
+        if is_confirmed != self._was_confirmed:
+            self._was_confirmed = is_confirmed
+            self._log_confirmation(is_confirmed)
+        return is_confirmed
+
+    def _is_confirmed(self) -> bool:
         if self._clock_s() - self._confirmed_s < order_sender.TERM_VALIDITY_S:
             return True
         return (
             self._count_heard(order_sender.TERM_VALIDITY_S) >= self._majority()
         )
 
+    def _log_confirmation(self, is_confirmed: bool) -> None:
+        """Logs by what the term is confirmed, or that it is no longer."""
+        events.log(
+            events.TERM_CONFIRMED if is_confirmed else events.TERM_UNCONFIRMED,
+            term=self._number,
+            by_store_ago_s=round(self._clock_s() - self._confirmed_s, 3),
+            heard=self._count_heard(order_sender.TERM_VALIDITY_S),
+            majority=self._majority(),
+            exclusive=self._is_exclusive,
+        )
+
     def is_exclusive(self) -> bool:
         """Returns whether no earlier leader's term can be confirmed any more.
 
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -196,7 +196,10 @@
                 first=span.first,
                 last=span.last,
                 upstream=former.incarnation[0],
+                started_at_ms=former.incarnation[1],
+                epoch=former.epoch,
                 ended=has_ended,
+                exclusive=self._was_exclusive,
             )
         key_orders.clear_former_owner(span)
         self._on_former_gone()
@@ -266,6 +269,9 @@
                 first=release.first,
                 last=release.last,
                 upstream=release.incarnation[0],
+                started_at_ms=owner.incarnation[1],
+                epoch=release.former_epoch,
+                age_s=round(now_s - release.created_s, 3),
                 handover=handover is not None,
             )
         elif result.status is None and owner.failing_since_s is None:
--- a/tests/cover/test_leader_term.py
+++ b/tests/cover/test_leader_term.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from sardinehill import events
 from sardinehill.front import election
 from sardinehill.front import followers
 from sardinehill.front import known_leader
@@ -340,3 +341,26 @@
     assert not (old.may_send_orders() and new.is_exclusive())
     # A leader need not wait for daemons that could not confirm another one.
     assert old.may_send_orders() or new.is_exclusive()
+
+
+def test_the_log_says_by_what_a_term_was_confirmed(caplog):
+    clock = Clock()
+    term = new_term(clock, other=1.0, third=1.0)
+    with caplog.at_level("INFO"):
+        assert term.may_send_orders()
+        clock.now_s += order_sender.TERM_VALIDITY_S + 0.1
+        assert not term.may_send_orders()
+        term.note_running()
+        clock.now_s += leader_term.REPORT_DISTRUST_S
+        term.note_running()
+        term.note_report("other", "127.0.0.1:1")
+        assert term.may_send_orders()
+    lines = [events.record_as_dict(record) for record in caplog.records]
+    assert [line["event_name"] for line in lines] == [
+        "term-confirmed",
+        "term-unconfirmed",
+        "term-confirmed",
+    ]
+    assert lines[0]["by_store_ago_s"] < order_sender.TERM_VALIDITY_S
+    assert lines[2]["by_store_ago_s"] > order_sender.TERM_VALIDITY_S
+    assert (lines[2]["heard"], lines[2]["majority"]) == (2, 2)
