Keep what bounds an earlier leader's grants when an order ends unsent

Cause: a grant kept, from when it was created, until when its owner might hold the keys without it, and its end put that back. What had been learnt in between was lost: that the keys had moved while an earlier leader could still grant them again, and that this leader led alone only later. A release then counted at once, or the former owner counted as lapsed too early. Change: what a pending grant adds is kept apart from what other orders and earlier leaders add, and ends alone with its outcome.

--- a/src/sardinehill/core/key_orders.py
+++ b/src/sardinehill/core/key_orders.py
@@ -45,10 +45,6 @@
       created_s: when the grant was created.
       delivery_deadline_s: by then the grant has arrived, or its connection is
         closed.
-      previous_may_hold_until_s: until when the owner might hold the keys
-        without this grant.
-      previous_in_flight_until_s: until when an earlier grant might still take
-        effect.
     """
 
     first: int
@@ -58,8 +54,6 @@
     handover: str | None
     created_s: float
     delivery_deadline_s: float
-    previous_may_hold_until_s: float
-    previous_in_flight_until_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,12 +105,8 @@
         span.handover,
         now_s,
         delivery_deadline_s,
-        span.may_hold_until_s,
-        span.in_flight_until_s,
     )
-    end_s = latest_expiry_s(delivery_deadline_s, hold_s)
-    span.may_hold_until_s = max(span.may_hold_until_s, end_s)
-    span.in_flight_until_s = max(span.in_flight_until_s, end_s)
+    span.pending_until_s = latest_expiry_s(delivery_deadline_s, hold_s)
     span.order_pending = True
     return grant
 
@@ -151,17 +141,18 @@
     spans = list(_current_spans(assignment, grant))
     for span in spans:
         span.order_pending = False
-        _record_outcome(span, grant, outcome, now_s, hold_s)
+        _record_outcome(span, outcome, now_s, hold_s)
         if outcome is GrantOutcome.ACCEPTED:
             span.may_hold_until_s = max(
                 latest_expiry_s(now_s, hold_s), span.in_flight_until_s
             )
             span.previous_leader_until_s = 0.0
     for former in _former_owners(assignment, grant):
-        _record_outcome(former, grant, outcome, now_s, hold_s)
+        _record_outcome(former, outcome, now_s, hold_s)
         if outcome is GrantOutcome.ACCEPTED:
             # The grant may have arrived after a release and thus undone it.
             former.last_granted_s = now_s
+            former.previous_leader_until_s = 0.0
             former.may_hold_until_s = max(
                 latest_expiry_s(now_s, hold_s), former.in_flight_until_s
             )
@@ -171,21 +162,29 @@
 
 def _record_outcome(
     holder: keyspace.Span | keyspace.FormerOwner,
-    grant: KeyGrant,
     outcome: GrantOutcome,
     now_s: float,
     hold_s: float,
 ) -> None:
+    """Ends the wait for a grant's outcome.
+
+    What was learnt of other orders since the grant was created is kept.
+    """
+    pending_until_s, holder.pending_until_s = holder.pending_until_s, 0.0
     if outcome is GrantOutcome.UNANSWERED:
         # The connection may have been closed later than planned.
-        end_s = latest_expiry_s(now_s, hold_s)
-        holder.may_hold_until_s = max(holder.may_hold_until_s, end_s)
-        holder.in_flight_until_s = max(holder.in_flight_until_s, end_s)
-        return
-    # Earlier grants may still be unanswered.
-    holder.in_flight_until_s = grant.previous_in_flight_until_s
-    if outcome is GrantOutcome.UNSENT:
-        holder.may_hold_until_s = grant.previous_may_hold_until_s
+        pending_until_s = max(pending_until_s, latest_expiry_s(now_s, hold_s))
+        _add_in_flight(holder, pending_until_s)
+    elif outcome is GrantOutcome.REFUSED:
+        holder.may_hold_until_s = max(holder.may_hold_until_s, pending_until_s)
+
+
+def _add_in_flight(
+    holder: keyspace.Span | keyspace.FormerOwner, until_s: float
+) -> None:
+    """Records that a grant may take effect until a time."""
+    holder.may_hold_until_s = max(holder.may_hold_until_s, until_s)
+    holder.in_flight_until_s = max(holder.in_flight_until_s, until_s)
 
 
 def _current_spans(
@@ -278,9 +277,16 @@
       is_dead: whether that incarnation of the upstream has certainly ended.
     """
     former = span.former_owner
-    if former is None or is_dead or now_s >= former.may_hold_until_s:
+    if former is None or is_dead:
         return True
-    return former.released and now_s >= former.in_flight_until_s
+    arrived_s = max(
+        former.in_flight_until_s,
+        former.pending_until_s,
+        former.previous_leader_until_s,
+    )
+    if now_s < arrived_s:
+        return False
+    return former.released or now_s >= former.may_hold_until_s
 
 
 def clear_former_owner(span: keyspace.Span) -> None:
@@ -313,12 +319,15 @@
             former.may_hold_until_s = max(
                 former.may_hold_until_s, may_hold_until_s
             )
-            # A known former owner is asked to release its keys before that.
-            is_unknown = former.incarnation == keyspace.UNKNOWN_OWNER
-            former.in_flight_until_s = max(
-                former.in_flight_until_s,
-                in_flight_until_s if is_unknown else may_hold_until_s,
-            )
+            if former.incarnation == keyspace.UNKNOWN_OWNER:
+                former.in_flight_until_s = max(
+                    former.in_flight_until_s, in_flight_until_s
+                )
+            else:
+                # It is asked to release its keys before they have arrived.
+                former.previous_leader_until_s = max(
+                    former.previous_leader_until_s, may_hold_until_s
+                )
 
 
 def record_released_by_all(
@@ -389,6 +398,8 @@
         span.sent_at_connection = None
         # The outcome of a grant under the lower epoch no longer changes this
         # span.
+        _add_in_flight(span, span.pending_until_s)
+        span.pending_until_s = 0.0
         span.order_pending = False
         span.next_order_s = 0.0
     return True
--- a/src/sardinehill/core/keyspace.py
+++ b/src/sardinehill/core/keyspace.py
@@ -28,9 +28,13 @@
     Attributes:
       incarnation: the upstream's id and start time.
       epoch: the epoch under which it had the span.
-      may_hold_until_s: from then on it certainly does not hold the span.
-      in_flight_until_s: until then a grant that was sent may still give it the
+      may_hold_until_s: from then on it certainly does not hold the span, unless
+        one of the other times is later.
+      in_flight_until_s: until then an unanswered grant may still give it the
         span again.
+      pending_until_s: the same for a grant whose outcome is not known yet, or 0.
+      previous_leader_until_s: the same for grants by a previous leader, or 0 if
+        it has seen a later epoch.
       released: whether it answered that it has given up the span.
       last_granted_s: when it last accepted a grant of the span. A grant in
         flight may arrive after a release and thus undo it.
@@ -40,6 +44,8 @@
     epoch: int
     may_hold_until_s: float
     in_flight_until_s: float = 0.0
+    pending_until_s: float = 0.0
+    previous_leader_until_s: float = 0.0
     released: bool = False
     last_granted_s: float = 0.0
 
@@ -60,9 +66,11 @@
       handover: what the former owner left for the next one, or None.
       confirmed: whether the owner has confirmed the grant.
       granted_until_s: until then the owner certainly holds the span.
-      may_hold_until_s: from then on the owner certainly does not hold it.
+      may_hold_until_s: from then on the owner certainly does not hold it, unless
+        one of the other times is later.
       in_flight_until_s: until then an unanswered grant under this epoch may
         still take effect.
+      pending_until_s: the same for a grant whose outcome is not known yet, or 0.
       previous_leader_until_s: until then a grant by a previous leader, under a
         lower epoch, may take effect, unless the owner has seen this epoch.
       next_order_s: when the next grant or release is due.
@@ -81,6 +89,7 @@
     granted_until_s: float = 0.0
     may_hold_until_s: float = 0.0
     in_flight_until_s: float = 0.0
+    pending_until_s: float = 0.0
     previous_leader_until_s: float = 0.0
     next_order_s: float = 0.0
     order_pending: bool = False
@@ -186,7 +195,7 @@
             (str(former[0]), int(former[1])),
             int(former[2]),
             may_hold_until_s,
-            may_hold_until_s,
+            previous_leader_until_s=may_hold_until_s,
         )
     return span
 
@@ -317,7 +326,9 @@
             span.owner,
             span.epoch,
             span.may_hold_until_s,
-            max(span.in_flight_until_s, span.previous_leader_until_s),
+            span.in_flight_until_s,
+            span.pending_until_s,
+            span.previous_leader_until_s,
         )
     span.owner = owner
     span.epoch = span.first_epoch = epoch
@@ -327,6 +338,7 @@
     span.granted_until_s = 0.0
     span.may_hold_until_s = 0.0
     span.in_flight_until_s = 0.0
+    span.pending_until_s = 0.0
     span.previous_leader_until_s = 0.0
     span.next_order_s = 0.0
     span.order_pending = False
