--- a/src/sardinehill/core/keyspace.py
+++ b/src/sardinehill/core/keyspace.py
@@ -32,7 +32,7 @@
         one of the other times is later.
       in_flight_until_s: until then an unanswered grant may still give it the
         span again.
-      pending_until_s: the same for a grant whose outcome is not known yet, or 0.
+      pending_until_s: the same for a grant without an outcome yet, or 0.
       previous_leader_until_s: the same for grants by a previous leader, or 0 if
         it has seen a later epoch.
       released: whether it answered that it has given up the span.
@@ -66,11 +66,11 @@
       handover: what the former owner left for the next one, or None.
       confirmed: whether the owner has confirmed the grant.
       granted_until_s: until then the owner certainly holds the span.
-      may_hold_until_s: from then on the owner certainly does not hold it, unless
-        one of the other times is later.
+      may_hold_until_s: from then on the owner certainly does not hold it,
+        unless one of the other times is later.
       in_flight_until_s: until then an unanswered grant under this epoch may
         still take effect.
-      pending_until_s: the same for a grant whose outcome is not known yet, or 0.
+      pending_until_s: the same for a grant without an outcome yet, or 0.
       previous_leader_until_s: until then a grant by a previous leader, under a
         lower epoch, may take effect, unless the owner has seen this epoch.
       next_order_s: when the next grant or release is due.
