Let a restored store confirm no leader of an earlier era

A replaced leader that a cut had kept from its peers, and not from the store, could renew grants for more than a second while its successor took them for lapsed. Cause: a successor counts on the store confirming only the newest term. A store restored from an older copy names the earlier leader again, and that one took the lease that it read there for a confirmation. Change: once the store was restored within a term, only a majority of daemons confirms it; without one the term ends and there is an election in the new era.

--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -75,7 +75,9 @@
         self._began_s = clock_s()
         # The answer may have come late, when another daemon led already.
         self._confirmed_s = leader_election.lease_asked_s
+        self._lease_read_s = self._confirmed_s
         self._number = registry.lease.term
+        self._first_era = registry.lease_era
         # The store's era in which the lease was last known to be held.
         self._lease_era = registry.lease_era
         self._heard_s: dict[str, float] = {}
@@ -332,7 +334,7 @@
 
     def _needs_lease(self) -> bool:
         """Returns whether the lease must be read now to confirm the term."""
-        read_age_s = self._clock_s() - self._confirmed_s
+        read_age_s = self._clock_s() - self._lease_read_s
         return (
             not self._is_followed_by_majority()
             or read_age_s > LEASE_RECHECK_INTERVAL_S
@@ -341,8 +343,9 @@
     async def _confirm_lease(self) -> None:
         """Reads the lease, and ends the term if another daemon holds it.
 
-        The lease of an earlier leader, which a restored store went back to, is
-        replaced.
+        A store that was restored during the term may have forgotten the lease
+        of a later leader. It confirms nothing; the term goes on only with a
+        majority. The lease of an earlier leader is replaced.
 
         Raises:
           StoreError: the lease could not be read, or its outcome is not known.
@@ -350,13 +353,19 @@
         query_started_s = self._clock_s()
         await self._election.read_lease()
         era = self._registry.store_era
+        is_restored = era > self._first_era
+        if is_restored and not self._is_followed_by_majority():
+            self.ended.set()
+            return
         if self._registry.lease.term < self._number:
             await self._registry.acquire_lease(self._number)
         if not self._registry.holds_lease:
             self.ended.set()
             return
-        self._confirmed_s = query_started_s
         self._lease_era = era
+        self._lease_read_s = query_started_s
+        if not is_restored:
+            self._confirmed_s = query_started_s
 
     def _silent_peers(self) -> list[str]:
         now_s = self._clock_s()
--- a/tests/cover/test_leader_term.py
+++ b/tests/cover/test_leader_term.py
@@ -146,6 +146,11 @@
 
 def ends_after_a_restore(registry):
     """Returns whether the term of a leader ends after a restore."""
+    return term_after_a_restore(registry).ended.is_set()
+
+
+def term_after_a_restore(registry):
+    """Returns the term of a leader that has noticed a restore."""
 
     async def body():
         loop = asyncio.get_running_loop()
@@ -156,7 +161,7 @@
         checking = asyncio.ensure_future(term.check_lease())
         await asyncio.sleep(3 * leader_term.ERA_CHECK_INTERVAL_S)
         checking.cancel()
-        return term.ended.is_set()
+        return term
 
     return asyncio.run(body())
 
@@ -176,6 +181,22 @@
     assert registry.acquired_terms == []
 
 
+@pytest.mark.parametrize("stored_term", [6, 7])
+def test_a_restored_store_does_not_confirm_a_leader_that_nobody_follows(
+    stored_term,
+):
+    # The store may have forgotten the lease of a later leader.
+    registry = FakeLease(peer_registry.LeaderLease(stored_term, "me"))
+    registry.stored = dataclasses.replace(
+        registry.stored, incarnation=registry.lease.incarnation
+    )
+    registry.peer_addresses = dict.fromkeys(("me", "a", "b"), "127.0.0.1:1")
+    term = term_after_a_restore(registry)
+    assert term.ended.is_set()
+    assert not term.may_send_orders()
+    assert registry.acquired_terms == []
+
+
 def test_leader_ends_if_another_one_leads_whom_its_followers_do_not_hear(
     monkeypatch,
 ):
