Write a lost assignment again only while the lease is held in its era

Cause: a leader that had been replaced, but had not learnt of it when the store was restored, wrote its owners again and marked them as of the present era. The next leader trusted them and did not look for holders that the lost moves had made. Change: the assignment is written again only once the lease was read or taken in the present era, which a leader without followers does not get to.

--- a/src/sardinehill/front/assignment_store.py
+++ b/src/sardinehill/front/assignment_store.py
@@ -35,6 +35,7 @@
         store: store_module.StoreClient,
         on_superseded: Callable[[], None],
         may_change: Callable[[], bool] = lambda: True,
+        holds_lease: Callable[[], bool] = lambda: True,
     ):
         """Creates an object that has not read anything.
 
@@ -45,12 +46,15 @@
           on_superseded: called when a later leader has written.
           may_change: returns whether the leader may change owners now. One that
             hears no upstream would take keys from owners that others reach.
+          holds_lease: returns whether the leader holds the lease in the store's
+            present era. One that was replaced would hide its successor's moves.
         """
         self._service = service
         self._term = term
         self._store = store
         self._on_superseded = on_superseded
         self._may_change = may_change
+        self._holds_lease = holds_lease
         self._has_written = False
         self._era = 0
         self._is_superseded = False
@@ -133,7 +137,7 @@
             self._log_failure(error)
             return False
         self._check_term(stored)
-        if await self._write(assignment):
+        if self._holds_lease() and await self._write(assignment):
             return not self.is_lost
         self._era = lost_era
         return False
--- a/src/sardinehill/front/leader_tasks.py
+++ b/src/sardinehill/front/leader_tasks.py
@@ -49,6 +49,7 @@
         limits: named_limits.NamedLimits,
         leaving: leaving_upstreams.LeavingUpstreams,
         may_move_keys: Callable[[], bool],
+        holds_lease: Callable[[], bool],
     ):
         self._term = term
         self._store = store
@@ -70,6 +71,7 @@
         self._limits = limits
         self._leaving = leaving
         self._may_move_keys = may_move_keys
+        self._holds_lease = holds_lease
         self._limited_lender = named_limits.LimitedSendLender()
         # The accounts whose quotas are divided, and what they follow from.
         self._preallocated: list[str] = []
@@ -128,6 +130,7 @@
                     self._store,
                     self._on_superseded,
                     self._may_move_keys,
+                    self._holds_lease,
                 ),
                 owners,
                 self._may_send_orders,
--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -255,6 +255,10 @@
             exclusive=self._is_exclusive,
         )
 
+    def holds_present_lease(self) -> bool:
+        """Returns whether the lease is held in the store's present era."""
+        return self._lease_era >= self._registry.store_era
+
     def is_exclusive(self) -> bool:
         """Returns whether no earlier leader's term can be confirmed any more.
 
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -423,6 +423,7 @@
             self._limits,
             self._leaving,
             self._reach.hears_upstreams,
+            term.holds_present_lease,
         )
 
     async def _push_periodically(
--- a/tests/cover/test_assignment_store.py
+++ b/tests/cover/test_assignment_store.py
@@ -26,13 +26,16 @@
         self._client = client
         self.superseded = []
 
-    def assignments(self, term, may_change=lambda: True):
+    def assignments(
+        self, term, may_change=lambda: True, holds_lease=lambda: True
+    ):
         return assignment_store.AssignmentStore(
             SERVICE,
             term,
             self._client,
             lambda: self.superseded.append(term),
             may_change,
+            holds_lease,
         )
 
     async def restore(self, copy):
@@ -216,6 +219,26 @@
     run(scenario)
 
 
+def test_a_replaced_leader_does_not_hide_moves_that_a_restore_has_lost():
+    # The next leader would trust an assignment of the present era.
+    async def scenario(harness):
+        replaced = harness.assignments(TERM, holds_lease=lambda: False)
+        assignment = await move_all_keys(replaced, A)
+        copy = harness.store.take_copy()
+        await move_all_keys(harness.assignments(2 * TERM), B)
+        await harness.restore(copy)
+        assert not await replaced.write_again(assignment)
+        assert replaced.is_lost
+        found = await harness.assignments(3 * TERM).read(
+            MAY_HOLD_UNTIL_S, ORDERS_ARRIVED_S
+        )
+        assert [span.owner for span in found.spans] == [A]
+        for span in found.spans:
+            assert waits_for_unknown_owner(span, MAY_HOLD_UNTIL_S - 1)
+
+    run(scenario)
+
+
 def test_write_that_meets_a_revision_given_out_again_is_repeated():
     async def scenario(harness):
         stored = harness.assignments(TERM)
--- a/tests/cover/test_leader_term.py
+++ b/tests/cover/test_leader_term.py
@@ -175,6 +175,14 @@
     assert registry.acquired_terms == [7]
 
 
+def test_leader_holds_the_present_lease_once_it_has_read_it_after_a_restore():
+    registry = FakeLease(peer_registry.LeaderLease(6, "other"))
+    term = term_after_a_restore(registry)
+    assert term.holds_present_lease()
+    registry.store_era += 1
+    assert not term.holds_present_lease()
+
+
 def test_leader_ends_if_another_one_took_the_lease_after_a_restore():
     registry = FakeLease(peer_registry.LeaderLease(8, "other", "", "x"))
     assert ends_after_a_restore(registry)
--- a/tests/cover/test_leaving_upstreams.py
+++ b/tests/cover/test_leaving_upstreams.py
@@ -125,6 +125,7 @@
         unused,
         leaving,
         lambda: True,
+        lambda: True,
     )
     planned = []
     tasks._owners["orders"] = owners
