Register a daemon again that was cut off for long

Callers saw: nothing yet. A daemon that its leader did not hear for ten seconds stayed out of the stored registrations until it or the store was restarted. Cause: the leader removes silent daemons' registrations; a daemon wrote its own only at its start and after a restore. The next leader read too few daemons and counted a majority of these: with a second cut two leaders could each have one (OWNER), and nobody announced itself to the missing ones. Change: a daemon that reports to a leader again after five seconds without registers once more.

--- a/src/sardinehill/front/known_leader.py
+++ b/src/sardinehill/front/known_leader.py
@@ -33,6 +33,7 @@
         self._clock_s = clock_s
         self._heard_s = _NEVER_S
         self._follow_began_s = _NEVER_S
+        self._reported_s = clock_s()
         # The term and serial of the spans in the table.
         self._spans_version = (0, 0)
         self.needs_spans = False
@@ -54,6 +55,14 @@
         """
         return self._clock_s() - max(self._heard_s, self._follow_began_s)
 
+    def note_reported(self) -> None:
+        """Records that this daemon reports to the leader itself now."""
+        self._reported_s = self._clock_s()
+
+    def unreported_s(self) -> float:
+        """Returns how long this daemon has not reported to a leader itself."""
+        return self._clock_s() - self._reported_s
+
     def restart_timeout(self) -> None:
         """Starts the silence timeout anew for a newly followed leader."""
         self._follow_began_s = self._clock_s()
--- a/src/sardinehill/front/leader_client.py
+++ b/src/sardinehill/front/leader_client.py
@@ -23,6 +23,9 @@
 # A daemon that follows via a peer tries the leader itself this often.
 LEADER_RETRY_INTERVAL_S = 1.0
 MAX_PEERS_QUERIED = 3
+# After this long without a report to a leader itself, the registration may have
+# been removed; see `leader_term.REGISTRATION_EXPIRY_S`.
+MAX_UNREPORTED_S = 5.0
 
 
 class LeaderClient:
@@ -57,16 +60,25 @@
         target = self._known_leader.take_next_leader(self._registry.lease)
         if not target.holder or target.holder == self._name:
             return False
-        was_heard = await self._follow_address(target.address, target.term)
+        was_heard = await self._follow_address(
+            target.address, target.term, is_leader=True
+        )
         if self._known_leader.next_leader is not None:
             return True
         if self._known_leader.has_resigned:
             return False
         return was_heard and await self._follow_via_peer()
 
-    async def _follow_address(self, address: str, term: int) -> bool:
+    async def _follow_address(
+        self, address: str, term: int, is_leader: bool
+    ) -> bool:
         """Reports to a leader, or to a peer that hears it, until it is lost.
 
+        Args:
+          address: where the leader or the peer is reached.
+          term: the leader's term.
+          is_leader: whether it is the leader's own address.
+
         Returns:
           Whether the link was opened or a leader had been heard before.
         """
@@ -84,9 +96,11 @@
             return was_heard
         events.log(events.LEADER_FOLLOWED, address=address, term=term)
         self._known_leader.restart_timeout()
+        if is_leader and self._was_unheard():
+            self._registry.note_absence()
         self._link = link
         try:
-            await self._report_until_lost(link, link_closed)
+            await self._report_until_lost(link, link_closed, is_leader)
         finally:
             self._link = None
             link.close()
@@ -100,12 +114,20 @@
             )
         return True
 
+    def _was_unheard(self) -> bool:
+        return self._known_leader.unreported_s() > MAX_UNREPORTED_S
+
     async def _report_until_lost(
-        self, link: peer_links.PeerLink, link_closed: asyncio.Event
+        self,
+        link: peer_links.PeerLink,
+        link_closed: asyncio.Event,
+        is_leader: bool,
     ) -> None:
         while (
             not link_closed.is_set() and self._known_leader.next_leader is None
         ):
+            if is_leader:
+                self._known_leader.note_reported()
             report = self._take_report()
             link.send(
                 message_kinds.MessageKind.DAEMON_REPORT,
@@ -152,7 +174,7 @@
         """Follows via a peer for `LEADER_RETRY_INTERVAL_S` at most."""
         try:
             async with asyncio.timeout(LEADER_RETRY_INTERVAL_S):
-                await self._follow_address(address, term)
+                await self._follow_address(address, term, is_leader=False)
         except TimeoutError:
             return
 
--- a/src/sardinehill/front/peer_registry.py
+++ b/src/sardinehill/front/peer_registry.py
@@ -69,6 +69,8 @@
         self.lease_revision = 0
         self.lease_era = 0
         self._peers_era = 0
+        # Whether a leader may have removed this daemon's registration.
+        self._may_be_removed = False
 
     @property
     def store_era(self) -> int:
@@ -83,8 +85,8 @@
     async def register(self, known_era: Callable[[], int]) -> None:
         """Keeps this daemon's address registered until cancelled.
 
-        It is registered again when the store was restored, as the registration
-        may be lost.
+        It is registered again when the store was restored, or a leader did not
+        hear this daemon for long, as the registration may be lost.
 
         Args:
           known_era: returns the store's era as far as this daemon knows, which
@@ -94,13 +96,19 @@
         registered_era = self.store_era
         while True:
             await asyncio.sleep(REGISTRATION_CHECK_INTERVAL_S)
-            if max(self.store_era, known_era()) <= registered_era:
+            is_restored = max(self.store_era, known_era()) > registered_era
+            if not is_restored and not self._may_be_removed:
                 continue
+            self._may_be_removed = False
             # Not all daemons of the fleet call the store at the same time.
             await asyncio.sleep(random.uniform(0, REGISTRATION_SPREAD_S))
             await self._register_once()
             registered_era = self.store_era
 
+    def note_absence(self) -> None:
+        """Records that no leader has heard this daemon for long."""
+        self._may_be_removed = True
+
     async def _register_once(self) -> None:
         spec: _Spec = {
             "address": self._address,
--- a/tests/cover/test_leader_client.py
+++ b/tests/cover/test_leader_client.py
@@ -2,11 +2,14 @@
 
 import asyncio
 
+import pytest
+
 from sardinehill import errors
 from sardinehill.core import fleet_messages
 from sardinehill.core import store_versions
 from sardinehill.front import known_leader
 from sardinehill.front import leader_client
+from sardinehill.front import leader_term
 from sardinehill.front import peer_links
 from sardinehill.front import peer_registry
 from sardinehill.wire import envelopes
@@ -124,3 +127,27 @@
         return False
 
     assert asyncio.run(body())
+
+
+@pytest.mark.parametrize(
+    ("silent_s", "registers_again"),
+    [
+        (leader_client.MAX_UNREPORTED_S - 1, False),
+        (leader_term.REGISTRATION_EXPIRY_S, True),
+    ],
+)
+def test_daemon_that_returns_after_a_long_cut_has_itself_registered_again(
+    silent_s, registers_again
+):
+    async def body():
+        server, address = await serve_peer(NEWER_CONFIG)
+        client = new_client({"leader": address})
+        client._registry.lease = peer_registry.LeaderLease(1, "leader", address)
+        client._known_leader._reported_s -= silent_s
+        following = asyncio.ensure_future(client.follow())
+        await asyncio.sleep(0.1)
+        following.cancel()
+        server.close()
+        return client._registry._may_be_removed
+
+    assert asyncio.run(body()) is registers_again
--- a/tests/cover/test_peer_registry.py
+++ b/tests/cover/test_peer_registry.py
@@ -60,3 +60,22 @@
         registering.cancel()
 
     run(scenario)
+
+
+def test_daemon_that_no_leader_heard_for_long_registers_again():
+    # The next leader would count a majority of too few daemons.
+    async def scenario(store, registry):
+        registering = asyncio.ensure_future(registry.register(lambda: 1))
+        await asyncio.sleep(0.1)
+        await registry.remove_peers(["me"])
+        assert not store.spec(KIND, "me")
+        registry.note_absence()
+        await asyncio.sleep(
+            peer_registry.REGISTRATION_CHECK_INTERVAL_S
+            + peer_registry.REGISTRATION_SPREAD_S
+            + 0.2
+        )
+        assert store.spec(KIND, "me")
+        registering.cancel()
+
+    run(scenario)
