Let a term outlast a restore only with reports made since

Cause: counted daemons that had reported within the last second. A link that was reset lets them follow the next leader sooner than that. Change: a majority must report after the new era was first seen, within a second; until then the lease and the owners are not written again.

--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -78,6 +78,9 @@
         self._lease_read_s = self._confirmed_s
         self._number = registry.lease.term
         self._first_era = registry.lease_era
+        # The latest era of the store and when it was first seen.
+        self._seen_era = registry.lease_era
+        self._era_seen_s = self._began_s
         # The store's era in which the lease was last known to be held.
         self._lease_era = registry.lease_era
         self._heard_s: dict[str, float] = {}
@@ -308,15 +311,19 @@
         """Confirms the term from the store while no majority follows it.
 
         A term with a majority is confirmed every `LEASE_RECHECK_INTERVAL_S`.
-        Also writes the lease again if a restored store has lost it, and removes
-        the registrations of daemons that have been silent for
-        `REGISTRATION_EXPIRY_S`.
+        Also writes the lease again if a restored store has lost it and the term
+        outlasts that, and removes the registrations of daemons that have been
+        silent for `REGISTRATION_EXPIRY_S`.
         """
         check_due_s = self._clock_s() + LEASE_CHECK_INTERVAL_S
         removal_due_s = self._clock_s() + REGISTRATION_EXPIRY_S
         while True:
             await asyncio.sleep(ERA_CHECK_INTERVAL_S)
-            is_lost = self._lease_era < self._registry.store_era
+            is_lost = not self.holds_present_lease()
+            if is_lost and not self._outlasts_restore():
+                if self.ended.is_set():
+                    return
+                continue
             if self._clock_s() < check_due_s and not is_lost:
                 continue
             check_due_s = self._clock_s() + LEASE_CHECK_INTERVAL_S
@@ -333,6 +340,22 @@
                 removal_due_s = self._clock_s() + REGISTRATION_EXPIRY_S
                 await self._registry.remove_peers(self._silent_peers())
 
+    def _outlasts_restore(self) -> bool:
+        """Returns whether a majority has reported since the store was restored.
+
+        Ends the term if none has in time. The daemons may follow a later leader
+        whose lease the store has forgotten.
+        """
+        now_s = self._clock_s()
+        if self._seen_era < self._registry.store_era:
+            self._seen_era = self._registry.store_era
+            self._era_seen_s = now_s
+        if self._count_heard(now_s - self._era_seen_s) >= self._majority():
+            return True
+        if now_s - self._era_seen_s > FOLLOWER_TIMEOUT_S:
+            self.ended.set()
+        return False
+
     def _is_followed_by_majority(self) -> bool:
         return self._count_heard(FOLLOWER_TIMEOUT_S) >= self._majority()
 
@@ -358,9 +381,12 @@
         await self._election.read_lease()
         era = self._registry.store_era
         is_restored = era > self._first_era
-        if is_restored and not self._is_followed_by_majority():
-            self.ended.set()
-            return
+        if is_restored:
+            if not self._outlasts_restore():
+                return
+            if not self._is_followed_by_majority():
+                self.ended.set()
+                return
         if self._registry.lease.term < self._number:
             await self._registry.acquire_lease(self._number)
         if not self._registry.holds_lease:
--- a/tests/cover/test_leader_term.py
+++ b/tests/cover/test_leader_term.py
@@ -149,17 +149,30 @@
     return term_after_a_restore(registry).ended.is_set()
 
 
-def term_after_a_restore(registry):
-    """Returns the term of a leader that has noticed a restore."""
+def term_after_a_restore(registry, heard_before=(), heard_since=()):
+    """Returns the term of a leader that has noticed a restore.
+
+    Args:
+      registry: the leader's registry.
+      heard_before: the daemons that report just before the restore.
+      heard_since: the daemons that report from then on.
+    """
 
     async def body():
         loop = asyncio.get_running_loop()
         term = leader_term.LeaderTerm(
             "me", registry, registry, followers.Followers(), loop.time
         )
+        for daemon in heard_before:
+            term.note_report(daemon, "127.0.0.1:1")
         registry.store_era = 2
         checking = asyncio.ensure_future(term.check_lease())
-        await asyncio.sleep(3 * leader_term.ERA_CHECK_INTERVAL_S)
+        end_s = loop.time() + leader_term.FOLLOWER_TIMEOUT_S + 0.4
+        while loop.time() < end_s:
+            await asyncio.sleep(2 * leader_term.ERA_CHECK_INTERVAL_S)
+            term.note_running()
+            for daemon in heard_since:
+                term.note_report(daemon, "127.0.0.1:1")
         checking.cancel()
         return term
 
@@ -190,8 +203,9 @@
 
 
 @pytest.mark.parametrize("stored_term", [6, 7])
+@pytest.mark.parametrize("heard_before", [(), ("a",)])
 def test_a_restored_store_does_not_confirm_a_leader_that_nobody_follows(
-    stored_term,
+    stored_term, heard_before
 ):
     # The store may have forgotten the lease of a later leader.
     registry = FakeLease(peer_registry.LeaderLease(stored_term, "me"))
@@ -199,12 +213,20 @@
         registry.stored, incarnation=registry.lease.incarnation
     )
     registry.peer_addresses = dict.fromkeys(("me", "a", "b"), "127.0.0.1:1")
-    term = term_after_a_restore(registry)
+    term = term_after_a_restore(registry, heard_before)
     assert term.ended.is_set()
     assert not term.may_send_orders()
     assert registry.acquired_terms == []
 
 
+def test_leader_that_a_majority_follows_outlasts_a_restore():
+    registry = FakeLease(peer_registry.LeaderLease(6, "other"))
+    registry.peer_addresses = dict.fromkeys(("me", "a", "b"), "127.0.0.1:1")
+    term = term_after_a_restore(registry, heard_since=("a",))
+    assert not term.ended.is_set()
+    assert registry.acquired_terms == [7]
+
+
 def test_leader_ends_if_another_one_leads_whom_its_followers_do_not_hear(
     monkeypatch,
 ):
