Trust owners written again only once lost moves have lapsed

Cause: a leader that keeps its majority over a restore marked its owners as of the present era at once. One that was confirmed by the store alone may have moved keys before; the store has forgotten its lease and moves. The next leader trusted the owners and granted keys beside those moves.

--- a/src/sardinehill/front/assignment_manager.py
+++ b/src/sardinehill/front/assignment_manager.py
@@ -212,6 +212,8 @@
                 self._plan_due_s = now_s + PLAN_INTERVAL_S
                 if self._store.is_lost:
                     await self._store.write_again(assignment)
+                elif self._store.is_trusted_late:
+                    await self._store.write(assignment)
                 else:
                     await self._plan(assignment, now_s)
             elif self._clean_up_due_s and now_s >= self._clean_up_due_s:
--- a/src/sardinehill/front/assignment_store.py
+++ b/src/sardinehill/front/assignment_store.py
@@ -36,6 +36,7 @@
         on_superseded: Callable[[], None],
         may_change: Callable[[], bool] = lambda: True,
         holds_lease: Callable[[], bool] = lambda: True,
+        has_settled: Callable[[], bool] = lambda: True,
     ):
         """Creates an object that has not read anything.
 
@@ -48,6 +49,8 @@
             hears no upstream would take keys from owners that others reach.
           holds_lease: returns whether the leader holds the lease in the store's
             present era. One that was replaced would hide its successor's moves.
+          has_settled: returns whether no order of a leader that a restored
+            store has forgotten has an effect any more.
         """
         self._service = service
         self._term = term
@@ -55,8 +58,12 @@
         self._on_superseded = on_superseded
         self._may_change = may_change
         self._holds_lease = holds_lease
+        self._has_settled = has_settled
         self._has_written = False
+        # The era of the last read or write, and the one that is written as that
+        # of the owners.
         self._era = 0
+        self._owners_era = 0
         self._is_superseded = False
         self.revision = 0
 
@@ -65,6 +72,11 @@
         """Whether the store was restored since the last read or write."""
         return self._era < self._store.era
 
+    @property
+    def is_trusted_late(self) -> bool:
+        """Whether owners may now be written as those of the present era."""
+        return self._owners_era < self._era and self._has_settled()
+
     async def read(
         self, may_hold_until_s: float, in_flight_until_s: float
     ) -> keyspace.KeyAssignment | None:
@@ -95,6 +107,7 @@
                 )
                 # Earlier releases wrote no era.
                 written_era = int(stored.spec.get("era", self._era))
+            self._owners_era = self._era
             if written_era < self._era:
                 events.log(
                     events.ASSIGNMENT_OUTDATED,
@@ -127,6 +140,9 @@
     async def write_again(self, assignment: keyspace.KeyAssignment) -> bool:
         """Writes an assignment that a restored store has lost.
 
+        It counts as of the earlier era while a forgotten leader's moves may
+        still have an effect, so that a next leader looks for their owners.
+
         Returns:
           Whether the assignment is certainly stored in the present era.
         """
@@ -171,7 +187,9 @@
             return False
         spec: dict[str, Any] = keyspace.to_document(assignment)
         spec["term"] = self._term
-        spec["era"] = self._era
+        if self._has_settled():
+            self._owners_era = self._era
+        spec["era"] = self._owners_era
         spec["writer"] = f"{self._term}-{time.monotonic_ns()}"
         try:
             if self.revision == 0:
--- a/src/sardinehill/front/leader_tasks.py
+++ b/src/sardinehill/front/leader_tasks.py
@@ -50,6 +50,7 @@
         leaving: leaving_upstreams.LeavingUpstreams,
         may_move_keys: Callable[[], bool],
         holds_lease: Callable[[], bool],
+        has_settled: Callable[[], bool],
     ):
         self._term = term
         self._store = store
@@ -72,6 +73,7 @@
         self._leaving = leaving
         self._may_move_keys = may_move_keys
         self._holds_lease = holds_lease
+        self._has_settled = has_settled
         self._limited_lender = named_limits.LimitedSendLender()
         # The accounts whose quotas are divided, and what they follow from.
         self._preallocated: list[str] = []
@@ -131,6 +133,7 @@
                     self._on_superseded,
                     self._may_move_keys,
                     self._holds_lease,
+                    self._has_settled,
                 ),
                 owners,
                 self._may_send_orders,
--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -262,6 +262,18 @@
         """Returns whether the lease is held in the store's present era."""
         return self._lease_era >= self._registry.store_era
 
+    def has_settled(self) -> bool:
+        """Returns whether no order of a leader that is forgotten has an effect.
+
+        The store may have forgotten the lease of one that had no majority.
+        """
+        if not self.holds_present_lease():
+            return False
+        if self._seen_era == self._first_era:
+            return True
+        settled_s = order_sender.earlier_orders_end_s(self._era_seen_s)
+        return self._clock_s() >= settled_s
+
     def is_exclusive(self) -> bool:
         """Returns whether no earlier leader's term can be confirmed any more.
 
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -424,6 +424,7 @@
             self._leaving,
             self._reach.hears_upstreams,
             term.holds_present_lease,
+            term.has_settled,
         )
 
     async def _push_periodically(
--- a/tests/cover/test_assignment_manager.py
+++ b/tests/cover/test_assignment_manager.py
@@ -26,6 +26,7 @@
     """Holds the owners that were written."""
 
     is_lost = False
+    is_trusted_late = False
     revision = 1
 
     def __init__(self):
--- a/tests/cover/test_assignment_store.py
+++ b/tests/cover/test_assignment_store.py
@@ -27,7 +27,11 @@
         self.superseded = []
 
     def assignments(
-        self, term, may_change=lambda: True, holds_lease=lambda: True
+        self,
+        term,
+        may_change=lambda: True,
+        holds_lease=lambda: True,
+        has_settled=lambda: True,
     ):
         return assignment_store.AssignmentStore(
             SERVICE,
@@ -36,6 +40,7 @@
             lambda: self.superseded.append(term),
             may_change,
             holds_lease,
+            has_settled,
         )
 
     async def restore(self, copy):
@@ -239,6 +244,35 @@
     run(scenario)
 
 
+def test_owners_written_again_are_not_trusted_before_lost_moves_have_lapsed():
+    # A leader without a majority may have moved keys, and its lease is lost.
+    async def scenario(harness):
+        settled = []
+        stored = harness.assignments(TERM, has_settled=lambda: bool(settled))
+        settled.append(True)
+        assignment = await move_all_keys(stored, A)
+        settled.clear()
+        await harness.restore(harness.store.take_copy())
+        assert await stored.write_again(assignment)
+        assert await stored.write(assignment)
+        assert not stored.is_lost
+        found = await harness.assignments(2 * TERM).read(
+            MAY_HOLD_UNTIL_S, ORDERS_ARRIVED_S
+        )
+        for span in found.spans:
+            assert waits_for_unknown_owner(span, MAY_HOLD_UNTIL_S - 1)
+        settled.append(True)
+        assert stored.is_trusted_late
+        assert await stored.write(assignment)
+        assert not stored.is_trusted_late
+        found = await harness.assignments(2 * TERM).read(
+            MAY_HOLD_UNTIL_S, ORDERS_ARRIVED_S
+        )
+        assert [span.former_owner for span in found.spans] == [None]
+
+    run(scenario)
+
+
 def test_write_that_meets_a_revision_given_out_again_is_repeated():
     async def scenario(harness):
         stored = harness.assignments(TERM)
--- a/tests/cover/test_leader_term.py
+++ b/tests/cover/test_leader_term.py
@@ -227,6 +227,16 @@
     assert registry.acquired_terms == [7]
 
 
+def test_leader_that_outlasts_a_restore_waits_for_orders_of_forgotten_leaders():
+    registry = FakeLease(peer_registry.LeaderLease(6, "other"))
+    registry.peer_addresses = dict.fromkeys(("me", "a", "b"), "127.0.0.1:1")
+    term = term_after_a_restore(registry, heard_since=("a",))
+    assert term.holds_present_lease()
+    assert not term.has_settled()
+    term._era_seen_s -= order_sender.earlier_orders_end_s(0.0)
+    assert term.has_settled()
+
+
 def test_leader_ends_if_another_one_leads_whom_its_followers_do_not_hear(
     monkeypatch,
 ):
--- a/tests/cover/test_leaving_upstreams.py
+++ b/tests/cover/test_leaving_upstreams.py
@@ -126,6 +126,7 @@
         leaving,
         lambda: True,
         lambda: True,
+        lambda: True,
     )
     planned = []
     tasks._owners["orders"] = owners
