Tell a key held twice from a later life's lower epoch

The test of a restart beside a change of leader failed for either reason, so that a mended first fault would not have shown.

--- a/tests/cover/test_grants_over_restarts.py
+++ b/tests/cover/test_grants_over_restarts.py
@@ -25,13 +25,25 @@
 def test_upstream_that_restarts_as_the_leader_changes_keeps_no_moved_keys(
     is_cut,
 ):
-    with simulated(restarts_beside_leaders=True) as world:
+    with simulated(
+        restarts_beside_leaders=True, allowed=("epoch of a life",)
+    ) as world:
         world.another_daemon_leads(False, 0.0, 1.0, is_cut)
         world.upstream_starts_again("a", "1", 0, is_listed=False)
         world.keys_move(0, ALL, "b", 3.0)
         assert not world.violations
 
 
+# Guards against this failure: a later life took its keys from the earlier
+# leader, under a lower epoch than the earlier life had from the present one.
+def test_later_life_gets_no_lower_epoch_from_the_earlier_leader():
+    with simulated(restarts_beside_leaders=True) as world:
+        world.another_daemon_leads(False, 0.0, 1.0, True)
+        world.upstream_starts_again("a", "1", 0, is_listed=False)
+        world.wait(2.0)
+        assert not world.violations
+
+
 # Guards against this failure: keys that a later life took as its earlier one
 # count as free once it is their owner, though no grant reached it since.
 def test_keys_of_a_later_life_that_cannot_be_reached_are_waited_for():
