Wait out the grants of an owner that the next leader never saw

Callers saw (OWNER): nothing yet shown on a whole fleet; found by a review and by the state machine of grants, where keys were held twice for 1.7 s. Cause: after a restore a new leader asks the upstreams that it sees to release what is not theirs, and took their answers for those of all. An upstream that the assignment names and that is cut off from the store was not asked. Change: if the assignment names an owner that was never seen, the keys wait until the last grants have lapsed. Still open: one that joined after the copy.

--- a/src/sardinehill/front/unknown_owners.py
+++ b/src/sardinehill/front/unknown_owners.py
@@ -68,8 +68,12 @@
         )
 
     def _ask_for_missing(self) -> bool:
-        """Returns whether all upstreams have released what is not theirs."""
-        is_complete = True
+        """Returns whether all upstreams have released what is not theirs.
+
+        An owner that was never seen, as it is cut off from the store, cannot be
+        asked. Then the keys wait until the last grants have lapsed.
+        """
+        is_complete = not self._names_unseen_owner()
         for owner in self._owners.not_ended():
             answered = self._answered.setdefault(owner.incarnation, set())
             for keys in keyspace.ranges_of_others(
@@ -83,6 +87,15 @@
                     self._group.create_task(self._release(owner, keys))
         return is_complete
 
+    def _names_unseen_owner(self) -> bool:
+        """Returns whether the assignment names an owner that was not seen."""
+        return any(
+            span.owner is not None
+            and span.owner not in self._owners.ended
+            and self._owners.holder_of_grants(span.owner) is None
+            for span in self._assignment.spans
+        )
+
     async def _release(
         self, owner: key_owners.KeyOwner, keys: tuple[int, int]
     ) -> None:
