Keep what an earlier life may hold when its later life owns the keys

Callers saw (OWNER): nothing yet shown on a whole fleet; found by the state machine of grants, one leader, sound clocks and store: an upstream that starts again takes a renewal as its later life, cannot be reached, becomes the owner of its own keys, and these move on 0.36 s later while it holds them. Cause: a later life that owns the keys of its earlier one frees them at once, which is right, but what it may hold already was forgotten with the former owner. Change: the owner takes over the former owner's times.

--- a/src/sardinehill/core/key_orders.py
+++ b/src/sardinehill/core/key_orders.py
@@ -289,6 +289,21 @@
     return former.released or now_s >= former.may_hold_until_s
 
 
+def take_over_from_earlier_life(span: keyspace.Span) -> None:
+    """Clears a former owner that was an earlier life of the owner.
+
+    What the former owner may hold, the owner may hold already.
+    """
+    former = span.former_owner
+    assert former is not None
+    span.may_hold_until_s = max(span.may_hold_until_s, former.may_hold_until_s)
+    _add_in_flight(span, max(former.in_flight_until_s, former.pending_until_s))
+    span.previous_leader_until_s = max(
+        span.previous_leader_until_s, former.previous_leader_until_s
+    )
+    clear_former_owner(span)
+
+
 def clear_former_owner(span: keyspace.Span) -> None:
     """Removes the former owner, so that the owner may be granted the span."""
     span.former_owner = None
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -201,7 +201,10 @@
                 ended=has_ended,
                 exclusive=self._was_exclusive,
             )
-        key_orders.clear_former_owner(span)
+        if self._is_earlier_life(former.incarnation, span):
+            key_orders.take_over_from_earlier_life(span)
+        else:
+            key_orders.clear_former_owner(span)
         self._on_former_gone()
         return True
 
@@ -213,8 +216,14 @@
         A later incarnation of the former owner may hold what was granted to the
         earlier one. If it is the new owner, nobody has to give up the keys.
         """
-        if former in self._owners.ended:
-            return True
+        return former in self._owners.ended or self._is_earlier_life(
+            former, span
+        )
+
+    def _is_earlier_life(
+        self, former: keyspace.Incarnation, span: keyspace.Span
+    ) -> bool:
+        """Returns whether a former owner was an earlier life of the owner."""
         return (
             span.owner is not None
             and span.owner[0] == former[0]
