Take no answer of another upstream for the release of forgotten keys

Callers saw (OWNER): nothing yet shown on a whole fleet; found by the state machine of grants: after a restore the list shows an earlier life of an upstream at an address that another one has by now. Cause: that the id is not at this address was taken for its end. It may hold keys at an address that the store has forgotten. Change: such an upstream counts as not asked, so that the keys wait until the last grants have lapsed, or a later life is listed and has answered.

--- a/src/sardinehill/front/unknown_owners.py
+++ b/src/sardinehill/front/unknown_owners.py
@@ -36,6 +36,9 @@
         # What each upstream was asked to release, and answered.
         self._answered: dict[keyspace.Incarnation, set[tuple[int, int]]] = {}
         self._asked: set[tuple[keyspace.Incarnation, tuple[int, int]]] = set()
+        # Upstreams whose address answers for another one by now. They may hold
+        # keys at an address that the restored store has forgotten.
+        self._elsewhere: set[keyspace.Incarnation] = set()
         self._asked_since_s: float | None = None
 
     def release_due(self) -> None:
@@ -75,6 +78,9 @@
         """
         is_complete = not self._names_unseen_owner()
         for owner in self._owners.not_ended():
+            if owner.incarnation in self._elsewhere:
+                is_complete = False
+                continue
             answered = self._answered.setdefault(owner.incarnation, set())
             for keys in keyspace.ranges_of_others(
                 self._assignment, owner.incarnation
@@ -115,7 +121,7 @@
         if result.status == 200:
             self._answered[owner.incarnation].add(keys)
         elif result.status == 421:
-            self._owners.ended.add(owner.incarnation)
+            self._elsewhere.add(owner.incarnation)
         else:
             await asyncio.sleep(key_owners.ORDER_RETRY_S)
         self._asked.discard((owner.incarnation, keys))
