Wait for an earlier leader's grants though an upstream's address is reused

Cause: another upstream that answers at an address was taken for the end of all that its former user was granted. An earlier leader may have known that one at another address, where it still runs. Change: such an answer ends only this leader's own orders; the times of an earlier leader's are waited for, without asking the address again. The mutant that takes a restart for a release is still caught.

--- a/src/sardinehill/core/key_orders.py
+++ b/src/sardinehill/core/key_orders.py
@@ -267,18 +267,22 @@
 
 
 def former_owner_no_longer_holds(
-    span: keyspace.Span, now_s: float, is_dead: bool
+    span: keyspace.Span, now_s: float, is_elsewhere: bool
 ) -> bool:
     """Returns whether a span's former owner no longer holds it.
 
     Args:
       span: a span that waits for a former owner.
       now_s: the time, by the same clock as `may_hold_until_s`.
-      is_dead: whether that incarnation of the upstream has certainly ended.
+      is_elsewhere: whether another upstream answers at the address to which
+        this leader's orders went, so that none of them has an effect any more.
     """
     former = span.former_owner
-    if former is None or is_dead:
+    if former is None:
         return True
+    if is_elsewhere:
+        # An earlier leader may have known it at another address.
+        return now_s >= former.previous_leader_until_s
     arrived_s = max(
         former.in_flight_until_s,
         former.pending_until_s,
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -179,14 +179,17 @@
         """
         former = span.former_owner
         assert former is not None
-        has_ended = self._holds_nothing(former.incarnation, span)
+        is_elsewhere = former.incarnation in self._owners.ended
         # While an earlier leader may still renew grants, grants are not taken
         # as lapsed: the former owner must answer or have ended.
         expiry_now_s = now_s if self._was_exclusive else 0.0
-        if not key_orders.former_owner_no_longer_holds(
-            span, expiry_now_s, has_ended
+        is_earlier_life = self._is_earlier_life(former.incarnation, span)
+        if not is_earlier_life and not key_orders.former_owner_no_longer_holds(
+            span, expiry_now_s, is_elsewhere
         ):
-            if not former.released:
+            if is_elsewhere:
+                span.next_order_s = now_s + key_owners.ORDER_RETRY_S
+            elif not former.released:
                 self._request_release(span, now_s)
             return False
         if not former.released and former.may_hold_until_s > 0:
@@ -198,32 +201,24 @@
                 upstream=former.incarnation[0],
                 started_at_ms=former.incarnation[1],
                 epoch=former.epoch,
-                ended=has_ended,
+                ended=is_elsewhere or is_earlier_life,
                 exclusive=self._was_exclusive,
             )
-        if self._is_earlier_life(former.incarnation, span):
+        if is_earlier_life:
             key_orders.take_over_from_earlier_life(span)
         else:
             key_orders.clear_former_owner(span)
         self._on_former_gone()
         return True
 
-    def _holds_nothing(
+    def _is_earlier_life(
         self, former: keyspace.Incarnation, span: keyspace.Span
     ) -> bool:
-        """Returns whether nobody but the span's owner holds a former's keys.
+        """Returns whether a former owner was an earlier life of the owner.
 
-        A later incarnation of the former owner may hold what was granted to the
-        earlier one. If it is the new owner, nobody has to give up the keys.
+        Then the owner may hold what was granted to the former one, and nobody
+        has to give up the keys.
         """
-        return former in self._owners.ended or self._is_earlier_life(
-            former, span
-        )
-
-    def _is_earlier_life(
-        self, former: keyspace.Incarnation, span: keyspace.Span
-    ) -> bool:
-        """Returns whether a former owner was an earlier life of the owner."""
         return (
             span.owner is not None
             and span.owner[0] == former[0]
--- a/tests/cover/test_assignment_store.py
+++ b/tests/cover/test_assignment_store.py
@@ -75,7 +75,7 @@
 def waits_for_unknown_owner(span, now_s):
     is_unknown = span.former_owner.incarnation == keyspace.UNKNOWN_OWNER
     return is_unknown and not key_orders.former_owner_no_longer_holds(
-        span, now_s, is_dead=False
+        span, now_s, is_elsewhere=False
     )
 
 
--- a/tests/cover/test_key_orders.py
+++ b/tests/cover/test_key_orders.py
@@ -57,10 +57,10 @@
     move_to(assignment, B)
     span = assignment.spans[0]
     assert not key_orders.former_owner_no_longer_holds(
-        span, KNOWN_LATER_S - 0.1, is_dead=False
+        span, KNOWN_LATER_S - 0.1, is_elsewhere=False
     )
     assert key_orders.former_owner_no_longer_holds(
-        span, KNOWN_LATER_S, is_dead=False
+        span, KNOWN_LATER_S, is_elsewhere=False
     )
 
 
@@ -80,10 +80,10 @@
     release = key_orders.create_release(span, READ_S + 0.4)
     key_orders.record_release_outcome(assignment, release, True, None)
     assert not key_orders.former_owner_no_longer_holds(
-        span, KNOWN_AT_FIRST_S - 0.1, is_dead=False
+        span, KNOWN_AT_FIRST_S - 0.1, is_elsewhere=False
     )
     assert key_orders.former_owner_no_longer_holds(
-        span, KNOWN_AT_FIRST_S, is_dead=False
+        span, KNOWN_AT_FIRST_S, is_elsewhere=False
     )
 
 
@@ -102,5 +102,5 @@
     release = key_orders.create_release(span, READ_S + 0.4)
     key_orders.record_release_outcome(assignment, release, True, None)
     assert key_orders.former_owner_no_longer_holds(
-        span, READ_S + 0.5, is_dead=False
+        span, READ_S + 0.5, is_elsewhere=False
     )
--- a/tests/cover/test_orders.py
+++ b/tests/cover/test_orders.py
@@ -345,3 +345,21 @@
         assert harness.owners.sent[-1][:2] == (b"/grant", B)
 
     run_scenario(scenario)
+
+
+def test_keys_of_an_upstream_that_is_gone_wait_for_an_earlier_leaders_orders():
+    # That leader may have granted them at another address. The address that is
+    # known now, which answers for another upstream, is not asked over and over.
+    async def scenario(harness, orders):
+        harness.span.previous_leader_until_s = harness.now_s + 2.0
+        harness.owners.ended.add(A)
+        harness.move(B)
+        orders.send_due()
+        await settle_tasks()
+        assert harness.owners.sent == []
+        harness.now_s += 2.0
+        orders.send_due()
+        await settle_tasks()
+        assert [order[:2] for order in harness.owners.sent] == [(b"/grant", B)]
+
+    run_scenario(scenario)
--- a/tests/slow/test_grants_machine.py
+++ b/tests/slow/test_grants_machine.py
@@ -121,7 +121,7 @@
     mutations = (
         (
             order_sender.OrderSender,
-            "_holds_nothing",
+            "_is_earlier_life",
             lambda sender, former, span: sender._owners.is_replaced(former),
         ),
     )
--- a/tests/slow/test_keyspace_machine.py
+++ b/tests/slow/test_keyspace_machine.py
@@ -227,7 +227,7 @@
                 continue
             if span.former_owner is not None:
                 if not key_orders.former_owner_no_longer_holds(
-                    span, self.now_s, is_dead=False
+                    span, self.now_s, is_elsewhere=False
                 ):
                     continue
                 key_orders.clear_former_owner(span)
