Soak real processes and judge owners by the upstreams' records

Cause: the tests of owners play one fault at a time, and the stand-in upstream could neither answer late, nor repeat an answer, nor refuse an order that is meant for another upstream.

A short soak and a late grant without an answer are tests. The seed fixes what is drawn; when it acts depends on the run.

--- a/standins/users_platform_store.py
+++ b/standins/users_platform_store.py
@@ -14,6 +14,7 @@
 
 Json = Any
 _MS_PER_S = 1000
+_CALLER = web.AppKey("caller", str)
 
 
 @dataclasses.dataclass
@@ -25,12 +26,16 @@
       silent: whether every call waits until this is false again.
       lose_answers: number of next writes that take effect unanswered.
       history_from: watches from a lower revision are answered with 410.
+      delay_s: how long each call waits before it takes effect.
+      refused: callers whose calls are refused with 503.
     """
 
     busy: bool = False
     silent: bool = False
     lose_answers: int = 0
     history_from: int = 0
+    delay_s: float = 0.0
+    refused: set[str] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -133,9 +138,10 @@
             self.faults.silent = is_silent
             self._changed.notify_all()
 
-    def application(self) -> web.Application:
-        """Returns the HTTP application that serves the calls."""
+    def application(self, caller: str = "") -> web.Application:
+        """Returns the HTTP application that serves the calls of a caller."""
         application = web.Application(middlewares=[self._inject_faults])
+        application[_CALLER] = caller
         application.router.add_get("/objects/{kind}", self._list_or_watch)
         application.router.add_get("/objects/{kind}/{name}", self._get)
         application.router.add_post("/objects/{kind}", self._create)
@@ -148,8 +154,10 @@
         self, request: web.Request, handler: Any
     ) -> web.StreamResponse:
         self.calls += 1
-        if self.faults.busy:
+        if self.faults.busy or request.app[_CALLER] in self.faults.refused:
             return web.Response(status=503)
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
         async with self._changed:
             await self._changed.wait_for(lambda: not self.faults.silent)
         response: web.StreamResponse = await handler(request)
--- a/standins/users_platform_upstream.py
+++ b/standins/users_platform_upstream.py
@@ -45,6 +45,52 @@
     until_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class GrantFault:
+    """What goes wrong with one grant.
+
+    Attributes:
+      carried_out_after_s: how long after its arrival it is carried out.
+      answered_after_s: how long after that it is answered.
+      is_repeated: whether its answer comes once more when the next grant has
+        arrived on its connection.
+    """
+
+    carried_out_after_s: float = 0.0
+    answered_after_s: float = 0.0
+    is_repeated: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class TakenGrant:
+    """A grant that an upstream has carried out.
+
+    Attributes:
+      first: the lowest key.
+      last: the highest key.
+      epoch: the epoch of the grant.
+      arrived_s: when it arrived.
+      taken_s: when it was carried out.
+      until_s: when it lapses.
+    """
+
+    first: int
+    last: int
+    epoch: int
+    arrived_s: float
+    taken_s: float
+    until_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class TakenRelease:
+    """A release that an upstream has carried out."""
+
+    first: int
+    last: int
+    taken_s: float
+
+
 class UsersPlatformUpstream:
     """Represents one incarnation of an upstream.
 
@@ -59,6 +105,11 @@
         the answer by 60 s, and `unframed` sends no content length. `repeat`
         refuses the first request of each connection, and writes that refusal
         once more before it answers a later one.
+      orders: the grants and releases that it has carried out, in order.
+      clock_slowness: ratio of true time to time on its clock.
+      next_grant_fault: returns what goes wrong with a grant that has arrived;
+        its argument says whether an answer has already come for it.
+      ended_s: when this incarnation ended, or None.
       grant_delay_s: delay before it accepts a grant.
       service_time_s: duration of one request.
       named_limit: the requests a second that its answers name as its limit, or
@@ -78,6 +129,12 @@
         self.runs: list[ExecutedRequest] = []
         self.abandoned: list[str] = []
         self.granted: list[tuple[int, int, int, float]] = []
+        self.orders: list[TakenGrant | TakenRelease] = []
+        self.clock_slowness = 1.0
+        self.next_grant_fault: Callable[[bool], GrantFault] = (
+            lambda is_answered: GrantFault()
+        )
+        self.ended_s: float | None = None
         self.mode = "serve"
         self.grant_delay_s = 0.0
         self.service_time_s = 0.002
@@ -91,6 +148,7 @@
         self._epochs: dict[int, int] = {}
         self._refusals: dict[asyncio.BaseTransport, bytes] = {}
         self._holdings: list[KeyHolding] = []
+        self._repeats: set[asyncio.BaseTransport] = set()
 
     def holdings_of(self, key: int) -> list[KeyHolding]:
         """Returns the times for which it held a key, the earliest first."""
@@ -116,26 +174,55 @@
     async def _grant(self, request: web.Request) -> web.Response:
         body = await request.json()
         arrived_s = time.monotonic()
-        if self.grant_delay_s:
-            await asyncio.sleep(self.grant_delay_s)
+        if self._is_for_another(request):
+            return self._refuse_expectation(request)
+        is_answered = request.transport in self._repeats
+        if is_answered and request.transport is not None:
+            self._repeats.discard(request.transport)
+            request.transport.write(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+            )
+        fault = self.next_grant_fault(is_answered)
+        delay_s = self.grant_delay_s + fault.carried_out_after_s
+        if delay_s:
+            await asyncio.sleep(delay_s)
         keys = range(body["from"], body["to"] + 1)
         epoch = body["fence"]
+        if self.ended_s is not None:
+            return web.Response(status=503)
         if any(self._epochs.get(key, 0) > epoch for key in keys):
             return web.json_response({"error": "fenced"}, status=409)
+        until_s = arrived_s + body["holdS"] * self.clock_slowness
         for key in keys:
             self._epochs[key] = epoch
-            self._held_until_s[key] = arrived_s + body["holdS"]
+            self._held_until_s[key] = until_s
         self.granted.append((body["from"], body["to"], epoch, arrived_s))
-        self._note_held(
-            body["from"],
-            body["to"],
-            epoch,
-            arrived_s,
-            arrived_s + body["holdS"],
+        self.orders.append(
+            TakenGrant(
+                body["from"],
+                body["to"],
+                epoch,
+                arrived_s,
+                time.monotonic(),
+                until_s,
+            )
         )
+        self._note_held(body["from"], body["to"], epoch, arrived_s, until_s)
+        if fault.answered_after_s:
+            await asyncio.sleep(fault.answered_after_s)
+        if fault.is_repeated and request.transport is not None:
+            self._repeats.add(request.transport)
         headers = {"Server-Leaving": "1"} if self.says_leaving else None
         return web.json_response({}, headers=headers)
 
+    def _is_for_another(self, request: web.Request) -> bool:
+        expected = request.headers.get("X-Expect-Instance")
+        return expected is not None and expected != self.name
+
+    def _refuse_expectation(self, request: web.Request) -> web.Response:
+        headers = {"X-Instance-Id": self.name, "X-Not-Executed": "1"}
+        return web.Response(status=421, headers=headers)
+
     def _note_held(
         self, first: int, last: int, epoch: int, now_s: float, until_s: float
     ) -> None:
@@ -170,7 +257,10 @@
 
     async def _release(self, request: web.Request) -> web.Response:
         body = await request.json()
+        if self._is_for_another(request):
+            return self._refuse_expectation(request)
         first, last = body["from"], body["to"]
+        self.orders.append(TakenRelease(first, last, time.monotonic()))
         for key in range(first, last + 1):
             self._held_until_s.pop(key, None)
         self._note_released(first, last, time.monotonic())
--- /dev/null
+++ b/tests/process/test_owners_soak.py
@@ -0,0 +1,82 @@
+"""Tests of who holds keys while several faults act at the same time."""
+
+import asyncio
+
+import pytest
+
+from standins import users_platform_upstream as upstream_module
+from tests.common import owner_record
+from tests.common import owner_soak
+from tests.common import platform_fleet
+
+# RULES.md, OWNER: "hold the same keys for over half a second".
+MAX_DOUBLE_HOLD_S = 0.5
+SOAK_S = 4.0
+SOAK = owner_soak.SoakShape(
+    daemons=3, upstreams=8, requests_per_s=40.0, pause_s=1.2, length_ratio=0.6
+)
+LATE_S = 1.2
+GRANT_TIMEOUT_S = 5.0
+START_TIMEOUT_S = 30.0
+MOVED_S = 3.0
+
+
+def check_held_once(lives, thawed_s=(), counts_late_grants=True):
+    """Checks that no two incarnations held the same keys."""
+    record = owner_record.OwnerRecord(lives, thawed_s, counts_late_grants)
+    assert record.low_epochs() == []
+    broken = [
+        double
+        for double in record.double_holds()
+        if double.both_ran
+        or double.until_s - double.start_s > MAX_DOUBLE_HOLD_S
+    ]
+    assert broken == []
+
+
+@pytest.mark.parametrize("seed", [1])
+def test_keys_are_held_once_while_faults_of_all_kinds_overlap(tmp_path, seed):
+    fleet = owner_soak.SoakFleet(tmp_path, seed, SOAK)
+    try:
+        fleet.run(fleet.soak(SOAK_S))
+    finally:
+        fleet.close()
+    assert sum(len(life.granted) for life in fleet.lives) > SOAK.upstreams
+    check_held_once(fleet.lives, fleet.thawed_s, counts_late_grants=False)
+
+
+def move_keys_of_a_late_grant(directory, is_answered_before):
+    """Makes an upstream leave that carries out a grant late.
+
+    Returns:
+      The incarnations of all upstreams.
+    """
+    fleet = platform_fleet.PlatformFleet(directory)
+
+    async def scenario():
+        for daemon in fleet.daemons:
+            await fleet.wait_until_served(daemon, timeout_s=START_TIMEOUT_S)
+        leaving = fleet.upstreams["i-0"]
+        has_arrived = asyncio.Event()
+
+        def delay_grant(is_answered):
+            if is_answered_before and not is_answered:
+                return upstream_module.GrantFault(is_repeated=True)
+            has_arrived.set()
+            return upstream_module.GrantFault(carried_out_after_s=LATE_S)
+
+        leaving.next_grant_fault = delay_grant
+        async with asyncio.timeout(GRANT_TIMEOUT_S):
+            await has_arrived.wait()
+        await fleet.register("i-0", state="draining")
+        await asyncio.sleep(MOVED_S)
+
+    try:
+        fleet.run(scenario())
+    finally:
+        fleet.close()
+    return [fleet.upstreams[f"i-{index}"] for index in range(3)]
+
+
+def test_keys_are_held_once_when_a_grant_without_answer_is_late(tmp_path):
+    check_held_once(move_keys_of_a_late_grant(tmp_path, False))
