Show that a repeated answer hides a grant that is carried out late

Callers would see two upstreams hold the same keys.

Cause, traced, not mended: a second copy of a grant's answer that comes once the next grant is under way on the kept connection is taken as the answer to that grant (KeyOwners.send_order passes no matches_request to exchange, and orders bear no X-Request-Id). record_grant_outcome then forgets that the grant may still be on its way. A release on another connection is answered, the next owner gets the keys, and the former one carries the grant out, with what is left of its time.

--- a/tests/process/test_owners_soak.py
+++ b/tests/process/test_owners_soak.py
@@ -80,3 +80,9 @@
 
 def test_keys_are_held_once_when_a_grant_without_answer_is_late(tmp_path):
     check_held_once(move_keys_of_a_late_grant(tmp_path, False))
+
+
+def test_keys_are_held_once_when_a_repeated_answer_hides_a_late_grant(
+    tmp_path,
+):
+    check_held_once(move_keys_of_a_late_grant(tmp_path, True))
