Let the store's version order the starts of an upstream

Cause: which start of an id was the later one was taken from the start time, the clock of whichever host the upstream runs on. After that clock had gone back, the new start counted as replaced (KeyOwners), as an entry from before its upstream left (RemovedUpstreams), or as no evidence (CrashEvidence), and got no keys. A late entry of a start that had been replaced was taken as the present one.

Change: core/upstream_lives holds the order. A start time is an opaque mark. The start that the newest version (era and revision) of the store lists is the present one. An entry of a start that was replaced or removed in the last 60 s is an older copy unless its report number is higher than the last one known, as only a living upstream counts on. Without a valid start time the listing decides. Keys go from one start to another of its id at once only if both had one address, which needs no order; else they wait for the release or the end of the hold. Nothing changes in frames or stored documents.

--- a/src/sardinehill/core/routes.py
+++ b/src/sardinehill/core/routes.py
@@ -6,6 +6,8 @@
 import dataclasses
 import functools
 
+from sardinehill.core import store_versions
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WeightedService:
@@ -144,8 +146,8 @@
 
     Attributes:
       id: the upstream's id, which most restarts change.
-      started_at_ms: the Unix time of its start in milliseconds; distinguishes
-        starts with the same id.
+      started_at_ms: the Unix time of its start in milliseconds by its host's
+        clock; distinguishes starts with the same id and does not order them.
       service: the service it belongs to.
       address: its IP address and port.
       zone: its availability zone.
@@ -155,6 +157,8 @@
         entry.
       report_number: counts what it has written since its start, or None if it
         does not count.
+      listed_at: the version of the store that first listed this start, or
+        listed it again after it had ended.
     """
 
     id: str
@@ -166,17 +170,38 @@
     is_draining: bool
     cold_remaining_s: float
     report_number: int | None = dataclasses.field(default=None, compare=False)
+    listed_at: store_versions.StoreVersion = dataclasses.field(
+        default=store_versions.NEVER_READ, compare=False
+    )
 
     def is_outdated_by(self, other: "Upstream") -> bool:
         """Returns whether the same incarnation wrote `other` after this."""
         return (
-            self.started_at_ms != 0
-            and self.incarnation == other.incarnation
-            and self.report_number is not None
+            self._counts_with(other)
             and other.report_number is not None
+            and self.report_number is not None
             and self.report_number < other.report_number
         )
 
+    def is_later_report_than(self, other: "Upstream") -> bool:
+        """Returns whether the same incarnation may have written this later.
+
+        That is assumed where their numbers do not compare.
+        """
+        return (
+            not self._counts_with(other)
+            or other.report_number is None
+            or self.report_number is None
+            or self.report_number > other.report_number
+        )
+
+    def _counts_with(self, other: "Upstream") -> bool:
+        """Returns whether the report numbers of two entries compare.
+
+        Without a valid start time they may be of different incarnations.
+        """
+        return self.started_at_ms != 0 and self.incarnation == other.incarnation
+
     @property
     def incarnation(self) -> tuple[str, int]:
         """The id and the time of the start, which identify one start."""
--- a/src/sardinehill/front/crash_evidence.py
+++ b/src/sardinehill/front/crash_evidence.py
@@ -9,6 +9,7 @@
 from sardinehill.core import crash_suspects
 from sardinehill.core import keyspace
 from sardinehill.core import routes
+from sardinehill.core import upstream_lives
 from sardinehill.front import pool as pool_module
 
 # A connection that breaks is no proof. For this long a later start of the same
@@ -70,14 +71,11 @@
             self._record(upstream, digests)
 
     async def _starts_again(self, upstream: routes.Upstream) -> bool:
-        """Returns whether a later start of an upstream is listed in time."""
+        """Returns whether another start of an upstream is listed in time."""
         due_s = self._clock_s() + CONFIRM_TIMEOUT_S
         while self._clock_s() < due_s:
             listed = self._upstreams().get(upstream.id)
-            if (
-                listed is not None
-                and listed.started_at_ms > upstream.started_at_ms
-            ):
+            if listed is not None and upstream_lives.replaces(listed, upstream):
                 return True
             await asyncio.sleep(CONFIRM_INTERVAL_S)
         return False
--- a/src/sardinehill/front/key_owners.py
+++ b/src/sardinehill/front/key_owners.py
@@ -13,6 +13,7 @@
 from sardinehill.core import key_plan
 from sardinehill.core import keyspace
 from sardinehill.core import routes
+from sardinehill.core import upstream_lives
 
 CONNECT_TIMEOUT_S = 0.3
 # A release is answered when the requests that are running have ended.
@@ -105,8 +106,8 @@
         self._zones_out = zones_out
         self.by_incarnation: dict[keyspace.Incarnation, KeyOwner] = {}
         self.ended: set[keyspace.Incarnation] = set()
-        # The latest incarnation of each upstream, by its id.
-        self._latest: dict[str, keyspace.Incarnation] = {}
+        # The present incarnation of each upstream as last listed, by its id.
+        self._latest: dict[str, routes.Upstream] = {}
         self.last_joined_s = now_s
         self.orders_sent = 0
         self._under_way: set[http1.Connection] = set()
@@ -132,6 +133,7 @@
                 self._add(upstream, now_s)
             else:
                 owner.address = upstream.address
+            self._note_listed(upstream, now_s)
 
     def _add(self, upstream: routes.Upstream, now_s: float) -> None:
         incarnation = upstream.incarnation
@@ -139,29 +141,52 @@
             incarnation, upstream.address, upstream.slots, confirmed_s=now_s
         )
         self.last_joined_s = now_s
+
+    def _note_listed(self, upstream: routes.Upstream, now_s: float) -> None:
+        """Records which incarnation of an upstream is the present one."""
         earlier = self._latest.get(upstream.id)
-        if earlier is None:
-            self._latest[upstream.id] = incarnation
-        elif earlier < incarnation:
-            self._latest[upstream.id] = incarnation
-            confirmed_s = self.by_incarnation[earlier].confirmed_s
+        if earlier is not None and earlier.incarnation != upstream.incarnation:
+            if not upstream_lives.replaces(upstream, earlier):
+                return
+            confirmed_s = self.by_incarnation[earlier.incarnation].confirmed_s
             events.log(
                 events.UPSTREAM_RESTARTED,
                 service=self._service,
                 upstream=upstream.id,
                 started_at_ms=upstream.started_at_ms,
-                earlier_started_at_ms=earlier[1],
+                earlier_started_at_ms=earlier.started_at_ms,
                 earlier_confirmed_ago_s=round(now_s - confirmed_s, 3),
+                listed_at=str(upstream.listed_at),
+                earlier_listed_at=str(earlier.listed_at),
             )
+        self._latest[upstream.id] = upstream
 
     def is_replaced(self, incarnation: keyspace.Incarnation) -> bool:
-        """Returns whether a later incarnation of the same upstream is known.
+        """Returns whether another incarnation of the upstream is listed.
 
-        The earlier one has certainly ended, but an order names only the id, so
-        the later one may have accepted grants that were meant for the earlier.
+        An order names only the id, so that one may have accepted grants that
+        were meant for this one.
         """
         latest = self._latest.get(incarnation[0])
-        return latest is not None and incarnation < latest
+        return latest is not None and latest.incarnation != incarnation
+
+    def holds_what_was_granted(
+        self, owner: keyspace.Incarnation, former: keyspace.Incarnation
+    ) -> bool:
+        """Returns whether only `owner` may hold what was granted to `former`.
+
+        That is so if they are starts of one upstream at one address, which is
+        known without their order.
+        """
+        if owner[0] != former[0] or not self.is_replaced(former):
+            return False
+        present = self.by_incarnation.get(owner)
+        earlier = self.by_incarnation.get(former)
+        return (
+            present is not None
+            and earlier is not None
+            and present.address == earlier.address
+        )
 
     def may_own_keys(self, incarnation: keyspace.Incarnation) -> bool:
         """Returns whether an incarnation may be granted keys."""
@@ -174,10 +199,10 @@
     ) -> KeyOwner | None:
         """Returns the upstream that may hold an incarnation's keys now.
 
-        This is the latest incarnation of its id, or None if it is not known.
+        This is the present incarnation of its id, or None if it is not known.
         """
         if self.is_replaced(incarnation):
-            return self.by_incarnation[self._latest[incarnation[0]]]
+            return self.by_incarnation[self._latest[incarnation[0]].incarnation]
         return self.by_incarnation.get(incarnation)
 
     def not_ended(self) -> list[KeyOwner]:
--- a/src/sardinehill/front/listed_upstreams.py
+++ b/src/sardinehill/front/listed_upstreams.py
@@ -4,8 +4,9 @@
 from typing import Any
 
 from sardinehill import events
-from sardinehill.core import removed_upstreams
 from sardinehill.core import routes
+from sardinehill.core import store_versions
+from sardinehill.core import upstream_lives
 from sardinehill.platform import documents as documents_module
 
 Json = Any
@@ -19,7 +20,7 @@
     """
 
     def __init__(self, clock_s: Callable[[], float]):
-        self._removed = removed_upstreams.RemovedUpstreams(clock_s)
+        self._lives = upstream_lives.UpstreamLives(clock_s)
         self._decoded: dict[str, tuple[Json, routes.Upstream]] = {}
         # The errors that were logged, by the name of the entry.
         self._malformed: dict[str, str] = {}
@@ -33,8 +34,9 @@
         A write that the store did not answer may take effect seconds later, and
         then overwrites what the upstream has written since. A restored store
         goes back to earlier entries. Such an entry is replaced by the known
-        one, and that of an upstream which has left is dropped. Peers and
-        daemons that start must not get them from here.
+        one, which may be of a later start, and that of an upstream which has
+        left is dropped. Peers and daemons that start must not get them from
+        here.
 
         Args:
           documents: the entries by name, as read.
@@ -44,42 +46,39 @@
         for name, document in documents.items():
             upstream = self._decode(name, document)
             known = self.by_id.get(name)
-            if upstream is None:
+            if upstream is None or not self._lives.is_outdated(upstream):
                 newest[name] = document
-            elif known is not None and upstream.is_outdated_by(known):
-                _log_outdated(upstream, revision)
-                newest[name] = self._decoded[name][0]
-            elif self._removed.includes(upstream):
-                _log_outdated(upstream, revision)
             else:
-                newest[name] = document
+                _log_outdated(upstream, revision)
+                if known is not None:
+                    newest[name] = self._decoded[name][0]
         return newest
 
     def update(
         self,
         documents: dict[str, Json],
-        revision: int,
+        version: store_versions.StoreVersion,
         max_age_s: float | None,
     ) -> None:
         """Decodes the entries of all upstreams.
 
         Args:
           documents: the entries by name, without outdated ones.
-          revision: the store's revision, for logs.
+          version: the version of the store that lists them.
           max_age_s: how long ago the last change may have occurred, for logs;
             None if that is not known.
         """
         upstreams: dict[str, routes.Upstream] = {}
-        decoded: dict[str, tuple[Json, routes.Upstream]] = {}
         for name, document in documents.items():
             upstream = self._decode(name, document)
             if upstream is not None:
-                decoded[name] = (document, upstream)
                 upstreams[name] = upstream
-        for name in self.by_id.keys() - upstreams.keys():
-            self._removed.add(self.by_id[name])
-        _log_changes(self.by_id, upstreams, revision, max_age_s)
-        self._decoded = decoded
+        upstreams = self._lives.list(upstreams, version)
+        _log_changes(self.by_id, upstreams, version.revision, max_age_s)
+        self._decoded = {
+            name: (documents[name], upstream)
+            for name, upstream in upstreams.items()
+        }
         self.by_id = upstreams
 
     def _decode(self, name: str, document: Json) -> routes.Upstream | None:
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -207,15 +207,13 @@
     ) -> bool:
         """Returns whether nobody but the span's owner holds a former's keys.
 
-        A later incarnation of the former owner may hold what was granted to the
-        earlier one. If it is the new owner, nobody has to give up the keys.
+        Another incarnation of the former owner may hold what was granted to it.
+        If it is the new owner, nobody has to give up the keys.
         """
         if former in self._owners.ended:
             return True
-        return (
-            span.owner is not None
-            and span.owner[0] == former[0]
-            and self._owners.is_replaced(former)
+        return span.owner is not None and self._owners.holds_what_was_granted(
+            span.owner, former
         )
 
     def _request_release(self, span: keyspace.Span, now_s: float) -> None:
--- a/src/sardinehill/front/store_view.py
+++ b/src/sardinehill/front/store_view.py
@@ -380,7 +380,7 @@
     def _decode_upstreams(self) -> None:
         self._listed_upstreams.update(
             self._upstreams.documents,
-            self._upstreams.version.revision,
+            self._upstreams.version,
             self._change_age_s(),
         )
         self.upstreams = self._listed_upstreams.by_id
--- a/tests/common/platform_fleet.py
+++ b/tests/common/platform_fleet.py
@@ -27,6 +27,8 @@
 T = TypeVar("T")
 HOST = "127.0.0.1"
 SERVED_TIMEOUT_S = 10.0
+# The start time that upstreams report first.
+FIRST_BORN_MS = 1_700_000_000_000
 ACCOUNT_KEY = "key-of-trattoria"
 ROOT = pathlib.Path(__file__).parents[2]
 
@@ -235,8 +237,20 @@
         await self.register(name, service)
         return upstream
 
+    async def restart_upstream(self, name: str, born_ms: int) -> None:
+        """Starts an upstream that was stopped again, at its address."""
+        upstream = upstream_module.UsersPlatformUpstream(name)
+        port = int(self.addresses[name].rpartition(":")[2])
+        await self._serve(name, upstream.application(), port)
+        self.upstreams[name] = upstream
+        await self.register(name, born_ms=born_ms)
+
     async def register(
-        self, name: str, service: str = "prenota", state: str = "ready"
+        self,
+        name: str,
+        service: str = "prenota",
+        state: str = "ready",
+        born_ms: int = FIRST_BORN_MS,
     ) -> None:
         """Writes the entry of an upstream to the store."""
         await self.store.put(
@@ -244,7 +258,7 @@
             name,
             spec={
                 "address": self.addresses[name],
-                "born": 1700000000000,
+                "born": born_ms,
                 "info": {
                     "service": service,
                     "zone": "pa-1",
--- a/tests/cover/test_crash_evidence.py
+++ b/tests/cover/test_crash_evidence.py
@@ -7,6 +7,8 @@
 
 from sardinehill.core import crash_suspects
 from sardinehill.core import routes
+from sardinehill.core import store_versions
+from sardinehill.core import upstream_lives
 from sardinehill.front import crash_evidence
 from tests.common import platform_fleet
 
@@ -78,8 +80,25 @@
     assert endings_after(open_port, [new_upstream(open_port)]) == [0]
 
 
-def test_later_start_shows_that_the_upstream_has_ended(open_port):
+@pytest.mark.parametrize("started_at_ms", [4, 6])
+def test_another_start_shows_that_the_upstream_has_ended(
+    open_port, started_at_ms
+):
     started_again = dataclasses.replace(
-        new_upstream(open_port), started_at_ms=6
+        new_upstream(open_port), started_at_ms=started_at_ms
     )
     assert endings_after(open_port, [started_again]) == [1]
+
+
+def test_start_that_was_listed_before_is_no_evidence(open_port):
+    upstream = dataclasses.replace(
+        new_upstream(open_port),
+        listed_at=store_versions.StoreVersion(1, 7),
+    )
+    earlier = dataclasses.replace(
+        upstream,
+        started_at_ms=6,
+        listed_at=store_versions.StoreVersion(1, 6),
+    )
+    assert not upstream_lives.replaces(earlier, upstream)
+    assert upstream_lives.replaces(upstream, earlier)
--- a/tests/cover/test_orders.py
+++ b/tests/cover/test_orders.py
@@ -39,12 +39,17 @@
         self.is_unpowered = False
         self.silent = set()
 
-    def restart(self, name, started_at_ms):
+    def restart(self, incarnation, port=None):
         """Replaces an upstream by a later life under its id."""
+        name, started_at_ms = incarnation
         upstreams = dict(self._upstreams())
         upstreams[name] = dataclasses.replace(
             upstreams[name], started_at_ms=started_at_ms
         )
+        if port is not None:
+            upstreams[name] = dataclasses.replace(
+                upstreams[name], address=f"127.0.0.1:{port}"
+            )
         self._upstreams = lambda: upstreams
 
     async def send_order(
@@ -244,26 +249,33 @@
 # under its id. A grant names only the id, so the later life accepted grants
 # that were meant for the earlier one. As the earlier one had ended, its keys
 # were given to others, and two upstreams held them for over 2 s.
-A_RESTARTED = ("a", 2)
+# The clock of its host may have gone back meanwhile.
+@pytest.fixture(params=[2, 0])
+def restarted(request):
+    return ("a", request.param)
 
 
-def test_keys_that_a_restarted_upstream_took_move_only_after_its_release():
+def test_keys_that_a_restarted_upstream_took_move_only_after_its_release(
+    restarted,
+):
     async def scenario(harness, orders):
-        harness.owners.restart("a", 2)
+        harness.owners.restart(restarted)
         harness.move(B)
         orders.send_due()
         await settle_tasks()
         assert [
             (path, incarnation) for path, incarnation, _ in harness.owners.sent
-        ] == [(b"/release", A_RESTARTED), (b"/grant", B)]
+        ] == [(b"/release", restarted), (b"/grant", B)]
 
     run_scenario(scenario)
 
 
-def test_keys_of_a_restarted_upstream_that_is_silent_lapse_before_they_move():
+def test_keys_of_a_restarted_upstream_that_is_silent_lapse_before_they_move(
+    restarted,
+):
     async def scenario(harness, orders):
-        harness.owners.restart("a", 2)
-        harness.owners.silent = {A_RESTARTED}
+        harness.owners.restart(restarted)
+        harness.owners.silent = {restarted}
         harness.move(B)
         lapse_s = harness.span.former_owner.may_hold_until_s
         for ahead_s in (1.0, 0.1):
@@ -279,13 +291,15 @@
     run_scenario(scenario)
 
 
-def test_grant_under_way_at_a_restart_is_released_again_before_keys_move():
+def test_grant_under_way_at_a_restart_is_released_again_before_keys_move(
+    restarted,
+):
     async def scenario(harness, orders):
         harness.now_s += order_sender_module.GRANT_RENEWAL_S
         harness.owners.answers.clear()
         orders.send_due()
         await settle_tasks()
-        harness.owners.restart("a", 2)
+        harness.owners.restart(restarted)
         harness.move(B)
         harness.now_s += 0.1
         orders.send_due()
@@ -299,30 +313,34 @@
             for path, incarnation, _ in harness.owners.sent
             if path == b"/release"
         ]
-        assert set(releases) == {A_RESTARTED}
+        assert set(releases) == {restarted}
         assert harness.owners.sent[-1][:2] == (b"/grant", B)
 
     run_scenario(scenario)
 
 
-def test_restarted_upstream_gets_the_keys_of_its_earlier_life_at_once():
+def test_restarted_upstream_gets_the_keys_of_its_earlier_life_at_once(
+    restarted,
+):
     async def scenario(harness, orders):
-        harness.owners.restart("a", 2)
-        harness.move(A_RESTARTED)
+        harness.owners.restart(restarted)
+        harness.move(restarted)
         orders.send_due()
         await settle_tasks()
         assert [
             (path, incarnation) for path, incarnation, _ in harness.owners.sent
-        ] == [(b"/grant", A_RESTARTED)]
+        ] == [(b"/grant", restarted)]
 
     run_scenario(scenario)
 
 
-def test_no_grant_for_an_earlier_life_is_sent_once_a_later_one_is_known():
+def test_no_grant_for_an_earlier_life_is_sent_once_a_later_one_is_known(
+    restarted,
+):
     async def scenario(harness, orders):
         harness.now_s += order_sender_module.GRANT_RENEWAL_S
         orders.send_due()
-        harness.owners.restart("a", 2)
+        harness.owners.restart(restarted)
         harness.owners.refresh(harness.now_s)
         await settle_tasks()
         harness.now_s += order_sender_module.GRANT_RENEWAL_S
@@ -333,15 +351,31 @@
     run_scenario(scenario)
 
 
-def test_new_leader_asks_the_life_that_it_knows_for_keys_of_an_earlier_one():
+def test_new_leader_asks_the_life_that_it_knows_for_keys_of_an_earlier_one(
+    restarted,
+):
     async def scenario(harness, orders):
         del harness.owners.by_incarnation[A]
         harness.owners._latest.clear()
-        harness.owners.restart("a", 2)
+        harness.owners.restart(restarted)
         harness.move(B)
         orders.send_due()
         await settle_tasks()
-        assert harness.owners.sent[0][:2] == (b"/release", A_RESTARTED)
+        assert harness.owners.sent[0][:2] == (b"/release", restarted)
         assert harness.owners.sent[-1][:2] == (b"/grant", B)
 
     run_scenario(scenario)
+
+
+def test_life_at_another_address_gets_keys_once_they_are_released(restarted):
+    # Which of the two is the later one can't be told from their start times.
+    async def scenario(harness, orders):
+        harness.owners.restart(restarted, port=9)
+        harness.move(restarted)
+        orders.send_due()
+        await settle_tasks()
+        assert [
+            (path, incarnation) for path, incarnation, _ in harness.owners.sent
+        ] == [(b"/release", restarted), (b"/grant", restarted)]
+
+    run_scenario(scenario)
--- a/tests/cover/test_restored_view.py
+++ b/tests/cover/test_restored_view.py
@@ -87,7 +87,7 @@
     assert fixture.view.upstreams == {}
 
 
-@pytest.mark.parametrize(("number", "born"), [(5, 5), (1, 6)])
+@pytest.mark.parametrize(("number", "born"), [(5, 5), (1, 6), (1, 4)])
 def test_upstream_that_is_back_after_a_restore_is_used(fixture, number, born):
     fixture.list_upstream(4)
     fixture.read()
@@ -151,6 +151,46 @@
     assert fixture.view.upstreams == {}
 
 
+@pytest.mark.parametrize("is_restored", [False, True])
+@pytest.mark.parametrize("born", [4, 6])
+def test_late_copy_of_an_earlier_life_does_not_replace_the_present_one(
+    fixture, born, is_restored
+):
+    fixture.list_upstream(4)
+    fixture.read()
+    fixture.list_upstream(1, born=born)
+    fixture.read()
+    if is_restored:
+        fixture.restore()
+    fixture.list_upstream(4)
+    fixture.read()
+    assert fixture.view.upstreams["i-1"].started_at_ms == born
+    started = started_daemons_upstreams(fixture)
+    assert started["i-1"].started_at_ms == born
+
+
+@pytest.mark.parametrize("born", [4, 6])
+def test_living_upstream_is_present_again_after_a_late_copy(fixture, born):
+    fixture.list_upstream(4)
+    fixture.read()
+    fixture.list_upstream(9, born=born)
+    fixture.read()
+    fixture.list_upstream(5)
+    fixture.read()
+    assert fixture.view.upstreams["i-1"].started_at_ms == 5
+
+
+@pytest.mark.parametrize("born", ["soon", None, True, -1, 5.5, [], 10**30])
+def test_upstreams_without_a_valid_start_time_are_used_as_listed(fixture, born):
+    for number in (4, 1):
+        fixture.list_upstream(number, born=born)
+        fixture.read()
+        assert set(fixture.view.upstreams) == {"i-1"}
+        fixture.lists[names.UPSTREAMS_KIND].clear()
+        fixture.read()
+        assert fixture.view.upstreams == {}
+
+
 def test_zone_taken_out_stays_out_when_a_restored_store_has_lost_that(fixture):
     fixture.lists[names.EVACUATIONS_KIND][ZONE] = {"metadata": {}}
     fixture.read()
