Keep the hold of an earlier start when its keys pass to the next

Cause: when a span passed from one start of an upstream to another at the same address, its former owner was cleared, and with it the time until which the grants of the earlier start last. The later start may have accepted one of them. If it was then granted nothing (no connection), the span counted as held by nobody, and a move to another upstream granted it there at once: two upstreams held the keys for up to the rest of the hold (OWNER).

Change: `clear_former_owner` carries these times over to the span, unless the keys were released.

Not seen in a run of real processes.

--- a/src/sardinehill/core/key_orders.py
+++ b/src/sardinehill/core/key_orders.py
@@ -284,7 +284,24 @@
 
 
 def clear_former_owner(span: keyspace.Span) -> None:
-    """Removes the former owner, so that the owner may be granted the span."""
+    """Removes the former owner, so that the owner may be granted the span.
+
+    If both are starts of one upstream, the owner may hold what was granted to
+    the former one, also if it is never granted the span itself.
+    """
+    former = span.former_owner
+    if (
+        former is not None
+        and not former.released
+        and span.owner is not None
+        and span.owner[0] == former.incarnation[0]
+    ):
+        span.may_hold_until_s = max(
+            span.may_hold_until_s, former.may_hold_until_s
+        )
+        span.in_flight_until_s = max(
+            span.in_flight_until_s, former.in_flight_until_s
+        )
     span.former_owner = None
     span.next_order_s = 0.0
 
--- a/tests/cover/test_orders.py
+++ b/tests/cover/test_orders.py
@@ -379,3 +379,25 @@
         ] == [(b"/release", restarted), (b"/grant", restarted)]
 
     run_scenario(scenario)
+
+
+def test_keys_of_a_restarted_upstream_that_took_no_grant_lapse_before_they_move(
+    restarted,
+):
+    # It may hold what was granted to the life before it.
+    async def scenario(harness, orders):
+        harness.owners.restart(restarted)
+        harness.owners.result = key_owners_module.OrderResult(error="refused")
+        lapse_s = harness.span.may_hold_until_s
+        harness.move(restarted)
+        orders.send_due()
+        await settle_tasks()
+        assert harness.span.former_owner is None
+        harness.move(B)
+        harness.owners.sent.clear()
+        harness.now_s = lapse_s - 0.1
+        orders.send_due()
+        await settle_tasks()
+        assert {path for path, _, _ in harness.owners.sent} == {b"/release"}
+
+    run_scenario(scenario)
