End only the starts that had a reused address

Cause: if the present start of an upstream, asked to release the keys of another start of its id, answered for another upstream (421), both counted as ended, also if the other one had another address. If that one was the living one, as after a late entry, its keys were granted to others while it held them (OWNER).

Change: only the start that was asked has ended, and the other one if it had the same address. Otherwise its keys wait for the end of the hold; the release is asked again after the usual pause.

Not seen in a run of real processes.

--- a/src/sardinehill/front/key_owners.py
+++ b/src/sardinehill/front/key_owners.py
@@ -188,6 +188,20 @@
             and present.address == earlier.address
         )
 
+    def note_address_reused(
+        self, owner: KeyOwner, former: keyspace.Incarnation
+    ) -> None:
+        """Records that an owner's address answers for another upstream.
+
+        Args:
+          owner: the owner, which has ended.
+          former: the incarnation whose keys it was asked to release. It has
+            ended, too, if it had the same address.
+        """
+        if self.holds_what_was_granted(owner.incarnation, former):
+            self.ended.add(former)
+        self.ended.add(owner.incarnation)
+
     def may_own_keys(self, incarnation: keyspace.Incarnation) -> bool:
         """Returns whether an incarnation may be granted keys."""
         return incarnation not in self.ended and not self.is_replaced(
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -251,8 +251,8 @@
             self.assignment, release, is_released, handover
         )
         if result.status == 421:
-            self._owners.ended.update((release.incarnation, owner.incarnation))
-        is_settled = result.status in (200, 421)
+            self._owners.note_address_reused(owner, release.incarnation)
+        is_settled = is_released or release.incarnation in self._owners.ended
         for span in spans:
             span.next_order_s = (
                 0.0 if is_settled else now_s + key_owners.ORDER_RETRY_S
--- a/tests/cover/test_orders.py
+++ b/tests/cover/test_orders.py
@@ -367,6 +367,47 @@
     run_scenario(scenario)
 
 
+def test_reused_address_does_not_end_a_life_that_had_another_address(restarted):
+    # Otherwise its keys are granted to others while it may hold them.
+    async def scenario(harness, orders):
+        harness.owners.restart(restarted, port=9)
+        harness.owners.result = key_owners_module.OrderResult(
+            status=421, written=True
+        )
+        harness.move(B)
+        lapse_s = harness.span.former_owner.may_hold_until_s
+        for ahead_s in (1.0, 0.1):
+            harness.now_s = lapse_s - ahead_s
+            orders.send_due()
+            await settle_tasks()
+        assert not harness.owners.may_own_keys(restarted)
+        assert {path for path, _, _ in harness.owners.sent} == {b"/release"}
+        assert len(harness.owners.sent) <= 3
+        harness.now_s = lapse_s + 0.1
+        orders.send_due()
+        await settle_tasks()
+        assert harness.owners.sent[-1][:2] == (b"/grant", B)
+
+    run_scenario(scenario)
+
+
+def test_reused_address_ends_all_lives_that_had_it(restarted):
+    async def scenario(harness, orders):
+        harness.owners.restart(restarted)
+        harness.owners.result = key_owners_module.OrderResult(
+            status=421, written=True
+        )
+        harness.move(B)
+        orders.send_due()
+        await settle_tasks()
+        assert [path for path, _, _ in harness.owners.sent] == [
+            b"/release",
+            b"/grant",
+        ]
+
+    run_scenario(scenario)
+
+
 def test_life_at_another_address_gets_keys_once_they_are_released(restarted):
     # Which of the two is the later one can't be told from their start times.
     async def scenario(harness, orders):
