--- a/src/sardinehill/front/key_owners.py
+++ b/src/sardinehill/front/key_owners.py
@@ -145,6 +145,9 @@
     def _note_listed(self, upstream: routes.Upstream, now_s: float) -> None:
         """Records which incarnation of an upstream is the present one."""
         earlier = self._latest.get(upstream.id)
+        if earlier is not None and earlier.listed_at < upstream.listed_at:
+            # What was known of its address need not hold for the new entry.
+            self.ended.discard(upstream.incarnation)
         if earlier is not None and earlier.incarnation != upstream.incarnation:
             if not upstream_lives.replaces(upstream, earlier):
                 return
