--- a/src/sardinehill/events.py
+++ b/src/sardinehill/events.py
@@ -98,6 +98,7 @@
 DAEMON_CUT_OFF = Event(511, "daemon-cut-off", logging.WARNING)
 REACH_REGAINED = Event(512, "reach-regained", logging.INFO)
 UPSTREAM_RESTARTED = Event(513, "upstream-restarted", logging.WARNING)
+UPSTREAM_LEFT_OUT = Event(514, "upstream-left-out", logging.INFO)
 
 ACCOUNT_KEYS_ACCEPTED = Event(601, "account-keys-accepted", logging.INFO)
 
--- a/src/sardinehill/front/key_owners.py
+++ b/src/sardinehill/front/key_owners.py
@@ -108,6 +108,8 @@
         self.ended: set[keyspace.Incarnation] = set()
         # The present incarnation of each upstream as last listed, by its id.
         self._latest: dict[str, routes.Upstream] = {}
+        # Why upstreams are left out of plans, as was logged, by their ids.
+        self._left_out: dict[str, tuple[keyspace.Incarnation, str]] = {}
         self.last_joined_s = now_s
         self.orders_sent = 0
         self._under_way: set[http1.Connection] = set()
@@ -251,13 +253,9 @@
             owner = self.by_incarnation.get(upstream.incarnation)
             if owner is None or upstream.service != self._service:
                 continue
-            if upstream.is_draining or upstream.zone in zones_out:
-                continue
-            if (
-                now_s < owner.unusable_until_s
-                or owner.says_leaving
-                or not self.may_own_keys(upstream.incarnation)
-            ):
+            reason = self._reason_left_out(upstream, owner, zones_out, now_s)
+            self._note_left_out(upstream, reason)
+            if reason is not None:
                 continue
             capacity = key_plan.UpstreamCapacity(
                 owner.slots, owner.slowness, max_load_of(upstream.id)
@@ -268,6 +266,46 @@
                 warm[upstream.incarnation] = capacity
         return warm or cold
 
+    def _reason_left_out(
+        self,
+        upstream: routes.Upstream,
+        owner: KeyOwner,
+        zones_out: frozenset[str],
+        now_s: float,
+    ) -> str | None:
+        """Returns why a listed upstream gets no keys, or None if it may."""
+        if upstream.is_draining:
+            return "draining"
+        if upstream.zone in zones_out:
+            return "zone-out"
+        if owner.says_leaving:
+            return "says-leaving"
+        if now_s < owner.unusable_until_s:
+            return "unreachable"
+        if upstream.incarnation in self.ended:
+            return "address-reused"
+        if self.is_replaced(upstream.incarnation):
+            return "replaced"
+        return None
+
+    def _note_left_out(
+        self, upstream: routes.Upstream, reason: str | None
+    ) -> None:
+        """Logs once why an upstream is left out, until the reason changes."""
+        told = self._left_out.get(upstream.id)
+        if reason is None:
+            self._left_out.pop(upstream.id, None)
+        elif told != (upstream.incarnation, reason):
+            self._left_out[upstream.id] = (upstream.incarnation, reason)
+            events.log(
+                events.UPSTREAM_LEFT_OUT,
+                service=self._service,
+                upstream=upstream.id,
+                started_at_ms=upstream.started_at_ms,
+                listed_at=str(upstream.listed_at),
+                reason=reason,
+            )
+
     def update_slowness(self, use: fleet_messages.UpstreamUse) -> None:
         """Updates the smoothed slowness of an upstream from a report."""
         for incarnation, owner in self.by_incarnation.items():
