Use an upstream again whose entry names another address

Cause: an upstream that had answered for another at its address stayed out of the plan although its entry, with the same start time, named another address later.

Change: `ended` ends with another address.

--- a/src/sardinehill/front/key_owners.py
+++ b/src/sardinehill/front/key_owners.py
@@ -133,8 +133,9 @@
             owner = self.by_incarnation.get(upstream.incarnation)
             if owner is None:
                 self._add(upstream, now_s)
-            else:
+            elif owner.address != upstream.address:
                 owner.address = upstream.address
+                self.ended.discard(upstream.incarnation)
             self._note_listed(upstream, now_s)
 
     def _add(self, upstream: routes.Upstream, now_s: float) -> None:
