--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -204,10 +204,7 @@
                 ended=is_elsewhere or is_earlier_life,
                 exclusive=self._was_exclusive,
             )
-        if is_earlier_life:
-            key_orders.take_over_from_earlier_life(span)
-        else:
-            key_orders.clear_former_owner(span)
+        key_orders.clear_former_owner(span)
         self._on_former_gone()
         return True
 
@@ -219,10 +216,8 @@
         Then the owner may hold what was granted to the former one, and nobody
         has to give up the keys.
         """
-        return (
-            span.owner is not None
-            and span.owner[0] == former[0]
-            and self._owners.is_replaced(former)
+        return span.owner is not None and self._owners.holds_what_was_granted(
+            span.owner, former
         )
 
     def _request_release(self, span: keyspace.Span, now_s: float) -> None:
@@ -260,8 +255,8 @@
             self.assignment, release, is_released, handover
         )
         if result.status == 421:
-            self._owners.ended.update((release.incarnation, owner.incarnation))
-        is_settled = result.status in (200, 421)
+            self._owners.note_address_reused(owner, release.incarnation)
+        is_settled = is_released or release.incarnation in self._owners.ended
         for span in spans:
             span.next_order_s = (
                 0.0 if is_settled else now_s + key_owners.ORDER_RETRY_S
