Take only a refusal for proof that a grant has no effect

Cause: any status but 200 counted as a refusal of a grant. After a 503 or another failure a release counted at once, though the grant may be carried out seconds later. Change: 400, 409 and 421 are refusals; after any other the grant counts as unanswered. Result: the test failed before and passes, with the machines of orders, lives and grants.

--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -27,6 +27,10 @@
 # The time until a grant whose epoch was refused is sent again. It leaves time
 # to raise the epoch in the store first.
 FENCED_RETRY_S = 0.4
+# The statuses that say that a grant has not taken effect and will not: it is
+# malformed, an epoch is higher, or another upstream has the address. After any
+# other failure it may still be carried out.
+GRANT_REFUSALS = (400, 409, 421)
 
 
 def earlier_orders_end_s(now_s: float) -> float:
@@ -313,6 +317,7 @@
                 last=grant.last,
                 epoch=grant.epoch,
                 age_s=round(now_s - grant.created_s, 3),
+                status=result.status,
                 error=result.error,
             )
         spans = key_orders.record_grant_outcome(
@@ -449,7 +454,7 @@
 ) -> key_orders.GrantOutcome:
     if result.status == 200:
         return key_orders.GrantOutcome.ACCEPTED
-    if result.status is not None:
+    if result.status in GRANT_REFUSALS:
         return key_orders.GrantOutcome.REFUSED
     if result.written:
         return key_orders.GrantOutcome.UNANSWERED
--- a/tests/cover/test_orders.py
+++ b/tests/cover/test_orders.py
@@ -220,6 +220,27 @@
     run_scenario(scenario)
 
 
+def test_grant_that_failed_at_the_upstream_may_still_take_effect():
+    async def scenario(harness, orders):
+        harness.now_s += order_sender_module.GRANT_RENEWAL_S
+        harness.owners.result = key_owners_module.OrderResult(
+            status=503, written=True
+        )
+        orders.send_due()
+        await settle_tasks()
+        harness.owners.result = key_owners_module.OrderResult(
+            status=200, written=True
+        )
+        harness.move(B)
+        harness.now_s += 0.1
+        orders.send_due()
+        await settle_tasks()
+        paths = [path for path, _, _ in harness.owners.sent]
+        assert paths == [b"/grant", b"/release"]
+
+    run_scenario(scenario)
+
+
 def test_grants_to_a_vanished_owner_do_not_delay_the_move_of_its_keys():
     # Guards against this failure: renewals were written to open connections of
     # a host without power. Each of them might have been accepted, so its keys
