--- a/bench/owner_soak.py
+++ b/bench/owner_soak.py
@@ -5,8 +5,8 @@
 import pathlib
 import time
 
-from tests.common import owner_record
-from tests.common import owner_soak
+from bench import owner_record
+from bench import soak_fleet
 
 
 def main() -> None:
@@ -17,8 +17,8 @@
     parser.add_argument("--directory", type=pathlib.Path, required=True)
     arguments = parser.parse_args()
     arguments.directory.mkdir(parents=True)
-    fleet = owner_soak.SoakFleet(
-        arguments.directory, arguments.seed, owner_soak.SoakShape()
+    fleet = soak_fleet.SoakFleet(
+        arguments.directory, arguments.seed, soak_fleet.SoakShape()
     )
     started_s = time.monotonic()
     started_wall_s = time.time()
--- a/tests/cover/test_owner_record.py
+++ b/tests/cover/test_owner_record.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from bench import owner_record
 from standins import users_platform_upstream as upstream_module
-from tests.common import owner_record
 
 
 @pytest.fixture
--- a/tests/process/test_owners_soak.py
+++ b/tests/process/test_owners_soak.py
@@ -4,15 +4,15 @@
 
 import pytest
 
+from bench import owner_record
+from bench import soak_fleet
 from standins import users_platform_upstream as upstream_module
-from tests.common import owner_record
-from tests.common import owner_soak
 from tests.common import platform_fleet
 
 # RULES.md, OWNER: "hold the same keys for over half a second".
 MAX_DOUBLE_HOLD_S = 0.5
 SOAK_S = 4.0
-SOAK = owner_soak.SoakShape(
+SOAK = soak_fleet.SoakShape(
     daemons=3, upstreams=8, requests_per_s=40.0, pause_s=1.2, length_ratio=0.6
 )
 LATE_S = 1.2
@@ -36,7 +36,7 @@
 
 @pytest.mark.parametrize("seed", [1])
 def test_keys_are_held_once_while_faults_of_all_kinds_overlap(tmp_path, seed):
-    fleet = owner_soak.SoakFleet(tmp_path, seed, SOAK)
+    fleet = soak_fleet.SoakFleet(tmp_path, seed, SOAK)
     try:
         fleet.run(fleet.soak(SOAK_S))
     finally:
