Confirm a leader by one electorate, kept with its lease

Callers saw: two upstreams that held the same keys for seconds, and a quarter of the requests refused, while a cut left the leader and most daemons without the store, and the others with it.

Cause: a leader counted reports against the registrations in its own copy. These change by themselves: at a start they are incomplete when the first leader reads them, and ten seconds after a cut the later leader removes those of the daemons that it does not hear. Two majorities then share no member; the earlier leader renews grants that the later one takes for lapsed.

Change: the names that count are stored with the lease (`voters`), taken over by the next leader in the write that makes it the leader, and changed only by a leader that no earlier one can act beside. Where most voters are gone, the keys decide: a leader that the store has not named for ten seconds needs accepted grants of most keys besides, and one whose grants of half of them are accepted by then has excluded it. Frames are unchanged; earlier builds ignore the new field of the lease.

--- a/src/sardinehill/core/controller_state.py
+++ b/src/sardinehill/core/controller_state.py
@@ -3,9 +3,9 @@
 from collections.abc import Mapping
 import dataclasses
 
+from sardinehill.core import electorates
 from sardinehill.core import grants
 from sardinehill.core import placement
-from sardinehill.core import quorum
 
 
 @dataclasses.dataclass(frozen=True)
@@ -225,11 +225,11 @@
 
 def electorate_of(
     assignment: placement.ShardAssignment | None,
-) -> quorum.Electorate:
+) -> electorates.Electorate:
     """Returns the electorate of an assignment; it is empty for None."""
     if assignment is None:
-        return quorum.Electorate(frozenset())
-    return quorum.Electorate(
+        return electorates.Electorate(frozenset())
+    return electorates.Electorate(
         frozenset(assignment.electorate),
         frozenset(assignment.electorate_before),
     )
--- a/src/sardinehill/core/fencing.py
+++ b/src/sardinehill/core/fencing.py
@@ -21,6 +21,14 @@
     return max(known_term, era << TERM_BITS) + 1
 
 
+def era_of(term: int) -> int:
+    """Returns the store's era in which a term began, as far as it tells.
+
+    A term of before the first restore may be higher than its era says.
+    """
+    return term >> TERM_BITS
+
+
 def top_epoch(stored_epoch: int, term: int) -> int:
     """Returns an epoch above all that were used in earlier terms.
 
--- a/src/sardinehill/core/keyspace.py
+++ b/src/sardinehill/core/keyspace.py
@@ -66,6 +66,8 @@
       handover: what the former owner left for the next one, or None.
       confirmed: whether the owner has confirmed the grant.
       granted_until_s: until then the owner certainly holds the span.
+      accepted_s: when the last grant that the owner accepted was created, or 0
+        if it has accepted none in this term.
       may_hold_until_s: from then on the owner certainly does not hold it,
         unless one of the other times is later.
       in_flight_until_s: until then an unanswered grant under this epoch may
@@ -87,6 +89,7 @@
     handover: str | None = None
     confirmed: bool = False
     granted_until_s: float = 0.0
+    accepted_s: float = 0.0
     may_hold_until_s: float = 0.0
     in_flight_until_s: float = 0.0
     pending_until_s: float = 0.0
@@ -336,6 +339,7 @@
     span.handover = None
     span.confirmed = False
     span.granted_until_s = 0.0
+    span.accepted_s = 0.0
     span.may_hold_until_s = 0.0
     span.in_flight_until_s = 0.0
     span.pending_until_s = 0.0
@@ -362,6 +366,7 @@
             previous.granted_until_s = min(
                 previous.granted_until_s, span.granted_until_s
             )
+            previous.accepted_s = min(previous.accepted_s, span.accepted_s)
             previous.may_hold_until_s = max(
                 previous.may_hold_until_s, span.may_hold_until_s
             )
--- a/src/sardinehill/core/quorum.py
+++ b/src/sardinehill/core/quorum.py
@@ -14,6 +14,8 @@
 
 import dataclasses
 
+from sardinehill.core import electorates
+
 
 @dataclasses.dataclass(frozen=True)
 class QuorumTiming:
@@ -30,60 +32,6 @@
     clock_drift_ratio: float = 0.02
 
 
-@dataclasses.dataclass(frozen=True)
-class Electorate:
-    """The voters of one service.
-
-    It is stored in the service's assignment, so that a new controller uses the
-    electorate on which its predecessor relied. The fleet's member list is
-    unsuitable: it changes independently, and the majorities of two distant
-    versions need not share a member.
-
-    Attributes:
-      voters: the daemons that vote.
-      previous_voters: the daemons that voted before, until the change of the
-        electorate is complete. While there are any, a majority of both groups
-        is needed.
-    """
-
-    voters: frozenset[str]
-    previous_voters: frozenset[str] = frozenset()
-
-    def has_majority(self, chosen: set[str]) -> bool:
-        """Tells whether the chosen daemons are a majority.
-
-        With an empty electorate this is always true, since no controller can
-        ever have been authorized by votes.
-        """
-        if not self.all_voters:
-            return True
-        return _is_majority(chosen, self.voters) and (
-            not self.previous_voters
-            or _is_majority(chosen, self.previous_voters)
-        )
-
-    def blocks_majorities(self, chosen: set[str]) -> bool:
-        """Tells whether each majority includes one of the chosen daemons.
-
-        While the electorate changes, this holds for both groups, as an earlier
-        controller may rely on either alone. With an empty electorate it is
-        always true, as no controller can be authorized by votes.
-        """
-        return not any(
-            _is_majority(set(group) - chosen, group)
-            for group in (self.voters, self.previous_voters)
-        )
-
-    @property
-    def all_voters(self) -> frozenset[str]:
-        """The present and previous voters."""
-        return self.voters | self.previous_voters
-
-
-def _is_majority(chosen: set[str], voters: frozenset[str]) -> bool:
-    return len(chosen & voters) > len(voters) // 2
-
-
 @dataclasses.dataclass(frozen=True)
 class VoteRequest:
     """A request to vote for a term, or to seal it.
@@ -155,7 +103,7 @@
 
 
 def on_reported_term(
-    voter: Voter, voter_name: str, electorate: Electorate, term: int
+    voter: Voter, voter_name: str, electorate: electorates.Electorate, term: int
 ) -> None:
     """Records the highest term that another, primed voter knows.
 
@@ -237,7 +185,7 @@
 def on_seal(
     votes: QuorumVotes,
     voter_name: str,
-    electorate: Electorate,
+    electorate: electorates.Electorate,
     request: VoteRequest,
     response: VoteResponse,
     now_s: float,
@@ -259,7 +207,7 @@
 
 
 def quorum_until_s(
-    votes: QuorumVotes, electorate: Electorate, timing: QuorumTiming
+    votes: QuorumVotes, electorate: electorates.Electorate, timing: QuorumTiming
 ) -> float:
     """Returns until when a majority's votes authorize the controller."""
     for requested_s in sorted(
--- a/src/sardinehill/core/service_control.py
+++ b/src/sardinehill/core/service_control.py
@@ -13,6 +13,7 @@
 import xxhash
 
 from sardinehill.core import controller_state
+from sardinehill.core import electorates
 from sardinehill.core import grants
 from sardinehill.core import lease
 from sardinehill.core import load_estimation
@@ -295,7 +296,7 @@
     return commands
 
 
-def _electorate(control: ServiceControl) -> quorum.Electorate:
+def _electorate(control: ServiceControl) -> electorates.Electorate:
     return controller_state.electorate_of(control.controller.committed)
 
 
--- a/src/sardinehill/front/assignment_manager.py
+++ b/src/sardinehill/front/assignment_manager.py
@@ -16,6 +16,7 @@
 from sardinehill.core import key_load
 from sardinehill.core import key_orders
 from sardinehill.core import key_plan
+from sardinehill.core import key_support
 from sardinehill.core import keyspace
 from sardinehill.core import named_limits
 from sardinehill.front import assignment_store
@@ -69,12 +70,17 @@
         on_spans_changed: Callable[[], None],
         clock_s: Callable[[], float],
         rate_limit_per_s: Callable[[str], float | None],
+        needs_keys: Callable[[], bool] = lambda: False,
+        store_silent_s: Callable[[], float] = lambda: 0.0,
     ):
         self._service = service
         self._rate_limit_per_s = rate_limit_per_s
         self._store = store
         self._owners = owners
-        self._may_send_orders = may_send_orders
+        self._is_term_confirmed = may_send_orders
+        self._needs_keys = needs_keys
+        self._store_silent_s = store_silent_s
+        self._support = key_support.KeySupport()
         self._is_exclusive = is_exclusive
         self._on_spans_changed = on_spans_changed
         self._clock_s = clock_s
@@ -142,6 +148,38 @@
             self._no_plan_until_s = self._clock_s() + UNREACHABLE_SETTLING_S
         self.replan()
 
+    # support by the owners of the keys
+
+    def _may_send_orders(self) -> bool:
+        """Returns whether the term is confirmed for this service's orders."""
+        return self._is_term_confirmed() and (
+            not self._needs_keys() or self.has_majority_of_keys()
+        )
+
+    def has_majority_of_keys(self) -> bool:
+        """Returns whether grants of most keys were accepted lately."""
+        self._forget_refusals()
+        return self._assignment is not None and key_support.has_majority(
+            self._support, self._assignment, self._clock_s()
+        )
+
+    def holds_half_of_keys(self) -> bool:
+        """Returns whether no earlier leader has the support of most keys."""
+        return self._assignment is not None and key_support.holds_half(
+            self._assignment, self._clock_s()
+        )
+
+    def refuses_half_of_keys(self) -> bool:
+        """Returns whether owners of half of the keys follow a later leader.
+
+        They have refused grants since the store last named this leader.
+        """
+        self._forget_refusals()
+        return key_support.refuses_half(self._support)
+
+    def _forget_refusals(self) -> None:
+        self._support.forget_before(self._clock_s() - self._store_silent_s())
+
     # planning and orders
 
     async def run(self) -> None:
@@ -165,6 +203,7 @@
                     self._schedule_clean_up,
                     lambda grant: self._schedule_epoch_raise(group, grant),
                     self._clock_s,
+                    self._support,
                 )
                 group.create_task(self._run_planning(assignment))
                 await self._run_orders(self._order_sender)
--- a/src/sardinehill/front/election.py
+++ b/src/sardinehill/front/election.py
@@ -6,8 +6,11 @@
 import random
 
 from sardinehill import errors
+from sardinehill import events
+from sardinehill.core import electorates
 from sardinehill.core import fencing
 from sardinehill.core import fleet_messages
+from sardinehill.core import leader_confirmation
 from sardinehill.front import known_leader
 from sardinehill.front import peer_links
 from sardinehill.front import peer_registry
@@ -107,6 +110,8 @@
         self._is_cut_off = is_cut_off
         self.is_restart = False
         self.lease_asked_s = clock_s()
+        # The lease whose electorate was last refused.
+        self._refused_revision = 0
 
     async def read_lease(self) -> None:
         """Reads the lease from the store and notes its term.
@@ -170,9 +175,12 @@
         if self._registry.lease.term > known_term:
             return False
         era = self._registry.lease_era
+        electorate = await self._electorate_to_take_over()
+        if electorate is None:
+            return False
         self.lease_asked_s = self._clock_s()
         is_acquired = await self._registry.acquire_lease(
-            fencing.next_term(self._known_leader.term, era)
+            fencing.next_term(self._known_leader.term, era), electorate
         )
         self._known_leader.note_term(self._registry.lease.term)
         if is_acquired:
@@ -181,6 +189,37 @@
         # that was replaced.
         return is_acquired and self._registry.store_era == era
 
+    async def _electorate_to_take_over(
+        self,
+    ) -> electorates.Electorate | None:
+        """Returns the electorate for this daemon's lease.
+
+        Returns None if the stored one is malformed: whoever confirms the
+        earlier leader is not known then.
+
+        Raises:
+          StoreError: the registered daemons are needed and could not be read.
+        """
+        lease = self._registry.lease
+        if lease.electorate_error:
+            if self._refused_revision != self._registry.lease_revision:
+                self._refused_revision = self._registry.lease_revision
+                events.log(
+                    events.ELECTORATE_REFUSED,
+                    revision=self._registry.lease_revision,
+                    error=lease.electorate_error,
+                )
+            await asyncio.sleep(STORE_RETRY_S)
+            return None
+        is_outdated = fencing.era_of(lease.term) < self._registry.lease_era
+        if lease.electorate is None or is_outdated:
+            await self._registry.read_peers()
+        return leader_confirmation.electorate_to_take_over(
+            lease.electorate,
+            frozenset(self._registry.peer_addresses),
+            is_outdated,
+        )
+
     def _rank(self, name: str) -> tuple[float, bytes]:
         """Returns the sort key of a candidate; the lowest goes first.
 
--- a/src/sardinehill/front/leader_tasks.py
+++ b/src/sardinehill/front/leader_tasks.py
@@ -51,6 +51,8 @@
         may_move_keys: Callable[[], bool],
         holds_lease: Callable[[], bool],
         has_settled: Callable[[], bool],
+        needs_keys: Callable[[], bool],
+        store_silent_s: Callable[[], float],
     ):
         self._term = term
         self._store = store
@@ -74,6 +76,8 @@
         self._may_move_keys = may_move_keys
         self._holds_lease = holds_lease
         self._has_settled = has_settled
+        self._needs_keys = needs_keys
+        self._store_silent_s = store_silent_s
         self._limited_lender = named_limits.LimitedSendLender()
         # The accounts whose quotas are divided, and what they follow from.
         self._preallocated: list[str] = []
@@ -141,6 +145,8 @@
                 self._on_spans_changed,
                 self._clock_s,
                 self._limits.rate_per_s,
+                self._needs_keys,
+                self._store_silent_s,
             )
             self._managers[service] = manager
             self._owners[service] = owners
@@ -152,6 +158,30 @@
                 )
                 await asyncio.sleep(RESTART_DELAY_S)
 
+    def holds_half_of_keys(self) -> bool:
+        """Returns whether no earlier leader has most keys of any service."""
+        managers = self._managers.values()
+        return bool(managers) and all(
+            manager.holds_half_of_keys() for manager in managers
+        )
+
+    def refuses_half_of_keys(self) -> bool:
+        """Returns whether a service's owners follow a later leader."""
+        return any(
+            manager.refuses_half_of_keys()
+            for manager in self._managers.values()
+        )
+
+    def _may_lend(self) -> bool:
+        """Returns whether no later leader lends the same."""
+        return self._may_send_orders() and (
+            not self._needs_keys()
+            or all(
+                manager.has_majority_of_keys()
+                for manager in self._managers.values()
+            )
+        )
+
     def replan(self) -> None:
         """Schedules new plans for all services at once."""
         for manager in self._managers.values():
@@ -250,7 +280,7 @@
           requests: the requests; those for unknown upstreams get no answer.
         """
         configuration = self._view.configuration
-        if configuration is None or not self._may_send_orders():
+        if configuration is None or not self._may_lend():
             return []
         now_s = self._clock_s()
         loans = []
@@ -277,7 +307,7 @@
         Nothing is lent while the term is not confirmed, as another leader may
         lend then.
         """
-        if not self._may_send_orders():
+        if not self._may_lend():
             return []
         now_s = self._clock_s()
         self._limited_lender.forget(self._view.upstreams)
--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -5,6 +5,8 @@
 
 from sardinehill import errors
 from sardinehill import events
+from sardinehill.core import electorates
+from sardinehill.core import leader_confirmation
 from sardinehill.front import election
 from sardinehill.front import followers as followers_module
 from sardinehill.front import order_sender
@@ -19,8 +21,7 @@
 PAUSE_CHECK_INTERVAL_S = 0.05
 MAX_PAUSE_S = 0.4
 REPORT_DISTRUST_S = 0.25
-# A daemon whose last report is older than this does not count as a follower.
-FOLLOWER_TIMEOUT_S = 1.0
+FOLLOWER_TIMEOUT_S = leader_confirmation.FOLLOWER_TIMEOUT_S
 # A silent daemon is assumed to keep serving callers for this long.
 SERVING_TIMEOUT_S = 5.0
 # A leader that has not reached the store for this long resigns if followers
@@ -37,22 +38,20 @@
 ANNOUNCE_LINK_OPEN_S = 0.05
 LEASE_CHECK_INTERVAL_S = 1.0
 # A term that a majority follows reads the lease again this long after the last
-# time. Another leader removes the registrations of daemons that it does not
-# hear, and needs fewer of them for a majority then.
+# time, so that its leader learns of a later one that most daemons do not hear.
 LEASE_RECHECK_INTERVAL_S = 4.0
 # How often a leader looks whether the store was restored.
 ERA_CHECK_INTERVAL_S = 0.1
 # The registration of a daemon that has been silent for this long is removed.
 REGISTRATION_EXPIRY_S = 10.0
+MAX_NAMES_LOGGED = 16
 _NEVER_S = -1e9
 
 
 class LeaderTerm:
     """One term, during which the leader acts only while it is confirmed.
 
-    A term is confirmed by the store or by reports of a majority of the
-    registered daemons. A confirmation is valid for
-    `order_sender.TERM_VALIDITY_S`. It counts from when the store was asked.
+    `core/leader_confirmation` decides by what it is confirmed.
 
     Public attributes:
       resigned: whether the leader has resigned.
@@ -66,16 +65,27 @@
         leader_election: election.Election,
         followers: followers_module.Followers,
         clock_s: Callable[[], float],
+        holds_half_of_keys: Callable[[], bool] = lambda: False,
+        refuses_half_of_keys: Callable[[], bool] = lambda: False,
     ):
         self._name = name
         self._registry = registry
         self._election = leader_election
         self._followers = followers
         self._clock_s = clock_s
+        self._holds_half_of_keys = holds_half_of_keys
+        self._refuses_half_of_keys = refuses_half_of_keys
         self._began_s = clock_s()
         # The answer may have come late, when another daemon led already.
-        self._confirmed_s = leader_election.lease_asked_s
-        self._lease_read_s = self._confirmed_s
+        asked_s = leader_election.lease_asked_s
+        self._confirmation = leader_confirmation.LeaderConfirmation(
+            name,
+            registry.lease.electorate
+            or electorates.Electorate(frozenset(registry.peer_addresses)),
+            began_s=self._began_s,
+            store_confirmed_s=asked_s,
+            lease_read_s=asked_s,
+        )
         self._number = registry.lease.term
         self._first_era = registry.lease_era
         # The latest era of the store and when it was first seen.
@@ -83,18 +93,21 @@
         self._era_seen_s = self._began_s
         # The store's era in which the lease was last known to be held.
         self._lease_era = registry.lease_era
-        self._heard_s: dict[str, float] = {}
         self._reached_store_s: dict[str, float] = {}
         # The daemons that reached no upstreams when they last reported.
         self._cut_off: set[str] = set()
         self._reached_by_others_since_s: float | None = None
-        self._is_exclusive = False
         self._was_confirmed = False
         self._last_ran_s = self._began_s
         self._distrust_reports_until_s = self._began_s
         self.resigned = False
         self.ended = asyncio.Event()
 
+    @property
+    def voter_count(self) -> int:
+        """The number of daemons whose reports may confirm the term."""
+        return len(self._confirmation.electorate.all_voters)
+
     def age_s(self) -> float:
         """Returns the time since the term began."""
         return self._clock_s() - self._began_s
@@ -117,7 +130,7 @@
         self._note_pause()
         now_s = self._clock_s()
         if now_s >= self._distrust_reports_until_s:
-            self._heard_s[daemon] = now_s
+            self._confirmation.heard_s[daemon] = now_s
 
     async def watch_pauses(self) -> None:
         """Detects pauses of this process, until cancelled."""
@@ -176,14 +189,14 @@
             name not in self._cut_off for name in self._following()
         )
 
-    def _following(self) -> list[str]:
+    def _following(self) -> set[str]:
         """Returns the daemons that follow this term."""
-        now_s = self._clock_s()
-        return [
-            name
-            for name, heard_s in self._heard_s.items()
-            if name != self._name and now_s - heard_s < FOLLOWER_TIMEOUT_S
-        ]
+        return self._heard(FOLLOWER_TIMEOUT_S) - {self._name}
+
+    def _heard(self, within_s: float) -> set[str]:
+        return leader_confirmation.heard_within(
+            self._confirmation, self._clock_s(), within_s
+        )
 
     def successor(self) -> str:
         """Returns the daemon that should lead next; empty if there is none.
@@ -207,17 +220,6 @@
 
         return max(self._following(), key=preference, default="")
 
-    def _majority(self) -> int:
-        return len(self._registry.peer_addresses) // 2 + 1
-
-    def _count_heard(self, within_s: float) -> int:
-        now_s = self._clock_s()
-        return 1 + sum(
-            1
-            for name, heard_s in self._heard_s.items()
-            if name != self._name and now_s - heard_s < within_s
-        )
-
     def daemon_count(self) -> int:
         """Returns the number of daemons that quotas are divided among.
 
@@ -225,7 +227,7 @@
         `SERVING_TIMEOUT_S`. A term younger than that counts all registered
         daemons.
         """
-        count = self._count_heard(SERVING_TIMEOUT_S)
+        count = len(self._heard(SERVING_TIMEOUT_S))
         if self.age_s() < SERVING_TIMEOUT_S:
             count = max(count, len(self._registry.peer_addresses))
         return max(1, count)
@@ -234,28 +236,37 @@
         """Returns whether the term is confirmed, so that orders may be sent."""
         if self.resigned or self.ended.is_set():
             return False
-        is_confirmed = self._is_confirmed()
+        is_confirmed = leader_confirmation.is_confirmed(
+            self._confirmation, self._clock_s()
+        )
         if is_confirmed != self._was_confirmed:
             self._was_confirmed = is_confirmed
             self._log_confirmation(is_confirmed)
         return is_confirmed
 
-    def _is_confirmed(self) -> bool:
-        if self._clock_s() - self._confirmed_s < order_sender.TERM_VALIDITY_S:
-            return True
-        return (
-            self._count_heard(order_sender.TERM_VALIDITY_S) >= self._majority()
+    def needs_keys(self) -> bool:
+        """Returns whether orders need accepted grants of most keys, too."""
+        return leader_confirmation.needs_keys(
+            self._confirmation, self._clock_s()
         )
 
+    def store_silent_s(self) -> float:
+        """Returns since when the store has not named this leader."""
+        return self._clock_s() - self._confirmation.lease_read_s
+
     def _log_confirmation(self, is_confirmed: bool) -> None:
         """Logs by what the term is confirmed, or that it is no longer."""
+        confirmation = self._confirmation
+        voters = confirmation.electorate.all_voters
         events.log(
             events.TERM_CONFIRMED if is_confirmed else events.TERM_UNCONFIRMED,
             term=self._number,
-            by_store_ago_s=round(self._clock_s() - self._confirmed_s, 3),
-            heard=self._count_heard(order_sender.TERM_VALIDITY_S),
-            majority=self._majority(),
-            exclusive=self._is_exclusive,
+            by_store_ago_s=round(
+                self._clock_s() - confirmation.store_confirmed_s, 3
+            ),
+            heard=len(self._heard(order_sender.TERM_VALIDITY_S) & voters),
+            voters=len(voters),
+            exclusive=confirmation.is_exclusive,
         )
 
     def holds_present_lease(self) -> bool:
@@ -277,17 +288,28 @@
     def is_exclusive(self) -> bool:
         """Returns whether no earlier leader's term can be confirmed any more.
 
-        That is the case once the daemons that do not follow this term are no
-        majority, because the store confirms only the newest term. It then stays
-        the case for the rest of the term. A port that refuses connections does
-        not show that a daemon has ended, as a cut may refuse them too.
+        It then stays the case for the rest of the term. A port that refuses
+        connections does not show that a voter has ended, as a cut may refuse
+        them too.
         """
-        other_count = len(self._registry.peer_addresses) - self._count_heard(
-            FOLLOWER_TIMEOUT_S
+        if self._confirmation.is_exclusive:
+            return True
+        is_exclusive = leader_confirmation.update_exclusive(
+            self._confirmation, self._clock_s(), self._holds_half_of_keys()
+        )
+        if is_exclusive:
+            self._log_exclusive()
+        return is_exclusive
+
+    def _log_exclusive(self) -> None:
+        voters = self._confirmation.electorate.all_voters
+        events.log(
+            events.TERM_EXCLUSIVE,
+            term=self._number,
+            age_s=round(self.age_s(), 3),
+            heard=len(self._following() & voters),
+            voters=len(voters),
         )
-        if other_count < self._majority():
-            self._is_exclusive = True
-        return self._is_exclusive
 
     async def announce(
         self, send_announcement: Callable[[peer_links.PeerLink], None]
@@ -324,8 +346,9 @@
 
         A term with a majority is confirmed every `LEASE_RECHECK_INTERVAL_S`.
         Also writes the lease again if a restored store has lost it and the term
-        outlasts that, and removes the registrations of daemons that have been
-        silent for `REGISTRATION_EXPIRY_S`.
+        outlasts that, writes changes of the electorate, and removes the
+        registrations of daemons that have been silent for
+        `REGISTRATION_EXPIRY_S`.
         """
         check_due_s = self._clock_s() + LEASE_CHECK_INTERVAL_S
         removal_due_s = self._clock_s() + REGISTRATION_EXPIRY_S
@@ -345,13 +368,37 @@
                 except errors.StoreError:
                     # The next read may succeed. Otherwise the confirmation
                     # expires and no more orders are sent.
+                    if self._is_superseded():
+                        return
                     continue
                 if self.ended.is_set():
                     return
+            await self._change_electorate()
+            if self.ended.is_set():
+                return
             if self._clock_s() > removal_due_s:
                 removal_due_s = self._clock_s() + REGISTRATION_EXPIRY_S
                 await self._registry.remove_peers(self._silent_peers())
 
+    def _is_superseded(self) -> bool:
+        """Ends the term if owners of most keys follow a later leader.
+
+        To be called when the store does not answer. While it names this leader,
+        its epochs are raised instead.
+        """
+        if (
+            self.store_silent_s() <= STORE_LOST_HANDOVER_S
+            or not self._refuses_half_of_keys()
+        ):
+            return False
+        events.log(
+            events.TERM_SUPERSEDED,
+            term=self._number,
+            store_silent_s=round(self.store_silent_s(), 3),
+        )
+        self.ended.set()
+        return True
+
     def _outlasts_restore(self) -> bool:
         """Returns whether a majority has reported since the store was restored.
 
@@ -362,21 +409,60 @@
         if self._seen_era < self._registry.store_era:
             self._seen_era = self._registry.store_era
             self._era_seen_s = now_s
-        if self._count_heard(now_s - self._era_seen_s) >= self._majority():
+        if leader_confirmation.has_majority(
+            self._confirmation, now_s, now_s - self._era_seen_s
+        ):
             return True
         if now_s - self._era_seen_s > FOLLOWER_TIMEOUT_S:
             self.ended.set()
         return False
 
     def _is_followed_by_majority(self) -> bool:
-        return self._count_heard(FOLLOWER_TIMEOUT_S) >= self._majority()
+        return leader_confirmation.has_majority(
+            self._confirmation, self._clock_s(), FOLLOWER_TIMEOUT_S
+        )
+
+    async def _change_electorate(self) -> None:
+        """Writes the electorate with the lease if it needs to change."""
+        confirmation = self._confirmation
+        wanted = leader_confirmation.wanted_electorate(
+            confirmation, self._clock_s()
+        )
+        if wanted is None or not self.holds_present_lease():
+            return
+        leader_confirmation.begin_change(confirmation, wanted)
+        asked_s = self._clock_s()
+        try:
+            is_held = await self._registry.acquire_lease(self._number, wanted)
+        except errors.StoreError:
+            # The outcome is not known. The next attempt writes the same.
+            return
+        if not is_held:
+            self.ended.set()
+        elif self._registry.lease.electorate == wanted:
+            self._log_electorate(confirmation.electorate, wanted)
+            leader_confirmation.end_change(confirmation, wanted)
+            confirmation.lease_read_s = asked_s
+
+    def _log_electorate(
+        self, before: electorates.Electorate, after: electorates.Electorate
+    ) -> None:
+        added = sorted(after.all_voters - before.all_voters)
+        removed = sorted(before.all_voters - after.all_voters)
+        events.log(
+            events.ELECTORATE_CHANGED,
+            term=self._number,
+            voters=len(after.voters),
+            added=added[:MAX_NAMES_LOGGED],
+            removed=removed[:MAX_NAMES_LOGGED],
+        )
 
     def _needs_lease(self) -> bool:
         """Returns whether the lease must be read now to confirm the term."""
-        read_age_s = self._clock_s() - self._lease_read_s
         return (
             not self._is_followed_by_majority()
-            or read_age_s > LEASE_RECHECK_INTERVAL_S
+            or self.store_silent_s() > LEASE_RECHECK_INTERVAL_S
+            or self._refuses_half_of_keys()
         )
 
     async def _confirm_lease(self) -> None:
@@ -400,14 +486,16 @@
                 self.ended.set()
                 return
         if self._registry.lease.term < self._number:
-            await self._registry.acquire_lease(self._number)
+            await self._registry.acquire_lease(
+                self._number, self._confirmation.electorate
+            )
         if not self._registry.holds_lease:
             self.ended.set()
             return
         self._lease_era = era
-        self._lease_read_s = query_started_s
+        self._confirmation.lease_read_s = query_started_s
         if not is_restored:
-            self._confirmed_s = query_started_s
+            self._confirmation.store_confirmed_s = query_started_s
 
     def _silent_peers(self) -> list[str]:
         now_s = self._clock_s()
@@ -415,6 +503,6 @@
             name
             for name in self._registry.peer_addresses
             if name != self._name
-            and now_s - self._heard_s.get(name, _NEVER_S)
+            and now_s - self._confirmation.heard_s.get(name, _NEVER_S)
             > REGISTRATION_EXPIRY_S
         ]
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -361,6 +361,8 @@
             self._election,
             self._followers,
             self._clock_s,
+            lambda: own_tasks.holds_half_of_keys(),
+            lambda: own_tasks.refuses_half_of_keys(),
         )
         own_tasks = self._new_tasks(term)
         self._term, self._tasks = term, own_tasks
@@ -425,6 +427,8 @@
             self._reach.hears_upstreams,
             term.holds_present_lease,
             term.has_settled,
+            term.needs_keys,
+            term.store_silent_s,
         )
 
     async def _push_periodically(
@@ -487,10 +491,13 @@
     def status(self) -> dict[str, Any]:
         """Returns gauges of this daemon's role, term and leader tasks."""
         own_tasks = self._tasks
+        term = self._term
         return {
             "leads": int(self._term is not None),
             "term": self._known_leader.term,
             "followers": len(self._followers),
+            "voters": term.voter_count if term else 0,
+            "exclusive": int(term.is_exclusive()) if term else 0,
             "orders": own_tasks.orders_sent if own_tasks else 0,
             "moved_keys": own_tasks.moved_keys if own_tasks else 0,
         }
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -5,7 +5,9 @@
 
 from sardinehill import events
 from sardinehill.core import key_orders
+from sardinehill.core import key_support
 from sardinehill.core import keyspace
+from sardinehill.core import leader_confirmation
 from sardinehill.front import key_owners
 from sardinehill.front import unknown_owners
 from sardinehill.platform import http_messages
@@ -17,9 +19,7 @@
 # A confirmed grant is renewed this long after it was created.
 GRANT_RENEWAL_S = 0.65
 ORDER_TIMEOUT_S = 0.4
-# A leader may send orders for this long after the store or a majority of
-# daemons last confirmed its term, even if it is being replaced.
-TERM_VALIDITY_S = 1.6
+TERM_VALIDITY_S = leader_confirmation.TERM_VALIDITY_S
 # An upstream that has confirmed no grant for `OWNER_TIMEOUT_S` gets no new keys
 # for `OWNER_EXCLUSION_S`.
 OWNER_TIMEOUT_S = 1.1
@@ -27,6 +27,7 @@
 # The time until a grant whose epoch was refused is sent again. It leaves time
 # to raise the epoch in the store first.
 FENCED_RETRY_S = 0.4
+MAX_NAMES_LOGGED = 16
 # The statuses that say that a grant has not taken effect and will not: it is
 # malformed, an epoch is higher, or another upstream has the address. After any
 # other failure it may still be carried out.
@@ -79,7 +80,9 @@
         on_former_gone: Callable[[], None],
         on_fenced: Callable[[key_orders.KeyGrant], None],
         clock_s: Callable[[], float],
+        support: key_support.KeySupport | None = None,
     ):
+        self._support = support or key_support.KeySupport()
         self._service = service
         self.assignment = assignment
         self._owners = owners
@@ -93,6 +96,8 @@
         self._on_fenced = on_fenced
         self._clock_s = clock_s
         self._was_exclusive = False
+        # The upstreams for whose keys this leader waits, as last logged.
+        self._waits_for: list[str] = []
         self._unknown_owners = unknown_owners.UnknownOwners(
             service, assignment, owners, group, may_send_orders, clock_s
         )
@@ -109,6 +114,28 @@
             self._unknown_owners.release_due()
         for span in self.assignment.spans:
             self._send_due_for_span(span, self._clock_s())
+        if not self._was_exclusive:
+            self._log_waiting(self._clock_s())
+
+    def _log_waiting(self, now_s: float) -> None:
+        """Logs for whose keys only an earlier leader's end is missing."""
+        waits_for = sorted(
+            {
+                former.incarnation[0]
+                for span in self.assignment.spans
+                if (former := span.former_owner) is not None
+                and not former.released
+                and now_s >= former.may_hold_until_s
+            }
+        )
+        if waits_for and waits_for != self._waits_for:
+            events.log(
+                events.LEADER_WAITS,
+                service=self._service,
+                upstreams=waits_for[:MAX_NAMES_LOGGED],
+                count=len(waits_for),
+            )
+        self._waits_for = waits_for
 
     def _note_exclusive(self) -> None:
         """Extends the expiry of earlier leaders' orders.
@@ -361,6 +388,7 @@
         self, span: keyspace.Span, grant: key_orders.KeyGrant
     ) -> None:
         span.granted_until_s = grant.created_s + GRANT_HOLD_S
+        span.accepted_s = grant.created_s
         span.next_order_s = grant.created_s + GRANT_RENEWAL_S
         span.handover = None
         if not span.confirmed:
@@ -394,6 +422,7 @@
             owner.confirmed_s = now_s
             return
         if result.status == 409:
+            self._support.note_refused(grant.first, grant.last, now_s)
             events.log(
                 events.GRANT_FENCED,
                 service=self._service,
--- a/src/sardinehill/front/peer_registry.py
+++ b/src/sardinehill/front/peer_registry.py
@@ -5,9 +5,11 @@
 import dataclasses
 import random
 import secrets
+from typing import Any
 
 from sardinehill import errors
 from sardinehill import events
+from sardinehill.core import electorates
 from sardinehill.platform import store as store_module
 
 LEASES_KIND = "sardinehill-leases"
@@ -17,7 +19,7 @@
 REGISTRATION_CHECK_INTERVAL_S = 0.5
 REGISTRATION_SPREAD_S = 0.5
 
-_Spec = dict[str, str | float]
+_Spec = dict[str, Any]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -30,12 +32,17 @@
       address: the address for its peers.
       incarnation: a random id of one start of the leader's process; empty if
         a leader table named the leader.
+      electorate: the daemons whose reports confirm the leader, or None if a
+        leader table named it or its build knows no electorate.
+      electorate_error: why the stored electorate is none; empty if it is one.
     """
 
     term: int = 0
     holder: str = ""
     address: str = ""
     incarnation: str = ""
+    electorate: electorates.Electorate | None = None
+    electorate_error: str = ""
 
 
 class PeerRegistry:
@@ -149,11 +156,18 @@
             self.lease, self.lease_revision = LeaderLease(), 0
             return
         spec = stored.spec if isinstance(stored.spec, dict) else {}
+        electorate, error = None, ""
+        try:
+            electorate = _decode_electorate(spec)
+        except ValueError as malformed:
+            error = str(malformed)
         self.lease = LeaderLease(
             int(spec.get("term", 0)),
             str(spec.get("holder", "")),
             str(spec.get("address", "")),
             str(spec.get("life", "")),
+            electorate,
+            error,
         )
         self.lease_revision = stored.revision
 
@@ -187,8 +201,13 @@
         }
         self.core_shares[self._name] = self._core_share
 
-    async def acquire_lease(self, term: int) -> bool:
-        """Writes this daemon into the lease.
+    async def acquire_lease(
+        self, term: int, electorate: electorates.Electorate
+    ) -> bool:
+        """Writes this daemon and an electorate into the lease.
+
+        If the outcome is not known, the lease is read. The write may then still
+        be carried out later, while the lease is the one that was read.
 
         Returns:
           Whether this daemon holds the lease in `term`.
@@ -196,12 +215,15 @@
         Raises:
           StoreError: the write failed or its outcome could not be read.
         """
-        spec = {
+        spec: _Spec = {
             "term": term,
             "holder": self._name,
             "address": self._address,
             "life": self._incarnation,
+            "voters": sorted(electorate.voters),
         }
+        if electorate.previous_voters:
+            spec["previousVoters"] = sorted(electorate.previous_voters)
         try:
             if self.lease_revision == 0:
                 stored = await self._store.create(LEASES_KIND, LEASE_NAME, spec)
@@ -234,6 +256,31 @@
             events.log(events.MEMBERS_NOT_WRITTEN, error=str(error)[:200])
 
 
+def _decode_electorate(spec: _Spec) -> electorates.Electorate | None:
+    """Returns a lease's electorate, or None if it has none.
+
+    Raises:
+      ValueError: the electorate is malformed or empty.
+    """
+    if "voters" not in spec:
+        return None
+    voters = _decode_names(spec, "voters")
+    previous_voters = (
+        _decode_names(spec, "previousVoters")
+        if "previousVoters" in spec
+        else frozenset()
+    )
+    return electorates.Electorate(voters, previous_voters)
+
+
+def _decode_names(spec: _Spec, field: str) -> frozenset[str]:
+    names = spec[field]
+    is_list = isinstance(names, list) and bool(names)
+    if not is_list or not all(isinstance(name, str) and name for name in names):
+        raise ValueError(f"{field}: not a list of names of daemons")
+    return frozenset(names)
+
+
 def _decode_address(stored: store_module.StoredObject) -> str:
     spec = stored.spec
     address = spec.get("address") if isinstance(spec, dict) else None
--- a/tests/cover/test_election.py
+++ b/tests/cover/test_election.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from sardinehill.core import electorates
+from sardinehill.core import fencing
 from sardinehill.core import fleet_messages
 from sardinehill.front import election
 from sardinehill.front import known_leader
@@ -27,14 +29,16 @@
     async def read_lease(self):
         return
 
-    async def acquire_lease(self, term):
-        self.lease = peer_registry.LeaderLease(term, self._name)
+    async def acquire_lease(self, term, electorate):
+        self.lease = peer_registry.LeaderLease(
+            term, self._name, electorate=electorate
+        )
         return True
 
 
-def resigned_table(successor):
+def resigned_table(successor, term=3):
     return fleet_messages.LeaderTable(
-        3, "x", "127.0.0.1:1", 1, 2, resigned=True, successor=successor
+        term, "x", "127.0.0.1:1", 1, 2, resigned=True, successor=successor
     )
 
 
@@ -91,16 +95,19 @@
         async def read_peers(self):
             self.calls += ("read_peers",)
 
-        async def acquire_lease(self, term):
+        async def acquire_lease(self, term, electorate):
             self.calls += ("acquire_lease",)
-            return await super().acquire_lease(term)
+            return await super().acquire_lease(term, electorate)
 
     async def body():
         loop = asyncio.get_running_loop()
         leader = known_leader.KnownLeader("small", loop.time)
-        leader.note_term(3)
-        leader.apply_table(resigned_table("small"))
         registry = RecordingRegistry("small", {"small": 0.43, "large": 0.72})
+        term = fencing.next_term(0, registry.lease_era)
+        voters = electorates.Electorate(frozenset(registry.core_shares))
+        registry.lease = peer_registry.LeaderLease(term, "x", electorate=voters)
+        leader.note_term(term)
+        leader.apply_table(resigned_table("small", term))
         candidate = election.Election("small", leader, registry, loop.time)
         assert await candidate.try_to_lead()
         assert registry.calls == ("acquire_lease", "read_peers")
--- a/tests/cover/test_leader_term.py
+++ b/tests/cover/test_leader_term.py
@@ -136,10 +136,10 @@
     async def read_lease(self):
         self.lease = self.stored
 
-    async def acquire_lease(self, term):
+    async def acquire_lease(self, term, electorate):
         self.acquired_terms.append(term)
         self.lease = peer_registry.LeaderLease(
-            term, "me", "", self._incarnation
+            term, "me", "", self._incarnation, electorate
         )
         return True
 
@@ -275,8 +275,8 @@
         self._clock = clock
         self.lease_era = self.store_era
 
-    async def acquire_lease(self, term):
-        is_acquired = await super().acquire_lease(term)
+    async def acquire_lease(self, term, electorate):
+        is_acquired = await super().acquire_lease(term, electorate)
         self._clock.now_s += 5.0
         return is_acquired
 
@@ -424,4 +424,4 @@
     ]
     assert lines[0]["by_store_ago_s"] < order_sender.TERM_VALIDITY_S
     assert lines[2]["by_store_ago_s"] > order_sender.TERM_VALIDITY_S
-    assert (lines[2]["heard"], lines[2]["majority"]) == (2, 2)
+    assert (lines[2]["heard"], lines[2]["voters"]) == (2, 3)
--- a/tests/cover/test_leaving_upstreams.py
+++ b/tests/cover/test_leaving_upstreams.py
@@ -127,6 +127,8 @@
         lambda: True,
         lambda: True,
         lambda: True,
+        lambda: False,
+        lambda: 0.0,
     )
     planned = []
     tasks._owners["orders"] = owners
--- a/tests/cover/test_quorum.py
+++ b/tests/cover/test_quorum.py
@@ -4,11 +4,12 @@
 
 import pytest
 
+from sardinehill.core import electorates
 from sardinehill.core import quorum
 from tests.common import ownership_simulation
 
 TIMING = quorum.QuorumTiming()
-ELECTORATE = quorum.Electorate(frozenset("abc"))
+ELECTORATE = electorates.Electorate(frozenset("abc"))
 
 
 def vote_request(term: int, seal: bool = False) -> quorum.VoteRequest:
@@ -66,7 +67,7 @@
 
 
 def test_a_changing_electorate_needs_both_majorities() -> None:
-    electorate = quorum.Electorate(frozenset("abc"), frozenset("cde"))
+    electorate = electorates.Electorate(frozenset("abc"), frozenset("cde"))
     assert not electorate.has_majority({"a", "b"})
     assert electorate.has_majority({"a", "c", "d"})
 
@@ -95,15 +96,15 @@
 def test_no_majority_votes_for_a_term_that_enough_voters_refuse(
     voters: str, previous: str
 ) -> None:
-    electorate = quorum.Electorate(frozenset(voters), frozenset(previous))
+    electorate = electorates.Electorate(frozenset(voters), frozenset(previous))
     for sealed in subsets("abcde"):
         if not electorate.blocks_majorities(sealed):
             continue
         for votes in subsets("abcde"):
             # An earlier controller may rely on either group alone, or on both.
             for group in (
-                quorum.Electorate(frozenset(voters)),
-                quorum.Electorate(frozenset(previous)),
+                electorates.Electorate(frozenset(voters)),
+                electorates.Electorate(frozenset(previous)),
                 electorate,
             ):
                 if group.all_voters and group.has_majority(votes):
@@ -114,7 +115,7 @@
 def test_restarted_voter_learns_each_term_that_enough_voters_sealed(
     voters: str,
 ) -> None:
-    electorate = quorum.Electorate(frozenset(voters))
+    electorate = electorates.Electorate(frozenset(voters))
     for sealed in subsets(voters):
         if "a" not in sealed or not electorate.blocks_majorities(sealed):
             continue
@@ -125,7 +126,7 @@
 
 @pytest.mark.parametrize("voters", ["abc", "abcde"])
 def test_an_odd_electorate_needs_a_majority_of_seals(voters: str) -> None:
-    electorate = quorum.Electorate(frozenset(voters))
+    electorate = electorates.Electorate(frozenset(voters))
     for sealed in subsets(voters):
         assert electorate.blocks_majorities(sealed) == electorate.has_majority(
             sealed
