Send no grant to a former owner that an earlier leader left

Found by the search over electorates before anything landed: two upstreams held one key after a change of leaders in the midst of a move.

Cause: a leader sent its higher epoch, which is a grant, to each former owner that the stored assignment names. The earlier leader may have had the release already and granted the keys to the next owner.

Change: only former owners of moves of this term are sent one. For those of an earlier term the release counts as before, once no order of that leader can arrive any more.

Evidence: test_no_key_is_held_twice of tests/slow/test_electorate_machine.py failed with (range 0 held by u1 and u2) and passes in its 200 examples; test_former_owner_that_an_earlier_leader_left_is_sent_no_grant is new.

--- a/src/sardinehill/core/key_orders.py
+++ b/src/sardinehill/core/key_orders.py
@@ -296,7 +296,7 @@
         ):
             continue
         span.order_pending = False
-        former.fenced = outcome is GrantOutcome.ACCEPTED
+        former.needs_fence = outcome is not GrantOutcome.ACCEPTED
         spans.append(span)
     return spans
 
@@ -343,7 +343,8 @@
         spans.append(span)
         if is_released:
             span.handover = handover
-            if former.fenced and release.created_s >= former.last_granted_s:
+            is_overtaken = release.created_s < former.last_granted_s
+            if not former.needs_fence and not is_overtaken:
                 former.released = True
     return spans
 
--- a/src/sardinehill/core/keyspace.py
+++ b/src/sardinehill/core/keyspace.py
@@ -35,8 +35,9 @@
       pending_until_s: the same for a grant without an outcome yet, or 0.
       previous_leader_until_s: the same for grants by a previous leader, or 0 if
         it has seen a later epoch.
-      fenced: whether it has accepted an epoch above that of any grant that may
-        still arrive.
+      needs_fence: whether its release does not count before it has accepted an
+        epoch above that of any grant that may still arrive. One that an earlier
+        leader left is sent no grant, as the owner may hold the span already.
       released: whether it answered that it has given up the span.
       last_granted_s: when it last accepted a grant of the span. A grant in
         flight may arrive after a release and thus undo it.
@@ -48,7 +49,7 @@
     in_flight_until_s: float = 0.0
     pending_until_s: float = 0.0
     previous_leader_until_s: float = 0.0
-    fenced: bool = False
+    needs_fence: bool = False
     released: bool = False
     last_granted_s: float = 0.0
 
@@ -335,6 +336,7 @@
             span.in_flight_until_s,
             span.pending_until_s,
             span.previous_leader_until_s,
+            needs_fence=True,
         )
     span.owner = owner
     span.epoch = span.first_epoch = epoch
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -267,7 +267,7 @@
         if owner is None:
             span.next_order_s = now_s + key_owners.ORDER_RETRY_S
         elif (
-            former.fenced
+            not former.needs_fence
             or owner.failing_since_s is not None
             or owner.incarnation in self._owners.ended
         ):
--- a/tests/cover/test_orders.py
+++ b/tests/cover/test_orders.py
@@ -424,6 +424,24 @@
     run_scenario(scenario)
 
 
+def test_former_owner_that_an_earlier_leader_left_is_sent_no_grant():
+    # The owner may hold the keys already, by a grant of that leader.
+    async def scenario(harness, orders):
+        harness.move(B)
+        document = keyspace.to_document(harness.assignment)
+        inherited = keyspace.from_document(document, harness.now_s + 2.0)
+        harness.assignment.spans[:] = inherited.spans
+        orders.send_due()
+        await settle_tasks()
+        assert sent_to(harness) == [(b"/release", A)]
+        harness.now_s += 2.0
+        orders.send_due()
+        await settle_tasks()
+        assert sent_to(harness)[1:] == [(b"/grant", B)]
+
+    run_scenario(scenario)
+
+
 def test_keys_of_an_upstream_that_is_gone_wait_for_an_earlier_leaders_orders():
     # That leader may have granted them at another address. The address that is
     # known now, which answers for another upstream, is not asked over and over.
--- a/tests/slow/test_keyspace_machine.py
+++ b/tests/slow/test_keyspace_machine.py
@@ -198,7 +198,7 @@
     ):
         for span in list(self.assignment.spans):
             former = span.former_owner
-            if former is None or former.fenced or span.order_pending:
+            if former is None or not former.needs_fence or span.order_pending:
                 continue
             if former.pending_until_s > 0:
                 continue
@@ -245,7 +245,7 @@
         if self.count_release_without_fence:
             for span in self.assignment.spans:
                 if span.former_owner is not None:
-                    span.former_owner.fenced = True
+                    span.former_owner.needs_fence = False
         for release in self.releases:
             key_orders.record_release_outcome(
                 self.assignment, release, is_answered, None
