Let the rest of a fleet take over when most voters and most keys are gone

Cause: half of the voters, or half of the keys of each service, were the only evidence that excludes an earlier leader, and a key counted for 1.6 s.

Change: the shares of voters and keys add up to a support, of which less is needed the longer the store has not named the earlier leader, and which that leader must exceed as well. It is judged for each service; keys without owners count; the earlier leader's keys count for 5 s, and the later one waits 3.4 s more. A former owner that released counts before the leader is exclusive if it has seen this leader's epoch, and one that was never granted keys at once. A second restore keeps the first voters.

--- a/src/sardinehill/core/electorates.py
+++ b/src/sardinehill/core/electorates.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import fractions
 
 
 @dataclasses.dataclass(frozen=True)
@@ -47,6 +48,13 @@
             for group in (self.voters, self.previous_voters)
         )
 
+    def share(self, chosen: set[str]) -> fractions.Fraction:
+        """Returns which share of the voters are chosen, of the lower group."""
+        return min(
+            fractions.Fraction(len(chosen & group), max(1, len(group)))
+            for group in (self.voters, self.previous_voters or self.voters)
+        )
+
     @property
     def all_voters(self) -> frozenset[str]:
         """The present and previous voters."""
--- a/src/sardinehill/core/key_orders.py
+++ b/src/sardinehill/core/key_orders.py
@@ -350,19 +350,30 @@
 
 
 def former_owner_no_longer_holds(
-    span: keyspace.Span, now_s: float, is_elsewhere: bool
+    span: keyspace.Span,
+    now_s: float,
+    is_elsewhere: bool,
+    is_exclusive: bool = True,
 ) -> bool:
     """Returns whether a span's former owner no longer holds it.
 
     Args:
       span: a span that waits for a former owner.
       now_s: the time, by the same clock as `may_hold_until_s`.
+      is_exclusive: whether no earlier leader may renew grants any more. Until
+        then only an owner that has seen this leader's epoch counts, and only
+        by its release, or one that was never granted the keys.
       is_elsewhere: whether another upstream answers at the address to which
         this leader's orders went, so that none of them has an effect any more.
     """
     former = span.former_owner
     if former is None:
         return True
+    if not is_exclusive and (
+        former.previous_leader_until_s > 0
+        or former.incarnation == keyspace.UNKNOWN_OWNER
+    ):
+        return False
     if is_elsewhere:
         # An earlier leader may have known it at another address.
         return now_s >= former.previous_leader_until_s
@@ -373,7 +384,12 @@
     )
     if now_s < arrived_s:
         return False
-    return former.released or now_s >= former.may_hold_until_s
+    was_never_granted = former.may_hold_until_s == 0
+    return (
+        former.released
+        or was_never_granted
+        or (is_exclusive and now_s >= former.may_hold_until_s)
+    )
 
 
 def clear_former_owner(span: keyspace.Span) -> None:
--- a/src/sardinehill/core/key_support.py
+++ b/src/sardinehill/core/key_support.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import fractions
 
 from sardinehill.core import keyspace
 from sardinehill.core import leader_confirmation
@@ -52,27 +53,36 @@
         ]
 
 
-def has_majority(
+def accepted_share(
     support: KeySupport, assignment: keyspace.KeyAssignment, now_s: float
-) -> bool:
-    """Returns whether grants of most keys were accepted lately, not refused."""
+) -> fractions.Fraction:
+    """Returns the share of the keys whose grants support this leader.
+
+    They were accepted lately, and not refused since the store was reached.
+    """
     keys = sum(
         _unrefused_count(support, span)
-        for span in _accepted_spans(assignment, now_s)
+        for span in assignment.spans
+        if _is_accepted(span, now_s, leader_confirmation.KEY_SUPPORT_VALIDITY_S)
     )
-    return 2 * keys > keyspace.KEY_COUNT
+    return fractions.Fraction(keys, keyspace.KEY_COUNT)
 
 
-def holds_half(assignment: keyspace.KeyAssignment, now_s: float) -> bool:
-    """Returns whether grants of half of the keys were accepted lately.
+def held_share(
+    assignment: keyspace.KeyAssignment, now_s: float
+) -> fractions.Fraction:
+    """Returns the share of the keys that support no earlier leader.
 
-    Then no earlier leader has the support of most keys.
+    Grants of them were accepted lately, or they had no owner when the
+    assignment was written last, which only this leader still may do.
     """
     keys = sum(
         span.last - span.first + 1
-        for span in _accepted_spans(assignment, now_s)
+        for span in assignment.spans
+        if _is_accepted(span, now_s, leader_confirmation.TERM_VALIDITY_S)
+        or (span.owner is None and span.former_owner is None)
     )
-    return 2 * keys >= keyspace.KEY_COUNT
+    return fractions.Fraction(keys, keyspace.KEY_COUNT)
 
 
 def refuses_half(support: KeySupport) -> bool:
@@ -83,15 +93,8 @@
     )
 
 
-def _accepted_spans(
-    assignment: keyspace.KeyAssignment, now_s: float
-) -> list[keyspace.Span]:
-    oldest_s = now_s - leader_confirmation.TERM_VALIDITY_S
-    return [
-        span
-        for span in assignment.spans
-        if span.accepted_s > 0 and span.accepted_s > oldest_s
-    ]
+def _is_accepted(span: keyspace.Span, now_s: float, validity_s: float) -> bool:
+    return span.accepted_s > 0 and now_s - span.accepted_s < validity_s
 
 
 def _unrefused_count(support: KeySupport, span: keyspace.Span) -> int:
--- a/src/sardinehill/core/leader_confirmation.py
+++ b/src/sardinehill/core/leader_confirmation.py
@@ -13,14 +13,16 @@
 
 More than half of the voters may be gone for good. They cannot be told from
 voters behind a cut that still confirm an earlier leader. Therefore a majority
-alone confirms a leader that has lost the store only for `MAX_WITHOUT_STORE_S`;
-after that, its grants of more than half of the keys must have been accepted
-lately as well. An upstream that has accepted a later leader's grant refuses the
-earlier leader's, so a leader whose grants of half of the keys are accepted is
-exclusive once that time has passed.
+alone confirms a leader that has lost the store only for `MAX_WITHOUT_STORE_S`.
+After that it also needs *support*: the share of the voters that report to it
+and the share of the keys whose grants were accepted lately. An upstream that
+has accepted a later leader's grant refuses the earlier leader's, so what
+supports one leader does not support another. The longer the store has not named
+a leader, the more support it needs, and the less excludes it.
 """
 
 import dataclasses
+import fractions
 
 from sardinehill.core import electorates
 
@@ -32,6 +34,19 @@
 # A voter that has been silent for this long is removed from the electorate.
 VOTER_EXPIRY_S = 10.0
 MAX_WITHOUT_STORE_S = 10.0
+# For how long the store has not named a leader, and how much the shares of its
+# voters and of its keys must exceed together from then on.
+SUPPORT_STEPS = (
+    (30.0, fractions.Fraction(3, 2)),
+    (300.0, fractions.Fraction(9, 5)),
+)
+HALF = fractions.Fraction(1, 2)
+# An accepted grant supports a leader that has lost the store for this long. It
+# covers pauses of the leader, after which nothing could be accepted any more.
+KEY_SUPPORT_VALIDITY_S = 5.0
+# A leader waits for this long once keys exclude earlier ones, beside the
+# `TERM_VALIDITY_S` for which those may still act on what they heard before.
+EXCLUSION_WAIT_S = KEY_SUPPORT_VALIDITY_S - TERM_VALIDITY_S
 # How much the rates of two clocks may differ.
 CLOCK_DRIFT_RATIO = 0.02
 
@@ -97,46 +112,112 @@
     return has_majority(confirmation, now_s, TERM_VALIDITY_S)
 
 
-def needs_keys(confirmation: LeaderConfirmation, now_s: float) -> bool:
-    """Returns whether a majority alone no longer confirms the term.
-
-    Then grants of more than half of the keys must have been accepted lately.
-    """
+def needs_support(confirmation: LeaderConfirmation, now_s: float) -> bool:
+    """Returns whether a majority alone no longer confirms the term."""
     return now_s - confirmation.lease_read_s > MAX_WITHOUT_STORE_S
 
 
-def update_exclusive(
-    confirmation: LeaderConfirmation, now_s: float, holds_half_of_keys: bool
+def has_support(
+    confirmation: LeaderConfirmation,
+    now_s: float,
+    key_share: fractions.Fraction,
 ) -> bool:
-    """Returns whether no earlier leader can be confirmed any more.
-
-    Once that is the case, it stays so for the rest of the term.
+    """Returns whether a leader that the store does not name may still act.
 
     Args:
-      confirmation: the term, changed in place.
+      confirmation: the term.
       now_s: the time.
-      holds_half_of_keys: whether the leader's grants of at least half of the
-        keys of each service were accepted within `TERM_VALIDITY_S`.
+      key_share: the share of a service's keys whose grants were accepted within
+        `KEY_SUPPORT_VALIDITY_S` and not refused since the store was reached.
+    """
+    silent_s = now_s - confirmation.lease_read_s
+    if silent_s <= MAX_WITHOUT_STORE_S:
+        return True
+    heard = heard_within(confirmation, now_s, TERM_VALIDITY_S)
+    support = confirmation.electorate.share(heard) + key_share
+    return key_share > HALF and all(
+        support > needed
+        for after_s, needed in SUPPORT_STEPS
+        if silent_s > after_s
+    )
+
+
+def update_exclusive(confirmation: LeaderConfirmation, now_s: float) -> bool:
+    """Returns whether the voters exclude all earlier leaders.
+
+    Once that is the case, it stays so for the rest of the term.
     """
     followers = heard_within(confirmation, now_s, FOLLOWER_TIMEOUT_S)
     if confirmation.electorate.blocks_majorities(followers):
         confirmation.is_exclusive = True
-    wait_s = MAX_WITHOUT_STORE_S * (1 + 2 * CLOCK_DRIFT_RATIO)
-    if holds_half_of_keys and now_s - confirmation.began_s > wait_s:
-        confirmation.is_exclusive = True
     return confirmation.is_exclusive
 
 
+@dataclasses.dataclass
+class KeyExclusion:
+    """Whether the keys of one service exclude earlier leaders' orders for it.
+
+    Attributes:
+      since_s: when the support first sufficed, by the time that a leader must
+        have held the lease. What has supported it supports no earlier leader
+        again.
+      is_complete: whether no earlier leader may send orders any more.
+    """
+
+    since_s: dict[float, float] = dataclasses.field(default_factory=dict)
+    is_complete: bool = False
+
+
+def update_exclusion(
+    exclusion: KeyExclusion,
+    confirmation: LeaderConfirmation,
+    now_s: float,
+    key_share: fractions.Fraction,
+) -> bool:
+    """Returns whether keys exclude all earlier leaders' orders for a service.
+
+    Once that is the case, it stays so for the rest of the term.
+
+    Args:
+      exclusion: the service's, changed in place.
+      confirmation: the term.
+      now_s: the time.
+      key_share: the share of the service's keys whose grants were accepted
+        within `TERM_VALIDITY_S`, or that nobody can have been granted.
+    """
+    followers = heard_within(confirmation, now_s, FOLLOWER_TIMEOUT_S)
+    support = confirmation.electorate.share(followers) + key_share
+    suffices = {
+        MAX_WITHOUT_STORE_S: key_share >= HALF,
+        **{after_s: support >= 2 - needed for after_s, needed in SUPPORT_STEPS},
+    }
+    # The earlier leader's clock may be slower.
+    held_s = (now_s - confirmation.began_s) / (1 + 2 * CLOCK_DRIFT_RATIO)
+    for after_s, is_enough in suffices.items():
+        if is_enough:
+            exclusion.since_s.setdefault(after_s, now_s)
+    exclusion.is_complete |= any(
+        held_s > after_s and now_s - since_s >= EXCLUSION_WAIT_S
+        for after_s, since_s in exclusion.since_s.items()
+    )
+    return exclusion.is_complete
+
+
 def wanted_electorate(
-    confirmation: LeaderConfirmation, now_s: float
+    confirmation: LeaderConfirmation, now_s: float, keys_exclude_earlier: bool
 ) -> electorates.Electorate | None:
     """Returns the electorate to write now, or None if it need not change.
 
     An outcome that is not known is settled by the same write again.
+
+    Args:
+      confirmation: the term.
+      now_s: the time.
+      keys_exclude_earlier: whether the keys of all services do.
     """
     if confirmation.proposed is not None:
         return confirmation.proposed
-    if not confirmation.is_exclusive:
+    if not confirmation.is_exclusive and not keys_exclude_earlier:
         return None
     voters = confirmation.electorate.voters
     present = {
@@ -186,6 +267,9 @@
         return electorates.Electorate(known_daemons)
     if not is_outdated:
         return stored
+    # A leader that counts both groups of the stored electorate is excluded by
+    # the previous one alone.
     return electorates.Electorate(
-        stored.all_voters | known_daemons, stored.voters
+        stored.all_voters | known_daemons,
+        stored.previous_voters or stored.voters,
     )
--- a/src/sardinehill/front/assignment_manager.py
+++ b/src/sardinehill/front/assignment_manager.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import fractions
 import math
 
 from sardinehill import events
@@ -18,6 +19,7 @@
 from sardinehill.core import key_plan
 from sardinehill.core import key_support
 from sardinehill.core import keyspace
+from sardinehill.core import leader_confirmation
 from sardinehill.core import named_limits
 from sardinehill.front import assignment_store
 from sardinehill.front import key_owners
@@ -67,18 +69,29 @@
         on_spans_changed: Callable[[], None],
         clock_s: Callable[[], float],
         rate_limit_per_s: Callable[[str], float | None],
-        needs_keys: Callable[[], bool] = lambda: False,
+        has_support: Callable[
+            [Callable[[], fractions.Fraction]], bool
+        ] = lambda share: True,
         store_silent_s: Callable[[], float] = lambda: 0.0,
+        excludes_earlier: Callable[
+            [
+                leader_confirmation.KeyExclusion,
+                Callable[[], fractions.Fraction],
+            ],
+            bool,
+        ] = lambda exclusion, share: False,
     ):
         self._service = service
         self._rate_limit_per_s = rate_limit_per_s
         self._store = store
         self._owners = owners
         self._is_term_confirmed = may_send_orders
-        self._needs_keys = needs_keys
+        self._has_support = has_support
         self._store_silent_s = store_silent_s
         self._support = key_support.KeySupport()
-        self._is_exclusive = is_exclusive
+        self._is_term_exclusive = is_exclusive
+        self._excludes_earlier = excludes_earlier
+        self._exclusion = leader_confirmation.KeyExclusion()
         self._on_spans_changed = on_spans_changed
         self._clock_s = clock_s
         self._assignment: keyspace.KeyAssignment | None = None
@@ -149,22 +162,37 @@
 
     def _may_send_orders(self) -> bool:
         """Returns whether the term is confirmed for this service's orders."""
-        return self._is_term_confirmed() and (
-            not self._needs_keys() or self.has_majority_of_keys()
+        return self._is_term_confirmed() and self._has_support(
+            self.accepted_share
+        )
+
+    def is_exclusive(self) -> bool:
+        """Returns whether no earlier leader sends orders for this service."""
+        return self._is_term_exclusive() or self._excludes_earlier(
+            self._exclusion, self.held_share
         )
 
-    def has_majority_of_keys(self) -> bool:
-        """Returns whether grants of most keys were accepted lately."""
+    @property
+    def has_owners(self) -> bool:
+        """Whether any key has an owner."""
+        return self._assignment is not None and keyspace.has_owners(
+            self._assignment
+        )
+
+    def accepted_share(self) -> fractions.Fraction:
+        """Returns the share of the keys whose grants support this leader."""
+        if self._assignment is None:
+            return fractions.Fraction(0)
         self._forget_refusals()
-        return self._assignment is not None and key_support.has_majority(
+        return key_support.accepted_share(
             self._support, self._assignment, self._clock_s()
         )
 
-    def holds_half_of_keys(self) -> bool:
-        """Returns whether no earlier leader has the support of most keys."""
-        return self._assignment is not None and key_support.holds_half(
-            self._assignment, self._clock_s()
-        )
+    def held_share(self) -> fractions.Fraction:
+        """Returns the share of the keys that support no earlier leader."""
+        if self._assignment is None:
+            return fractions.Fraction(0)
+        return key_support.held_share(self._assignment, self._clock_s())
 
     def refuses_half_of_keys(self) -> bool:
         """Returns whether owners of half of the keys follow a later leader.
@@ -193,7 +221,7 @@
                     self._owners,
                     group,
                     self._may_send_orders,
-                    self._is_exclusive,
+                    self.is_exclusive,
                     self._on_spans_changed,
                     self.replan,
                     self._note_unreachable,
--- a/src/sardinehill/front/leader_tasks.py
+++ b/src/sardinehill/front/leader_tasks.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
+import fractions
 
 from sardinehill import events
 from sardinehill.core import cold_lending
 from sardinehill.core import fleet_messages
 from sardinehill.core import keyspace
+from sardinehill.core import leader_confirmation
 from sardinehill.core import leaving_upstreams
 from sardinehill.core import named_limits
 from sardinehill.core import quota_lending
@@ -51,8 +53,15 @@
         may_move_keys: Callable[[], bool],
         holds_lease: Callable[[], bool],
         has_settled: Callable[[], bool],
-        needs_keys: Callable[[], bool],
+        has_support: Callable[[Callable[[], fractions.Fraction]], bool],
         store_silent_s: Callable[[], float],
+        excludes_earlier: Callable[
+            [
+                leader_confirmation.KeyExclusion,
+                Callable[[], fractions.Fraction],
+            ],
+            bool,
+        ],
     ):
         self._term = term
         self._store = store
@@ -76,8 +85,9 @@
         self._may_move_keys = may_move_keys
         self._holds_lease = holds_lease
         self._has_settled = has_settled
-        self._needs_keys = needs_keys
+        self._has_support = has_support
         self._store_silent_s = store_silent_s
+        self._excludes_earlier = excludes_earlier
         self._limited_lender = named_limits.LimitedSendLender()
         # The accounts whose quotas are divided, and what they follow from.
         self._preallocated: list[str] = []
@@ -145,8 +155,9 @@
                 self._on_spans_changed,
                 self._clock_s,
                 self._limits.rate_per_s,
-                self._needs_keys,
+                self._has_support,
                 self._store_silent_s,
+                self._excludes_earlier,
             )
             self._managers[service] = manager
             self._owners[service] = owners
@@ -158,11 +169,10 @@
                 )
                 await asyncio.sleep(RESTART_DELAY_S)
 
-    def holds_half_of_keys(self) -> bool:
-        """Returns whether no earlier leader has most keys of any service."""
-        managers = self._managers.values()
-        return bool(managers) and all(
-            manager.holds_half_of_keys() for manager in managers
+    def keys_exclude_earlier(self) -> bool:
+        """Returns whether no earlier leader sends orders for any service."""
+        return bool(self._managers) and all(
+            manager.is_exclusive() for manager in self._managers.values()
         )
 
     def refuses_half_of_keys(self) -> bool:
@@ -174,12 +184,10 @@
 
     def _may_lend(self) -> bool:
         """Returns whether no later leader lends the same."""
-        return self._may_send_orders() and (
-            not self._needs_keys()
-            or all(
-                manager.has_majority_of_keys()
-                for manager in self._managers.values()
-            )
+        return self._may_send_orders() and all(
+            self._has_support(manager.accepted_share)
+            for manager in self._managers.values()
+            if manager.has_owners
         )
 
     def replan(self) -> None:
--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import fractions
 
 from sardinehill import errors
 from sardinehill import events
@@ -65,7 +66,7 @@
         leader_election: election.Election,
         followers: followers_module.Followers,
         clock_s: Callable[[], float],
-        holds_half_of_keys: Callable[[], bool] = lambda: False,
+        keys_exclude_earlier: Callable[[], bool] = lambda: False,
         refuses_half_of_keys: Callable[[], bool] = lambda: False,
     ):
         self._name = name
@@ -73,7 +74,7 @@
         self._election = leader_election
         self._followers = followers
         self._clock_s = clock_s
-        self._holds_half_of_keys = holds_half_of_keys
+        self._keys_exclude_earlier = keys_exclude_earlier
         self._refuses_half_of_keys = refuses_half_of_keys
         self._began_s = clock_s()
         # The answer may have come late, when another daemon led already.
@@ -244,10 +245,18 @@
             self._log_confirmation(is_confirmed)
         return is_confirmed
 
-    def needs_keys(self) -> bool:
-        """Returns whether orders need accepted grants of most keys, too."""
-        return leader_confirmation.needs_keys(
-            self._confirmation, self._clock_s()
+    def has_support(self, key_share: Callable[[], fractions.Fraction]) -> bool:
+        """Returns whether orders of a service may be sent without the store.
+
+        Args:
+          key_share: returns the share of its keys whose grants support this
+            leader; called only if the store has been silent for long.
+        """
+        now_s = self._clock_s()
+        return not leader_confirmation.needs_support(
+            self._confirmation, now_s
+        ) or leader_confirmation.has_support(
+            self._confirmation, now_s, key_share()
         )
 
     def store_silent_s(self) -> float:
@@ -295,12 +304,32 @@
         if self._confirmation.is_exclusive:
             return True
         is_exclusive = leader_confirmation.update_exclusive(
-            self._confirmation, self._clock_s(), self._holds_half_of_keys()
+            self._confirmation, self._clock_s()
         )
         if is_exclusive:
             self._log_exclusive()
         return is_exclusive
 
+    def excludes_earlier(
+        self,
+        exclusion: leader_confirmation.KeyExclusion,
+        key_share: Callable[[], fractions.Fraction],
+    ) -> bool:
+        """Returns whether no earlier leader sends orders for a service.
+
+        Args:
+          exclusion: what the service's keys show, changed in place.
+          key_share: returns the share of its keys that support no earlier
+            leader.
+        """
+        return (
+            self.is_exclusive()
+            or exclusion.is_complete
+            or leader_confirmation.update_exclusion(
+                exclusion, self._confirmation, self._clock_s(), key_share()
+            )
+        )
+
     def _log_exclusive(self) -> None:
         voters = self._confirmation.electorate.all_voters
         events.log(
@@ -426,7 +455,7 @@
         """Writes the electorate with the lease if it needs to change."""
         confirmation = self._confirmation
         wanted = leader_confirmation.wanted_electorate(
-            confirmation, self._clock_s()
+            confirmation, self._clock_s(), self._keys_exclude_earlier()
         )
         if wanted is None or not self.holds_present_lease():
             return
--- a/src/sardinehill/front/leadership.py
+++ b/src/sardinehill/front/leadership.py
@@ -361,7 +361,7 @@
             self._election,
             self._followers,
             self._clock_s,
-            lambda: own_tasks.holds_half_of_keys(),
+            lambda: own_tasks.keys_exclude_earlier(),
             lambda: own_tasks.refuses_half_of_keys(),
         )
         own_tasks = self._new_tasks(term)
@@ -427,8 +427,9 @@
             self._reach.hears_upstreams,
             term.holds_present_lease,
             term.has_settled,
-            term.needs_keys,
+            term.has_support,
             term.store_silent_s,
+            term.excludes_earlier,
         )
 
     async def _push_periodically(
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -214,12 +214,9 @@
         former = span.former_owner
         assert former is not None
         is_elsewhere = former.incarnation in self._owners.ended
-        # While an earlier leader may still renew grants, grants are not taken
-        # as lapsed: the former owner must answer or have ended.
-        expiry_now_s = now_s if self._was_exclusive else 0.0
         is_earlier_life = self._is_earlier_life(former.incarnation, span)
         if not is_earlier_life and not key_orders.former_owner_no_longer_holds(
-            span, expiry_now_s, is_elsewhere
+            span, now_s, is_elsewhere, self._was_exclusive
         ):
             if is_elsewhere:
                 span.next_order_s = now_s + key_owners.ORDER_RETRY_S
