Send a former owner one epoch before its release, not many

Found by a review before anything landed: an upstream that answered releases but not grants kept its keys for ever, one that answered each order after 0.5 s for 14.8 s; with 256 spans refused, the epochs of a term reached those of the next; an answer could lower what an earlier leader's grant may hold.

Cause: the epoch that a former owner is sent before its release was sent again after each failure, and each time put off the end of what it may hold; after a refusal epochs rose by 1000 without a write.

Change: one that is unanswered or refused is not sent again. The release then counts, as it did before, once the grant can take no effect. Refusals raise nothing, and what may be held is never lowered. A second release without a handover token keeps the first one's.

--- a/src/sardinehill/core/key_orders.py
+++ b/src/sardinehill/core/key_orders.py
@@ -275,9 +275,17 @@
 ) -> list[keyspace.Span]:
     """Records the outcome of a grant that `create_fence` created.
 
+    One that is refused or unanswered is not sent again, as it could put off the
+    end of what the former owner may hold each time. The release then counts
+    once the grant can take no effect any more.
+
     Returns:
       The spans that still wait for that former owner.
     """
+    held_until_s = [
+        (former, former.may_hold_until_s)
+        for former in _former_owners(assignment, fence)
+    ]
     # No later epoch was sent, so one that is refused gives the owner nothing.
     is_refused = outcome is GrantOutcome.REFUSED
     record_grant_outcome(
@@ -287,6 +295,9 @@
         now_s,
         fence.hold_s,
     )
+    for former, until_s in held_until_s:
+        # It lasts no longer than an earlier grant, which it does not shorten.
+        former.may_hold_until_s = max(former.may_hold_until_s, until_s)
     spans = []
     for span in _spans_within(assignment, fence):
         former = span.former_owner
@@ -296,7 +307,7 @@
         ):
             continue
         span.order_pending = False
-        former.needs_fence = outcome is not GrantOutcome.ACCEPTED
+        former.needs_fence = outcome is GrantOutcome.UNSENT
         spans.append(span)
     return spans
 
@@ -342,7 +353,7 @@
         span.order_pending = False
         spans.append(span)
         if is_released:
-            span.handover = handover
+            span.handover = handover or span.handover
             is_overtaken = release.created_s < former.last_granted_s
             if not former.needs_fence and not is_overtaken:
                 former.released = True
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -307,8 +307,11 @@
             self._owners.note_address_reused(owner, fence.incarnation)
         elif result.status == 409:
             self._note_fenced(fence, now_s)
-            self.assignment.top_epoch += FENCED_EPOCH_STEP
-        elif result.status != 200 and owner.failing_since_s is None:
+        elif (
+            result.status is None
+            and not result.superseded
+            and owner.failing_since_s is None
+        ):
             owner.failing_since_s = now_s
         is_settled = (
             outcome is key_orders.GrantOutcome.ACCEPTED
