Count a restored lease only once forgotten leaders' orders have lapsed

Cause: the lease of a restored store that named the earlier leader again freed it from needing the support of keys, and made it forget that upstreams had refused its epochs, though a later leader that the store forgot may have them.

Evidence: test_a_restored_lease_names_a_leader_only_once_later_ones_have_lapsed failed before. How often the lease is read is unchanged.

--- a/src/sardinehill/front/leader_term.py
+++ b/src/sardinehill/front/leader_term.py
@@ -87,6 +87,7 @@
             store_confirmed_s=asked_s,
             lease_read_s=asked_s,
         )
+        self._lease_checked_s = asked_s
         self._number = registry.lease.term
         self._first_era = registry.lease_era
         # The latest era of the store and when it was first seen.
@@ -471,7 +472,7 @@
         elif self._registry.lease.electorate == wanted:
             self._log_electorate(confirmation.electorate, wanted)
             leader_confirmation.end_change(confirmation, wanted)
-            confirmation.lease_read_s = asked_s
+            self._note_named(asked_s)
 
     def _log_electorate(
         self, before: electorates.Electorate, after: electorates.Electorate
@@ -490,7 +491,8 @@
         """Returns whether the lease must be read now to confirm the term."""
         return (
             not self._is_followed_by_majority()
-            or self.store_silent_s() > LEASE_RECHECK_INTERVAL_S
+            or self._clock_s() - self._lease_checked_s
+            > LEASE_RECHECK_INTERVAL_S
             or self._refuses_half_of_keys()
         )
 
@@ -522,10 +524,20 @@
             self.ended.set()
             return
         self._lease_era = era
-        self._confirmation.lease_read_s = query_started_s
+        self._lease_checked_s = query_started_s
+        self._note_named(query_started_s)
         if not is_restored:
             self._confirmation.store_confirmed_s = query_started_s
 
+    def _note_named(self, asked_s: float) -> None:
+        """Records that the store named this leader when it was asked.
+
+        A restored store may have forgotten a later leader, which keys follow
+        until its last orders have lapsed.
+        """
+        if self.has_settled():
+            self._confirmation.lease_read_s = asked_s
+
     def _silent_peers(self) -> list[str]:
         now_s = self._clock_s()
         return [
--- a/tests/cover/test_leader_term.py
+++ b/tests/cover/test_leader_term.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import fractions
 import socket
 import types
 
@@ -306,6 +307,46 @@
     assert not term.may_send_orders()
 
 
+def test_a_restored_lease_names_a_leader_only_once_later_ones_have_lapsed():
+    # Until then it needs the support of keys that a forgotten leader may have.
+    clock = Clock()
+    registry = FakeLease(None)
+    registry.stored = registry.lease
+    registry.peer_addresses = dict.fromkeys(("me", "a", "b"), "127.0.0.1:1")
+    term = leader_term.LeaderTerm(
+        "me",
+        registry,
+        types.SimpleNamespace(
+            lease_asked_s=clock.now_s, read_lease=registry.read_lease
+        ),
+        followers.Followers(),
+        clock,
+    )
+
+    def go_on(duration_s):
+        end_s = clock.now_s + duration_s
+        while clock.now_s < end_s:
+            let_run(term, clock, leader_term.PAUSE_CHECK_INTERVAL_S)
+            for name in ("a", "b"):
+                term.note_report(name, "127.0.0.1:1")
+
+    def needs_support():
+        return not term.has_support(lambda: fractions.Fraction(0))
+
+    go_on(12.0)
+    assert needs_support()
+    registry.store_era = 2
+    term._outlasts_restore()
+    go_on(0.5)
+    asyncio.run(term._confirm_lease())
+    assert not term.ended.is_set()
+    assert needs_support()
+    settled_s = order_sender.earlier_orders_end_s(0.0)
+    go_on(settled_s)
+    asyncio.run(term._confirm_lease())
+    assert not needs_support()
+
+
 def report_frame(daemon):
     kind = int(message_kinds.MessageKind.DAEMON_REPORT)
     return envelopes.encode(envelopes.Envelope(kind, 0, False, daemon, b""))
