Send no grant again whose epoch was refused

A key was held twice in the simulated world, as long as the cut lasted: an earlier leader without the store sent its refused grant again every 0.4 s, and an upstream that had started again under its id, and so forgotten the later leader's epoch, took it.

Cause: a refusal for a higher epoch was tried again with the same epoch, beside raising it in the store.

Change: after a refusal nothing is sent for those keys until the store has taken a higher epoch, which it takes only from the leader that it names. What waits for the store is asked for once.

Evidence: test_later_life_takes_no_refused_grant_of_the_earlier_leader failed before.

--- a/src/sardinehill/core/key_orders.py
+++ b/src/sardinehill/core/key_orders.py
@@ -116,6 +116,14 @@
     return grant
 
 
+def refused_grant(span: keyspace.Span, now_s: float) -> KeyGrant:
+    """Returns what was refused of a span, which counts as sent by now."""
+    assert span.owner is not None
+    return KeyGrant(
+        span.first, span.last, span.owner, span.epoch, None, now_s, now_s, 0.0
+    )
+
+
 def is_current(assignment: keyspace.KeyAssignment, grant: KeyGrant) -> bool:
     """Returns whether all keys of a grant still have its owner and epoch."""
     keys = sum(
@@ -295,9 +303,9 @@
         now_s,
         fence.hold_s,
     )
-    for former, until_s in held_until_s:
+    for fenced, until_s in held_until_s:
         # It lasts no longer than an earlier grant, which it does not shorten.
-        former.may_hold_until_s = max(former.may_hold_until_s, until_s)
+        fenced.may_hold_until_s = max(fenced.may_hold_until_s, until_s)
     spans = []
     for span in _spans_within(assignment, fence):
         former = span.former_owner
--- a/src/sardinehill/core/keyspace.py
+++ b/src/sardinehill/core/keyspace.py
@@ -66,6 +66,8 @@
       first_epoch: the first epoch under which it was the owner in this term.
       sent_at_connection: how many connections to the owner had been opened when
         this epoch was first sent, or None while it was not.
+      refused_epoch: the epoch that the owner has refused for a higher one, or
+        0. It is not sent again, as a later start of the owner would take it.
       former_owner: the owner that must give up the span first, or None.
       handover: what the former owner left for the next one, or None.
       confirmed: whether the owner has confirmed the grant.
@@ -89,6 +91,7 @@
     epoch: int
     first_epoch: int = 0
     sent_at_connection: int | None = None
+    refused_epoch: int = 0
     former_owner: FormerOwner | None = None
     handover: str | None = None
     confirmed: bool = False
@@ -341,6 +344,7 @@
     span.owner = owner
     span.epoch = span.first_epoch = epoch
     span.sent_at_connection = None
+    span.refused_epoch = 0
     span.handover = None
     span.confirmed = False
     span.granted_until_s = 0.0
--- a/src/sardinehill/front/assignment_manager.py
+++ b/src/sardinehill/front/assignment_manager.py
@@ -102,6 +102,8 @@
         self._plan_wanted = asyncio.Event()
         self._orders_wanted = asyncio.Event()
         self._write_lock = asyncio.Lock()
+        # The first and last key and the epoch of the spans being raised.
+        self._raising: set[tuple[int, int, int]] = set()
         self._clean_up_due_s: float | None = None
         # Set after an upstream was found unreachable: until then it may turn
         # out that this daemon is cut off.
@@ -410,7 +412,13 @@
     def _schedule_epoch_raise(
         self, group: asyncio.TaskGroup, grant: key_orders.KeyGrant
     ) -> None:
-        group.create_task(self._raise_epoch(grant))
+        """Raises an epoch in a task, unless one is waiting for the store."""
+        keys = (grant.first, grant.last, grant.epoch)
+        if keys in self._raising:
+            return
+        self._raising.add(keys)
+        task = group.create_task(self._raise_epoch(grant))
+        task.add_done_callback(lambda _: self._raising.discard(keys))
 
     async def _raise_epoch(self, grant: key_orders.KeyGrant) -> None:
         """Raises the epoch of keys whose owner has seen a higher epoch."""
--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -175,6 +175,9 @@
         if owner is None:
             span.next_order_s = now_s + key_owners.ORDER_RETRY_S
             return
+        if span.refused_epoch == span.epoch:
+            self._ask_for_higher_epoch(span, now_s)
+            return
         if self._needs_new_epoch(span, owner):
             key_orders.renew_epoch(self.assignment, span)
         delivery_deadline_s = (
@@ -185,6 +188,15 @@
         )
         self._group.create_task(self._grant(grant, owner))
 
+    def _ask_for_higher_epoch(self, span: keyspace.Span, now_s: float) -> None:
+        """Asks for a higher epoch of a span whose epoch was refused.
+
+        A later leader may have sent the one that the owner has seen. This
+        leader's is then raised only once the store has named it.
+        """
+        span.next_order_s = now_s + FENCED_RETRY_S
+        self._on_fenced(key_orders.refused_grant(span, now_s))
+
     def _needs_new_epoch(
         self, span: keyspace.Span, owner: key_owners.KeyOwner
     ) -> bool:
@@ -432,11 +444,11 @@
                 self._note_granted(span, grant)
             elif result.superseded:
                 span.next_order_s = 0.0
+            elif result.status == 409:
+                span.refused_epoch = grant.epoch
+                span.next_order_s = now_s + FENCED_RETRY_S
             else:
-                is_fenced = result.status == 409
-                span.next_order_s = now_s + (
-                    FENCED_RETRY_S if is_fenced else key_owners.ORDER_RETRY_S
-                )
+                span.next_order_s = now_s + key_owners.ORDER_RETRY_S
         if not result.superseded:
             self._update_owner(owner, grant, result)
 
--- a/tests/cover/test_grants_over_restarts.py
+++ b/tests/cover/test_grants_over_restarts.py
@@ -44,6 +44,25 @@
         assert not world.violations
 
 
+# Guards against this failure: an earlier leader sent a refused grant again, and
+# a later life took the keys, which another upstream held by then.
+def test_later_life_takes_no_refused_grant_of_the_earlier_leader():
+    with simulated(
+        restarts_beside_leaders=True,
+        allowed=("epoch of a life", "epoch of another"),
+    ) as world:
+        world.another_daemon_leads(False, 8.0, 1.0, True)
+        world.keys_move(0, 1, "b", 1.0)
+        world.keys_move(0, 1, "c", 1.0)
+        world.wait(1.0)
+        assert not world.violations
+        assert world.life_of("c").holds(0, world.loop.time())
+        for name, address in (("a", "1"), ("b", "2")):
+            world.upstream_starts_again(name, address, 0, is_listed=False)
+        world.wait(3.0)
+        assert not world.violations
+
+
 # Guards against this failure: keys that a later life took as its earlier one
 # count as free once it is their owner, though no grant reached it since.
 def test_keys_of_a_later_life_that_cannot_be_reached_are_waited_for():
