Lend sends only once no earlier leader lends them

Two leaders that were both confirmed lent the whole rate of a cold or limited upstream each, for as long as a cut kept the earlier one's majority.

Cause: lending began a fixed time after the term did, whether or not an earlier leader could still be confirmed.

Change: it begins once the term is exclusive, or the earlier leader has resigned, and the wait for that leader's last loans counts from then.

Quotas are lent as before.

--- a/src/sardinehill/front/leader_tasks.py
+++ b/src/sardinehill/front/leader_tasks.py
@@ -77,9 +77,9 @@
         self._quota = quota
         self._lender = lender
         self._cold_bound = cold_bound
-        self._cold_lender = cold_lending.ColdSendLender(
-            clock_s(), earlier_leader_ended
-        )
+        self._earlier_leader_ended = earlier_leader_ended
+        # None while an earlier leader may lend.
+        self._cold_lender: cold_lending.ColdSendLender | None = None
         self._limits = limits
         self._leaving = leaving
         self._may_move_keys = may_move_keys
@@ -121,6 +121,7 @@
                             self._manage(service.name)
                         )
             self.exchange_leaving()
+            self._begin_lending()
             await asyncio.sleep(
                 POLL_INTERVAL_S if self._tasks else FIRST_POLL_INTERVAL_S
             )
@@ -182,8 +183,17 @@
             for manager in self._managers.values()
         )
 
+    def _begin_lending(self) -> None:
+        """Begins to lend sends once no earlier leader can be confirmed."""
+        if self._cold_lender is None and (
+            self._earlier_leader_ended or self._is_exclusive()
+        ):
+            self._cold_lender = cold_lending.ColdSendLender(
+                self._clock_s(), self._earlier_leader_ended
+            )
+
     def _may_lend(self) -> bool:
-        """Returns whether no later leader lends the same."""
+        """Returns whether no other leader lends the same."""
         return self._may_send_orders() and all(
             self._has_support(manager.accepted_share)
             for manager in self._managers.values()
@@ -288,7 +298,8 @@
           requests: the requests; those for unknown upstreams get no answer.
         """
         configuration = self._view.configuration
-        if configuration is None or not self._may_lend():
+        lender = self._cold_lender
+        if configuration is None or lender is None or not self._may_lend():
             return []
         now_s = self._clock_s()
         loans = []
@@ -301,10 +312,8 @@
                 sends_per_s = self._cold_bound.sends_per_s(
                     service.cold_rate_per_s
                 )
-                loans.append(
-                    self._cold_lender.lend(request, sends_per_s, now_s)
-                )
-        self._cold_lender.forget_upstreams(now_s)
+                loans.append(lender.lend(request, sends_per_s, now_s))
+        lender.forget_upstreams(now_s)
         return loans
 
     def _lend_limited_sends(
@@ -315,7 +324,7 @@
         Nothing is lent while the term is not confirmed, as another leader may
         lend then.
         """
-        if not self._may_lend():
+        if self._cold_lender is None or not self._may_lend():
             return []
         now_s = self._clock_s()
         self._limited_lender.forget(self._view.upstreams)
