Say in a refusal's line when and with how much time it was sent

A line request-uncertain with deadline-passed did not tell a request that was sent with too little time from one that had waited at its upstream for long, nor whether its caller may repeat it. It now has idempotent, sent_ago_s and left_at_send_s. The new test failed before (KeyError: 'idempotent'); the fake route of an older test in the same file has the field now.

--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -390,8 +390,22 @@
             upstreams=context.tried_upstreams if context else [],
             sends=context.sends if context else 0,
             failure=context.last_failure if context else "",
+            idempotent=context.route.is_idempotent if context else None,
+            **_last_send_fields(context, now_s),
             table=self._directory.table_label(),
             store_lost_s=self._directory.store_lost_for_s(),
             held_s=round(now_s - request.arrived_s, 4),
             **refusal.log_fields,
         )
+
+
+def _last_send_fields(
+    context: requests.RequestContext | None, now_s: float
+) -> dict[str, float]:
+    """Returns how long ago a request was last sent, and with how much time."""
+    if context is None or not context.sends:
+        return {}
+    return {
+        "sent_ago_s": round(now_s - context.sent_s, 4),
+        "left_at_send_s": round(context.deadline_s - context.sent_s, 4),
+    }
--- a/tests/cover/test_relay.py
+++ b/tests/cover/test_relay.py
@@ -127,7 +127,7 @@
             return requests.RequestContext(
                 request,
                 metadata,
-                types.SimpleNamespace(name="r"),
+                types.SimpleNamespace(name="r", is_idempotent=False),
                 "s",
                 None,
                 0,
@@ -167,3 +167,90 @@
         assert asyncio.run(scenario())
     finally:
         gc.enable()
+
+
+class SilentSender(FakeSender):
+    """Sends a request once, and gets no answer."""
+
+    def __init__(self):
+        super().__init__([True])
+
+    def mean_latency_s(self, route):
+        return 0.01
+
+    def count_arrival(self, context):
+        return
+
+    async def send(self, context, target):
+        context.sends += 1
+        context.in_flight = True
+        context.sent_s = asyncio.get_running_loop().time()
+        await asyncio.sleep(10.0)
+
+
+class OpenAdmission:
+    """Admits each request, with a time limit."""
+
+    def __init__(self, timeout_s=1.0):
+        self.timeout_s = timeout_s
+
+    def admit(self, request, metadata):
+        return requests.RequestContext(
+            request,
+            metadata,
+            types.SimpleNamespace(name="r", is_idempotent=False),
+            "s",
+            None,
+            0,
+            asyncio.get_running_loop().time() + self.timeout_s,
+            1,
+        )
+
+    async def take_token(self, context):
+        return
+
+
+def serve_one(sender, admission, find_target=None):
+    """Returns the reply to one request, and the lines about it."""
+    lines = []
+
+    async def scenario():
+        directory = types.SimpleNamespace(
+            daemon_count=1,
+            configuration=None,
+            table_label=lambda: "none",
+            store_lost_for_s=lambda: 0.0,
+        )
+        relay = new_relay(directory, sender)
+        relay._log = lambda event, **fields: lines.append((event.name, fields))
+        relay._admission = admission
+
+        async def target(context):
+            return "target"
+
+        relay._wait_for_target = find_target or target
+        headers = [(b"host", b"h"), (b"x-request-id", b"r1")]
+        reply = await relay.serve(
+            requests.Request(
+                b"POST",
+                b"/",
+                headers,
+                b"",
+                True,
+                asyncio.get_running_loop().time(),
+            )
+        )
+        assert relay.in_flight == 0
+        return reply
+
+    return asyncio.run(scenario()), lines
+
+
+def test_refusal_line_tells_how_long_the_request_was_at_the_upstream():
+    reply, lines = serve_one(SilentSender(), OpenAdmission(0.1))
+    assert reply.status == 504
+    ((name, fields),) = lines
+    assert name == "request-uncertain"
+    assert fields["idempotent"] is False
+    assert 0.05 < fields["left_at_send_s"] <= 0.1
+    assert 0.05 < fields["sent_ago_s"] < 0.3
