Let an upstream's refusal of a queued request arrive in time

Callers saw 504 for requests that had waited in an upstream's queue for all of their time and were never run. They may not repeat these if they are not idempotent, so they were lost.

Cause: the upstream was told to keep a request until the daemon's own deadline. Its refusal (X-Not-Executed, at its time limit) arrived one way later, when the daemon had given the request up as uncertain and closed the connection.

The new test, with real processes, got 504 in place of 503 before this change.

The upstream now gets 30 ms less than is left (60 ms through a peer, at most a quarter), which is a round trip and a busy loop. An answer that comes later is taken as before, until the deadline; the verdict still comes from the upstream only.

--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -30,6 +30,13 @@
 # The mean latency of a route that has had no answer yet.
 INITIAL_LATENCY_S = 0.05
 MIN_SERVER_ERROR_STATUS = 500
+# Upstreams are given this much less time than is left, so that the refusal of a
+# request that waited there for all of its time arrives before the deadline. A
+# refusal through a peer passes one more link.
+ANSWER_RETURN_MARGIN_S = 0.03
+FORWARDED_ANSWER_RETURN_MARGIN_S = 0.06
+# The most of the time left that this may take.
+MAX_RETURN_MARGIN_RATIO = 0.25
 # A body that is no upstream's is not handed on, so no more of it is read.
 MAX_UNPROVEN_BODY_BYTES = 64 * 1024
 # The Retry-After of a request that was lost and is not sent again.
@@ -438,12 +445,23 @@
         http_messages.forwarded_headers(request.headers),
         len(request.body),
         request.has_body,
-        context.deadline_s - context.sent_s,
+        _time_at_upstream_s(context),
         target.upstream.id,
         context.account.name if context.account else None,
     )
 
 
+def _time_at_upstream_s(context: requests.RequestContext) -> float:
+    """Returns how long the upstream may keep a request that is sent now."""
+    left_s = context.deadline_s - context.sent_s
+    margin_s = (
+        FORWARDED_ANSWER_RETURN_MARGIN_S
+        if context.peer
+        else ANSWER_RETURN_MARGIN_S
+    )
+    return left_s - min(margin_s, left_s * MAX_RETURN_MARGIN_RATIO)
+
+
 def _record_send(
     context: requests.RequestContext,
     target: requests.Target,
--- a/standins/users_platform_upstream.py
+++ b/standins/users_platform_upstream.py
@@ -104,7 +104,8 @@
         body, `extra` sends a stray answer before the answer, `silent` delays
         the answer by 60 s, and `unframed` sends no content length. `repeat`
         refuses the first request of each connection, and writes that refusal
-        once more before it answers a later one.
+        once more before it answers a later one. `queue` lets requests wait,
+        and refuses them when their time limit is over.
       orders: the grants and releases that it has carried out, in order.
       clock_slowness: ratio of true time to time on its clock.
       next_grant_fault: returns what goes wrong with a grant that has arrived;
@@ -294,6 +295,12 @@
             if self.retry_after_s is not None:
                 headers["Retry-After"] = str(self.retry_after_s)
             return web.Response(status=503, headers=headers)
+        if self.mode == "queue":
+            await asyncio.sleep(int(request.headers["X-Deadline-Ms"]) / 1000)
+            return web.Response(
+                status=503,
+                headers={"X-Request-Id": request_id, "X-Not-Executed": "1"},
+            )
         if self.mode == "repeat":
             assert request.transport is not None
             refusal = self._refusals.get(request.transport)
--- a/tests/process/test_platform_path.py
+++ b/tests/process/test_platform_path.py
@@ -145,6 +145,28 @@
     assert runs_with_id(fleet, "shed") == []
 
 
+def test_request_that_ended_in_the_upstreams_queue_is_reported_as_not_run(
+    fleet,
+):
+    for upstream in fleet.upstreams.values():
+        upstream.mode = "queue"
+    for number in range(5):
+        started_s = time.monotonic()
+        reply = fleet.run(
+            fleet.send_request(
+                fleet.daemons[0],
+                "/stock/book/a",
+                7,
+                f"queued-{number}",
+                method="POST",
+                wait_ms=5000,
+            )
+        )
+        assert reply.status == 503
+        assert float(reply.headers["Retry-After"]) > 0
+        assert 0.9 < time.monotonic() - started_s < 1.5
+
+
 def test_request_past_its_route_timeout_is_answered_at_once(fleet):
     for upstream in fleet.upstreams.values():
         upstream.mode = "silent"
