Send nothing once connecting has used up a request's time

Callers saw 504 for requests that were written to an upstream with too little time left for any answer, and may not repeat them if they are not idempotent.

Cause: whether an answer may still come was decided when the upstream was chosen, and not again after a connection was opened (up to 0.3 s) or a send was borrowed. A refusal that came back shortly before the deadline could also be followed by one more send.

Evidence: the new test, in which connecting takes 0.19 of 0.2 s, sent the request before this change.

The latest useful time to send has one home now, in the sender, and is looked at again right before a request is written; it leaves at least the time that a refusal takes to return. The request is then refused with 503 as not run, if no earlier send is uncertain.

--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -21,9 +21,6 @@
 from sardinehill.front import upstream_directory as directory_module
 from sardinehill.platform import http_messages
 
-# A request is refused when the time to its deadline is at most this part of
-# its route's mean latency, because it would most likely time out.
-MIN_REMAINING_TIME_RATIO = 0.3
 # The Retry-After of refusals without a more precise estimate.
 DEFAULT_RETRY_AFTER_S = 0.25
 # The Retry-After of refusals because this daemon stops. A retry goes to
@@ -275,15 +272,11 @@
           requests.RefusedError: no upstream has capacity in time.
         """
         loop = asyncio.get_running_loop()
-        min_remaining_s = (
-            self._sender.mean_latency_s(context.route.name)
-            * MIN_REMAINING_TIME_RATIO
-        )
+        latest_send_s = self._sender.latest_useful_send_s(context)
         while True:
             now_s = loop.time()
             self._refuse_if_stopping(context, now_s)
-            remaining_s = context.deadline_s - now_s
-            if remaining_s <= min_remaining_s:
+            if now_s >= latest_send_s:
                 raise requests.RefusedError(
                     errors.Reason.DEADLINE_PASSED, 503, DEFAULT_RETRY_AFTER_S
                 )
@@ -295,7 +288,7 @@
                 context.waiting_since_s = now_s
             wait_until_s = min(
                 context.waiting_since_s + found.max_wait_s,
-                context.deadline_s - min_remaining_s,
+                latest_send_s,
             )
             if now_s >= wait_until_s:
                 is_full = found.reason is errors.Reason.QUEUE_FULL
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -30,6 +30,9 @@
 # The mean latency of a route that has had no answer yet.
 INITIAL_LATENCY_S = 0.05
 MIN_SERVER_ERROR_STATUS = 500
+# A request is refused when the time to its deadline is at most this part of
+# its route's mean latency, because it would most likely time out.
+MIN_REMAINING_TIME_RATIO = 0.3
 # Upstreams are given this much less time than is left, so that the refusal of a
 # request that waited there for all of its time arrives before the deadline. A
 # refusal through a peer passes one more link.
@@ -86,6 +89,15 @@
         """Returns a route's moving mean latency over all upstreams."""
         return self._mean_latencies_s.get(route, INITIAL_LATENCY_S)
 
+    def latest_useful_send_s(self, context: requests.RequestContext) -> float:
+        """Returns until when a request may still be answered if it is sent."""
+        total_s = context.deadline_s - context.request.arrived_s
+        min_remaining_s = max(
+            self.mean_latency_s(context.route.name) * MIN_REMAINING_TIME_RATIO,
+            min(ANSWER_RETURN_MARGIN_S, total_s * MAX_RETURN_MARGIN_RATIO),
+        )
+        return context.deadline_s - min_remaining_s
+
     def service_time_s(self, route: str) -> float:
         """Returns a route's service time at an upstream of usual speed."""
         return self._service_times.service_time_s(route)
@@ -176,13 +188,15 @@
             return None
         may_send = False
         try:
-            # The upstream may have left while the connection was opened.
+            # Time has passed, and the upstream may have left, while the
+            # connection was opened.
             is_lent = await self._connector.may_send_while_cold(target)
             self.refuse_if_quarantined(context)
             now_s = asyncio.get_running_loop().time()
             may_send = (
                 is_lent
                 and now_s <= context.latest_send_s
+                and now_s < self.latest_useful_send_s(context)
                 and not self._directory.has_left(target.upstream)
                 and not target.upstream_state.is_refusing(now_s)
             )
--- a/tests/cover/test_sending.py
+++ b/tests/cover/test_sending.py
@@ -17,17 +17,25 @@
 class FakePool:
     """Hands out one connection and records whether it came back."""
 
-    def __init__(self):
+    def __init__(self, connect_s=0.0):
+        self.connect_s = connect_s
         self.released = []
 
     async def acquire(self, timeout_s, avoided):
+        await asyncio.sleep(self.connect_s)
         return "connection"
 
     def release(self, connection):
         self.released.append(connection)
 
 
-def send_to_cold_upstream(borrow, has_left=False, latest_send_s=math.inf):
+def send_to_cold_upstream(
+    borrow,
+    has_left=False,
+    latest_send_s=math.inf,
+    time_left_s=10.0,
+    connect_s=0.0,
+):
     """Sends a request to a cold upstream; returns the result and target."""
     directory = types.SimpleNamespace(
         has_left=lambda upstream: has_left, is_limited=lambda upstream: False
@@ -52,10 +60,12 @@
             upstream_state=upstream_state.UpstreamState(
                 slots=2, cold_until_s=now_s + 60.0
             ),
-            pool=FakePool(),
+            pool=FakePool(connect_s),
         )
         context = types.SimpleNamespace(
-            deadline_s=now_s + 10.0,
+            request=types.SimpleNamespace(arrived_s=now_s),
+            route=types.SimpleNamespace(name="r"),
+            deadline_s=now_s + time_left_s,
             latest_send_s=latest_send_s,
             used_connections=[],
         )
@@ -189,3 +199,15 @@
         assert state.may_send(now_s + 0.2, max_in_flight=9) == is_cut_off
 
     asyncio.run(body())
+
+
+def test_nothing_is_sent_once_connecting_has_used_up_the_time():
+    async def borrow(name):
+        return 0.0
+
+    result, target, _ = send_to_cold_upstream(
+        borrow, time_left_s=0.2, connect_s=0.19
+    )
+    assert result is None
+    assert target.pool.released == ["connection"]
+    assert target.upstream_state.in_flight == 0
