Refuse a request that met an error before it was sent as not run

Callers saw 500 when the daemon failed inside before the request was sent, and no answer at all, on a connection that stayed open, when it failed at the request's admission; in_flight was then one too high until the end. A 500 may not be repeated, so each request was lost.

Cause: one answer for any error, whatever had been sent, and the admission stood outside of the handler. Neither was logged as a refusal with its verdict.

The three new tests failed before: 500 in place of 503, a KeyError that left the handler, and no line with a verdict.

The handler now covers the admission. A request without a send is refused with 503, any other gets 500 as before and counts as may-have-run, as the error may have come between an answer and its evaluation.

--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -127,24 +127,23 @@
     async def serve(self, request: requests.Request) -> requests.Reply:
         """Returns the reply to a request, which may be a refusal."""
         metadata = http_messages.parse_request_metadata(request.headers)
+        context: requests.RequestContext | None = None
         self.in_flight += 1
         try:
             context = self._admission.admit(request, metadata)
+            return await self._serve_admitted(context)
         except requests.RefusedError as refusal:
             self._record_refusal(request, metadata, refusal, None)
-            self.in_flight -= 1
             return requests.refusal_reply(metadata, refusal)
-        try:
-            return await self._serve_admitted(context)
         except Exception as error:
             events.log_with_traceback(
                 events.REQUEST_FAILED_INSIDE,
                 error,
                 request=metadata.request_id.decode("latin-1"),
             )
-            return requests.refusal_reply(
-                metadata, requests.RefusedError(errors.Reason.INTERNAL, 500)
-            )
+            internal = _internal_refusal(context)
+            self._record_refusal(request, metadata, internal, context)
+            return requests.refusal_reply(metadata, internal)
         finally:
             self.in_flight -= 1
 
@@ -392,6 +391,22 @@
         )
 
 
+def _internal_refusal(
+    context: requests.RequestContext | None,
+) -> requests.RefusedError:
+    """Returns the refusal of a request that met an unexpected error.
+
+    What the error has interrupted is not known, so one that was sent may have
+    run, whatever is known of its sends.
+    """
+    if context is None or not context.sends:
+        return requests.RefusedError(
+            errors.Reason.INTERNAL, 503, DEFAULT_RETRY_AFTER_S
+        )
+    context.verdict.record(errors.Verdict.MAY_HAVE_RUN)
+    return requests.RefusedError(errors.Reason.INTERNAL, 500)
+
+
 def _last_send_fields(
     context: requests.RequestContext | None, now_s: float
 ) -> dict[str, float]:
--- a/tests/cover/test_relay.py
+++ b/tests/cover/test_relay.py
@@ -254,3 +254,41 @@
     assert fields["idempotent"] is False
     assert 0.05 < fields["left_at_send_s"] <= 0.1
     assert 0.05 < fields["sent_ago_s"] < 0.3
+
+
+def raise_internal_error(*_):
+    raise KeyError("unexpected")
+
+
+def test_request_that_met_an_error_before_it_was_sent_is_refused_as_not_run():
+    reply, lines = serve_one(
+        SilentSender(), OpenAdmission(), find_target=raise_internal_error
+    )
+    assert reply.status == 503
+    assert b"x-request-id: r1" in reply.headers.lower()
+    assert b"retry-after: " in reply.headers.lower()
+    ((name, fields),) = lines
+    assert (name, fields["reason"]) == ("request-refused", "internal")
+    assert fields["verdict"] == "not-run"
+
+
+def test_request_that_met_an_error_at_its_admission_is_answered():
+    admission = OpenAdmission()
+    admission.admit = raise_internal_error
+    reply, lines = serve_one(SilentSender(), admission)
+    assert reply.status == 503
+    assert [fields["reason"] for _, fields in lines] == ["internal"]
+
+
+def test_request_that_met_an_error_after_it_was_sent_may_have_run():
+    sender = SilentSender()
+
+    async def send(context, target):
+        context.sends += 1
+        raise_internal_error()
+
+    sender.send = send
+    reply, lines = serve_one(sender, OpenAdmission())
+    assert reply.status == 500
+    ((name, fields),) = lines
+    assert (name, fields["verdict"]) == ("request-uncertain", "may-have-run")
