Use no connection that has ended while the event loop was busy

Callers could see 502 for a request that was written to a connection which the upstream had closed or reset before. A caller may not repeat that one if it is not idempotent, though no upstream could have run it.

Cause: an idle connection counted as open until the event loop had read its end. A loop with much to do, or a process that stood still, takes a request first and looks at its sockets later; what was then written counts as sent.

The pool asks the kernel before it hands out an idle connection. Nothing is claimed of a request that was written; it is written elsewhere instead.

--- a/src/sardinehill/http1.py
+++ b/src/sardinehill/http1.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import select
 import socket
 import struct
 from typing import cast
@@ -150,6 +151,20 @@
         )
 
 
+def has_unread_events(transport: asyncio.BaseTransport) -> bool:
+    """Returns whether the kernel has bytes, an end or an error to report.
+
+    The event loop may be busy and not know of them yet.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return False
+    poll = select.poll()
+    # An end in order makes a socket readable, too; errors are always reported.
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class Connection(asyncio.Protocol):
     """A client's connection to one server.
 
@@ -405,6 +420,7 @@
             and self._transport is not None
             and not self._transport.is_closing()
             and now_s - self.idle_since_s < limit_s
+            and not has_unread_events(self._transport)
         )
 
     # Internal methods.
--- a/tests/cover/test_broken_answers.py
+++ b/tests/cover/test_broken_answers.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import contextlib
+import socket
+import time
 
 import pytest
+import uvloop
 
 from sardinehill import http1
 from sardinehill.front import pool as pool_module
@@ -150,3 +153,31 @@
     assert response.header(b"x-request-id") == b"r1"
     assert response.header(b"x-not-executed") is None
     assert response.header(b"x-trailer") is None
+
+
+def end_without_the_loop(listener, last_bytes):
+    """Ends the upstream's side while the loop does not look at its sockets."""
+    upstream_side, _ = listener.accept()
+    upstream_side.sendall(last_bytes)
+    upstream_side.close()
+    time.sleep(0.05)
+
+
+@pytest.mark.parametrize("loop_factory", [None, uvloop.new_event_loop])
+@pytest.mark.parametrize("last_bytes", [b"", REFUSAL])
+def test_connection_that_ended_while_the_loop_was_busy_is_not_used_again(
+    loop_factory, last_bytes
+):
+    async def body(listener):
+        host, port = listener.getsockname()
+        pool = pool_module.ConnectionPool(f"{host}:{port}")
+        connection = await pool.acquire(1.0)
+        pool.release(connection)
+        end_without_the_loop(listener, last_bytes)
+        assert pool.acquire_idle(asyncio.get_running_loop().time()) is None
+
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        asyncio.Runner(loop_factory=loop_factory) as runner,
+    ):
+        runner.run(body(listener))
