Let a peer say before the deadline that it has not sent a request

Callers of a daemon that reaches no upstream saw 504 for requests that no peer had written to an upstream, and may not repeat those that are not idempotent.

Cause: the peer tried to connect until the request's deadline and then said that it had not sent it; the daemon had given the exchange up at the same moment. A peer that had little time for it also noted the upstream as unreachable.

Evidence: found by reading. The new test got no word before the deadline before this change (TimeoutError).

The peer now sends a request at the latest 30 ms before its deadline, or a quarter of the time that it has, and says so at that time (expired).

--- a/src/sardinehill/front/forward_server.py
+++ b/src/sardinehill/front/forward_server.py
@@ -31,6 +31,13 @@
 MAX_IN_FLIGHT = 128
 MAX_TOTAL_REQUEST_BYTES = 32 * 1024 * 1024
 
+# A request is sent at the latest so long before its deadline, so that the peer
+# learns in time that it was not sent; at most a part of the time it has here.
+NOT_SENT_RETURN_MARGIN_S = 0.03
+MAX_RETURN_MARGIN_RATIO = 0.25
+# Event loops may run a timer early by their clock's resolution.
+TIMER_TOLERANCE_S = 0.01
+
 _KINDS = frozenset(
     {
         message_kinds.MessageKind.FORWARDING_STATUS_QUERY,
@@ -64,6 +71,7 @@
       state: the upstream's state.
       pool: the connections to it.
       deadline_s: when the request times out, by the loop's clock.
+      latest_send_s: when it may be sent at the latest.
     """
 
     request: exchange_messages.ExchangeRequest
@@ -71,6 +79,7 @@
     state: state_module.UpstreamState
     pool: pool_module.ConnectionPool
     deadline_s: float
+    latest_send_s: float
 
 
 class _NotSentError(Exception):
@@ -267,7 +276,14 @@
         if upstream is None:
             raise _NotSentError(_Reason.LEFT)
         state, pool = self._directory.state_and_pool(upstream)
-        send = _DirectSend(request, upstream, state, pool, deadline_s)
+        send = _DirectSend(
+            request,
+            upstream,
+            state,
+            pool,
+            deadline_s,
+            _latest_send_s(deadline_s),
+        )
         state.record_forward()
         try:
             while True:
@@ -285,7 +301,7 @@
     def _check(self, send: _DirectSend) -> None:
         """Raises `_NotSentError` if the request must not be sent now."""
         now_s = asyncio.get_running_loop().time()
-        if now_s >= send.deadline_s:
+        if now_s >= send.latest_send_s:
             raise _NotSentError(_Reason.EXPIRED)
         if self._directory.has_left(send.upstream):
             raise _NotSentError(_Reason.LEFT)
@@ -296,7 +312,7 @@
 
     async def _connect(self, send: _DirectSend) -> http1.Connection:
         self._check(send)
-        timeout_s = send.deadline_s - asyncio.get_running_loop().time()
+        timeout_s = send.latest_send_s - asyncio.get_running_loop().time()
         try:
             if send.request.needs_new_connection:
                 connection = await send.pool.open(
@@ -316,6 +332,9 @@
     def _record_connect_failure(self, send: _DirectSend) -> _Reason:
         """Records that connecting failed; returns what the peer is told."""
         now_s = asyncio.get_running_loop().time()
+        # The upstream may have had too little time to accept the connection.
+        if now_s >= send.latest_send_s - TIMER_TOLERANCE_S:
+            return _Reason.EXPIRED
         # If this daemon may be cut off, too, the failure says nothing of the
         # upstream, and the peer asks another daemon.
         if not self._reach.hears_upstreams():
@@ -387,6 +406,14 @@
         )
 
 
+def _latest_send_s(deadline_s: float) -> float:
+    """Returns until when a request that has come now may be sent."""
+    remaining_s = deadline_s - asyncio.get_running_loop().time()
+    return deadline_s - min(
+        NOT_SENT_RETURN_MARGIN_S, remaining_s * MAX_RETURN_MARGIN_RATIO
+    )
+
+
 def _label(result: exchange_messages.ExchangeResult) -> str:
     """Returns the label under which a result is counted."""
     match result:
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -245,6 +245,25 @@
     forwarding_fleet.run(body, forwarding_fleet.ANSWER, forwarding_fleet.ANSWER)
 
 
+def test_peer_says_before_the_deadline_that_it_could_not_connect(monkeypatch):
+    async def connect_in_vain(timeout_s):
+        await asyncio.sleep(timeout_s)
+        raise http1.ConnectionFailedError("no answer", written=False)
+
+    async def body(fleet):
+        upstream = fleet.peers["p-1"].directory.find(("i-1", 5))
+        pool = fleet.peers["p-1"].directory.pool(upstream)
+        monkeypatch.setattr(pool, "acquire", connect_in_vain)
+        async with asyncio.timeout(0.2):
+            reason = await not_forwarded_reason(fleet, remaining_s=0.2)
+        assert reason is exchange_messages.NotSentReason.EXPIRED
+        # The time was too short to tell that the upstream is not reached.
+        now_s = asyncio.get_running_loop().time()
+        assert not fleet.peers["p-1"].state().is_refusing(now_s)
+
+    forwarding_fleet.run(body)
+
+
 def test_without_peers_a_request_is_refused_at_once():
     async def body(fleet):
         fleet.peers["p-1"].reach.cut_off = True
