Say in a refusal's line whether it was sent on a new connection

Some requests that were answered 504 never reached their upstream, although they were written. Whether these connections were ever accepted shows first in whether they were new. The test of the line failed before (KeyError).

--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -409,11 +409,13 @@
 
 def _last_send_fields(
     context: requests.RequestContext | None, now_s: float
-) -> dict[str, float]:
-    """Returns how long ago a request was last sent, and with how much time."""
+) -> dict[str, object]:
+    """Returns when a request was last sent, with how much time, and how."""
     if context is None or not context.sends:
         return {}
+    connection = context.used_connections[-1]
     return {
+        "on_new_connection": connection.exchange_count == 1,
         "sent_ago_s": round(now_s - context.sent_s, 4),
         "left_at_send_s": round(context.deadline_s - context.sent_s, 4),
     }
--- a/tests/cover/test_relay.py
+++ b/tests/cover/test_relay.py
@@ -184,6 +184,7 @@
     async def send(self, context, target):
         context.sends += 1
         context.in_flight = True
+        context.used_connections.append(types.SimpleNamespace(exchange_count=1))
         context.sent_s = asyncio.get_running_loop().time()
         await asyncio.sleep(10.0)
 
@@ -252,6 +253,7 @@
     ((name, fields),) = lines
     assert name == "request-uncertain"
     assert fields["idempotent"] is False
+    assert fields["on_new_connection"] is True
     assert 0.05 < fields["left_at_send_s"] <= 0.1
     assert 0.05 < fields["sent_ago_s"] < 0.3
 
@@ -285,6 +287,7 @@
 
     async def send(context, target):
         context.sends += 1
+        context.used_connections.append(types.SimpleNamespace(exchange_count=1))
         raise_internal_error()
 
     sender.send = send
