Let a peer that fails before it sends say that it has not sent

Callers of a daemon that reaches no upstream saw 502 when the peer met an unexpected error before it had written their request, and may not repeat those that are not idempotent.

Cause: any error inside the peer was reported as a broken exchange, which may have run.

The new test got "the peer has failed", written, before this change. An error after the request was written still counts as may-have-run (the test beside it).

--- a/src/sardinehill/front/forward_server.py
+++ b/src/sardinehill/front/forward_server.py
@@ -6,6 +6,8 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 
 from sardinehill import events
@@ -90,6 +92,27 @@
         self.result = exchange_messages.NotSent(reason, retry_after_s)
 
 
+@contextlib.contextmanager
+def _errors_as_not_sent(
+    request: exchange_messages.ExchangeRequest,
+) -> Iterator[None]:
+    """Makes unexpected errors say that a request was not sent.
+
+    To be used only for what comes before the request is written.
+    """
+    try:
+        yield
+    except _NotSentError:
+        raise
+    except Exception as error:
+        events.log_with_traceback(
+            events.REQUEST_FAILED_INSIDE,
+            error,
+            request=request.request_id.decode("latin-1"),
+        )
+        raise _NotSentError(_Reason.BUSY) from error
+
+
 class ForwardServer:
     """Carries out exchanges with upstreams for peers."""
 
@@ -270,24 +293,13 @@
         Raises:
           _NotSentError: no byte of it was sent.
         """
-        upstream = self._directory.find(
-            (request.upstream_id, request.started_at_ms)
-        )
-        if upstream is None:
-            raise _NotSentError(_Reason.LEFT)
-        state, pool = self._directory.state_and_pool(upstream)
-        send = _DirectSend(
-            request,
-            upstream,
-            state,
-            pool,
-            deadline_s,
-            _latest_send_s(deadline_s),
-        )
-        state.record_forward()
+        with _errors_as_not_sent(request):
+            send = self._prepare(request, deadline_s)
+        send.state.record_forward()
         try:
             while True:
-                connection = await self._connect(send)
+                with _errors_as_not_sent(request):
+                    connection = await self._connect(send)
                 try:
                     return await self._exchange_over(send, connection)
                 except http1.ConnectionFailedError as error:
@@ -295,8 +307,27 @@
                     if error.written:
                         return self._record_broken(send, connection, error)
         finally:
-            state.record_forward_end()
-            self._directory.wake_next(upstream, upstream.service)
+            send.state.record_forward_end()
+            self._directory.wake_next(send.upstream, send.upstream.service)
+
+    def _prepare(
+        self, request: exchange_messages.ExchangeRequest, deadline_s: float
+    ) -> _DirectSend:
+        """Returns how a request is sent.
+
+        Raises:
+          _NotSentError: its upstream has left.
+        """
+        upstream = self._directory.find(
+            (request.upstream_id, request.started_at_ms)
+        )
+        if upstream is None:
+            raise _NotSentError(_Reason.LEFT)
+        state, pool = self._directory.state_and_pool(upstream)
+        latest_send_s = _latest_send_s(deadline_s)
+        return _DirectSend(
+            request, upstream, state, pool, deadline_s, latest_send_s
+        )
 
     def _check(self, send: _DirectSend) -> None:
         """Raises `_NotSentError` if the request must not be sent now."""
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -444,6 +444,22 @@
     forwarding_fleet.run(body, forwarding_fleet.ANSWER)
 
 
+def test_peer_that_fails_before_it_sends_says_that_the_request_has_not_run(
+    monkeypatch,
+):
+    def fail(*arguments):
+        raise RuntimeError("inside")
+
+    async def body(fleet):
+        monkeypatch.setattr(fleet.peers["p-1"].directory, "has_left", fail)
+        async with asyncio.timeout(1.0):
+            reason = await not_forwarded_reason(fleet)
+        assert reason is exchange_messages.NotSentReason.BUSY
+        assert fleet.upstream.received == []
+
+    forwarding_fleet.run(body)
+
+
 def test_peer_that_hangs_is_given_up_and_not_used_again(monkeypatch):
     monkeypatch.setattr(forwarding, "STATUS_INTERVAL_S", 0.05)
     monkeypatch.setattr(forwarding, "STATUS_TIMEOUT_S", 0.1)
