Let an upstream's refusal arrive in time at the other daemon, too

The same fault as in front: a gateway told the upstream its own time limit, so the refusal of a request that ended in the upstream's queue (Upstream-Not-Run: deadline) came when the gateway had reported it as may-have-run.

--- a/src/sardinehill/adapters/upstream.py
+++ b/src/sardinehill/adapters/upstream.py
@@ -18,6 +18,10 @@
 from sardinehill.core import upstream_queue
 
 CONTROL_CALL_TIMEOUT_S = 0.5
+# Upstreams are given this much less time than is left, at most a part of it, so
+# that the refusal of a request that waited there to the end arrives in time.
+ANSWER_RETURN_MARGIN_S = 0.03
+MAX_RETURN_MARGIN_RATIO = 0.25
 NOT_RUN_HEADER = "Upstream-Not-Run"
 REQUEST_ID_HEADER = "Upstream-Request-Id"
 INCARNATION_HEADER = "Upstream-Incarnation"
@@ -90,14 +94,19 @@
           request: the request.
           fence: headers by which the upstream checks the sender's grant.
           timeout_s: seconds to wait for the complete answer; the upstream
-            receives it as the deadline of the request.
+            receives a little less as the deadline of the request.
         """
         headers = multidict.CIMultiDict(request.headers)
         headers.update(fence)
         headers["Sardinehill-Account"] = request.account
         headers["Sardinehill-Key"] = request.key
         headers["Sardinehill-Request-Id"] = request.request_id
-        headers["Sardinehill-Deadline-Ms"] = str(int(timeout_s * 1000))
+        margin_s = min(
+            ANSWER_RETURN_MARGIN_S, timeout_s * MAX_RETURN_MARGIN_RATIO
+        )
+        headers["Sardinehill-Deadline-Ms"] = str(
+            int((timeout_s - margin_s) * 1000)
+        )
         try:
             async with self._open_session().request(
                 request.method,
