Keep the details of a broken exchange in the line request-uncertain

Operators saw no digest, peer and error in the line of a request that may have run, although EVENTS.md says to find a deadly request by its digest there.

Cause: the refusal was built anew with status 502, without its fields, when the promise of not having run was taken from it.

The new test failed before (KeyError: 'error').

--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -215,7 +215,9 @@
         """
         if not context.may_have_run:
             return refused
-        return requests.RefusedError(refused.reason, 502)
+        return requests.RefusedError(
+            refused.reason, 502, None, **refused.log_fields
+        )
 
     async def _send_until_answered(
         self, context: requests.RequestContext
--- a/tests/cover/test_relay.py
+++ b/tests/cover/test_relay.py
@@ -295,3 +295,18 @@
     assert reply.status == 500
     ((name, fields),) = lines
     assert (name, fields["verdict"]) == ("request-uncertain", "may-have-run")
+
+
+def test_line_of_a_request_that_may_have_run_says_why_its_exchange_broke():
+    sender = SilentSender()
+
+    async def send(context, target):
+        context.verdict.record(errors.Verdict.MAY_HAVE_RUN)
+        raise requests.RefusedError(
+            errors.Reason.CONNECTION_LOST, 502, error="closed", digest="d"
+        )
+
+    sender.send = send
+    _, lines = serve_one(sender, OpenAdmission())
+    ((_, fields),) = lines
+    assert (fields["error"], fields["digest"]) == ("closed", "d")
