Answer a request whose handler fails

A caller whose request met an error that the handler let through got no answer, and none to the requests behind it on the connection, until the connection was closed as idle.

Cause: the error ended the task that serves the connection, and nothing took its place before further bytes came.

Evidence: found by reading; the new test received nothing before this change.

The server answers 500, logs request-failed-inside, and goes on.

--- a/src/sardinehill/front/server.py
+++ b/src/sardinehill/front/server.py
@@ -15,6 +15,7 @@
 
 import httptools
 
+from sardinehill import events
 from sardinehill import http1
 from sardinehill.core import byte_budget
 from sardinehill.core import routes
@@ -306,7 +307,7 @@
             self._refuse(self._refusal)
 
     async def _serve_request(self, queued: _QueuedRequest) -> None:
-        reply = await self._server.handle(queued.request)
+        reply = await self._reply_to(queued.request)
         is_last = not queued.keep_alive or reply.ends_with_connection
         is_last = is_last or (
             self._server.draining and not self._has_next_request()
@@ -321,6 +322,17 @@
         if is_last:
             self._close()
 
+    async def _reply_to(self, request: requests.Request) -> requests.Reply:
+        """Returns the handler's reply, or 500 if it fails.
+
+        Otherwise the caller would wait for an answer that never comes.
+        """
+        try:
+            return await self._server.handle(request)
+        except Exception as error:
+            events.log_with_traceback(events.REQUEST_FAILED_INSIDE, error)
+            return requests.Reply(500, b"")
+
     async def _write_until_end(self, data: bytes) -> None:
         """Writes a reply that ends with the connection.
 
--- a/tests/cover/test_front_server.py
+++ b/tests/cover/test_front_server.py
@@ -244,3 +244,22 @@
             assert budget.held_bytes == 0
 
     asyncio.run(scenario())
+
+
+def test_request_whose_handler_fails_is_answered_and_so_are_those_behind_it():
+    async def fail_once(request):
+        if request.target == b"/a":
+            raise KeyError("unexpected")
+        return await _reply_late(request)
+
+    async def body():
+        async with connected(handle=fail_once) as (reader, writer):
+            writer.write(
+                b"POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n"
+                b"GET /b HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"
+            )
+            return await reader.read()
+
+    received = asyncio.run(body())
+    assert received.startswith(b"HTTP/1.1 500 ")
+    assert received.endswith(b"answer to /b")
