Give requests their answer when asking for loans fails

Requests that wait for a loan (quota, cold or limited upstreams) were held to their deadline when asking the leader met an unexpected error, and refused only then.

Cause: the task that asks for a batch ended without telling those that wait.

Evidence: found by reading; the new test timed out before this change.

The error is logged (task-failed) and counts as no leader's answer, so they are refused at once, as not run.

--- a/src/sardinehill/front/borrowing.py
+++ b/src/sardinehill/front/borrowing.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from sardinehill import errors
+from sardinehill import events
 from sardinehill.core import fleet_messages
 
 # Token requests within this time go to the leader in one message.
@@ -86,6 +87,12 @@
                 loans = await self._request_loans(token_requests)
             except errors.PeerError:
                 loans = []
+            except Exception as error:
+                # The requests that wait for the loans must not wait for ever.
+                events.log_with_traceback(
+                    events.TASK_FAILED, error, task="borrowing"
+                )
+                return []
             if loans or loop.time() + LEADER_RETRY_INTERVAL_S > deadline_s:
                 return loans
             await asyncio.sleep(LEADER_RETRY_INTERVAL_S)
--- a/tests/cover/test_quota_lending.py
+++ b/tests/cover/test_quota_lending.py
@@ -157,6 +157,21 @@
     assert borrow_concurrently(ask, 1) == [0.0]
 
 
+def test_requests_get_a_retry_delay_if_asking_for_loans_fails():
+    async def ask(requests):
+        raise KeyError("unexpected")
+
+    async def body():
+        borrower = borrowing.TokenBorrower(ask)
+        async with asyncio.timeout(1.0):
+            return await asyncio.gather(
+                *(borrower.borrow("a") for _ in range(2))
+            )
+
+    waits_s = asyncio.run(body())
+    assert waits_s == [borrowing.NO_LEADER_RETRY_AFTER_S] * 2
+
+
 def test_without_a_leader_a_request_gets_a_retry_delay():
     async def ask(requests):
         raise errors.PeerLostError("no leader")
