Tell upstreams of a stopping daemon's end, so that refusals arrive in time

Callers saw 504 at the end of a planned stop for requests that were sent early in the stop and had waited in an upstream's queue since, not run.

Cause: the upstream was told the request's deadline, which lies beyond the end of the stop; its refusal could not come before the daemon answered for itself.

A request that is sent during a stop carries what is left until the stop's end, if that is sooner. One that was sent before the stop is still answered 504 at its end.

--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -101,6 +101,7 @@
         if window is None:
             return
         context, timeout = active.context, active.timeout
+        context.stop_end_s = window.end_s
         context.latest_send_s = stop_window.latest_send_s(
             window,
             context.deadline_s,
--- a/src/sardinehill/front/requests.py
+++ b/src/sardinehill/front/requests.py
@@ -96,6 +96,8 @@
       sequence_number: orders requests of the same priority by arrival.
       latest_send_s: when it may be sent to an upstream at the latest; infinity
         unless the daemon stops.
+      stop_end_s: when it is answered at the latest because this daemon stops;
+        infinity unless it does.
       sends: how often it was sent to an upstream.
       tried_upstreams: the ids of upstreams that it was sent to.
       used_connections: the connections that it was sent over. An upstream may
@@ -118,6 +120,7 @@
     deadline_s: float
     sequence_number: int
     latest_send_s: float = math.inf
+    stop_end_s: float = math.inf
     sends: int = 0
     tried_upstreams: list[str] = dataclasses.field(default_factory=list)
     used_connections: list[AnyConnection] = dataclasses.field(
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -467,7 +467,8 @@
 
 def _time_at_upstream_s(context: requests.RequestContext) -> float:
     """Returns how long the upstream may keep a request that is sent now."""
-    left_s = context.deadline_s - context.sent_s
+    end_s = min(context.deadline_s, context.stop_end_s)
+    left_s = end_s - context.sent_s
     margin_s = (
         FORWARDED_ANSWER_RETURN_MARGIN_S
         if context.peer
--- a/tests/process/test_planned_stop.py
+++ b/tests/process/test_planned_stop.py
@@ -167,6 +167,23 @@
     assert event["in_flight"] == 1
 
 
+def test_request_in_an_upstreams_queue_at_the_end_is_refused_as_not_run(fleet):
+    async def scenario():
+        daemon = fleet.daemons[0]
+        await set_up(fleet, service_time_s=0.2)
+        fleet.upstreams["i-plain"].mode = "queue"
+        daemon.signal(signal.SIGTERM)
+        await asyncio.sleep(1.0)
+        caller = Caller(daemon)
+        await caller.connect()
+        await caller.send(request_bytes("queued", wait_ms=20_000))
+        return await caller.read_all()
+
+    received = fleet.run(scenario())
+    assert received.startswith(b"HTTP/1.1 503 ")
+    assert b"retry-after: 0." in received.lower()
+
+
 def test_requests_that_wait_in_a_pipeline_are_all_answered(fleet):
     async def scenario():
         daemon = fleet.daemons[0]
