--- a/tests/cover/test_sending.py
+++ b/tests/cover/test_sending.py
@@ -211,3 +211,18 @@
     assert result is None
     assert target.pool.released == ["connection"]
     assert target.upstream_state.in_flight == 0
+
+
+@pytest.mark.parametrize(
+    ("stop_end_s", "peer", "time_at_upstream_s"),
+    [(math.inf, "", 0.97), (math.inf, "p-1", 0.94), (10.2, "", 0.17)],
+)
+def test_upstream_gets_less_time_than_is_left_for_its_refusal_to_return(
+    stop_end_s, peer, time_at_upstream_s
+):
+    context = types.SimpleNamespace(
+        deadline_s=11.0, sent_s=10.0, stop_end_s=stop_end_s, peer=peer
+    )
+    assert sending._time_at_upstream_s(context) == pytest.approx(
+        time_at_upstream_s
+    )
