--- a/src/sardinehill/front/relay.py
+++ b/src/sardinehill/front/relay.py
@@ -21,9 +21,6 @@
 from sardinehill.front import upstream_directory as directory_module
 from sardinehill.platform import http_messages
 
-# A request is refused when the time to its deadline is at most this part of
-# its route's mean latency, because it would most likely time out.
-MIN_REMAINING_TIME_RATIO = 0.3
 # The Retry-After of refusals without a more precise estimate.
 DEFAULT_RETRY_AFTER_S = 0.25
 # The Retry-After of refusals because this daemon stops. A retry goes to
@@ -104,6 +101,7 @@
         if window is None:
             return
         context, timeout = active.context, active.timeout
+        context.stop_end_s = window.end_s
         context.latest_send_s = stop_window.latest_send_s(
             window,
             context.deadline_s,
@@ -130,24 +128,23 @@
     async def serve(self, request: requests.Request) -> requests.Reply:
         """Returns the reply to a request, which may be a refusal."""
         metadata = http_messages.parse_request_metadata(request.headers)
+        context: requests.RequestContext | None = None
         self.in_flight += 1
         try:
             context = self._admission.admit(request, metadata)
+            return await self._serve_admitted(context)
         except requests.RefusedError as refusal:
             self._record_refusal(request, metadata, refusal, None)
-            self.in_flight -= 1
             return requests.refusal_reply(metadata, refusal)
-        try:
-            return await self._serve_admitted(context)
         except Exception as error:
             events.log_with_traceback(
                 events.REQUEST_FAILED_INSIDE,
                 error,
                 request=metadata.request_id.decode("latin-1"),
             )
-            return requests.refusal_reply(
-                metadata, requests.RefusedError(errors.Reason.INTERNAL, 500)
-            )
+            internal = _internal_refusal(context)
+            self._record_refusal(request, metadata, internal, context)
+            return requests.refusal_reply(metadata, internal)
         finally:
             self.in_flight -= 1
 
@@ -219,7 +216,9 @@
         """
         if not context.may_have_run:
             return refused
-        return requests.RefusedError(refused.reason, 502)
+        return requests.RefusedError(
+            refused.reason, 502, None, **refused.log_fields
+        )
 
     async def _send_until_answered(
         self, context: requests.RequestContext
@@ -275,15 +274,11 @@
           requests.RefusedError: no upstream has capacity in time.
         """
         loop = asyncio.get_running_loop()
-        min_remaining_s = (
-            self._sender.mean_latency_s(context.route.name)
-            * MIN_REMAINING_TIME_RATIO
-        )
+        latest_send_s = self._sender.latest_useful_send_s(context)
         while True:
             now_s = loop.time()
             self._refuse_if_stopping(context, now_s)
-            remaining_s = context.deadline_s - now_s
-            if remaining_s <= min_remaining_s:
+            if now_s >= latest_send_s:
                 raise requests.RefusedError(
                     errors.Reason.DEADLINE_PASSED, 503, DEFAULT_RETRY_AFTER_S
                 )
@@ -295,7 +290,7 @@
                 context.waiting_since_s = now_s
             wait_until_s = min(
                 context.waiting_since_s + found.max_wait_s,
-                context.deadline_s - min_remaining_s,
+                latest_send_s,
             )
             if now_s >= wait_until_s:
                 is_full = found.reason is errors.Reason.QUEUE_FULL
@@ -390,8 +385,40 @@
             upstreams=context.tried_upstreams if context else [],
             sends=context.sends if context else 0,
             failure=context.last_failure if context else "",
+            idempotent=context.route.is_idempotent if context else None,
+            **_last_send_fields(context, now_s),
             table=self._directory.table_label(),
             store_lost_s=self._directory.store_lost_for_s(),
             held_s=round(now_s - request.arrived_s, 4),
             **refusal.log_fields,
         )
+
+
+def _internal_refusal(
+    context: requests.RequestContext | None,
+) -> requests.RefusedError:
+    """Returns the refusal of a request that met an unexpected error.
+
+    What the error has interrupted is not known, so one that was sent may have
+    run, whatever is known of its sends.
+    """
+    if context is None or not context.sends:
+        return requests.RefusedError(
+            errors.Reason.INTERNAL, 503, DEFAULT_RETRY_AFTER_S
+        )
+    context.verdict.record(errors.Verdict.MAY_HAVE_RUN)
+    return requests.RefusedError(errors.Reason.INTERNAL, 500)
+
+
+def _last_send_fields(
+    context: requests.RequestContext | None, now_s: float
+) -> dict[str, object]:
+    """Returns when a request was last sent, with how much time, and how."""
+    if context is None or not context.sends:
+        return {}
+    connection = context.used_connections[-1]
+    return {
+        "on_new_connection": connection.exchange_count == 1,
+        "sent_ago_s": round(now_s - context.sent_s, 4),
+        "left_at_send_s": round(context.deadline_s - context.sent_s, 4),
+    }
--- a/src/sardinehill/front/sending.py
+++ b/src/sardinehill/front/sending.py
@@ -30,6 +30,16 @@
 # The mean latency of a route that has had no answer yet.
 INITIAL_LATENCY_S = 0.05
 MIN_SERVER_ERROR_STATUS = 500
+# A request is refused when the time to its deadline is at most this part of
+# its route's mean latency, because it would most likely time out.
+MIN_REMAINING_TIME_RATIO = 0.3
+# Upstreams are given this much less time than is left, so that the refusal of a
+# request that waited there for all of its time arrives before the deadline. A
+# refusal through a peer passes one more link.
+ANSWER_RETURN_MARGIN_S = 0.03
+FORWARDED_ANSWER_RETURN_MARGIN_S = 0.06
+# The most of the time left that this may take.
+MAX_RETURN_MARGIN_RATIO = 0.25
 # A body that is no upstream's is not handed on, so no more of it is read.
 MAX_UNPROVEN_BODY_BYTES = 64 * 1024
 # The Retry-After of a request that was lost and is not sent again.
@@ -79,6 +89,15 @@
         """Returns a route's moving mean latency over all upstreams."""
         return self._mean_latencies_s.get(route, INITIAL_LATENCY_S)
 
+    def latest_useful_send_s(self, context: requests.RequestContext) -> float:
+        """Returns until when a request may still be answered if it is sent."""
+        total_s = context.deadline_s - context.request.arrived_s
+        min_remaining_s = max(
+            self.mean_latency_s(context.route.name) * MIN_REMAINING_TIME_RATIO,
+            min(ANSWER_RETURN_MARGIN_S, total_s * MAX_RETURN_MARGIN_RATIO),
+        )
+        return context.deadline_s - min_remaining_s
+
     def service_time_s(self, route: str) -> float:
         """Returns a route's service time at an upstream of usual speed."""
         return self._service_times.service_time_s(route)
@@ -169,13 +188,15 @@
             return None
         may_send = False
         try:
-            # The upstream may have left while the connection was opened.
+            # Time has passed, and the upstream may have left, while the
+            # connection was opened.
             is_lent = await self._connector.may_send_while_cold(target)
             self.refuse_if_quarantined(context)
             now_s = asyncio.get_running_loop().time()
             may_send = (
                 is_lent
                 and now_s <= context.latest_send_s
+                and now_s < self.latest_useful_send_s(context)
                 and not self._directory.has_left(target.upstream)
                 and not target.upstream_state.is_refusing(now_s)
             )
@@ -438,12 +459,24 @@
         http_messages.forwarded_headers(request.headers),
         len(request.body),
         request.has_body,
-        context.deadline_s - context.sent_s,
+        _time_at_upstream_s(context),
         target.upstream.id,
         context.account.name if context.account else None,
     )
 
 
+def _time_at_upstream_s(context: requests.RequestContext) -> float:
+    """Returns how long the upstream may keep a request that is sent now."""
+    end_s = min(context.deadline_s, context.stop_end_s)
+    left_s = end_s - context.sent_s
+    margin_s = (
+        FORWARDED_ANSWER_RETURN_MARGIN_S
+        if context.peer
+        else ANSWER_RETURN_MARGIN_S
+    )
+    return left_s - min(margin_s, left_s * MAX_RETURN_MARGIN_RATIO)
+
+
 def _record_send(
     context: requests.RequestContext,
     target: requests.Target,
