Say in the last line of the log why a process ended

What was seen: a start that failed wrote plain text or a traceback to standard error, and an unexpected error of the running daemon wrote no numbered event, so the users' record of a process that ended by itself could not tell one cause from another.

Change: the program configures its log before it reads the settings. Invalid settings are logged as settings-invalid (108), any other error as daemon-failed (109) with its traceback, as the last line before the process ends. The exit statuses stay 2 and 1. What was printed to standard error for people stands in the event's fields now.

--- a/src/sardinehill/events.py
+++ b/src/sardinehill/events.py
@@ -41,6 +41,8 @@
 TASK_FAILED = Event(105, "task-failed", logging.ERROR)
 STOP_CUT_SHORT = Event(106, "stop-cut-short", logging.ERROR)
 ADDRESS_UNAVAILABLE = Event(107, "address-unavailable", logging.ERROR)
+SETTINGS_INVALID = Event(108, "settings-invalid", logging.ERROR)
+DAEMON_FAILED = Event(109, "daemon-failed", logging.ERROR)
 
 CONFIGURATION_ACCEPTED = Event(201, "configuration-accepted", logging.INFO)
 CONFIGURATION_REFUSED = Event(202, "configuration-refused", logging.ERROR)
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -472,12 +472,12 @@
         )
 
 
-async def run(path: pathlib.Path) -> None:
+async def run(
+    path: pathlib.Path, log_output: log_module.NonBlockingHandler
+) -> None:
     """Runs a daemon with the settings of a file.
 
     Raises:
       SettingsErrors: the settings are invalid.
     """
-    log_output = log_module.configure()
     await Daemon(await startup.read_settings(path), log_output).run()
-    log_output.write_pending()
