Start also with closed standard streams

What was seen: a daemon that is started with its standard output closed ended at once with status 1: 'NoneType' object has no attribute 'fileno'.

Cause: the log took the descriptor of sys.stdout, which is None then. Besides, a library opens a directory while it is imported, and that got the descriptor of the closed stream, so that lines would have gone there, or into a socket.

Fix: closed streams are opened on /dev/null before the other imports, and the log writes to descriptor 1.

Evidence: test_closed_standard_streams_do_not_end_the_process failed before in both cases (standard output closed, all three closed) and passes now.

--- a/src/sardinehill/front/__main__.py
+++ b/src/sardinehill/front/__main__.py
@@ -7,6 +7,11 @@
 # after them.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+from sardinehill.front import standard_streams  # noqa: E402
+
+# The modules below open files, which would get the descriptors of closed ones.
+standard_streams.open_closed()
+
 import asyncio  # noqa: E402
 import os  # noqa: E402
 import sys  # noqa: E402
--- a/src/sardinehill/front/log.py
+++ b/src/sardinehill/front/log.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 import logging
 import os
-import sys
 from typing import Any
 
 from sardinehill import events
+from sardinehill.front import standard_streams
 
 REQUEST_LINES_PER_S = 60.0
 REQUEST_LINES_BURST = 200.0
@@ -101,7 +101,7 @@
 
 def configure() -> NonBlockingHandler:
     """Sends all logs to standard output as JSON lines."""
-    output = NonBlockingHandler(sys.stdout.fileno())
+    output = NonBlockingHandler(standard_streams.OUTPUT)
     output.setFormatter(events.JsonFormatter())
     logging.basicConfig(level=logging.INFO, handlers=[output], force=True)
     return output
--- a/tests/common/platform_fleet.py
+++ b/tests/common/platform_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Coroutine
 from collections.abc import Mapping
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 import fcntl
@@ -127,17 +128,22 @@
         )
         self.process: asyncio.subprocess.Process | None = None
 
-    async def start(self, output: int | None = None) -> None:
+    async def start(
+        self, output: int | None = None, closed_streams: Sequence[int] = ()
+    ) -> None:
         """Starts the process.
 
         Args:
           output: a file descriptor for standard output instead of the log file.
+          closed_streams: the standard streams that are closed in the process.
         """
+        program = [sys.executable, "-m", self.module]
+        if closed_streams:
+            closing = " ".join(f"{stream}<&-" for stream in closed_streams)
+            program = ["sh", "-c", f'exec "$@" {closing}', "sh", *program]
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                self.module,
+                *program,
                 stdout=log if output is None else output,
                 stderr=log,
                 env={
--- a/tests/process/test_daemon_start.py
+++ b/tests/process/test_daemon_start.py
@@ -32,6 +32,11 @@
     return False
 
 
+def descriptor_target(daemon, descriptor):
+    path = pathlib.Path(f"/proc/{daemon.process.pid}/fd/{descriptor}")
+    return str(path.readlink())
+
+
 async def wait_until(condition):
     end_s = time.monotonic() + TEST_TIMEOUT_S
     while not condition():
@@ -93,6 +98,21 @@
     fleet.run(scenario())
 
 
+# Guards against this failure: a daemon was started with its standard streams
+# closed, and its process ended as it set up its log.
+@pytest.mark.parametrize("closed", [(1,), (0, 1, 2)])
+def test_closed_standard_streams_do_not_end_the_process(fleet, closed):
+    async def scenario():
+        daemon = fleet.daemons[0]
+        await daemon.start(closed_streams=closed)
+        await fleet.wait_until_served(daemon)
+        assert daemon.process.returncode is None
+        streams = [descriptor_target(daemon, stream) for stream in closed]
+        assert streams == ["/dev/null"] * len(closed)
+
+    fleet.run(scenario())
+
+
 def test_daemon_serves_callers_while_the_port_of_its_metrics_is_taken(fleet):
     async def scenario():
         daemon = fleet.daemons[0]
