Start with a byte order mark or odd bytes in the settings

What was seen: a settings file that begins with a byte order mark, or has a byte that is not UTF-8 in a field that no daemon reads, ended the process with status 2 after three seconds, at each start.

Cause: the file was decoded strictly as a whole, and the mark became a part of the first field's name.

Fix: the mark is skipped and odd bytes are replaced. A field that is read and has such bytes is still refused, by name; an address must be ASCII, as digits of other scripts in a port ended the process with a traceback.

Evidence: test_odd_bytes_in_the_settings_do_not_end_the_process failed before in both cases and passes now; test_field_with_bytes_that_are_not_utf_8_is_refused holds what stays refused.

--- a/src/sardinehill/platform/settings.py
+++ b/src/sardinehill/platform/settings.py
@@ -13,6 +13,8 @@
 DEFAULT_MEMORY_MB = 256.0
 
 _TRUE = "true"
+# Stands for bytes that are not UTF-8.
+_REPLACEMENT = "\ufffd"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -146,14 +148,14 @@
 
     def text(self, key: str) -> str:
         value = self._values.get(key, "")
-        if not value:
-            self._add_problem(key, value, "a value that is not empty")
+        if not value or _REPLACEMENT in value:
+            self._add_problem(key, value, "a value in UTF-8, not empty")
         return value
 
     def address(self, key: str) -> str:
         value = self._values.get(key, "")
         host, _, port = value.rpartition(":")
-        if not host or not port.isdigit():
+        if not host or not port.isdigit() or not value.isascii():
             self._add_problem(key, value, "an IP address, a colon and a port")
         return value
 
@@ -232,14 +234,14 @@
 
 
 def read(path: pathlib.Path) -> HostSettings:
-    """Reads the settings file.
+    """Reads the settings file; odd bytes in fields not read are ignored.
 
     Raises:
       SettingsErrors: the file is unreadable or a field is invalid.
     """
     try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
+        text = path.read_text(encoding="utf-8-sig", errors="replace")
+    except OSError as error:
         raise _settings_errors(
             [
                 errors.SettingsProblem(
--- a/tests/cover/test_platform_formats.py
+++ b/tests/cover/test_platform_formats.py
@@ -96,6 +96,14 @@
         assert expected in messages
 
 
+@pytest.mark.parametrize("field", [b"nodeName=", b"listen.front="])
+def test_field_with_bytes_that_are_not_utf_8_is_refused(tmp_path, field):
+    path = tmp_path / "boot.conf"
+    path.write_bytes(SETTINGS.encode().replace(field, field + b"\xe8"))
+    with pytest.raises(errors.SettingsErrors):
+        settings.read(path)
+
+
 def test_metrics_port_from_environment_is_validated(monkeypatch):
     monkeypatch.setenv(settings.METRICS_PORT_VARIABLE, "9464")
     assert settings.parse("boot.conf", SETTINGS).metrics_port == 9464
--- a/tests/process/test_daemon_start.py
+++ b/tests/process/test_daemon_start.py
@@ -113,6 +113,25 @@
     fleet.run(scenario())
 
 
+# Guards against this failure: a settings file began with a byte order mark, or
+# had a byte that is not UTF-8 in a field that is not read; the process ended.
+@pytest.mark.parametrize(
+    ("before", "after"),
+    [(b"\xef\xbb\xbf", b""), (b"", b"note=caff\xe8\n")],
+    ids=["byte-order-mark", "byte-that-is-not-utf-8"],
+)
+def test_odd_bytes_in_the_settings_do_not_end_the_process(fleet, before, after):
+    async def scenario():
+        daemon = fleet.daemons[0]
+        content = daemon.settings.read_bytes()
+        daemon.settings.write_bytes(before + content + after)
+        await daemon.start()
+        await fleet.wait_until_served(daemon)
+        assert daemon.process.returncode is None
+
+    fleet.run(scenario())
+
+
 def test_daemon_serves_callers_while_the_port_of_its_metrics_is_taken(fleet):
     async def scenario():
         daemon = fleet.daemons[0]
