Use no settings of whose last line only a part is written

What was seen: a daemon that started while its settings were being written, and read them up to the middle of the store's port, took the first digits for the port. It ran on, called a port where nothing listens, and never became ready.

Cause: a value that breaks off is mostly a valid one. The start read the file again only if a field was missing or malformed.

A file that ends with a line break is used at once, as before.

--- a/src/sardinehill/front/startup.py
+++ b/src/sardinehill/front/startup.py
@@ -25,14 +25,22 @@
 async def read_settings(path: pathlib.Path) -> settings_module.HostSettings:
     """Reads the settings file, again while it is incomplete.
 
+    If its last line has no end, it may still be being written. It is used once
+    it has stayed the same for `RETRY_INTERVAL_S`.
+
     Raises:
       SettingsErrors: the settings are still invalid after `SETTINGS_WAIT_S`.
     """
     loop = asyncio.get_running_loop()
     end_s = loop.time() + SETTINGS_WAIT_S
+    previous_text: str | None = None
     while True:
         try:
-            return settings_module.read(path)
+            text = settings_module.read_text(path)
+            settings = settings_module.parse(str(path), text)
+            if text.endswith("\n") or text == previous_text:
+                return settings
+            previous_text = text
         except errors.SettingsErrors:
             if loop.time() >= end_s:
                 raise
--- a/src/sardinehill/platform/settings.py
+++ b/src/sardinehill/platform/settings.py
@@ -233,14 +233,16 @@
     return settings
 
 
-def read(path: pathlib.Path) -> HostSettings:
-    """Reads the settings file; odd bytes in fields not read are ignored.
+def read_text(path: pathlib.Path) -> str:
+    """Returns the content of the settings file.
+
+    Odd bytes are replaced, as they may stand in fields that are not read.
 
     Raises:
-      SettingsErrors: the file is unreadable or a field is invalid.
+      SettingsErrors: the file is unreadable.
     """
     try:
-        text = path.read_text(encoding="utf-8-sig", errors="replace")
+        return path.read_text(encoding="utf-8-sig", errors="replace")
     except OSError as error:
         raise _settings_errors(
             [
@@ -249,4 +251,12 @@
                 )
             ]
         ) from error
-    return parse(str(path), text)
+
+
+def read(path: pathlib.Path) -> HostSettings:
+    """Reads the settings file.
+
+    Raises:
+      SettingsErrors: the file is unreadable or a field is invalid.
+    """
+    return parse(str(path), read_text(path))
