Bound what small messages of many callers hold together

What was seen: 3,000 callers that each sent 60,000 bytes of a body took a daemon of 200 MB to 218 MB, over its limit, so the platform would kill it; 3,600 took one of 300 MB to 298 MB. At most 3,900 callers may connect.

Cause: the first 64 KB of each message were free and counted nowhere, so only the number of descriptors bounded what small messages hold together.

Fix: the budget counts them, too. They have as much for themselves as large messages have (0.3 of the memory), and what they hold beyond that is taken from the large ones' part. So large messages still never make small ones wait, as test_small_message_is_never_refused says; a small one is refused, as not run and with a Retry-After, only if small ones alone hold more than their part and the rest is taken. Replies that callers have not read count as before.

New gauge: small_message_bytes.

--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -374,6 +374,7 @@
             "store_lost_seconds": self._view.store_lost_for_s(),
             "requests_in_flight": self._relay.in_flight,
             "message_bytes": self._budget.held_bytes,
+            "small_message_bytes": self._budget.small_bytes,
             "callers": len(self._server.connections),
             "upstreams": len(self._view.upstreams),
             "forwarding_peers": len(self._forwarder.peers),
--- a/tests/cover/test_byte_budget.py
+++ b/tests/cover/test_byte_budget.py
@@ -50,3 +50,24 @@
     assert not new.try_hold(FREE_BYTES + 1)
     unsent.release()
     assert new.try_hold(FREE_BYTES + 1)
+
+
+# Guards against this failure: each of many callers sent a body that was too
+# small to be counted, and together they exceeded the daemon's memory.
+def test_small_messages_are_bounded_together():
+    budget = byte_budget.ByteBudget(CAPACITY_BYTES)
+    shares = [byte_budget.ByteShare(budget) for _ in range(100)]
+    held = sum(share.try_hold(FREE_BYTES) for share in shares)
+    assert held * FREE_BYTES == 2 * CAPACITY_BYTES
+    for share in shares:
+        share.release()
+    assert budget.held_bytes == budget.small_bytes == 0
+
+
+def test_small_messages_beyond_their_part_leave_less_to_large_ones():
+    budget = byte_budget.ByteBudget(CAPACITY_BYTES)
+    shares = [byte_budget.ByteShare(budget) for _ in range(12)]
+    assert all(share.try_hold(FREE_BYTES) for share in shares)
+    large = byte_budget.ByteShare(budget)
+    assert not large.try_hold(9 * FREE_BYTES)
+    assert large.try_hold(8 * FREE_BYTES)
