--- a/tests/process/test_memory_of_callers.py
+++ b/tests/process/test_memory_of_callers.py
@@ -17,6 +17,10 @@
     b"POST /view/a HTTP/1.1\r\nHost: linen.example\r\n"
     b"X-Credential: key-of-trattoria\r\nContent-Length: 65000\r\n\r\n"
 )
+# Shorter than the limit on a head.
+UNFINISHED_HEAD = b"GET /view/a HTTP/1.1\r\nHost: linen.example\r\n" + b"".join(
+    b"a%d: b\r\n" % number for number in range(1300)
+)
 
 
 @pytest.fixture
@@ -78,3 +82,21 @@
         await fleet.wait_until_served(daemon)
 
     fleet.run(scenario())
+
+
+# Guards against this failure: each of many callers sent a head of many short
+# fields, which take twenty times their bytes, and the daemon exceeded its
+# memory.
+def test_heads_of_many_callers_stay_within_the_memory(fleet):
+    async def scenario():
+        daemon = fleet.daemons[0]
+        callers = await connect_callers(daemon)
+        for _, writer in callers:
+            writer.write(UNFINISHED_HEAD)
+        await asyncio.sleep(SENDING_S)
+        assert peak_memory_mb(daemon) < MEMORY_MB
+        for _, writer in callers:
+            writer.transport.abort()
+        await fleet.wait_until_served(daemon)
+
+    fleet.run(scenario())
