Leave descriptors for others than idle callers

What was seen: callers that kept idle connections took all descriptors of a daemon. It then accepted no connection (new ones were closed at once), reached neither the store nor upstreams, and with none left at all used a whole core (1.97 s of processor time in 2 s) until callers went. The process ran on, but was of no use.

Cause: the number of callers' connections was bounded by nothing but the time limit on idle ones, 15 s unless the configuration says otherwise.

Fix: callers may have three quarters of the sockets (limits.maxFds less the 200 for files). With so many open connections, a new one closes those that have been idle longest, a twentieth at a time. Connections with a request and new ones are not closed.

--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -57,6 +57,11 @@
 # Which part of the process's memory large messages may hold together. A message
 # is copied once when it is complete, and the rest of the process takes a third.
 MESSAGES_MEMORY_RATIO = 0.3
+# Which part of the process's sockets callers may have. The others are for
+# upstreams, peers and the store.
+CALLERS_SOCKETS_RATIO = 0.75
+# A process that may have fewer sockets than it needs still serves this many.
+MIN_CALLERS = 50
 _BYTES_PER_MB = 1024 * 1024
 
 
@@ -140,7 +145,10 @@
     def _new_server(
         self, handle: server_module.Handler
     ) -> server_module.Server:
-        return server_module.Server(handle, self._limits, self._budget)
+        max_callers = int(self._settings.max_sockets * CALLERS_SOCKETS_RATIO)
+        return server_module.Server(
+            handle, self._limits, self._budget, max(max_callers, MIN_CALLERS)
+        )
 
     def _new_forwarder(self) -> forwarding.Forwarder:
         return forwarding.Forwarder(
--- a/src/sardinehill/front/server.py
+++ b/src/sardinehill/front/server.py
@@ -24,6 +24,9 @@
 # served.
 MAX_PIPELINED_REQUESTS = 8
 LIMIT_CHECK_INTERVAL_S = 0.5
+DEFAULT_MAX_CONNECTIONS = 1000
+# Which part of the connections is closed at most to make room for new ones.
+CLOSED_AT_ONCE_RATIO = 0.05
 MAX_QUEUED_CONNECTIONS = 1024
 # The loop accepts one connection a pass and reports it in a later one.
 PASSES_PER_CONNECTION = 3
@@ -385,6 +388,11 @@
         """Returns whether no request is being received or served."""
         return self._serving_task is None and not self._in_message
 
+    @property
+    def received_s(self) -> float:
+        """When bytes last arrived, or when the connection was opened."""
+        return self._received_s
+
     def close_if_idle(self) -> None:
         """Closes the connection if it has no request, and is not new."""
         now_s = self._loop.time()
@@ -431,7 +439,18 @@
         handle: Handler,
         limits: Callable[[], routes.CallerLimits],
         budget: byte_budget.ByteBudget,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ):
+        """Creates a server that does not listen yet.
+
+        Args:
+          handle: returns the reply to a request.
+          limits: returns the current limits of connections.
+          budget: what the connections may hold.
+          max_connections: with so many open connections, idle ones are closed
+            for new ones.
+        """
+        self._max_connections = max_connections
         self.handle = handle
         self.limits = limits
         self.budget = budget
@@ -442,13 +461,29 @@
     async def listen(self, host: str, port: int) -> asyncio.Server:
         """Starts to accept connections on an address."""
         return await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(self),
+            self._new_connection,
             host,
             port,
             backlog=MAX_QUEUED_CONNECTIONS,
             reuse_address=True,
         )
 
+    def _new_connection(self) -> CallerConnection:
+        if len(self.connections) >= self._max_connections:
+            self._close_longest_idle()
+        return CallerConnection(self)
+
+    def _close_longest_idle(self) -> None:
+        idle = [
+            connection
+            for connection in self.connections
+            if connection.is_idle() and not connection.closing
+        ]
+        idle.sort(key=lambda connection: connection.received_s)
+        closed_count = max(1, int(self._max_connections * CLOSED_AT_ONCE_RATIO))
+        for connection in idle[:closed_count]:
+            connection.close_if_idle()
+
     async def stop_listening(self, listening: asyncio.Server) -> None:
         """Accepts the connections that wait in the kernel, then no more.
 
--- a/src/sardinehill/platform/settings.py
+++ b/src/sardinehill/platform/settings.py
@@ -11,6 +11,9 @@
 
 # What a daemon at the target's size may occupy.
 DEFAULT_MEMORY_MB = 256.0
+DEFAULT_MAX_DESCRIPTORS = 4100.0
+# The part of a process's descriptors that is for files only.
+FILE_DESCRIPTORS = 200
 
 _TRUE = "true"
 # Stands for bytes that are not UTF-8.
@@ -47,6 +50,7 @@
       allowance_slack: requests in a window beyond that limit.
       core_share: the CPU capacity of the process, in standard cores.
       memory_mb: the memory that the process may occupy.
+      max_sockets: how many sockets the process may have.
       is_first_start: whether the system has never run before.
     """
 
@@ -72,6 +76,7 @@
     allowance_slack: float
     core_share: float
     memory_mb: float
+    max_sockets: float
     is_first_start: bool
 
 
@@ -226,6 +231,8 @@
         core_share=fields.number("limits.cpuShare", 1.0)
         * fields.number("limits.speedFactor", 1.0),
         memory_mb=fields.number("limits.memoryMb", DEFAULT_MEMORY_MB),
+        max_sockets=fields.number("limits.maxFds", DEFAULT_MAX_DESCRIPTORS)
+        - FILE_DESCRIPTORS,
         is_first_start=fields.flag("bootstrap"),
     )
     if fields.problems:
