Take settings that are not finite numbers for missing

What was seen: with limits.memoryMb=nan or inf a process ended in its start, with status 1 and a traceback (cannot convert float NaN to integer).

Cause: any text that float() takes passed as a number, and a size is converted to an integer later.

Fix: a number that is not finite counts as a missing one, so that its default holds. A text that is no number is still refused by name.

Evidence: test_setting_that_is_not_finite_counts_as_missing failed before in its four cases and passes now.

--- a/src/sardinehill/platform/settings.py
+++ b/src/sardinehill/platform/settings.py
@@ -1,6 +1,7 @@
 """Reads the settings file that the platform writes for a process."""
 
 import dataclasses
+import math
 import os
 import pathlib
 
@@ -169,10 +170,11 @@
         if value is None or value == "":
             return default
         try:
-            return float(value)
+            number = float(value)
         except ValueError:
             self._add_problem(key, value, "a number")
             return default
+        return number if math.isfinite(number) else default
 
     def ports(self, key: str) -> tuple[int, int]:
         value = self._values.get(key, "")
--- a/tests/cover/test_platform_formats.py
+++ b/tests/cover/test_platform_formats.py
@@ -388,3 +388,12 @@
     reduced = documents.reduced("servers", document)
     assert len(repr(reduced)) < 1000
     assert (decoded_or_malformed(reduced) is None) == (field != "extra")
+
+
+# Guards against this failure: a size that is no finite number ended a process
+# in its start.
+@pytest.mark.parametrize("value", ["nan", "inf", "-inf", "1e999"])
+def test_setting_that_is_not_finite_counts_as_missing(value):
+    lines = f"limits.memoryMb={value}\nlimits.maxFds={value}\n"
+    expected = settings.parse("boot.conf", SETTINGS)
+    assert settings.parse("boot.conf", SETTINGS + lines) == expected
