Start background tasks again that were cancelled from within

Without its leadership or its watch the process would run on and be of no use. No place in the present code was found that does this.

Cause: the loop that starts tasks again caught Exception only, and a cancellation is none.

Fix: a cancellation counts as a failure, with task-failed, unless the task itself is being cancelled. The loop is a module of its own, so that a test can run it.

Evidence: test_task_that_is_cancelled_from_within_is_started_again failed before (started once) and passes now.

--- a/src/sardinehill/events.py
+++ b/src/sardinehill/events.py
@@ -136,7 +136,9 @@
         _log.log(event.level, event.name, extra={"ev": event, "fields": fields})
 
 
-def log_with_traceback(event: Event, error: Exception, **fields: Any) -> None:
+def log_with_traceback(
+    event: Event, error: BaseException, **fields: Any
+) -> None:
     """Logs an event with its fields and the traceback of its cause."""
     _log.log(
         event.level,
--- a/src/sardinehill/front/daemon.py
+++ b/src/sardinehill/front/daemon.py
@@ -1,8 +1,6 @@
 """Builds a front daemon from its components and runs it until it stops."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 import pathlib
 import signal
 
@@ -19,6 +17,7 @@
 from sardinehill.core import stop_window
 from sardinehill.daemon import boot_clock
 from sardinehill.front import admission as admission_module
+from sardinehill.front import background_tasks
 from sardinehill.front import borrowing
 from sardinehill.front import crash_evidence
 from sardinehill.front import forward_server
@@ -53,7 +52,6 @@
 STOP_POLL_INTERVAL_S = 0.05
 LOG_FLUSH_INTERVAL_S = 0.25
 DROPPED_LINES_REPORT_INTERVAL_S = 5.0
-TASK_RESTART_DELAY_S = 0.1
 # Which part of the process's memory large messages may hold together. A message
 # is copied once when it is complete, and the rest of the process takes a third.
 MESSAGES_MEMORY_RATIO = 0.3
@@ -231,7 +229,7 @@
             settings=repr(settings),
         )
         tasks = [
-            asyncio.create_task(self._run_with_restarts(name, task))
+            asyncio.create_task(background_tasks.run_with_restarts(name, task))
             for name, task in (
                 ("store-watch", self._watch.run),
                 ("news", self._leadership.replication.run),
@@ -300,17 +298,6 @@
         )
         await server.serve_forever()
 
-    async def _run_with_restarts(
-        self, name: str, task: Callable[[], Awaitable[None]]
-    ) -> None:
-        while True:
-            try:
-                await task()
-            except Exception as error:
-                # A task that fails is restarted, so that the others continue.
-                events.log_with_traceback(events.TASK_FAILED, error, task=name)
-            await asyncio.sleep(TASK_RESTART_DELAY_S)
-
     def _limits(self) -> routes.CallerLimits:
         configuration = self._view.configuration
         return configuration.limits if configuration else routes.CallerLimits()
