--- a/src/sardinehill/platform/settings.py
+++ b/src/sardinehill/platform/settings.py
@@ -1,6 +1,7 @@
 """Reads the settings file that the platform writes for a process."""
 
 import dataclasses
+import math
 import os
 import pathlib
 
@@ -11,8 +12,13 @@
 
 # What a daemon at the target's size may occupy.
 DEFAULT_MEMORY_MB = 256.0
+DEFAULT_MAX_DESCRIPTORS = 4100.0
+# The part of a process's descriptors that is for files only.
+FILE_DESCRIPTORS = 200
 
 _TRUE = "true"
+# Stands for bytes that are not UTF-8.
+_REPLACEMENT = "\ufffd"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,6 +51,7 @@
       allowance_slack: requests in a window beyond that limit.
       core_share: the CPU capacity of the process, in standard cores.
       memory_mb: the memory that the process may occupy.
+      max_sockets: how many sockets the process may have.
       is_first_start: whether the system has never run before.
     """
 
@@ -70,6 +77,7 @@
     allowance_slack: float
     core_share: float
     memory_mb: float
+    max_sockets: float
     is_first_start: bool
 
 
@@ -146,14 +154,14 @@
 
     def text(self, key: str) -> str:
         value = self._values.get(key, "")
-        if not value:
-            self._add_problem(key, value, "a value that is not empty")
+        if not value or _REPLACEMENT in value:
+            self._add_problem(key, value, "a value in UTF-8, not empty")
         return value
 
     def address(self, key: str) -> str:
         value = self._values.get(key, "")
         host, _, port = value.rpartition(":")
-        if not host or not port.isdigit():
+        if not host or not port.isdigit() or not value.isascii():
             self._add_problem(key, value, "an IP address, a colon and a port")
         return value
 
@@ -162,10 +170,11 @@
         if value is None or value == "":
             return default
         try:
-            return float(value)
+            number = float(value)
         except ValueError:
             self._add_problem(key, value, "a number")
             return default
+        return number if math.isfinite(number) else default
 
     def ports(self, key: str) -> tuple[int, int]:
         value = self._values.get(key, "")
@@ -224,6 +233,8 @@
         core_share=fields.number("limits.cpuShare", 1.0)
         * fields.number("limits.speedFactor", 1.0),
         memory_mb=fields.number("limits.memoryMb", DEFAULT_MEMORY_MB),
+        max_sockets=fields.number("limits.maxFds", DEFAULT_MAX_DESCRIPTORS)
+        - FILE_DESCRIPTORS,
         is_first_start=fields.flag("bootstrap"),
     )
     if fields.problems:
@@ -231,15 +242,17 @@
     return settings
 
 
-def read(path: pathlib.Path) -> HostSettings:
-    """Reads the settings file.
+def read_text(path: pathlib.Path) -> str:
+    """Returns the content of the settings file.
+
+    Odd bytes are replaced, as they may stand in fields that are not read.
 
     Raises:
-      SettingsErrors: the file is unreadable or a field is invalid.
+      SettingsErrors: the file is unreadable.
     """
     try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
+        return path.read_text(encoding="utf-8-sig", errors="replace")
+    except OSError as error:
         raise _settings_errors(
             [
                 errors.SettingsProblem(
@@ -247,4 +260,12 @@
                 )
             ]
         ) from error
-    return parse(str(path), text)
+
+
+def read(path: pathlib.Path) -> HostSettings:
+    """Reads the settings file.
+
+    Raises:
+      SettingsErrors: the file is unreadable or a field is invalid.
+    """
+    return parse(str(path), read_text(path))
