Lead beside a lease whose term is no number

Callers saw: no key served for as long as such a lease stood in the store.

Cause: each daemon's leadership task failed when it read the lease.

Change: such a term counts as none; terms grow from the store's era and from what daemons know, as after a lease was deleted.

--- a/src/sardinehill/front/peer_registry.py
+++ b/src/sardinehill/front/peer_registry.py
@@ -162,7 +162,7 @@
         except ValueError as malformed:
             error = str(malformed)
         self.lease = LeaderLease(
-            int(spec.get("term", 0)),
+            _decode_term(spec),
             str(spec.get("holder", "")),
             str(spec.get("address", "")),
             str(spec.get("life", "")),
@@ -256,6 +256,14 @@
             events.log(events.MEMBERS_NOT_WRITTEN, error=str(error)[:200])
 
 
+def _decode_term(spec: _Spec) -> int:
+    """Returns a lease's term, or 0 if it has none that is a number."""
+    term = spec.get("term")
+    if not isinstance(term, int) or isinstance(term, bool):
+        return 0
+    return max(0, term)
+
+
 def _decode_electorate(spec: _Spec) -> electorates.Electorate | None:
     """Returns a lease's electorate, or None if it has none.
 
