Count the heads of requests in the budget of messages

Callers saw: a daemon at 431 MB of 200 when 3,000 callers sent 1,300 short header fields each; a host with that limit ends it.

Cause: heads were not counted, and a field takes about 140 bytes beside its own.

Change: a head counts as it comes, until its request is served; beyond the budget it is refused as not run.

--- a/src/sardinehill/front/server.py
+++ b/src/sardinehill/front/server.py
@@ -39,6 +39,8 @@
 BUSY_RETRY_AFTER_S = 0.5
 # Longer numbers are no lengths.
 MAX_LENGTH_DIGITS = 12
+# What a header field takes beside its bytes: two objects and a pair.
+HEADER_OVERHEAD_BYTES = 140
 
 _REASON_PHRASES = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
@@ -228,6 +230,7 @@
         lower_name = name.lower()
         self._headers.append((lower_name, value))
         self._count_header_bytes(len(name) + len(value))
+        self._hold_memory(len(self._body))
         if (
             lower_name == b"content-length"
             or lower_name == b"transfer-encoding"
@@ -260,7 +263,14 @@
     def _hold_body(self, size_bytes: int) -> None:
         if size_bytes > self._server.limits().body_bytes:
             self._stop_parsing(_BODY_TOO_LONG)
-        if not self._body_share.try_hold(size_bytes):
+        self._hold_memory(size_bytes)
+
+    def _hold_memory(self, body_bytes: int) -> None:
+        """Takes memory for a head as far as it has come, and for a body."""
+        head_bytes = self._header_bytes + HEADER_OVERHEAD_BYTES * len(
+            self._headers
+        )
+        if not self._body_share.try_hold(head_bytes + body_bytes):
             self._stop_parsing(_NO_MEMORY)
 
     def _stop_parsing(self, refusal: Refusal) -> NoReturn:
