Do not wait again for owners that have seen the leader's epoch

Cause: when the term became exclusive, each former owner was waited for as if an earlier leader's grant might still reach it, also one that had accepted this leader's higher epoch and refuses earlier ones.

Change: only former owners that have not seen it are waited for.

Evidence: test_former_owner_that_has_seen_the_epoch_is_not_waited_for_once_more failed before.

--- a/src/sardinehill/core/key_orders.py
+++ b/src/sardinehill/core/key_orders.py
@@ -457,19 +457,23 @@
             )
             span.may_hold_until_s = max(span.may_hold_until_s, may_hold_until_s)
         former = span.former_owner
-        if former is not None:
+        if former is None:
+            continue
+        if former.incarnation == keyspace.UNKNOWN_OWNER:
             former.may_hold_until_s = max(
                 former.may_hold_until_s, may_hold_until_s
             )
-            if former.incarnation == keyspace.UNKNOWN_OWNER:
-                former.in_flight_until_s = max(
-                    former.in_flight_until_s, in_flight_until_s
-                )
-            else:
-                # It is asked to release its keys before they have arrived.
-                former.previous_leader_until_s = max(
-                    former.previous_leader_until_s, may_hold_until_s
-                )
+            former.in_flight_until_s = max(
+                former.in_flight_until_s, in_flight_until_s
+            )
+        elif former.previous_leader_until_s > 0:
+            # It is asked to release its keys before they have arrived.
+            former.may_hold_until_s = max(
+                former.may_hold_until_s, may_hold_until_s
+            )
+            former.previous_leader_until_s = max(
+                former.previous_leader_until_s, may_hold_until_s
+            )
 
 
 def record_released_by_all(
--- a/tests/cover/test_key_orders.py
+++ b/tests/cover/test_key_orders.py
@@ -115,3 +115,22 @@
     assert key_orders.former_owner_no_longer_holds(
         span, READ_S + 0.5, is_elsewhere=False
     )
+
+
+def test_former_owner_that_has_seen_the_epoch_is_not_waited_for_once_more():
+    # Earlier leaders' grants have no effect on it when the last one ends.
+    assignment = take_over()
+    move_to(assignment, B)
+    span = assignment.spans[0]
+    fence = key_orders.create_fence(
+        assignment, span, READ_S + 0.1, READ_S + 0.4, HOLD_S
+    )
+    key_orders.record_fence_outcome(
+        assignment, fence, key_orders.GrantOutcome.ACCEPTED, READ_S + 0.1
+    )
+    key_orders.extend_for_previous_leader(assignment, READ_S + 9, READ_S + 8)
+    release = key_orders.create_release(span, READ_S + 0.2)
+    key_orders.record_release_outcome(assignment, release, True, None)
+    assert key_orders.former_owner_no_longer_holds(
+        span, READ_S + 0.3, is_elsewhere=False
+    )
