Give no keys to upstreams that do not answer before the term is exclusive

Cause: two seconds after an upstream was found unreachable a plan gives it keys again, to try it. They are released by an owner that is reached, and cannot be moved on while an earlier leader may act.

Change: until the term is exclusive, upstreams whose last order was not answered get no keys.

Evidence: test_a_leader_that_is_not_exclusive_gives_no_keys_to_unreached_ upstreams failed before.

--- a/src/sardinehill/front/assignment_manager.py
+++ b/src/sardinehill/front/assignment_manager.py
@@ -304,7 +304,11 @@
     ) -> None:
         if not self._may_plan(assignment, now_s):
             return
-        capacities = self._owners.capacities(now_s, self._max_load)
+        # Until the leader is exclusive, keys that an upstream has released for
+        # one that is not reached could not be moved on.
+        capacities = self._owners.capacities(
+            now_s, self._max_load, may_try_failing=self.is_exclusive()
+        )
         began_s = self._clock_s()
         moves = key_plan.plan(
             assignment, capacities, self._key_loads(), key_plan.PlanPolicy()
--- a/src/sardinehill/front/key_owners.py
+++ b/src/sardinehill/front/key_owners.py
@@ -237,7 +237,10 @@
         ]
 
     def capacities(
-        self, now_s: float, max_load_of: Callable[[str], float]
+        self,
+        now_s: float,
+        max_load_of: Callable[[str], float],
+        may_try_failing: bool = True,
     ) -> dict[keyspace.Incarnation, key_plan.UpstreamCapacity]:
         """Returns the capacities of the upstreams that may get keys.
 
@@ -246,6 +249,8 @@
         Args:
           now_s: the current time.
           max_load_of: returns the load that an upstream takes, by its id.
+          may_try_failing: whether upstreams that did not answer may get keys
+            again after a while.
         """
         zones_out = self._zones_out()
         warm: dict[keyspace.Incarnation, key_plan.UpstreamCapacity] = {}
@@ -256,7 +261,8 @@
                 continue
             reason = self._reason_left_out(upstream, owner, zones_out, now_s)
             self._note_left_out(upstream, reason)
-            if reason is not None:
+            is_failing = owner.failing_since_s is not None
+            if reason is not None or (is_failing and not may_try_failing):
                 continue
             capacity = key_plan.UpstreamCapacity(
                 owner.slots, owner.slowness, max_load_of(upstream.id)
--- a/tests/cover/test_grants_over_restarts.py
+++ b/tests/cover/test_grants_over_restarts.py
@@ -139,3 +139,25 @@
         world.wait(pause_s)
         world.keys_move(0, ALL, "b", 1.0)
         assert not world.violations
+
+
+# Guards against this failure: a leader that waits for voters gave keys of
+# upstreams that it reached to one that it did not reach, again and again.
+def test_a_leader_that_is_not_exclusive_gives_no_keys_to_unreached_upstreams():
+    with simulated() as world:
+        world.keys_move(0, 2, "a", 1.0)
+        world.keys_move(2, 2, "b", 1.0)
+        world.fates["a"] = "cut"
+        world.another_daemon_leads(False, 60.0, 0.0, True)
+        world.connections_end("a")
+        world.wait(3.0)
+        for _ in range(8):
+            world.keys_move(2, 2, "a", 1.0)
+        now_s = world.loop.time()
+        served = [
+            world.life_of("b").holds(part, now_s)
+            or world.life_of("c").holds(part, now_s)
+            for part in (2, 3)
+        ]
+        assert all(served)
+        assert not world.violations
