Cut the fleet's network by fault proxies, in tests and in the soak of owners

Change: tests/common/proxied_network leads each connection of each daemon through a fault proxy of its own. The check of the soak's test stands in owner_checks, is as strict, and names what it found.

--- a/bench/owner_soak.py
+++ b/bench/owner_soak.py
@@ -15,10 +15,18 @@
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--directory", type=pathlib.Path, required=True)
+    parser.add_argument(
+        "--only-cuts", action="store_true", help="no faults beside the cuts"
+    )
     arguments = parser.parse_args()
     arguments.directory.mkdir(parents=True)
     fleet = soak_fleet.SoakFleet(
-        arguments.directory, arguments.seed, soak_fleet.SoakShape()
+        arguments.directory,
+        arguments.seed,
+        soak_fleet.SoakShape(
+            grant_fault_ratio=0.0 if arguments.only_cuts else 0.03,
+            has_other_faults=not arguments.only_cuts,
+        ),
     )
     started_s = time.monotonic()
     started_wall_s = time.time()
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -13,10 +13,12 @@
 from typing import Any
 
 import aiohttp
+from aiohttp import web
 
 from standins import users_platform_store as store_module
 from standins import users_platform_upstream as upstream_module
 from tests.common import platform_fleet
+from tests.common import proxied_network
 
 LEASES = "sardinehill-leases"
 BORN_MS = 1_700_000_000_000
@@ -44,6 +46,8 @@
       pause_s: the longest pause between two faults of one kind.
       length_ratio: how long faults last, relative to a long soak.
       grant_fault_ratio: the share of grants that go wrong.
+      longest_cut_s: the longest time for which the network is cut.
+      has_other_faults: whether there are faults beside the cuts.
     """
 
     daemons: int = 5
@@ -52,11 +56,16 @@
     pause_s: float = 5.0
     length_ratio: float = 1.0
     grant_fault_ratio: float = 0.03
+    longest_cut_s: float = 24.0
+    has_other_faults: bool = True
 
 
 class SoakFleet(platform_fleet.PlatformFleet):
     """A fleet whose daemons each have an address of the store of their own.
 
+    Each daemon reaches the store, the upstreams and its peers through fault
+    proxies of its own.
+
     Public attributes:
       lives: all incarnations of upstreams of the divided service.
       notes: when each fault began or ended, and what it was.
@@ -85,9 +94,14 @@
         self._late_ratio = 0.0
         self._check_in_s = 0.0
         self._joined = shape.upstreams
+        self._store_addresses: dict[str, str] = {}
         super().__init__(directory, shape.daemons, shape.upstreams)
 
     async def _start(self, upstreams: int) -> None:
+        self._network = proxied_network.ProxiedNetwork(
+            self.daemons, self.directory
+        )
+        await self._network.open()
         for daemon in self.daemons:
             (port,) = platform_fleet.free_ports(1)
             await self._serve(
@@ -95,6 +109,7 @@
                 self.store.application(daemon.name),
                 port,
             )
+            self._store_addresses[daemon.name] = f"{platform_fleet.HOST}:{port}"
             text = daemon.settings.read_text()
             daemon.settings.write_text(
                 text.replace(
@@ -105,6 +120,16 @@
             )
         await super()._start(upstreams)
 
+    async def _serve(
+        self, name: str, application: web.Application, port: int
+    ) -> None:
+        await super()._serve(name, application, port)
+        await self._network.add_target(f"{platform_fleet.HOST}:{port}")
+
+    async def _close(self) -> None:
+        await super()._close()
+        self._network.close()
+
     # upstreams
 
     async def add_upstream(
@@ -424,6 +449,66 @@
                 self._copies.append(self.store.take_copy())
             await asyncio.sleep(COPY_INTERVAL_S)
 
+    # the network
+
+    async def _part_daemons(self) -> None:
+        """Parts the daemons; one side loses the store, the other upstreams."""
+        names = self._leader_first()
+        majority = len(names) // 2 + 1
+        side, others = names[:majority], names[majority:]
+        lost = self._draw_addresses()
+        self.note(f"{side} without store, {others} without {lost}")
+        drop = proxied_network.DROP
+        self._network.cut_between(side, others, drop)
+        for name in side:
+            self._network.cut(name, [self._store_addresses[name]], drop)
+        for name in others:
+            self._network.cut(name, lost, drop)
+        await self._heal_after(self._shape.longest_cut_s)
+
+    async def _cut_pair(self) -> None:
+        one, other = self._random.sample(self._leader_first(), 2)
+        kind = self._random.choice(proxied_network.KINDS)
+        self.note(f"cut {one} and {other}: {kind}")
+        self._network.cut_between([one], [other], kind)
+        await self._heal_after(self._draw_cut_s())
+
+    async def _cut_store(self) -> None:
+        name = self._choose_daemon().name
+        kind = self._random.choice(proxied_network.KINDS)
+        self.note(f"cut {name} from the store: {kind}")
+        self._network.cut(name, [self._store_addresses[name]], kind)
+        await self._heal_after(self._draw_cut_s())
+
+    async def _cut_upstreams(self) -> None:
+        name = self._choose_daemon().name
+        kind = self._random.choice(proxied_network.KINDS)
+        lost = self._draw_addresses()
+        self.note(f"cut {name} from {lost}: {kind}")
+        self._network.cut(name, lost, kind)
+        await self._heal_after(self._draw_cut_s())
+
+    def _leader_first(self) -> list[str]:
+        """Returns the names of all daemons in random order, but the leader."""
+        leader = self.leader()
+        others = [item.name for item in self.daemons if item is not leader]
+        self._random.shuffle(others)
+        return others if leader is None else [leader.name, *others]
+
+    def _draw_addresses(self) -> list[str]:
+        """Returns addresses of a third of the upstreams."""
+        names = sorted(self.running())
+        lost = self._random.sample(names, max(1, len(names) // 3))
+        return [self.addresses[name] for name in lost]
+
+    def _draw_cut_s(self) -> float:
+        return self._random.uniform(0.2, 0.3) * self._shape.longest_cut_s
+
+    async def _heal_after(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        self._network.heal()
+        self.note("all cuts end")
+
     # load and time
 
     def note(self, what: str) -> None:
@@ -509,23 +594,33 @@
             self._lapse_entries,
             self._drain_upstream,
         )
+        store_faults = (
+            self._silence_store,
+            self._slow_store,
+            self._refuse_daemons,
+            self._lose_answers,
+            self._lapse_in_outage,
+            self._restore_store,
+            self._restore_store,
+        )
+        cuts = (
+            self._part_daemons,
+            self._part_daemons,
+            self._cut_pair,
+            self._cut_store,
+            self._cut_upstreams,
+        )
+        repeated = [cuts]
+        if self._shape.has_other_faults:
+            repeated += [
+                upstream_faults,
+                upstream_faults,
+                (self._disturb_grants,),
+                (self._freeze_daemons, self._restart_daemon),
+                store_faults,
+            ]
         await asyncio.gather(
-            self._repeat(upstream_faults, end_s),
-            self._repeat(upstream_faults, end_s),
-            self._repeat((self._disturb_grants,), end_s),
-            self._repeat((self._freeze_daemons, self._restart_daemon), end_s),
-            self._repeat(
-                (
-                    self._silence_store,
-                    self._slow_store,
-                    self._refuse_daemons,
-                    self._lose_answers,
-                    self._lapse_in_outage,
-                    self._restore_store,
-                    self._restore_store,
-                ),
-                end_s,
-            ),
+            *(self._repeat(faults, end_s) for faults in repeated)
         )
         await asyncio.sleep(SETTLE_S)
         for task in beside:
--- a/tests/common/cut_off_daemon.py
+++ b/tests/common/cut_off_daemon.py
@@ -3,12 +3,12 @@
 All daemons of a test run on one address, so a firewall could not tell their
 connections apart. This launcher stands for the part of the network that a
 gate (`upstream_gates`) cannot show: connections to upstreams that are refused
-or never opened. Others lead to the daemon's own gate. What it opens to the
-store and to its peers is left as it is.
+or never opened. Others lead to the daemon's own gate. Connections to addresses
+without a gate are left as they are.
 
 The file named by `SARDINEHILL_NETWORK` is read at each new connection. It is
-JSON: `cut` is null, "hang", "reset" or "refuse", and `gates` maps upstreams'
-addresses to ports of gates.
+JSON: `cut` is null, "hang", "reset" or "refuse", and `gates` maps addresses to
+ports of gates, or of fault proxies (`proxied_network`).
 """
 
 import asyncio
@@ -25,7 +25,7 @@
 
 
 class CutOffLoop(uvloop.Loop):  # type: ignore[misc]
-    """An event loop whose connections to upstreams obey the test."""
+    """An event loop whose connections to gates obey the test."""
 
     async def create_connection(
         self,
@@ -34,10 +34,10 @@
         port: int | None = None,
         **arguments: Any,
     ) -> Any:
-        """Opens a connection, to the gate if the address is an upstream's.
+        """Opens a connection, to the gate if the address has one.
 
         Raises:
-          ConnectionRefusedError: the upstream refuses connections now.
+          ConnectionRefusedError: the address refuses connections now.
         """
         network = _read_network()
         gate_port = network["gates"].get(f"{host}:{port}")
--- a/tests/common/owner_checks.py
+++ b/tests/common/owner_checks.py
@@ -1,10 +1,45 @@
 """Checks what stand-in upstreams recorded about the owners of keys."""
 
+from collections.abc import Collection
+from collections.abc import Sequence
 import itertools
 
+from bench import owner_record
+from standins import users_platform_upstream as upstream_module
 from tests.common import platform_fleet
 
 SAMPLED_KEYS = range(0, 65536, 1000)
+# RULES.md, OWNER: "hold the same keys for over half a second".
+MAX_DOUBLE_HOLD_S = 0.5
+
+
+def check_held_once(
+    lives: Sequence[upstream_module.UsersPlatformUpstream],
+    thawed_s: Collection[float] = (),
+    counts_late_grants: bool = True,
+) -> None:
+    """Checks that no two incarnations held the same keys."""
+    record = owner_record.OwnerRecord(lives, thawed_s, counts_late_grants)
+    low_epochs = record.low_epochs()
+    assert low_epochs == [], low_epochs
+    broken = [
+        _describe(double)
+        for double in record.double_holds()
+        if double.both_ran
+        or double.until_s - double.start_s > MAX_DOUBLE_HOLD_S
+    ]
+    assert broken == [], "\n".join(broken)
+
+
+def _describe(double: owner_record.DoubleHold) -> str:
+    holders = " and ".join(
+        f"{hold.upstream.name} under epoch {hold.epoch}"
+        for hold in double.holds
+    )
+    return (
+        f"keys {double.first} to {double.last} held by {holders} for "
+        f"{double.until_s - double.start_s:.2f} s, both ran {double.both_ran}"
+    )
 
 
 def check_owners(fleet: platform_fleet.PlatformFleet) -> None:
--- a/tests/process/test_owners_soak.py
+++ b/tests/process/test_owners_soak.py
@@ -4,16 +4,19 @@
 
 import pytest
 
-from bench import owner_record
 from bench import soak_fleet
 from standins import users_platform_upstream as upstream_module
+from tests.common import owner_checks
 from tests.common import platform_fleet
 
-# RULES.md, OWNER: "hold the same keys for over half a second".
-MAX_DOUBLE_HOLD_S = 0.5
 SOAK_S = 4.0
 SOAK = soak_fleet.SoakShape(
-    daemons=3, upstreams=8, requests_per_s=40.0, pause_s=1.2, length_ratio=0.6
+    daemons=3,
+    upstreams=8,
+    requests_per_s=40.0,
+    pause_s=1.2,
+    length_ratio=0.6,
+    longest_cut_s=3.0,
 )
 LATE_S = 1.2
 GRANT_TIMEOUT_S = 5.0
@@ -21,19 +24,6 @@
 MOVED_S = 3.0
 
 
-def check_held_once(lives, thawed_s=(), counts_late_grants=True):
-    """Checks that no two incarnations held the same keys."""
-    record = owner_record.OwnerRecord(lives, thawed_s, counts_late_grants)
-    assert record.low_epochs() == []
-    broken = [
-        double
-        for double in record.double_holds()
-        if double.both_ran
-        or double.until_s - double.start_s > MAX_DOUBLE_HOLD_S
-    ]
-    assert broken == []
-
-
 @pytest.mark.parametrize("seed", [1])
 def test_keys_are_held_once_while_faults_of_all_kinds_overlap(tmp_path, seed):
     fleet = soak_fleet.SoakFleet(tmp_path, seed, SOAK)
@@ -42,7 +32,9 @@
     finally:
         fleet.close()
     assert sum(len(life.granted) for life in fleet.lives) > SOAK.upstreams
-    check_held_once(fleet.lives, fleet.thawed_s, counts_late_grants=False)
+    owner_checks.check_held_once(
+        fleet.lives, fleet.thawed_s, counts_late_grants=False
+    )
 
 
 def move_keys_of_a_late_grant(directory, is_answered_before):
@@ -79,10 +71,10 @@
 
 
 def test_keys_are_held_once_when_a_grant_without_answer_is_late(tmp_path):
-    check_held_once(move_keys_of_a_late_grant(tmp_path, False))
+    owner_checks.check_held_once(move_keys_of_a_late_grant(tmp_path, False))
 
 
 def test_keys_are_held_once_when_a_repeated_answer_hides_a_late_grant(
     tmp_path,
 ):
-    check_held_once(move_keys_of_a_late_grant(tmp_path, True))
+    owner_checks.check_held_once(move_keys_of_a_late_grant(tmp_path, True))
