Send a former owner an epoch only while an earlier leader may act

Cause: keys are slow at an upstream after a grant under a new epoch without a handover, so each move made its keys slow twice.

Change: the epoch is sent before a release only until no order of an earlier leader can take effect, which is what it was needed for when leaders change.

Price: a stray answer that hides a late grant of the leader's own term can again undo a release.

--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 
 from sardinehill import events
 from sardinehill.core import key_orders
@@ -99,6 +100,8 @@
         self._on_fenced = on_fenced
         self._clock_s = clock_s
         self._was_exclusive = False
+        # Until then an order of an earlier leader may take effect.
+        self._earlier_orders_end_s = math.inf
         # The upstreams for whose keys this leader waits, as last logged.
         self._waits_for: list[str] = []
         self._unknown_owners = unknown_owners.UnknownOwners(
@@ -149,9 +152,10 @@
         if not self._was_exclusive and self._is_exclusive():
             self._was_exclusive = True
             now_s = self._clock_s()
+            self._earlier_orders_end_s = earlier_orders_end_s(now_s)
             key_orders.extend_for_previous_leader(
                 self.assignment,
-                earlier_orders_end_s(now_s),
+                self._earlier_orders_end_s,
                 earlier_orders_arrived_s(now_s),
             )
 
@@ -268,10 +272,14 @@
     ) -> None:
         """Sends the former owner a higher epoch, then asks it to release.
 
-        A grant of before that arrives later cannot undo the release then. One
-        that does not answer is not sent epochs, as it may accept each of them
-        later; it is asked to release until it answers.
+        A grant of an earlier leader that arrives later cannot undo the release
+        then. Without such grants the epoch is not worth its price: keys are
+        slow after it, as after a move without handover. An owner that does not
+        answer is not sent epochs, as it may accept each of them later; it is
+        asked to release until it answers.
         """
+        if now_s >= self._earlier_orders_end_s:
+            former.needs_fence = False
         owner = self._owners.holder_of_grants(former.incarnation)
         if owner is None:
             span.next_order_s = now_s + key_owners.ORDER_RETRY_S
