--- a/tests/slow/test_electorate_machine.py
+++ b/tests/slow/test_electorate_machine.py
@@ -11,9 +11,9 @@
 from hypothesis import strategies as st
 import pytest
 
-from sardinehill.core import electorates
 from sardinehill.core import leader_confirmation
 from sardinehill.front import leader_term
+from tests.common import counted_registrations
 from tests.common import electorate_world
 
 FIRST_SERVED_S = 8.0
@@ -245,39 +245,6 @@
     search(RestoreMachine)
 
 
-class CountsRegistrations(leader_term.LeaderTerm):
-    """A mutant: the count of ac9eea9.
-
-    It counts a majority of the registrations in this daemon's own copy, from
-    which the leader removes daemons that are silent. A leader that owners of
-    half of the keys refuse still ends its term, as in this build.
-    """
-
-    def _count_registrations(self) -> None:
-        self._confirmation.electorate = electorates.Electorate(
-            frozenset(self._registry.peer_addresses)
-        )
-        self._confirmation.proposed = None
-
-    def may_send_orders(self) -> bool:
-        self._count_registrations()
-        return super().may_send_orders()
-
-    def is_exclusive(self) -> bool:
-        self._count_registrations()
-        return super().is_exclusive()
-
-    def _is_followed_by_majority(self) -> bool:
-        self._count_registrations()
-        return super()._is_followed_by_majority()
-
-    def has_support(self, key_share) -> bool:
-        return True
-
-    async def _change_electorate(self) -> None:
-        return
-
-
 _wanted_electorate = leader_confirmation.wanted_electorate
 _update_exclusion = leader_confirmation.update_exclusion
 
@@ -356,7 +323,7 @@
 class CountingMachine(ElectorateMachine):
     """The machine with the count of ac9eea9."""
 
-    term_class = CountsRegistrations
+    term_class = counted_registrations.CountsRegistrations
 
 
 def test_search_finds_the_count_of_registrations():
