Keep what shows a broken promise in workloads and process tests

A workload of the bench deleted them and ended with status 0; a failed process test did not say where they were, and pytest kept those of clean runs too.

Violations of overlapping runs, zones out, leaving upstreams and keys held twice name requests.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,13 +5,14 @@
 
 import argparse
 import asyncio
+import dataclasses
 import json
 import pathlib
 import sys
-import tempfile
 import time
 from typing import Any
 
+from bench import evidence
 from bench import load_generator
 from bench import process_usage
 from bench import run_metrics
@@ -59,9 +60,27 @@
     }
 
 
-async def _run_workload(
+@dataclasses.dataclass(frozen=True)
+class Measurement:
+    """Holds what was measured beside the journals.
+
+    Attributes:
+      begin_s: when the workload began, on the monotonic clock.
+      end_s: when it ended.
+      daemon_usage: the mean usage of the daemons.
+      store_calls_per_s: the rate of each call to the store.
+    """
+
+    begin_s: float
+    end_s: float
+    daemon_usage: dict[str, float]
+    store_calls_per_s: dict[str, float]
+
+
+async def run_workload(
     options: argparse.Namespace, directory: pathlib.Path
-) -> dict[str, Any]:
+) -> Measurement:
+    """Runs a workload whose processes write their journals to a directory."""
     deployment = deployment_module.Deployment(
         directory,
         deployment_module.DEPLOYMENT_SHAPES[options.deployment],
@@ -90,23 +109,12 @@
     finally:
         await operations.close()
         await deployment.close()
-    history = run_history.read(directory)
-    report = run_metrics.compute_metrics(history, begin_s, end_s)
-    report["daemon_usage"] = daemon_usage
-    report["store_calls_per_s"] = _call_rates_per_s(
-        calls_before, calls_after, end_s - begin_s
+    return Measurement(
+        begin_s,
+        end_s,
+        daemon_usage,
+        _call_rates_per_s(calls_before, calls_after, end_s - begin_s),
     )
-    results = check_runner.run_checks(history)
-    report["promises"] = {
-        result.promise: {
-            "events": result.events,
-            "violations": len(result.violations),
-            "first": result.violations[:3],
-        }
-        for result in results
-    }
-    sys.stderr.write(check_runner.format_table(results) + "\n")
-    return report
 
 
 def _call_rates_per_s(
@@ -118,8 +126,28 @@
     }
 
 
-def main() -> int:
-    """Runs one workload and writes its report."""
+def _make_report(
+    history: run_history.RunHistory,
+    measurement: Measurement,
+    results: list[run_history.CheckResult],
+) -> dict[str, Any]:
+    report = run_metrics.compute_metrics(
+        history, measurement.begin_s, measurement.end_s
+    )
+    report["daemon_usage"] = measurement.daemon_usage
+    report["store_calls_per_s"] = measurement.store_calls_per_s
+    report["promises"] = {
+        result.promise: {
+            "events": result.events,
+            "violations": len(result.violations),
+            "first": result.violations[:3],
+        }
+        for result in results
+    }
+    return report
+
+
+def _parse_options() -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog="bench")
     parser.add_argument("name", choices=sorted(workloads.WORKLOADS))
     parser.add_argument("--seed", type=int, default=1)
@@ -133,11 +161,23 @@
     parser.add_argument("--load", type=float, default=0.5)
     parser.add_argument("--json", type=pathlib.Path)
     parser.add_argument("--journals", type=pathlib.Path)
-    options = parser.parse_args()
-    with tempfile.TemporaryDirectory() as temporary:
-        directory = options.journals or pathlib.Path(temporary)
-        directory.mkdir(parents=True, exist_ok=True)
-        report = asyncio.run(_run_workload(options, directory))
+    return parser.parse_args()
+
+
+def main() -> int:
+    """Runs one workload and writes its report.
+
+    Returns:
+      The exit status: 1 if a promise was violated, otherwise 0.
+    """
+    options = _parse_options()
+    directory = options.journals or evidence.new_directory("sardinehill-bench-")
+    directory.mkdir(parents=True, exist_ok=True)
+    measurement = asyncio.run(run_workload(options, directory))
+    history = run_history.read(directory)
+    results = check_runner.run_checks(history)
+    report = _make_report(history, measurement, results)
+    sys.stderr.write(check_runner.format_table(results) + "\n")
     report["run"] = {
         name: getattr(options, name)
         for name in ("name", "seed", "seconds", "policy", "deployment", "load")
@@ -146,7 +186,10 @@
     if options.json:
         options.json.write_text(text + "\n")
     print(text)
-    return 0
+    status = check_runner.exit_status(results, require_all=False)
+    if status or not options.journals:
+        evidence.finish(directory, results, sys.stderr)
+    return status
 
 
 if __name__ == "__main__":
--- a/bench/evidence.py
+++ b/bench/evidence.py
@@ -1,6 +1,7 @@
 """Keeps what shows the cause of a broken promise, and prints where it is."""
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 import pathlib
 import re
 import shutil
@@ -45,11 +46,21 @@
     if not violations:
         shutil.rmtree(directory)
         return
-    output.write(f"journals and logs are kept in {directory}\n")
+    output.write(describe(directory, violations) + "\n")
+
+
+def describe(directory: pathlib.Path, violations: Sequence[str]) -> str:
+    """Returns where the files of a run are, and what they say of violations."""
+    lines = [f"journals and logs are kept in {directory}"]
     for violation in violations[:MAX_VIOLATIONS]:
-        output.write(f"\n{violation}\n")
-        for line in lines_about(directory, violation):
-            output.write(f"  {line}\n")
+        lines += ["", violation]
+        lines += [f"  {line}" for line in lines_about(directory, violation)]
+    return "\n".join(lines)
+
+
+def run_files(directory: pathlib.Path) -> list[pathlib.Path]:
+    """Returns the journals and logs in a directory."""
+    return sorted((*directory.glob("*.journal"), *directory.glob("*.log")))
 
 
 def lines_about(directory: pathlib.Path, violation: str) -> list[str]:
@@ -57,7 +68,7 @@
 
     Each begins with the name of its file, in the order of the files.
     """
-    paths = sorted((*directory.glob("*.journal"), *directory.glob("*.log")))
+    paths = run_files(directory)
     processes = {path.stem for path in paths}
     lines = [
         (path.name, line)
--- a/bench/owner_record.py
+++ b/bench/owner_record.py
@@ -50,6 +50,16 @@
     holds: tuple[Hold, Hold]
     both_ran: bool = False
 
+    def runs_of(self, hold: Hold) -> list[upstream_module.ExecutedRequest]:
+        """Returns what a holder began to run for these keys in that time."""
+        return [
+            run
+            for run in hold.upstream.runs
+            if run.key is not None
+            and self.first <= run.key <= self.last
+            and self.start_s <= run.at_s <= self.until_s
+        ]
+
 
 @dataclasses.dataclass(frozen=True)
 class LowEpoch:
@@ -114,15 +124,7 @@
                     DoubleHold(first, last, start_s, until_s, (one, other)),
                 )
         for double in found:
-            double.both_ran = all(
-                any(
-                    run.key is not None
-                    and double.first <= run.key <= double.last
-                    and double.start_s <= run.at_s <= double.until_s
-                    for run in hold.upstream.runs
-                )
-                for hold in double.holds
-            )
+            double.both_ran = all(map(double.runs_of, double.holds))
         return found
 
     def low_epochs(self) -> list[LowEpoch]:
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -140,7 +140,9 @@
         port: int | None = None,
     ) -> upstream_module.UsersPlatformUpstream:
         """Starts an incarnation of an upstream and registers it."""
-        upstream = upstream_module.UsersPlatformUpstream(name, is_divided)
+        upstream = upstream_module.UsersPlatformUpstream(
+            name, is_divided, self.journal
+        )
         upstream.service_time_s = 0.01
         upstream.clock_slowness = self._random.choice((1.0, 1.0, 1.02))
         upstream.next_grant_fault = self._next_grant_fault
@@ -555,7 +557,7 @@
     ) -> None:
         headers = {
             "Host": "linen.example",
-            "X-Request-Id": f"r{number}",
+            "X-Request-Id": f"r{number:06}",
             "X-Deadline-Ms": "1000",
             "X-Credential": platform_fleet.ACCOUNT_KEY,
             "X-Shard-Key": str(key),
--- a/standins/referee/operation_checks.py
+++ b/standins/referee/operation_checks.py
@@ -19,7 +19,7 @@
             result.events += 1
             if history.upstream_zones.get(run.upstream) == zone:
                 result.violations.append(
-                    f"{run.upstream} of {zone} got work"
+                    f"{run.request_id}: {run.upstream} of {zone} got work"
                     f" {run.start_s - since_s:.3f} s after the zone was out"
                 )
     return result
@@ -38,8 +38,8 @@
             result.events += 1
             if run.upstream == name:
                 result.violations.append(
-                    f"{name} got work {run.start_s - since_s:.3f} s after it"
-                    " began to leave"
+                    f"{run.request_id}: {name} got work"
+                    f" {run.start_s - since_s:.3f} s after it began to leave"
                 )
     return result
 
--- a/standins/referee/ownership_checks.py
+++ b/standins/referee/ownership_checks.py
@@ -136,8 +136,9 @@
                 and run.start_s < last.end_s
             ):
                 result.violations.append(
-                    f"{unit}: runs on {last.upstream} and {run.upstream}"
-                    f" overlap at {run.start_s:.3f}"
+                    f"{unit}: {last.request_id} on {last.upstream} and"
+                    f" {run.request_id} on {run.upstream} overlap at"
+                    f" {run.start_s:.3f}"
                 )
             if last is None or run.end_s > last.end_s:
                 last = run
--- a/standins/referee/run_history.py
+++ b/standins/referee/run_history.py
@@ -54,6 +54,11 @@
         """Returns the upstream's name."""
         return str(self.record["source"])
 
+    @property
+    def request_id(self) -> str:
+        """Returns the id of the request."""
+        return str(self.record["request_id"])
+
     @property
     def start_s(self) -> float:
         """Returns when it started, on the monotonic clock."""
--- a/standins/users_platform_upstream.py
+++ b/standins/users_platform_upstream.py
@@ -6,9 +6,12 @@
 import dataclasses
 import itertools
 import time
+from typing import Any
 
 from aiohttp import web
 
+from standins import journal as journal_module
+
 KEY_COUNT = 65536
 # How often it looks whether the sender of a running request has left.
 LEFT_CHECK_INTERVAL_S = 0.05
@@ -124,9 +127,15 @@
       on_deadly_request: called when such a request ends it.
     """
 
-    def __init__(self, name: str, is_divided: bool = True):
+    def __init__(
+        self,
+        name: str,
+        is_divided: bool = True,
+        journal: journal_module.Journal | None = None,
+    ):
         self.name = name
         self.is_divided = is_divided
+        self._journal = journal
         self.runs: list[ExecutedRequest] = []
         self.abandoned: list[str] = []
         self.granted: list[tuple[int, int, int, float]] = []
@@ -198,16 +207,16 @@
             self._epochs[key] = epoch
             self._held_until_s[key] = until_s
         self.granted.append((body["from"], body["to"], epoch, arrived_s))
-        self.orders.append(
-            TakenGrant(
-                body["from"],
-                body["to"],
-                epoch,
-                arrived_s,
-                time.monotonic(),
-                until_s,
-            )
+        grant = TakenGrant(
+            body["from"],
+            body["to"],
+            epoch,
+            arrived_s,
+            time.monotonic(),
+            until_s,
         )
+        self.orders.append(grant)
+        self._write("grant", **dataclasses.asdict(grant))
         self._note_held(body["from"], body["to"], epoch, arrived_s, until_s)
         if fault.answered_after_s:
             await asyncio.sleep(fault.answered_after_s)
@@ -224,6 +233,10 @@
         headers = {"X-Instance-Id": self.name, "X-Not-Executed": "1"}
         return web.Response(status=421, headers=headers)
 
+    def _write(self, event: str, **fields: Any) -> None:
+        if self._journal is not None:
+            self._journal.write(event, upstream=self.name, **fields)
+
     def _note_held(
         self, first: int, last: int, epoch: int, now_s: float, until_s: float
     ) -> None:
@@ -261,7 +274,9 @@
         if self._is_for_another(request):
             return self._refuse_expectation(request)
         first, last = body["from"], body["to"]
-        self.orders.append(TakenRelease(first, last, time.monotonic()))
+        release = TakenRelease(first, last, time.monotonic())
+        self.orders.append(release)
+        self._write("release", **dataclasses.asdict(release))
         for key in range(first, last + 1):
             self._held_until_s.pop(key, None)
         self._note_released(first, last, time.monotonic())
@@ -340,6 +355,7 @@
                 request.headers.copy(),
             )
         )
+        self._write("run", request_id=request_id, key=key)
         await self._work(request, request_id)
         if request.path == self.deadly_path:
             self.on_deadly_request()
--- a/tests/common/owner_checks.py
+++ b/tests/common/owner_checks.py
@@ -11,6 +11,8 @@
 SAMPLED_KEYS = range(0, 65536, 1000)
 # RULES.md, OWNER: "hold the same keys for over half a second".
 MAX_DOUBLE_HOLD_S = 0.5
+# How many requests of each holder a message names.
+MAX_NAMED_RUNS = 2
 
 
 def check_held_once(
@@ -36,9 +38,15 @@
         f"{hold.upstream.name} under epoch {hold.epoch}"
         for hold in double.holds
     )
+    runs = [
+        run.request_id
+        for hold in double.holds
+        for run in double.runs_of(hold)[:MAX_NAMED_RUNS]
+    ]
     return (
         f"keys {double.first} to {double.last} held by {holders} for "
-        f"{double.until_s - double.start_s:.2f} s, both ran {double.both_ran}"
+        f"{double.until_s - double.start_s:.2f} s, both ran {double.both_ran}: "
+        + ", ".join(runs)
     )
 
 
--- a/tests/common/parted_fleet.py
+++ b/tests/common/parted_fleet.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 import contextlib
 import dataclasses
+import itertools
 import pathlib
 import random
 import time
@@ -70,6 +71,7 @@
         self.cuts: list[Cut] = []
         self.statuses: collections.Counter[int] = collections.Counter()
         self.longest_lag_s = 0.0
+        self._request_numbers = itertools.count()
         super().__init__(directory, daemons, upstreams)
 
     async def _start(self, upstreams: int) -> None:
@@ -198,8 +200,9 @@
         """Sends a request; returns its status, or 0 if there was no answer."""
         with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
             async with asyncio.timeout(1.5):
+                number = next(self._request_numbers)
                 reply = await self.send_request(
-                    daemon, "/stock/a", key, f"r-{key}", wait_ms=1000
+                    daemon, "/stock/a", key, f"r{number:06}", wait_ms=1000
                 )
                 return reply.status
         return 0
--- a/tests/common/platform_fleet.py
+++ b/tests/common/platform_fleet.py
@@ -22,6 +22,7 @@
 import aiohttp
 from aiohttp import web
 
+from standins import journal as journal_module
 from standins import users_platform_store as store_module
 from standins import users_platform_upstream as upstream_module
 
@@ -190,6 +191,9 @@
         self.directory = directory
         self._runner = asyncio.Runner()
         self.loop = self._runner.get_loop()
+        self.journal = journal_module.Journal(
+            str(directory / "upstreams.journal"), "upstreams"
+        )
         self.store = self.run(self._make_store())
         self._sites: dict[str, web.AppRunner] = {}
         self.upstreams: dict[str, upstream_module.UsersPlatformUpstream] = {}
@@ -235,7 +239,9 @@
         self, name: str, service: str = "prenota", is_divided: bool = True
     ) -> upstream_module.UsersPlatformUpstream:
         """Starts an upstream and registers it in the store."""
-        upstream = upstream_module.UsersPlatformUpstream(name, is_divided)
+        upstream = upstream_module.UsersPlatformUpstream(
+            name, is_divided, self.journal
+        )
         port = free_ports(1)[0]
         await self._serve(name, upstream.application(), port)
         self.upstreams[name] = upstream
@@ -245,7 +251,9 @@
 
     async def restart_upstream(self, name: str, born_ms: int) -> None:
         """Starts an upstream that was stopped again, at its address."""
-        upstream = upstream_module.UsersPlatformUpstream(name)
+        upstream = upstream_module.UsersPlatformUpstream(
+            name, journal=self.journal
+        )
         port = int(self.addresses[name].rpartition(":")[2])
         await self._serve(name, upstream.application(), port)
         self.upstreams[name] = upstream
@@ -409,3 +417,4 @@
             await daemon.kill()
         for site in self._sites.values():
             await site.cleanup()
+        self.journal.close()
--- a/tests/process/account_fleet.py
+++ b/tests/process/account_fleet.py
@@ -103,9 +103,13 @@
         self.daemons: dict[str, subprocess.Popen[str]] = {}
         self.caller_addresses: dict[str, tuple[str, int]] = {}
         self.account_keys: dict[str, str] = {}
-        self.journal = directory / "upstream"
+        self.journal = directory / "upstream.journal"
         store = self._start(
-            "standins.store", "--port", "0", "--journal", str(directory / "s")
+            "standins.store",
+            "--port",
+            "0",
+            "--journal",
+            str(directory / "store.journal"),
         )
         self.store_url = f"http://{store[0]}:{store[1]}"
         upstream = self._start(
@@ -119,7 +123,7 @@
                 *("standins.upstream", "--name", f"conti-{number}"),
                 *("--service", "conti", "--availability-zone", "pa-1"),
                 *("--store", self.store_url, "--warm", "--no-fencing"),
-                *("--journal", str(directory / f"conti-{number}")),
+                *("--journal", str(directory / f"conti-{number}.journal")),
             )
         self._start_proxy(upstream)
         for name in ("entry-1", "entry-2"):
--- a/tests/process/test_ownership.py
+++ b/tests/process/test_ownership.py
@@ -22,9 +22,15 @@
 RunScenario = Callable[[Scenario], None]
 
 
+@pytest.fixture(scope="module")
+def directory(tmp_path_factory: pytest.TempPathFactory) -> pathlib.Path:
+    """Returns the directory of the fleet that all scenarios share."""
+    return tmp_path_factory.mktemp("ownership")
+
+
 @pytest.fixture(scope="module")
 def run_scenario(
-    tmp_path_factory: pytest.TempPathFactory,
+    directory: pathlib.Path,
 ) -> Iterator[RunScenario]:
     """Yields a function that runs a scenario and then checks the owners.
 
@@ -35,7 +41,7 @@
         # The runner's loop watches child processes, so it is created before
         # the deployment.
         runner.get_loop()
-        fleet = runner.run(_make_fleet(tmp_path_factory.mktemp("ownership")))
+        fleet = runner.run(_make_fleet(directory))
 
         async def run_and_check(scenario: Scenario) -> None:
             await scenario(fleet)
