Follow the later leader that a daemon learns of through a peer

Cause: a daemon that follows through a peer for a moment, and learns of a later leader meanwhile, then went on to the leader that the peer had named before. Its daemon passes on the later one's tables, so that the follower is content and never reports to the leader itself.

Change: the leader that was learnt last is followed.

Evidence: test_daemon_that_learns_of_a_later_leader_through_a_peer_follows_that_ one failed before.

--- a/src/sardinehill/front/leader_client.py
+++ b/src/sardinehill/front/leader_client.py
@@ -166,7 +166,8 @@
                 return True
             if self._known_leader.is_leader_alive(summary):
                 await self._follow_peer_briefly(address, summary.term)
-                self._known_leader.follow_next(summary)
+                if self._known_leader.next_leader is None:
+                    self._known_leader.follow_next(summary)
                 return True
         return False
 
--- a/tests/cover/test_leader_client.py
+++ b/tests/cover/test_leader_client.py
@@ -151,3 +151,38 @@
         return client._registry._may_be_removed
 
     assert asyncio.run(body()) is registers_again
+
+
+def test_daemon_that_learns_of_a_later_leader_through_a_peer_follows_that_one():
+    # It went on to the leader that the peer had named at first, whose daemon
+    # passed on the later one's tables, and never reported to that.
+    earlier = fleet_messages.LeaderTable(1, "old", "127.0.0.1:9", 1, 2)
+    later = fleet_messages.LeaderTable(2, "new", "127.0.0.1:8", 1, 2)
+
+    async def body():
+        def answer(link, envelope):
+            link.send(
+                message_kinds.MessageKind.LEADER_TABLE,
+                fleet.encode_table(later),
+            )
+
+        server = await peer_links.serve(
+            "127.0.0.1", 0, "peer", answer, lambda _: None
+        )
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        client = new_client({"peer": address})
+        leader = client._known_leader
+        leader.note_term(earlier.term)
+        client._receive = lambda link, envelope: leader.apply_table(
+            fleet.decode_table(envelope.payload)
+        )
+
+        async def name_the_earlier_one():
+            return [(earlier, address)]
+
+        client._query_peers = name_the_earlier_one
+        assert await client._follow_via_peer()
+        server.close()
+        return leader.next_leader
+
+    assert asyncio.run(body()).holder == "new"
