--- a/src/sardinehill/front/order_sender.py
+++ b/src/sardinehill/front/order_sender.py
@@ -273,8 +273,7 @@
         """Sends the former owner a higher epoch, then asks it to release.
 
         A grant of an earlier leader that arrives later cannot undo the release
-        then. Without such grants the epoch is not worth its price: keys are
-        slow after it, as after a move without handover. An owner that does not
+        then. Later in a term the epoch is left out. An owner that does not
         answer is not sent epochs, as it may accept each of them later; it is
         asked to release until it answers.
         """
