--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 # compile. The daemons come from the build of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
-python3 - review/support2/*.py review/6/*.py review/7/*.py review/8/*.py <<'CHECK'
+python3 - review/support2/*.py review/6/*.py review/7/*.py review/8/*.py review/9/*.py review/10/*.py <<'CHECK'
 import pathlib
 import sys
 
