--- a/review/support2/rig.py
+++ b/review/support2/rig.py
@@ -292,6 +292,7 @@
 
     Attributes:
       name: its id.
+      state: what it says of itself in the store.
       runs: the ids of the requests that it ran, in order.
       answer: writes the answer to a request that it has run, and returns
         whether it keeps the connection.
@@ -309,6 +310,7 @@
         host = free_address()
         self.address = f"{host}:{free_port(host)}"
         self.runs: list[str] = []
+        self.state = "ready"
         self.body_bytes = 400
         self.work_s = 0.02
         self.answer = self._answer
@@ -344,7 +346,7 @@
                 },
             },
             status={
-                "state": "ready",
+                "state": self.state,
                 "seqNo": next(self._reports),
                 "coldLeftS": 0,
             },
