--- a/review/support2/rig.py
+++ b/review/support2/rig.py
@@ -773,8 +773,11 @@
             async with asyncio.timeout(110):
                 await deployment.start()
                 is_broken: bool = await play(deployment)
-        except (CannotRunError, OSError, TimeoutError) as error:
-            deployment.record.write(f"the case could not run: {error!r}")
+        except Exception as error:
+            # Also an error of the script itself shows nothing of the rule.
+            text = f"the case could not run: {error!r}"
+            deployment.record.write(text)
+            print(text)
             return 2
         finally:
             await deployment.stop()
