--- a/review/support3/fleet.py
+++ b/review/support3/fleet.py
@@ -789,7 +789,7 @@
         self._ids = itertools.count(1)
         self._tasks: list[asyncio.Task[None]] = []
         self.directory = pathlib.Path(self._temporary.name)
-        self._store_port, *ports = free_ports(1 + 4 * daemons + 80)
+        self._store_port, *ports = free_ports(1 + 4 * daemons + 120)
         self._server_ports = ports[4 * daemons :]
         self.daemons = [
             Daemon(
