--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,7 +1,6 @@
-"""Clients that send ahead are refused for good."""
+"""An odd entry of another writer ends all daemons, again and again."""
 
 import asyncio
-import collections
 import pathlib
 import sys
 import time
@@ -10,80 +9,118 @@
 sys.path.insert(0, str(FOLDER.parent / "support3"))
 
 import fleet as fleet_module  # noqa: E402
-import pipelining  # noqa: E402
 
-RUN_S = 15.0
-CLIENTS = 12
-# How many requests a client sends before the first has been answered.
-AHEAD = 6
-# With the other headers well under `maxHeaderBytes`, which is 16384.
-COOKIE = "c" * 8000
-PAUSE_S = 0.25
+# Most machines of the site have as much.
+MEMORY_MB = 160
+DAEMONS = 4
+QUIET_S = 4.0
+TROUBLE_S = 20.0
+# The object, with its names and brackets, stays below `valueBytes`.
+UNREADABLE_BYTES = 1_040_000
+# What stands for them in the stand-in's memory.
+MARK = "RAWVALUE"
+# The rule's figures.
+MAX_ENDS = 2
+MACHINES = 2
 SERVICES = [
     {
-        "name": "catalogue",
+        "name": "placefinder",
         "healthPath": "/health",
-        "maxConns": 570,
+        "maxConns": 490,
         "coldStartS": 3,
-        "coldPerS": 11,
+        "coldPerS": 7.2,
     }
 ]
 ROUTES = [
     {
-        "name": "r-lookup",
-        "pathPrefix": "/lookup/",
-        "service": "catalogue",
+        "name": "r-search",
+        "pathPrefix": "/search/",
+        "service": "placefinder",
         "kind": "idempotent",
-        "timeoutS": 2,
-        "targetLatencyS": 0.6,
-        "priority": 2,
+        "timeoutS": 1.2,
+        "targetLatencyS": 0.2,
+        "priority": 1,
         "maxAttempts": 2,
     }
 ]
 
 
+async def send_steadily(
+    fleet: fleet_module.Fleet, seconds: float
+) -> list[fleet_module.Outcome]:
+    """Sends 40 requests a second to the daemons in turn."""
+    tasks = []
+    end_s = time.monotonic() + seconds
+    while time.monotonic() < end_s:
+        daemon = fleet.daemons[len(tasks) % len(fleet.daemons)]
+        tasks.append(
+            asyncio.create_task(fleet.send(daemon, "/search/a", limit_s=1.2))
+        )
+        await asyncio.sleep(0.025)
+    return list(await asyncio.gather(*tasks))
+
+
+async def write_odd_entry(fleet: fleet_module.Fleet, has_trouble: bool) -> None:
+    """Writes the entry of another writer at each heartbeat, as servers do."""
+    long_text = b"\xfe" * UNREADABLE_BYTES + "\U0001f600".encode()
+    text = long_text if has_trouble else b"\xfe"
+    fleet.store.raw[MARK] = b'"' + text + b'"'
+    number = 0
+    while True:
+        number += 1
+        await fleet.store.put(
+            "servers",
+            "i-other",
+            spec={"address": MARK},
+            status={"seqNo": number},
+        )
+        fleet.record.write("odd-entry", number=number, bytes=len(text))
+        await asyncio.sleep(fleet_module.HEARTBEAT_S)
+
+
 async def case(fleet: fleet_module.Fleet, has_trouble: bool) -> int:
-    """Sends the same requests ahead, or one after the other without trouble."""
-    for index in range(6):
+    """Counts how often the daemons end while the entry is written.
+
+    Without trouble, the entry is as unreadable, but short.
+    """
+    for index in range(12):
         await fleet.add_server(
-            f"i-{index}", "catalogue", "pa-1", False, slots=8, work_s=0.01
+            f"i-{index}",
+            "placefinder",
+            ("accra-a", "tema-b", "kasoa-c")[index % 3],
+            False,
+            slots=2,
+            queue=8,
         )
     await fleet.put_config(7, ROUTES, SERVICES)
     await fleet.start()
-    await fleet.wait_until_served("/lookup/a")
-    statuses: collections.Counter[int] = collections.Counter()
-    end_s = time.monotonic() + RUN_S
-
-    async def act_as_client(number: int) -> None:
-        daemon = fleet.daemons[number % len(fleet.daemons)]
-        while time.monotonic() < end_s:
-            outcomes = await pipelining.send_batch(
-                fleet,
-                daemon,
-                "/lookup/a",
-                AHEAD,
-                {"Cookie": COOKIE},
-                has_trouble,
-            )
-            statuses.update(outcome.status for outcome in outcomes)
-            await asyncio.sleep(PAUSE_S)
-
-    await asyncio.gather(*(act_as_client(n) for n in range(CLIENTS)))
-    total = statuses.total()
-    denied = sum(
-        count
-        for status, count in statuses.items()
-        if 300 <= status < 500 and status not in (408, 421, 429)
+    await fleet.wait_until_served("/search/a")
+    before = await send_steadily(fleet, QUIET_S)
+    writer = asyncio.create_task(write_odd_entry(fleet, has_trouble))
+    during = await send_steadily(fleet, TROUBLE_S)
+    writer.cancel()
+    ends = [daemon.own_ends for daemon in fleet.daemons]
+    served = [
+        sum(outcome.status == 200 for outcome in outcomes) / len(outcomes)
+        for outcomes in (before, during)
+    ]
+    peaks_mb = [daemon.peak_mb for daemon in fleet.daemons]
+    print(
+        f"ends: {ends}, peaks: {peaks_mb} MB of {MEMORY_MB}, served before and"
+        f" during: {served[0]:.3f}, {served[1]:.3f}"
     )
-    allowed = 5 + total / 500
-    print(f"{dict(statuses)}: {denied} denied of {total}, {allowed} allowed")
-    fleet.record.write(
-        "result", statuses=dict(statuses), denied=denied, allowed=allowed
-    )
-    if total < 200:
-        raise fleet_module.CouldNotRunError("too few requests were answered")
-    return fleet_module.BROKEN if denied > allowed else fleet_module.HELD
+    fleet.record.write("result", ends=ends, peaks_mb=peaks_mb, served=served)
+    if served[0] < 0.9:
+        raise fleet_module.CouldNotRunError("the quiet time was not served")
+    ended = sum(count > MAX_ENDS for count in ends)
+    return fleet_module.BROKEN if ended >= MACHINES else fleet_module.HELD
 
 
 if __name__ == "__main__":
-    fleet_module.main(str(FOLDER), case)
+    fleet_module.main(
+        str(FOLDER),
+        case,
+        daemons=DAEMONS,
+        zones=("accra-a", "tema-b", "kasoa-c"),
+        memory_mb=MEMORY_MB,
+    )
