Review case 11: a server takes keys back with a lower epoch

Cause: some 5 s after a term began, the former owner of keys is no longer sent a higher epoch before it is asked to release them, so a grant whose answer was taken from another order is carried out behind the release.

--- a/review/support3/fleet.py
+++ b/review/support3/fleet.py
@@ -397,6 +397,7 @@
         self.running = 0
         self.waiting = 0
         self.sequence = 0
+        self.state = "ready"
         self.holds: list[tuple[int, int, int, float]] = []
         self._epochs = [0] * KEY_COUNT
         self._free = asyncio.Semaphore(slots)
@@ -417,6 +418,11 @@
         )
         self._beat = asyncio.create_task(self._keep_registered())
 
+    async def drain(self) -> None:
+        """Reports that it leaves, and goes on serving."""
+        self.state = "draining"
+        await self._register()
+
     async def crash(self) -> None:
         """Ends at once and says nothing."""
         if self._beat is not None:
@@ -428,30 +434,33 @@
 
     async def _keep_registered(self) -> None:
         while True:
-            self.sequence += 1
             if not self.store.is_away:
-                await self.store.put(
-                    "servers",
-                    self.name,
-                    spec={
-                        "address": f"{HOST}:{self.port}",
-                        "born": self.born,
-                        "info": {
-                            "service": self.service,
-                            "zone": self.zone,
-                            "version": "v1",
-                            "slots": self.slots,
-                        },
-                    },
-                    status={
-                        "state": "ready",
-                        "coldLeftS": 0,
-                        "seqNo": self.sequence,
-                        "born": self.born,
-                    },
-                )
+                await self._register()
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def _register(self) -> None:
+        self.sequence += 1
+        await self.store.put(
+            "servers",
+            self.name,
+            spec={
+                "address": f"{HOST}:{self.port}",
+                "born": self.born,
+                "info": {
+                    "service": self.service,
+                    "zone": self.zone,
+                    "version": "v1",
+                    "slots": self.slots,
+                },
+            },
+            status={
+                "state": self.state,
+                "coldLeftS": 0,
+                "seqNo": self.sequence,
+                "born": self.born,
+            },
+        )
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
