--- a/review/support3/fleet.py
+++ b/review/support3/fleet.py
@@ -952,6 +952,10 @@
             await server.crash()
         self.record.close()
 
+    def remove_files(self) -> None:
+        """Removes the daemons' settings and logs."""
+        self._temporary.cleanup()
+
 
 def _keep_logs(fleet: Fleet) -> None:
     """Copies the daemons' logs to the folder that `KEEP_LOGS` names."""
@@ -981,6 +985,7 @@
         finally:
             await fleet.close()
             _keep_logs(fleet)
+            fleet.remove_files()
 
     try:
         code = asyncio.run(run())
