Read of long data of other writers only the fields that are used

Cause: data that is not plain JSON was searched for deep values with a pattern that keeps some 120 bytes for each character of a string (128 MB traced for the entry). Apart from that, JSON was decoded whole before it was reduced, which takes up to 38 times its bytes.

Items that are no JSON are null and hide no others. Answers to watches and orders are received up to 2 MB and 64 KB. A list goes on after the last name of a page that can be read.

Why it works: what is not read is skipped in the bytes, so its form no longer decides how much memory it takes.

--- a/src/sardinehill/front/key_owners.py
+++ b/src/sardinehill/front/key_owners.py
@@ -20,6 +20,8 @@
 RELEASE_TIMEOUT_S = 1.5
 ORDER_RETRY_S = 0.15
 MAX_IDLE_S = 5.0
+# Nothing is read of an answer's body.
+MAX_ANSWER_BODY_BYTES = 64 * 1024
 # The kernel discards an order that stays unacknowledged this long, also while
 # this process does not run. It counts from its first repetition, which follows
 # the order by at least 0.2 s.
@@ -374,7 +376,10 @@
             self._under_way.add(connection)
             try:
                 async with asyncio.timeout(timeout_s):
-                    answer = await connection.exchange(request)
+                    answer = await connection.exchange(
+                        request,
+                        body_limit_bytes=lambda _head: MAX_ANSWER_BODY_BYTES,
+                    )
             finally:
                 self._under_way.discard(connection)
         except TimeoutError:
--- a/src/sardinehill/http1.py
+++ b/src/sardinehill/http1.py
@@ -120,6 +120,10 @@
         self.reset = reset
 
 
+class BodyTooLargeError(ConnectionFailedError):
+    """Raised when a response's body is longer than the caller allows."""
+
+
 class Connection(asyncio.Protocol):
     """A client's connection to one server.
 
@@ -305,7 +309,9 @@
             return
         self._body_bytes += len(body)
         if self._body_bytes > self._body_limit_bytes:
-            self._fail("the response body is too large")
+            self._fail(
+                "the response body is too large", error_type=BodyTooLargeError
+            )
             return
         if self._share and not self._share.try_hold(self._body_bytes):
             self._fail("there is no memory for the response body")
@@ -491,12 +497,17 @@
             reset=isinstance(error, ConnectionResetError),
         )
 
-    def _fail(self, reason: str, reset: bool = False) -> None:
+    def _fail(
+        self,
+        reason: str,
+        reset: bool = False,
+        error_type: type[ConnectionFailedError] = ConnectionFailedError,
+    ) -> None:
         self.close()
         pending, self._pending_response = self._pending_response, None
         if pending is not None and not pending.done():
             pending.set_exception(
-                ConnectionFailedError(
+                error_type(
                     reason,
                     written=True,
                     response_started=self._response_started,
--- a/src/sardinehill/platform/documents.py
+++ b/src/sardinehill/platform/documents.py
@@ -8,6 +8,7 @@
 from typing import ParamSpec
 from typing import TypeVar
 
+from sardinehill import tolerant_json
 from sardinehill.core import routes
 from sardinehill.platform import names
 
@@ -61,6 +62,23 @@
     return decode
 
 
+def page_fields(kind: str) -> tolerant_json.Fields:
+    """Returns what is read of a long page of a list; None for all."""
+    fields = _READ_FIELDS.get(kind)
+    if fields is None:
+        return None
+    return {"items": [fields], "hasMore": None, "currentRev": None}
+
+
+def changes_fields(kind: str) -> tolerant_json.Fields:
+    """Returns what is read of a long answer to a watch; None for all."""
+    fields = _READ_FIELDS.get(kind)
+    if fields is None:
+        return None
+    event_fields = {"object": fields, "deleted": None}
+    return {"events": [event_fields], "currentRev": None}
+
+
 def reduced(kind: str, document: Json) -> Json:
     """Returns an object with those of its fields only that are read.
 
--- a/src/sardinehill/platform/store.py
+++ b/src/sardinehill/platform/store.py
@@ -30,8 +30,8 @@
 MAX_ERA_DIGITS = 5
 # Objects with longer names are malformed.
 MAX_NAME_CHARS = 1000
-# Decoding takes up to twenty times the bytes. Longer answers to watches are not
-# decoded; a list comes in pages of about half of this.
+# Longer answers to watches are not read; a list comes in pages of about half of
+# this.
 MAX_WATCH_ANSWER_BYTES = 2 * 1024 * 1024
 IDLE_TIMEOUT_S = 5.0
 _MS_PER_S = 1000
@@ -90,6 +90,10 @@
     """Raised when a call was refused or not sent, and so had no effect."""
 
 
+class StoreReplyTooLargeError(errors.StoreReplyError):
+    """Raised when an answer has more bytes than may be read."""
+
+
 class WatchHistoryExpiredError(errors.StoreError):
     """Raised when a watch asks for changes that the store no longer has.
 
@@ -136,7 +140,13 @@
             if may_be_stale:
                 query["serializable"] = "1"
             call = "list-stale" if may_be_stale else "list"
-            reply = await self._call(call, "GET", (kind,), query)
+            reply = await self._call(
+                call,
+                "GET",
+                (kind,),
+                query,
+                fields=documents_module.page_fields(kind),
+            )
             body = reply.body
             page = body.get("items") if isinstance(body, dict) else None
             revision = body.get("currentRev") if page is not None else None
@@ -150,7 +160,7 @@
                 items, after, first_version = [], "", None
                 continue
             items.extend(_decode_objects(kind, page))
-            last_name = _name_of(page[-1]) if page else None
+            last_name = _last_name(page)
             if not body.get("hasMore") or last_name in (None, after):
                 return items, first_version
             after = last_name or ""
@@ -254,16 +264,22 @@
         version: store_versions.StoreVersion,
     ) -> tuple[list[ObjectChange], store_versions.StoreVersion]:
         query = {"watch": str(version.revision), "waitMs": str(WATCH_WAIT_MS)}
-        reply = await self._exchange(
-            connection,
-            "watch",
-            "GET",
-            (kind,),
-            query,
-            None,
-            WATCH_WAIT_MS / _MS_PER_S + WATCH_TIMEOUT_MARGIN_S,
-            MAX_WATCH_ANSWER_BYTES,
-        )
+        try:
+            reply = await self._exchange(
+                connection,
+                "watch",
+                "GET",
+                (kind,),
+                query,
+                None,
+                WATCH_WAIT_MS / _MS_PER_S + WATCH_TIMEOUT_MARGIN_S,
+                documents_module.changes_fields(kind),
+                MAX_WATCH_ANSWER_BYTES,
+            )
+        except StoreReplyTooLargeError as error:
+            raise WatchHistoryExpiredError(
+                f"{kind}: changes are listed instead: {error}"
+            ) from error
         if reply.status == 410 or reply.era != version.era:
             raise WatchHistoryExpiredError(f"{kind}: no history from {version}")
         body = reply.body
@@ -287,11 +303,12 @@
         query: dict[str, str],
         body: Json = None,
         timeout_s: float = CALL_TIMEOUT_S,
+        fields: tolerant_json.Fields = None,
     ) -> _Reply:
         try:
             connection = await self._acquire_connection()
             reply = await self._exchange(
-                connection, call, method, path, query, body, timeout_s
+                connection, call, method, path, query, body, timeout_s, fields
             )
         except errors.StoreError:
             if self.failing_since_s is None:
@@ -313,13 +330,18 @@
         query: dict[str, str],
         body: Json,
         timeout_s: float,
-        max_decoded_bytes: int | None = None,
+        fields: tolerant_json.Fields = None,
+        max_body_bytes: int = http1.MAX_RESPONSE_BODY_BYTES,
     ) -> _Reply:
         data = self._encode(method, path, query, body)
         self.call_counts[call] = self.call_counts.get(call, 0) + 1
         try:
             async with asyncio.timeout(timeout_s):
-                response = await connection.exchange(data)
+                response = await connection.exchange(
+                    data, body_limit_bytes=lambda _head: max_body_bytes
+                )
+        except http1.BodyTooLargeError as error:
+            raise StoreReplyTooLargeError(f"{path}: {error}") from error
         except (TimeoutError, http1.ConnectionFailedError) as error:
             connection.close()
             raise errors.StoreUnavailableError(
@@ -331,16 +353,8 @@
             raise StoreBusyError(
                 f"{method} {'/'.join(path)}: status {response.status}"
             )
-        size_bytes = len(response.body)
-        if max_decoded_bytes is not None and size_bytes > max_decoded_bytes:
-            connection.close()
-            raise WatchHistoryExpiredError(
-                f"{path}: {size_bytes} bytes of changes are listed instead"
-            )
         try:
-            decoded = (
-                tolerant_json.loads(response.body) if response.body else None
-            )
+            decoded = _decode_body(response.body, fields)
         except ValueError as error:
             connection.close()
             raise errors.StoreReplyError(f"{path}: {error}") from error
@@ -421,6 +435,33 @@
     return name if isinstance(name, str) else None
 
 
+def _last_name(page: list[Json]) -> str | None:
+    """Returns the last name of a page that can be read, if there is any.
+
+    The next page goes on after it, so that an object whose name cannot be read
+    does not hide those behind it.
+    """
+    names_read = (_name_of(document) for document in reversed(page))
+    return next((name for name in names_read if name), None)
+
+
+def _decode_body(body: bytes, fields: tolerant_json.Fields) -> Json:
+    """Returns the value of a body, None without one.
+
+    Args:
+      body: the body.
+      fields: what is read of a long one, None for all.
+
+    Raises:
+      ValueError: the body is not JSON.
+    """
+    if not body:
+        return None
+    if fields is None:
+        return tolerant_json.loads(body)
+    return tolerant_json.loads_fields(body, fields)
+
+
 def _decode_objects(kind: str, documents: list[Json]) -> list[StoredObject]:
     """Returns the objects that can be decoded; the others are logged."""
     decoded = []
--- a/tests/cover/test_store_client.py
+++ b/tests/cover/test_store_client.py
@@ -202,6 +202,49 @@
     run(scenario)
 
 
+# Values of nearly 1 MB whose decoding takes many times that, or took it.
+LARGE_VALUES = {
+    "unreadable": b'"%b\xf0\x9f\x98\x80"' % (b"\xfe" * 1_040_000),
+    "objects": b"[%b0]" % (b'{"":[]},' * 130_000),
+    "deep": b"%b%b" % (b"[" * 520_000, b"]" * 520_000),
+}
+# The bytes themselves are held several times, also by the stand-in.
+MAX_PEAK_BYTES = 16 * 1024 * 1024
+
+
+# Guards against this failure: one unreadable entry of 1 MB took 125 MB while it
+# was decoded, which ended each daemon of 160 MB that read it.
+@pytest.mark.parametrize("name", LARGE_VALUES)
+def test_reading_an_odd_entry_takes_little_memory(name):
+    async def scenario(store, client):
+        store.raw_values["RAW"] = LARGE_VALUES[name]
+        await store.put(KIND, "sound", spec=None)
+        _, version = await client.list_objects(KIND)
+        await store.put(KIND, "odd", spec={"address": "RAW", "odd": "RAW"})
+        await store.put(KIND, "zound", spec=None)
+        tracemalloc.start()
+        try:
+            assert await names_listed(client) == ["odd", "sound", "zound"]
+            changes, _ = await anext(client.watch(KIND, version))
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert [change.object.name for change in changes] == ["odd", "zound"]
+        assert peak_bytes < MAX_PEAK_BYTES
+
+    run(scenario)
+
+
+def test_list_goes_on_after_a_page_that_ends_with_an_odd_object():
+    async def scenario(store, client):
+        store.page_size = 2
+        for name in ("a", "b" * 20_000, "c", "d"):
+            await store.put(KIND, name, spec=LARGE_ENTRY)
+        assert await names_listed(client) == ["a", "c", "d"]
+
+    run(scenario)
+
+
 def test_changes_that_are_too_large_to_decode_at_once_are_listed_instead():
     async def scenario(store, client):
         _, version = await client.list_objects(KIND)
