Let the fake upstream of grants take limits on answers

The fake connection took no such argument, and the tests that use it failed, and others after them, as its patches were then not taken back.

--- a/tests/common/grants_platform.py
+++ b/tests/common/grants_platform.py
@@ -87,7 +87,7 @@
         ):
             self._arrival.cancel()
 
-    async def exchange(self, request):
+    async def exchange(self, request, **_options):
         if not self.usable:
             raise http1.ConnectionFailedError("closed", written=False)
         loop = self._world.loop
