--- a/tests/cover/test_endless_answers.py
+++ b/tests/cover/test_endless_answers.py
@@ -11,6 +11,7 @@
 
 from sardinehill import http1
 from sardinehill.core import byte_budget
+from sardinehill.front import key_owners
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: test\r\n\r\n"
 OK_HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -203,3 +204,34 @@
         return response.body
 
     assert asyncio.run(body()) == b"x" * 40_000
+
+
+# Guards against this failure: each answer to an order could hold 16 MB of a
+# body that nothing reads, without a bound for all orders together.
+def test_answer_to_an_order_holds_little_memory() -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(OK_HEAD + b"content-length: 9999999\r\n\r\n")
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(FILLER)
+                await writer.drain()
+
+    async def body() -> key_owners.OrderResult:
+        server = await asyncio.start_server(serve, "127.0.0.1")
+        port = server.sockets[0].getsockname()[1]
+        owner = key_owners.KeyOwner(("a", 1), f"127.0.0.1:{port}", 3)
+        owners = key_owners.KeyOwners("s", dict, frozenset, 0.0)
+        return await owners.send_order(owner, REQUEST, 5.0, lambda: True)
+
+    tracemalloc.start()
+    try:
+        result = asyncio.run(body())
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    # It may have been taken, and there is no answer.
+    assert (result.status, result.written) == (None, True)
+    assert peak_bytes < 2 * 1024 * 1024
